Serve a request from one end to the other on real processes

A caller's request goes through circuits.web, the decision core and an outbound connection to an engine or plain service stand-in, and comes back token by token.

--- /dev/null
+++ b/berylquay/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: HTTP requests come in here and answers leave."""
--- /dev/null
+++ b/berylquay/callers/answers.py
@@ -0,0 +1,94 @@
+"""Answers: how tokens, whole answers and refusals look on the wire to callers."""
+
+import json
+import math
+from typing import Final
+
+from berylquay.decisions.calls import Call
+from berylquay.verdicts import Refusal, RefusalReason, Verdict
+
+VERDICT_HEADER: Final = "X-Verdict"
+REQUEST_ID_HEADER: Final = "X-Request-Id"
+DONE_EVENT: Final = b"data: [DONE]\n\n"
+
+_STATUS_BY_REASON: Final = {
+    RefusalReason.INVALID: 400,
+    RefusalReason.DEADLINE: 504,
+    RefusalReason.OVERLOADED: 429,
+    RefusalReason.NO_BACKEND: 503,
+    RefusalReason.BACKEND_FAILED: 502,
+    RefusalReason.DUPLICATE: 409,
+    RefusalReason.QUARANTINED: 422,
+    RefusalReason.SHUTTING_DOWN: 503,
+    RefusalReason.PLATFORM_AWAY: 503,
+}
+
+
+def refusal_status(refusal: Refusal) -> int:
+    """Returns the HTTP status that stands for the refusal's reason."""
+    return _STATUS_BY_REASON[refusal.reason]
+
+
+def refusal_body(refusal: Refusal) -> bytes:
+    """Returns the JSON body of a refusal."""
+    value = {
+        "error": {
+            "reason": refusal.reason.value,
+            "verdict": refusal.verdict.value,
+            "detail": refusal.detail,
+            "retry_after_s": refusal.retry_after_s,
+        }
+    }
+    return json.dumps(value).encode()
+
+
+def retry_after_text(retry_after_s: float) -> str:
+    """Returns the value of a Retry-After header, in whole seconds."""
+    return str(max(1, math.ceil(retry_after_s)))
+
+
+def token_event(call: Call, text: str) -> bytes:
+    """Returns the server-sent event of one or more tokens."""
+    value = {
+        "id": call.request_id,
+        "object": "chat.completion.chunk",
+        "model": call.model,
+        "choices": [{"index": 0, "delta": {"content": text}, "finish_reason": None}],
+    }
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+def end_event(call: Call, total_tokens: int) -> bytes:
+    """Returns the server-sent events that end a whole answer."""
+    value = {
+        "id": call.request_id,
+        "object": "chat.completion.chunk",
+        "model": call.model,
+        "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
+        "usage": {"completion_tokens": total_tokens},
+        "verdict": Verdict.COMPLETED.value,
+    }
+    return b"data: " + json.dumps(value).encode() + b"\n\n" + DONE_EVENT
+
+
+def refusal_event(refusal: Refusal) -> bytes:
+    """Returns the server-sent event that ends an answer before it is whole."""
+    return b"data: " + refusal_body(refusal) + b"\n\n"
+
+
+def whole_answer(call: Call, text: str, total_tokens: int) -> bytes:
+    """Returns the body of an answer that is not streamed."""
+    value = {
+        "id": call.request_id,
+        "object": "chat.completion",
+        "model": call.model,
+        "choices": [
+            {
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": "stop",
+            }
+        ],
+        "usage": {"prompt_tokens": call.prompt_tokens, "completion_tokens": total_tokens},
+    }
+    return json.dumps(value).encode()
--- /dev/null
+++ b/berylquay/callers/gate.py
@@ -0,0 +1,191 @@
+"""The gate: takes callers' requests off circuits.web and gives them their answers."""
+
+import time
+from socket import socket
+from typing import Final
+
+from attrs import define, field
+from circuits import BaseComponent, Event, handler
+from circuits.web.events import response, stream
+from circuits.web.wrappers import Request, Response
+from returns.result import Success
+
+from berylquay.callers.answers import (
+    REQUEST_ID_HEADER,
+    VERDICT_HEADER,
+    end_event,
+    refusal_body,
+    refusal_event,
+    refusal_status,
+    retry_after_text,
+    token_event,
+    whole_answer,
+)
+from berylquay.callers.parsing import CHAT_PATH, SERVICE_PREFIX, RawRequest, parse_call
+from berylquay.callers.server import CALLERS_CHANNEL
+from berylquay.decisions.calls import Call
+from berylquay.decisions.deployment import Configuration
+from berylquay.messages import (
+    CallCompleted,
+    CallerGone,
+    CallReceived,
+    CallRefused,
+    ConfigurationInForce,
+    TokensForCaller,
+)
+from berylquay.net.bus import BUS, post
+from berylquay.verdicts import Refusal, Verdict
+
+STATUS_OK: Final = 200
+
+
+@define(eq=False)
+class _Pending:
+    """A call whose caller waits."""
+
+    call: Call
+    response: Response
+    texts: list[str] = field(factory=list)
+    total_tokens: int = 0
+    head_sent: bool = False
+
+
+class Gate(BaseComponent):
+    """Holds the callers that wait for answers."""
+
+    channel = CALLERS_CHANNEL
+
+    # Configuration that requests are checked against.
+    _configuration: Configuration
+    # Waiting callers by call id.
+    _pending: dict[str, _Pending]
+    # Call id by the caller's socket.
+    _call_of_sock: dict[socket, str]
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._configuration = Configuration()
+        self._pending = {}
+        self._call_of_sock = {}
+
+    @handler("ConfigurationInForce", channel=BUS)
+    def _on_configuration(self, message: ConfigurationInForce) -> None:
+        self._configuration = message.configuration
+
+    @handler("request", priority=1.0)
+    def _on_request(self, event: Event, request: Request, answer: Response) -> bool | None:
+        if request.path != CHAT_PATH and not request.path.startswith(SERVICE_PREFIX):
+            return None
+        event.stop()
+        parsed = parse_call(_raw_of(request), self._configuration, time.monotonic())
+        if not isinstance(parsed, Success):
+            self._send_refusal(answer, parsed.failure(), request.headers.get(REQUEST_ID_HEADER, ""))
+            return True
+        call = parsed.unwrap()
+        self._pending[call.call_id] = _Pending(call, answer)
+        self._call_of_sock[request.sock] = call.call_id
+        post(self, CallReceived(call))
+        return True
+
+    @handler("disconnect")
+    def _on_disconnect(self, sock: socket) -> None:
+        call_id = self._call_of_sock.pop(sock, None)
+        if call_id is not None:
+            del self._pending[call_id]
+            post(self, CallerGone(call_id))
+
+    @handler("TokensForCaller", channel=BUS)
+    def _on_tokens(self, message: TokensForCaller) -> None:
+        pending = self._pending.get(message.call_id)
+        if pending is None:
+            return
+        pending.total_tokens += len(message.texts)
+        text = "".join(message.texts)
+        if not pending.call.streamed:
+            pending.texts.append(text)
+            return
+        self._start_stream(pending)
+        self.fire(stream(pending.response, token_event(pending.call, text)))
+
+    @handler("CallCompleted", channel=BUS)
+    def _on_completed(self, message: CallCompleted) -> None:
+        pending = self._forget(message.call_id)
+        if pending is None:
+            return
+        if pending.call.streamed:
+            self._start_stream(pending)
+            last = end_event(pending.call, pending.total_tokens)
+            self.fire(stream(pending.response, last))
+            self.fire(stream(pending.response, None))
+            return
+        body = message.body
+        if pending.call.is_generation:
+            body = whole_answer(pending.call, "".join(pending.texts), pending.total_tokens)
+        self._send_whole(pending, message.status, body, message.content_type)
+
+    @handler("CallRefused", channel=BUS)
+    def _on_refused(self, message: CallRefused) -> None:
+        pending = self._forget(message.call_id)
+        if pending is None:
+            return
+        if pending.head_sent:
+            self.fire(stream(pending.response, refusal_event(message.refusal)))
+            self.fire(stream(pending.response, None))
+            return
+        self._send_refusal(pending.response, message.refusal, pending.call.request_id)
+
+    def _forget(self, call_id: str) -> _Pending | None:
+        pending = self._pending.pop(call_id, None)
+        if pending is not None:
+            del self._call_of_sock[pending.response.request.sock]
+        return pending
+
+    def _start_stream(self, pending: _Pending) -> None:
+        if pending.head_sent:
+            return
+        pending.head_sent = True
+        answer = pending.response
+        answer.headers["Content-Type"] = "text/event-stream"
+        answer.headers["Cache-Control"] = "no-store"
+        answer.headers[REQUEST_ID_HEADER] = pending.call.request_id
+        answer.stream = True
+        # An empty tuple, since a list or None would give Content-Length: 0.
+        answer.body = ()
+        self.fire(response(answer))
+
+    def _send_whole(self, pending: _Pending, status: int, body: bytes, content_type: str) -> None:
+        answer = pending.response
+        answer.status = status
+        answer.headers["Content-Type"] = content_type
+        if pending.call.is_generation:
+            answer.headers["Content-Type"] = "application/json"
+        answer.headers[VERDICT_HEADER] = Verdict.COMPLETED.value
+        answer.headers[REQUEST_ID_HEADER] = pending.call.request_id
+        answer.body = body
+        self.fire(response(answer))
+
+    def _send_refusal(self, answer: Response, refusal: Refusal, request_id: str) -> None:
+        answer.status = refusal_status(refusal)
+        answer.headers["Content-Type"] = "application/json"
+        answer.headers[VERDICT_HEADER] = refusal.verdict.value
+        if request_id:
+            answer.headers[REQUEST_ID_HEADER] = request_id
+        if refusal.retry_after_s is not None:
+            answer.headers["Retry-After"] = retry_after_text(refusal.retry_after_s)
+        answer.body = refusal_body(refusal)
+        self.fire(response(answer))
+
+
+def _raw_of(request: Request) -> RawRequest:
+    headers = request.headers
+    return RawRequest(
+        method=request.method,
+        path=request.path,
+        tenant=headers.get("X-Tenant", ""),
+        request_class=headers.get("X-Class", ""),
+        deadline_ms=headers.get("X-Deadline-Ms", ""),
+        request_id=headers.get(REQUEST_ID_HEADER, ""),
+        repeatable=headers.get("X-Repeatable", ""),
+        idempotency_key=headers.get("Idempotency-Key", ""),
+        body=request.body.read(),
+    )
--- /dev/null
+++ b/berylquay/callers/parsing.py
@@ -0,0 +1,186 @@
+"""Parsing of callers' requests: HTTP head and body to a checked `Call`, or to a refusal."""
+
+import hashlib
+import json
+import uuid
+from typing import Final
+
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from berylquay.decisions.calls import Call
+from berylquay.decisions.deployment import ClassSpec, Configuration, Deployment, WorkKind
+from berylquay.verdicts import Refusal, RefusalReason, Verdict
+
+CHAT_PATH: Final = "/v1/chat/completions"
+SERVICE_PREFIX: Final = "/v1/services/"
+MILLISECONDS_PER_SECOND: Final = 1000.0
+# Characters that one token stands for, in the estimate of a prompt's length.
+CHARACTERS_PER_TOKEN: Final = 4
+
+
+@frozen
+class RawRequest:
+    """What the HTTP parser hands over; header names are in lower case."""
+
+    method: str
+    path: str
+    tenant: str
+    request_class: str
+    deadline_ms: str
+    request_id: str
+    repeatable: str
+    idempotency_key: str
+    body: bytes
+
+
+class _InvalidRequestError(Exception):
+    """Ends the parsing of a request that is at fault."""
+
+
+def parse_call(
+    raw: RawRequest, configuration: Configuration, now_s: float
+) -> Result[Call, Refusal]:
+    """Returns the checked call, or the refusal that says what is wrong with the request."""
+    try:
+        return Success(_parse(raw, configuration, now_s))
+    except _InvalidRequestError as error:
+        return Failure(Refusal(RefusalReason.INVALID, Verdict.NOT_RUN, str(error)))
+
+
+def _parse(raw: RawRequest, configuration: Configuration, now_s: float) -> Call:
+    deployment, spec = _find_class(raw, configuration)
+    if deployment.tenant_named(raw.tenant) is None:
+        raise _InvalidRequestError(f"unknown tenant {raw.tenant!r} in header X-Tenant")
+    if spec.kind is WorkKind.GENERATION:
+        return _parse_generation(raw, deployment, spec, now_s)
+    return _parse_service_call(raw, spec, now_s)
+
+
+def _find_class(raw: RawRequest, configuration: Configuration) -> tuple[Deployment, ClassSpec]:
+    found = configuration.find_class(raw.request_class)
+    if found is None:
+        raise _InvalidRequestError(f"unknown class {raw.request_class!r} in header X-Class")
+    expected = CHAT_PATH if found[1].kind is WorkKind.GENERATION else SERVICE_PREFIX
+    if not raw.path.startswith(expected):
+        raise _InvalidRequestError(f"class {raw.request_class} is served under {expected}")
+    return found
+
+
+def _parse_generation(
+    raw: RawRequest, deployment: Deployment, spec: ClassSpec, now_s: float
+) -> Call:
+    value = _parse_json_object(raw.body)
+    model = value.get("model")
+    if not isinstance(model, str) or deployment.model_named(model) is None:
+        raise _InvalidRequestError(f"unknown model {model!r}")
+    prompt = _prompt_of(value)
+    return Call(
+        call_id=uuid.uuid4().hex,
+        request_id=raw.request_id or uuid.uuid4().hex,
+        tenant=raw.tenant,
+        spec=spec,
+        received_s=now_s,
+        deadline_s=now_s + _budget_s(raw, spec),
+        repeatable=_repeatable(raw, spec),
+        idempotency_key=raw.idempotency_key,
+        fingerprint=_fingerprint(model.encode(), prompt.encode()),
+        streamed=value.get("stream") is True,
+        model=model,
+        adapter=_adapter_of(value, deployment, model),
+        prompt=prompt,
+        prompt_tokens=len(prompt) // CHARACTERS_PER_TOKEN + 1,
+        max_output_tokens=_max_output_tokens(value, spec),
+    )
+
+
+def _parse_service_call(raw: RawRequest, spec: ClassSpec, now_s: float) -> Call:
+    service, _, rest = raw.path.removeprefix(SERVICE_PREFIX).partition("/")
+    if service != spec.pool:
+        raise _InvalidRequestError(f"class {spec.name} is served by {spec.pool}, not {service}")
+    return Call(
+        call_id=uuid.uuid4().hex,
+        request_id=raw.request_id or uuid.uuid4().hex,
+        tenant=raw.tenant,
+        spec=spec,
+        received_s=now_s,
+        deadline_s=now_s + _budget_s(raw, spec),
+        repeatable=_repeatable(raw, spec),
+        idempotency_key=raw.idempotency_key,
+        fingerprint=_fingerprint(raw.path.encode(), raw.body),
+        streamed=False,
+        model="",
+        adapter="",
+        prompt="",
+        prompt_tokens=0,
+        max_output_tokens=0,
+        method=raw.method,
+        path="/" + rest,
+        body=raw.body,
+    )
+
+
+def _parse_json_object(body: bytes) -> dict[str, object]:
+    try:
+        value = json.loads(body)
+    except ValueError as error:
+        raise _InvalidRequestError(f"the body is not JSON: {error}") from error
+    if not isinstance(value, dict):
+        raise _InvalidRequestError("the body is not a JSON object")
+    return value
+
+
+def _prompt_of(value: dict[str, object]) -> str:
+    messages = value.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise _InvalidRequestError("messages is not a list with at least one message")
+    lines: list[str] = []
+    for message in messages:
+        content = message.get("content") if isinstance(message, dict) else None
+        if not isinstance(content, str):
+            raise _InvalidRequestError("a message has no content that is a text")
+        lines.append(f"{message.get('role', 'user')}: {content}")
+    return "\n".join(lines)
+
+
+def _adapter_of(value: dict[str, object], deployment: Deployment, model: str) -> str:
+    adapter = value.get("adapter", "")
+    spec = deployment.model_named(model)
+    if not isinstance(adapter, str) or (adapter and (spec is None or adapter not in spec.adapters)):
+        raise _InvalidRequestError(f"unknown adapter {adapter!r} of model {model}")
+    return adapter
+
+
+def _max_output_tokens(value: dict[str, object], spec: ClassSpec) -> int:
+    asked = value.get("max_tokens", spec.max_output_tokens)
+    if not isinstance(asked, int) or isinstance(asked, bool) or asked < 1:
+        raise _InvalidRequestError(f"max_tokens is {asked!r}, not a whole number above 0")
+    return min(asked, spec.max_output_tokens)
+
+
+def _budget_s(raw: RawRequest, spec: ClassSpec) -> float:
+    if not raw.deadline_ms:
+        return spec.deadline_s
+    try:
+        asked_s = float(raw.deadline_ms) / MILLISECONDS_PER_SECOND
+    except ValueError as error:
+        raise _InvalidRequestError(
+            f"header X-Deadline-Ms is {raw.deadline_ms!r}, not a number"
+        ) from error
+    if not asked_s == asked_s:  # noqa: PLR0124 (not a number)
+        raise _InvalidRequestError("header X-Deadline-Ms is not a number")
+    return min(asked_s, spec.deadline_s)
+
+
+def _repeatable(raw: RawRequest, spec: ClassSpec) -> bool:
+    if raw.repeatable not in {"", "yes", "no"}:
+        raise _InvalidRequestError(f"header X-Repeatable is {raw.repeatable!r}, not yes or no")
+    return spec.repeatable and raw.repeatable != "no"
+
+
+def _fingerprint(*parts: bytes) -> str:
+    digest = hashlib.blake2b(digest_size=12)
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
--- /dev/null
+++ b/berylquay/callers/server.py
@@ -0,0 +1,83 @@
+"""The callers' HTTP server: circuits.web over a TCP server whose buffers are bounded."""
+
+from socket import socket
+from typing import Final
+
+from circuits import BaseComponent, handler
+from circuits.net.sockets import TCPServer
+from circuits.web.http import HTTP
+
+from berylquay.decisions.fleet import Address
+from berylquay.settings.options import CallerLimits
+
+CALLERS_CHANNEL: Final = "callers"
+CLOSED_FILENO: Final = -1
+
+
+class BoundedTCPServer(TCPServer):
+    """Sends at once where the socket takes it, and drops callers that do not read."""
+
+    # Bounds per connection.
+    _limits: CallerLimits
+
+    def __init__(self, bind: tuple[str, int], channel: str, limits: CallerLimits) -> None:
+        super().__init__(bind, channel=channel)
+        self._limits = limits
+
+    @handler("write", override=True)
+    def write(self, sock: socket, data: bytes) -> None:
+        """Sends the data or buffers what the socket does not take yet."""
+        if sock.fileno() == CLOSED_FILENO:
+            return
+        if not self._buffers.get(sock):
+            data = self._send_now(sock, data)
+            if not data:
+                return
+        self._buffer(sock, data)
+
+    def _buffer(self, sock: socket, data: bytes) -> None:
+        waiting = self._buffers[sock]
+        waiting.append(data)
+        if sum(map(len, waiting)) > self._limits.write_buffer_bytes:
+            self._close(sock)
+        elif not self._poller.isWriting(sock):
+            self._poller.addWriter(self, sock)
+
+    def _send_now(self, sock: socket, data: bytes) -> bytes:
+        try:
+            return data[sock.send(data) :]
+        except (BlockingIOError, InterruptedError):
+            return data
+        except OSError:
+            self._close(sock)
+            return b""
+
+
+class CallersServer(BaseComponent):
+    """The TCP server and circuits.web's HTTP parser, on one channel."""
+
+    channel = CALLERS_CHANNEL
+
+    # TCP server.
+    server: BoundedTCPServer
+    # HTTP parser and writer.
+    http: HTTP
+    # circuits.web asks for these two of its server.
+    secure: bool = False
+    display_banner: bool = False
+
+    def __init__(self, address: Address, limits: CallerLimits) -> None:
+        super().__init__()
+        bind = (address.ip, address.port)
+        self.server = BoundedTCPServer(bind, self.channel, limits).register(self)
+        self.http = HTTP(self, channel=self.channel).register(self)
+
+    @property
+    def host(self) -> str:
+        """Returns the address on which the server listens."""
+        return self.server.host
+
+    @property
+    def port(self) -> int:
+        """Returns the port on which the server listens."""
+        return self.server.port
--- /dev/null
+++ b/berylquay/daemon.py
@@ -0,0 +1,100 @@
+"""`berylquayd`: the process of one entry host; reads its settings and runs the circuits loop."""
+
+import argparse
+import signal
+import sys
+import uuid
+from typing import Final
+
+import logbook
+from circuits.core.pollers import EPoll
+from returns.result import Failure
+
+from berylquay.backends.attempts import BackendAttempts
+from berylquay.backends.dispatch import Dispatch
+from berylquay.callers.gate import Gate
+from berylquay.callers.server import CallersServer
+from berylquay.decisions.deployment import Configuration, Deployment
+from berylquay.decisions.fates import CallFates
+from berylquay.decisions.routing import LeastInFlight
+from berylquay.errors import SettingsError
+from berylquay.logs import set_up_logs
+from berylquay.messages import ConfigurationInForce
+from berylquay.net.bus import post
+from berylquay.net.outbound import OutboundConnections
+from berylquay.net.ticker import Ticker
+from berylquay.platform.membership import MembershipPoller
+from berylquay.settings.deployment_file import read_deployment_file
+from berylquay.settings.host_file import read_host_file
+from berylquay.settings.options import Options
+
+EXIT_BAD_SETTINGS: Final = 2
+_log = logbook.Logger("daemon")
+
+
+class Loop(EPoll):
+    """The root of the component tree: the poller, which also hears the signals."""
+
+    def _signal_handler(self, signo: int, stack: object) -> None:
+        _log.info("stopping", signal=signal.Signals(signo).name)
+        self.stop()
+
+
+def main() -> None:
+    """Runs the daemon until it is told to stop."""
+    arguments = _parse_arguments()
+    read = read_host_file(arguments.settings)
+    if isinstance(read, Failure):
+        _exit_for_bad_settings(read.failure())
+    options = read.unwrap()
+    deployments = _read_initial_deployments(options)
+    if arguments.check:
+        print(f"{arguments.settings}: ok")  # noqa: T201
+        return
+    set_up_logs(options.log_level)
+    build_loop(options, deployments).run()
+
+
+def build_loop(options: Options, deployments: tuple[Deployment, ...]) -> Loop:
+    """Returns the component tree of one entry host, ready to run."""
+    loop = Loop()
+    Ticker().register(loop)
+    outbound = OutboundConnections(loop).register(loop)
+    MembershipPoller(outbound, options.membership_address).register(loop)
+    BackendAttempts(outbound).register(loop)
+    fates = CallFates(LeastInFlight(), incarnation=f"{options.host}-{uuid.uuid4().hex[:8]}")
+    Dispatch(fates).register(loop)
+    CallersServer(options.callers_address, options.caller_limits).register(loop)
+    Gate().register(loop)
+    post(loop, ConfigurationInForce(Configuration(deployments=deployments)))
+    _log.info("starting", host=options.host, callers=str(options.callers_address))
+    return loop
+
+
+def _parse_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        prog="berylquayd", description="Serves callers on one entry host."
+    )
+    parser.add_argument("settings", help="path of the host's INI file")
+    parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    return parser.parse_args()
+
+
+def _read_initial_deployments(options: Options) -> tuple[Deployment, ...]:
+    deployments: list[Deployment] = []
+    for path in options.initial_deployments:
+        read = read_deployment_file(path)
+        if isinstance(read, Failure):
+            _exit_for_bad_settings(read.failure())
+        deployments.append(read.unwrap())
+    return tuple(deployments)
+
+
+def _exit_for_bad_settings(errors: tuple[SettingsError, ...]) -> None:
+    for error in errors:
+        print(error, file=sys.stderr)  # noqa: T201
+    sys.exit(EXIT_BAD_SETTINGS)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/berylquay/messages.py
@@ -0,0 +1,134 @@
+"""Messages between the components of one process.
+
+Each message is an attrs class; it travels as the single argument of the circuits event that is
+named after it (see `berylquay.net.bus`). Components own their sockets and state and know each other
+only by these.
+"""
+
+from attrs import frozen
+
+from berylquay.decisions.calls import Attempt, Call
+from berylquay.decisions.deployment import Configuration
+from berylquay.decisions.fleet import LoadReport, MembershipView
+from berylquay.verdicts import Refusal, Verdict
+
+
+@frozen
+class Tick:
+    """ticker -> all: the monotonic time, at a steady interval."""
+
+    now_s: float
+
+
+@frozen
+class CallReceived:
+    """callers -> dispatch: a checked request wants an answer."""
+
+    call: Call
+
+
+@frozen
+class CallerGone:
+    """callers -> dispatch: nobody waits for the call's answer any more."""
+
+    call_id: str
+
+
+@frozen
+class TokensForCaller:
+    """dispatch -> callers: the next tokens of an answer, without gap or repetition."""
+
+    call_id: str
+    # Index of the first of the tokens.
+    first_index: int
+    texts: tuple[str, ...]
+
+
+@frozen
+class CallCompleted:
+    """dispatch -> callers: the answer is whole."""
+
+    call_id: str
+    # HTTP status of a service call; 200 for a generation.
+    status: int
+    # Body of a service call; empty for a generation, whose tokens went before.
+    body: bytes
+    content_type: str
+
+
+@frozen
+class CallRefused:
+    """dispatch -> callers: the call was given up on."""
+
+    call_id: str
+    refusal: Refusal
+
+
+@frozen
+class AttemptRequested:
+    """dispatch -> backends: start an attempt."""
+
+    attempt: Attempt
+
+
+@frozen
+class AttemptCancelled:
+    """dispatch -> backends: stop an attempt and forget its connection."""
+
+    attempt_id: str
+
+
+@frozen
+class AttemptTokens:
+    """backends -> dispatch: tokens came back."""
+
+    attempt_id: str
+    first_index: int
+    texts: tuple[str, ...]
+
+
+@frozen
+class AttemptCompleted:
+    """backends -> dispatch: the attempt delivered everything."""
+
+    attempt_id: str
+    # Number of tokens in the whole answer; 0 for a service call.
+    total_tokens: int
+    status: int
+    body: bytes
+    content_type: str
+
+
+@frozen
+class AttemptFailed:
+    """backends -> dispatch: the attempt ended early."""
+
+    attempt_id: str
+    # NOT_RUN only if no byte was sent or the server refused before it started.
+    verdict: Verdict
+    detail: str
+    # Whether the connection broke off after the request was sent, as in a crash.
+    lost_connection: bool
+    # When the backend server asked to be tried again, or None.
+    retry_after_s: float | None = None
+
+
+@frozen
+class MembershipRead:
+    """platform -> all: a newer membership list was read."""
+
+    view: MembershipView
+
+
+@frozen
+class ConfigurationInForce:
+    """platform -> all: a newer configuration is in force on this host."""
+
+    configuration: Configuration
+
+
+@frozen
+class LoadReported:
+    """backends -> dispatch: an engine reported its load."""
+
+    report: LoadReport
--- /dev/null
+++ b/berylquay/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and the clock: the components under every other package that talks to a network."""
--- /dev/null
+++ b/berylquay/net/bus.py
@@ -0,0 +1,26 @@
+"""The bus: carries typed messages between the circuits components of one process."""
+
+from typing import Final
+
+from circuits import Event
+from circuits.core.manager import Manager
+
+# Channel on which all messages travel.
+BUS: Final = "bus"
+
+_event_types: Final[dict[type, type[Event]]] = {}
+
+
+def post(sender: Manager, message: object) -> None:
+    """Fires the message to every component that handles its type.
+
+    Args:
+        sender: any component of the process.
+        message: an attrs instance; handlers are named after its class.
+    """
+    message_type = type(message)
+    event_type = _event_types.get(message_type)
+    if event_type is None:
+        event_type = type(message_type.__name__, (Event,), {})
+        _event_types[message_type] = event_type
+    sender.fire(event_type(message), BUS)
--- /dev/null
+++ b/berylquay/net/http_client.py
@@ -0,0 +1,152 @@
+"""An HTTP client over outbound connections: one exchange a connection, answers piece by piece."""
+
+import json
+from typing import Protocol
+
+import h11
+from attrs import field, frozen
+
+from berylquay.decisions.fleet import Address
+from berylquay.errors import TransportError
+from berylquay.net.outbound import Connection, OutboundConnections
+from berylquay.verdicts import Verdict
+
+
+@frozen
+class HttpRequest:
+    """A request to another process."""
+
+    method: str
+    target: str
+    body: bytes = b""
+    content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@frozen
+class HttpHead:
+    """Status line and headers of an answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str] = field(factory=dict)
+
+
+class ExchangeUser(Protocol):
+    """What the owner of an exchange is told."""
+
+    def on_head(self, head: HttpHead) -> None:
+        """Called once with the status line and headers."""
+
+    def on_body(self, data: bytes) -> None:
+        """Called with each piece of the body."""
+
+    def on_end(self) -> None:
+        """Called once when the answer is whole."""
+
+    def on_error(self, error: TransportError) -> None:
+        """Called once if the exchange ended early."""
+
+
+class HttpExchange:
+    """One request and its answer on a connection of its own."""
+
+    # Opens and owns the socket.
+    _outbound: OutboundConnections
+    # What is asked.
+    _request: HttpRequest
+    # Who is told.
+    _user: ExchangeUser
+    # Protocol state.
+    _protocol: h11.Connection
+    # The connection.
+    _connection: Connection
+    # Whether the user has heard the end.
+    _ended: bool
+
+    def __init__(
+        self,
+        outbound: OutboundConnections,
+        address: Address,
+        request: HttpRequest,
+        user: ExchangeUser,
+    ) -> None:
+        self._outbound = outbound
+        self._request = request
+        self._user = user
+        self._protocol = h11.Connection(our_role=h11.CLIENT)
+        self._ended = False
+        self._connection = outbound.open(address, self)
+
+    def cancel(self) -> None:
+        """Closes the connection; the user hears no more."""
+        self._ended = True
+        self._outbound.close(self._connection)
+
+    def on_connected(self) -> None:
+        """Sends the request."""
+        address = self._connection.address
+        head = h11.Request(
+            method=self._request.method,
+            target=self._request.target,
+            headers=[
+                ("Host", str(address)),
+                ("Connection", "close"),
+                ("Content-Type", self._request.content_type),
+                ("Content-Length", str(len(self._request.body))),
+                *self._request.headers,
+            ],
+        )
+        parts = [self._protocol.send(head)]
+        if self._request.body:
+            parts.append(self._protocol.send(h11.Data(data=self._request.body)))
+        parts.append(self._protocol.send(h11.EndOfMessage()))
+        self._outbound.send(self._connection, b"".join(part for part in parts if part))
+
+    def on_received(self, data: bytes) -> None:
+        """Feeds the protocol and passes on what it makes of the data."""
+        try:
+            self._protocol.receive_data(data)
+            self._deliver_events()
+        except h11.RemoteProtocolError as error:
+            self._fail(f"bad HTTP answer: {error}")
+
+    def on_disconnected(self, detail: str) -> None:
+        """Ends the exchange, with an error unless the answer was whole."""
+        if self._ended:
+            return
+        self.on_received(b"")
+        self._fail(detail)
+
+    def _deliver_events(self) -> None:
+        while not self._ended:
+            event = self._protocol.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                self._user.on_head(_head_of(event))
+            elif isinstance(event, h11.Data):
+                self._user.on_body(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self.cancel()
+                self._user.on_end()
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def _fail(self, detail: str) -> None:
+        if self._ended:
+            return
+        verdict = Verdict.MAY_HAVE_RUN if self._connection.bytes_sent else Verdict.NOT_RUN
+        self.cancel()
+        self._user.on_error(TransportError(detail, verdict))
+
+
+def _head_of(event: h11.Response) -> HttpHead:
+    headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in event.headers}
+    return HttpHead(event.status_code, headers)
+
+
+def json_request(
+    method: str, target: str, value: object, headers: tuple[tuple[str, str], ...] = ()
+) -> HttpRequest:
+    """Returns a request whose body is the value as JSON."""
+    return HttpRequest(method, target, json.dumps(value).encode(), headers=headers)
--- /dev/null
+++ b/berylquay/net/outbound.py
@@ -0,0 +1,173 @@
+"""Outbound TCP connections: one circuits component that owns every socket it opens.
+
+One component for all sockets keeps the component tree fixed, so that circuits need not rebuild its
+handler cache for each connection.
+"""
+
+import errno
+import socket
+from collections import deque
+from typing import Final, Protocol
+
+from attrs import define, field
+from circuits import BaseComponent, Event, handler
+from circuits.core.pollers import BasePoller
+
+from berylquay.decisions.fleet import Address
+
+RECEIVE_BYTES: Final = 65536
+_IN_PROGRESS: Final = (errno.EINPROGRESS, errno.EWOULDBLOCK)
+
+
+class connect_failed(Event):  # noqa: N801 (circuits names events in lower case)
+    """A connection could not even be started: `connect_failed(connection, detail)`."""
+
+
+class ConnectionUser(Protocol):
+    """What the owner of a connection is told, always on the loop's thread."""
+
+    def on_connected(self) -> None:
+        """Called once when the connection is established."""
+
+    def on_received(self, data: bytes) -> None:
+        """Called with each piece of data."""
+
+    def on_disconnected(self, detail: str) -> None:
+        """Called once when the connection has ended or could not be made."""
+
+
+@define(eq=False)
+class Connection:
+    """Handle of one outbound connection."""
+
+    address: Address
+    user: ConnectionUser
+    sock: socket.socket
+    established: bool = False
+    closed: bool = False
+    # Bytes handed to the operating system so far.
+    bytes_sent: int = 0
+    unsent: deque[bytes] = field(factory=deque)
+
+
+class OutboundConnections(BaseComponent):
+    """Opens connections, writes to them and hands what they receive to their users."""
+
+    channel = "outbound"
+
+    # Poller of the process.
+    _poller: BasePoller
+    # Open connections by socket.
+    _by_sock: dict[socket.socket, Connection]
+
+    def __init__(self, poller: BasePoller) -> None:
+        super().__init__()
+        self._poller = poller
+        self._by_sock = {}
+
+    def open(self, address: Address, user: ConnectionUser) -> Connection:
+        """Starts to connect; the user hears of the outcome later."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = Connection(address, user, sock)
+        self._by_sock[sock] = connection
+        code = sock.connect_ex((address.ip, address.port))
+        if code not in (0, *_IN_PROGRESS):
+            # Later, so that the user has the handle before it hears of the failure.
+            self.fire(connect_failed(connection, errno.errorcode.get(code, str(code))))
+            return connection
+        self._poller.addWriter(self, sock)
+        return connection
+
+    def send(self, connection: Connection, data: bytes) -> None:
+        """Sends the data, at once if the socket takes it."""
+        if connection.closed:
+            return
+        if connection.established and not connection.unsent:
+            data = self._send_now(connection, data)
+            if not data or connection.closed:
+                return
+        connection.unsent.append(data)
+        if connection.established and not self._poller.isWriting(connection.sock):
+            self._poller.addWriter(self, connection.sock)
+
+    def close(self, connection: Connection) -> None:
+        """Closes the connection without telling its user."""
+        if connection.closed:
+            return
+        connection.closed = True
+        self._by_sock.pop(connection.sock, None)
+        self._poller.discard(connection.sock)
+        connection.sock.close()
+
+    def _end(self, connection: Connection, detail: str) -> None:
+        if connection.closed:
+            return
+        self.close(connection)
+        connection.user.on_disconnected(detail)
+
+    def _send_now(self, connection: Connection, data: bytes) -> bytes:
+        try:
+            sent = connection.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return data
+        except OSError as error:
+            self._end(connection, error.strerror or str(error))
+            return b""
+        connection.bytes_sent += sent
+        return data[sent:]
+
+    @handler("connect_failed")
+    def _on_connect_failed(self, connection: Connection, detail: str) -> None:
+        self._end(connection, detail)
+
+    @handler("_write")
+    def _on_writable(self, sock: socket.socket) -> None:
+        connection = self._by_sock.get(sock)
+        if connection is None:
+            return
+        if not connection.established and not self._finish_connecting(connection):
+            return
+        while connection.unsent and not connection.closed:
+            rest = self._send_now(connection, connection.unsent.popleft())
+            if rest:
+                connection.unsent.appendleft(rest)
+                return
+        if not connection.closed:
+            self._poller.removeWriter(sock)
+
+    def _finish_connecting(self, connection: Connection) -> bool:
+        code = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._end(connection, errno.errorcode.get(code, str(code)))
+            return False
+        connection.established = True
+        self._poller.addReader(self, connection.sock)
+        connection.user.on_connected()
+        return not connection.closed
+
+    @handler("_read")
+    def _on_readable(self, sock: socket.socket) -> None:
+        connection = self._by_sock.get(sock)
+        if connection is None:
+            return
+        try:
+            data = sock.recv(RECEIVE_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self._end(connection, error.strerror or str(error))
+            return
+        if data:
+            connection.user.on_received(data)
+        else:
+            self._end(connection, "closed by the other end")
+
+    @handler("_disconnect")
+    def _on_disconnect(self, sock: socket.socket) -> None:
+        connection = self._by_sock.get(sock)
+        if connection is None:
+            return
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        self._end(connection, errno.errorcode.get(code, "hung up"))
--- /dev/null
+++ b/berylquay/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' side: gRPC calls that read and change deployments."""
--- /dev/null
+++ b/berylquay/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The other entry hosts: websocket links that carry CBOR messages."""
--- /dev/null
+++ b/berylquay/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings file of one entry host, read and checked whole."""
--- /dev/null
+++ b/berylquay/settings/host_file.py
@@ -0,0 +1,51 @@
+"""The settings file of one entry host: INI text to checked `Options`."""
+
+from configparser import ConfigParser, Error
+
+from returns.result import Failure, Result, Success
+
+from berylquay.errors import SettingsError
+from berylquay.settings.ini import IniReader
+from berylquay.settings.options import CallerLimits, Options
+
+
+def read_host_file(path: str) -> Result[Options, tuple[SettingsError, ...]]:
+    """Returns the options in the file, or every fault in it."""
+    parser = ConfigParser(interpolation=None)
+    try:
+        with open(path, encoding="utf-8") as file:  # noqa: PTH123
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, Error) as error:
+        return Failure((SettingsError(path, "", "", str(error), "a readable INI file"),))
+    reader = IniReader(path, parser)
+    options = _read_options(reader)
+    reader.check_for_unknown_keys()
+    if reader.errors:
+        return Failure(tuple(reader.errors))
+    return Success(options)
+
+
+def _read_options(reader: IniReader) -> Options:
+    return Options(
+        host=reader.text("host", "name"),
+        region=reader.text("host", "region"),
+        data_centre=reader.text("host", "data_centre"),
+        callers_address=reader.address("callers", "address"),
+        membership_address=reader.address("platform", "membership"),
+        initial_deployments=reader.words("host", "initial_deployments", ()),
+        caller_limits=_read_caller_limits(reader),
+        log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
+    )
+
+
+def _read_caller_limits(reader: IniReader) -> CallerLimits:
+    defaults = CallerLimits()
+    section = "callers"
+    return CallerLimits(
+        head_bytes=reader.count(section, "head_bytes", defaults.head_bytes),
+        body_bytes=reader.count(section, "body_bytes", defaults.body_bytes),
+        connections=reader.count(section, "connections", defaults.connections),
+        request_timeout_s=reader.number(section, "request_timeout_s", defaults.request_timeout_s),
+        idle_timeout_s=reader.number(section, "idle_timeout_s", defaults.idle_timeout_s),
+        write_buffer_bytes=reader.count(section, "write_buffer_bytes", defaults.write_buffer_bytes),
+    )
--- /dev/null
+++ b/berylquay/settings/ini.py
@@ -0,0 +1,151 @@
+"""INI sections: typed reading that collects every fault instead of stopping at the first."""
+
+from collections.abc import Callable
+from configparser import ConfigParser
+from ipaddress import IPv4Address
+from typing import Final, TypeVar
+
+from berylquay.decisions.fleet import Address
+from berylquay.errors import SettingsError
+
+T = TypeVar("T")
+MAX_PORT: Final = 65535
+
+
+class IniReader:
+    """Reads values of one INI file and collects every fault that it meets."""
+
+    # Path of the file as it was given.
+    file: str
+    # Faults so far.
+    errors: list[SettingsError]
+    # Parsed file.
+    _parser: ConfigParser
+    # Keys that were asked for, by section.
+    _known: dict[str, set[str]]
+
+    def __init__(self, file: str, parser: ConfigParser) -> None:
+        self.file = file
+        self.errors = []
+        self._parser = parser
+        self._known = {}
+
+    def sections(self, prefix: str) -> list[str]:
+        """Returns the names of the sections that start with the prefix and a blank."""
+        return [name for name in self._parser.sections() if name.startswith(prefix + " ")]
+
+    def text(self, section: str, key: str, default: str | None = None) -> str:
+        """Returns a text; without a default the key is required."""
+        return self._read(section, key, default, "a text", lambda found: found)
+
+    def number(self, section: str, key: str, default: float | None = None) -> float:
+        """Returns a number that is at least 0."""
+        return self._read(section, key, default, "a number of at least 0", _parse_number)
+
+    def count(self, section: str, key: str, default: int | None = None) -> int:
+        """Returns a whole number that is at least 0."""
+        return self._read(section, key, default, "a whole number of at least 0", _parse_count)
+
+    def flag(self, section: str, key: str, default: bool | None = None) -> bool:
+        """Returns yes or no as a bool."""
+        return self._read(section, key, default, "yes or no", _parse_flag)
+
+    def words(
+        self, section: str, key: str, default: tuple[str, ...] | None = None
+    ) -> tuple[str, ...]:
+        """Returns texts that are separated by commas."""
+        return self._read(section, key, default, "texts separated by commas", _parse_words)
+
+    def address(self, section: str, key: str, default: Address | None = None) -> Address:
+        """Returns an address of the form ip:port."""
+        return self._read(section, key, default, "an address like 127.0.0.1:8080", _parse_address)
+
+    def choice(
+        self, section: str, key: str, allowed: tuple[str, ...], default: str | None = None
+    ) -> str:
+        """Returns one of the allowed texts."""
+
+        def parse(found: str) -> str:
+            if found not in allowed:
+                raise ValueError(found)
+            return found
+
+        return self._read(section, key, default, "one of " + ", ".join(allowed), parse)
+
+    def check_for_unknown_keys(self) -> None:
+        """Adds a fault for each section and key that was never asked for."""
+        for section in self._parser.sections():
+            known = self._known.get(section)
+            if known is None:
+                self._add(section, "", section, "a section named in docs/SETTINGS.md")
+                continue
+            for key in self._parser[section]:
+                if key not in known:
+                    self._add(section, key, key, "one of " + ", ".join(sorted(known)))
+
+    def _read(
+        self,
+        section: str,
+        key: str,
+        default: T | None,
+        allowed: str,
+        parse: Callable[[str], T],
+    ) -> T:
+        self._known.setdefault(section, set()).add(key)
+        found = self._parser.get(section, key, fallback=None)
+        if found is None:
+            if default is not None:
+                return default
+            self._add(section, key, "nothing", allowed)
+            return parse_fallback(parse)
+        try:
+            return parse(found.strip())
+        except ValueError:
+            self._add(section, key, found, allowed)
+            return default if default is not None else parse_fallback(parse)
+
+    def _add(self, section: str, key: str, found: str, allowed: str) -> None:
+        self.errors.append(SettingsError(self.file, section, key, found, allowed))
+
+
+def parse_fallback(parse: Callable[[str], T]) -> T:
+    """Returns some value of the parser's type, so that reading goes on after a fault."""
+    for text in ("", "0", "no", "0.0.0.0:0"):
+        try:
+            return parse(text)
+        except ValueError:
+            continue
+    return parse("")
+
+
+def _parse_number(found: str) -> float:
+    value = float(found)
+    if not 0 <= value < float("inf"):
+        raise ValueError(found)
+    return value
+
+
+def _parse_count(found: str) -> int:
+    value = int(found)
+    if value < 0:
+        raise ValueError(found)
+    return value
+
+
+def _parse_flag(found: str) -> bool:
+    return {"yes": True, "no": False}[found] if found in {"yes", "no"} else _bad(found)
+
+
+def _bad(found: str) -> bool:
+    raise ValueError(found)
+
+
+def _parse_words(found: str) -> tuple[str, ...]:
+    return tuple(word.strip() for word in found.split(",") if word.strip())
+
+
+def _parse_address(found: str) -> Address:
+    ip, _, port = found.rpartition(":")
+    if not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError(found)
+    return Address(str(IPv4Address(ip)), int(port))
--- /dev/null
+++ b/berylquay/settings/options.py
@@ -0,0 +1,45 @@
+"""Options: the checked settings of one entry host, passed down to every component."""
+
+from attrs import field, frozen
+
+from berylquay.decisions.fleet import Address
+
+
+@frozen
+class CallerLimits:
+    """Bounds on what one caller may cost."""
+
+    # Most bytes of a request's head.
+    head_bytes: int = 16384
+    # Most bytes of a request's body.
+    body_bytes: int = 1048576
+    # Most open connections.
+    connections: int = 2000
+    # Time within which a request must have come whole.
+    request_timeout_s: float = 10.0
+    # Time after which a connection without a request is closed.
+    idle_timeout_s: float = 60.0
+    # Most bytes that wait for a caller who does not read.
+    write_buffer_bytes: int = 262144
+
+
+@frozen
+class Options:
+    """Everything that one entry host is told by its settings file."""
+
+    # Unique name of the host.
+    host: str
+    # Region of the data centre.
+    region: str
+    # Data centre in which the host stands.
+    data_centre: str
+    # Where callers connect.
+    callers_address: Address
+    # Where the platform's membership list is served.
+    membership_address: Address
+    # Deployment files that are in force until the platform's log gives a configuration.
+    initial_deployments: tuple[str, ...] = ()
+    # Bounds on callers.
+    caller_limits: CallerLimits = field(factory=CallerLimits)
+    # Lowest level of logs to write.
+    log_level: str = "info"
--- /dev/null
+++ b/standins/http_server.py
@@ -0,0 +1,161 @@
+"""A small asyncio HTTP server for the stand-ins, which need control over each connection."""
+
+import argparse
+import asyncio
+import json
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import h11
+from attrs import define, frozen
+
+RECEIVE_BYTES: Final = 65536
+JSON_TYPE: Final = "application/json"
+
+
+@frozen
+class StandinRequest:
+    """A request to a stand-in."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def value(self) -> dict[str, object]:
+        """Returns the body as a JSON object; an empty body is an empty object."""
+        parsed = json.loads(self.body or b"{}")
+        return parsed if isinstance(parsed, dict) else {}
+
+
+@define
+class Exchange:
+    """The open answer to one request."""
+
+    request: StandinRequest
+    protocol: h11.Connection
+    writer: asyncio.StreamWriter
+
+    async def answer(
+        self, status: int, value: object, headers: tuple[tuple[str, str], ...] = ()
+    ) -> None:
+        """Sends a whole JSON answer."""
+        body = json.dumps(value).encode()
+        head = [("Content-Type", JSON_TYPE), ("Content-Length", str(len(body))), *headers]
+        self._send(h11.Response(status_code=status, headers=head))
+        self._send(h11.Data(data=body))
+        await self.end()
+
+    async def start_stream(self) -> None:
+        """Sends the head of a stream of server-sent events."""
+        head = [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
+        self._send(h11.Response(status_code=200, headers=head))
+        await self.writer.drain()
+
+    async def send_event(self, value: object) -> None:
+        """Sends one server-sent event."""
+        self._send(h11.Data(data=b"data: " + json.dumps(value).encode() + b"\n\n"))
+        await self.writer.drain()
+
+    async def end(self) -> None:
+        """Ends the answer."""
+        self._send(h11.EndOfMessage())
+        await self.writer.drain()
+
+    def abort(self) -> None:
+        """Breaks the connection off."""
+        self.writer.transport.abort()
+
+    def _send(self, event: h11.Event) -> None:
+        data = self.protocol.send(event)
+        if data:
+            self.writer.write(data)
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+async def serve(ip: str, port: int, handle: Handler) -> None:
+    """Serves until the task is cancelled."""
+
+    async def on_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await _serve_connection(reader, writer, handle)
+        except (ConnectionError, h11.ProtocolError):
+            writer.transport.abort()
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(on_connection, ip, port)
+    async with server:
+        await server.serve_forever()
+
+
+async def _serve_connection(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, handle: Handler
+) -> None:
+    protocol = h11.Connection(our_role=h11.SERVER)
+    while True:
+        request = await _read_request(reader, protocol)
+        if request is None:
+            return
+        await handle(Exchange(request, protocol, writer))
+        if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
+            return
+        protocol.start_next_cycle()
+
+
+async def _read_request(
+    reader: asyncio.StreamReader, protocol: h11.Connection
+) -> StandinRequest | None:
+    head: h11.Request | None = None
+    body: list[bytes] = []
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await reader.read(RECEIVE_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return _request_of(head, b"".join(body))
+        else:
+            return None
+
+
+def _request_of(head: h11.Request, body: bytes) -> StandinRequest:
+    path, _, query = head.target.decode().partition("?")
+    pairs = [item.partition("=") for item in query.split("&") if item]
+    return StandinRequest(
+        method=head.method.decode(),
+        path=path,
+        query={name: value for name, _, value in pairs},
+        headers={name.decode(): value.decode("latin-1") for name, value in head.headers},
+        body=body,
+    )
+
+
+def standin_parser(description: str) -> argparse.ArgumentParser:
+    """Returns a command-line parser with the options that every stand-in has."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--ip", default="127.0.0.1", help="address to listen on")
+    parser.add_argument("--port", type=int, required=True, help="port to listen on")
+    return parser
+
+
+def run_standin(arguments: argparse.Namespace, handle: Handler) -> None:
+    """Serves until SIGTERM or SIGINT."""
+    asyncio.run(_run(arguments.ip, arguments.port, handle))
+
+
+async def _run(ip: str, port: int, handle: Handler) -> None:
+    task = asyncio.ensure_future(serve(ip, port, handle))
+    for signo in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(signo, task.cancel)
+    try:
+        await task
+    except asyncio.CancelledError:
+        return
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of berylquay."""
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""What tests share: processes, callers and free ports."""
--- /dev/null
+++ b/tests/support/fleet.py
@@ -0,0 +1,82 @@
+"""A small fleet of real processes for tests: stand-ins and entry hosts of one data centre."""
+
+import json
+from pathlib import Path
+
+from attrs import define
+
+from tests.support.processes import Process, Processes, free_port
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+
+
+@define
+class Fleet:
+    """The processes of one data centre."""
+
+    processes: Processes
+    membership: Process
+    engines: list[Process]
+    services: list[Process]
+    hosts: list[Process]
+
+
+def start_fleet(directory: Path, engines: int, services: int, hosts: int) -> Fleet:
+    """Starts stand-ins and entry hosts for the Jamiat example and returns them running."""
+    processes = Processes(directory)
+    engine_processes = [
+        processes.start_standin(
+            f"engine-{n}", "engine", "--name", f"engine-{n}", "--model", "cellar-lm"
+        )
+        for n in range(engines)
+    ]
+    service_processes = [
+        processes.start_standin(f"service-{n}", "service", "--name", f"service-{n}")
+        for n in range(services)
+    ]
+    members = {
+        "version": 1,
+        "hosts": [],
+        "backends": [_member(p, "engine", "cellar-lm") for p in engine_processes]
+        + [_member(p, "service", "cellar-log") for p in service_processes],
+    }
+    file = directory / "members.json"
+    file.write_text(json.dumps(members), encoding="utf-8")
+    membership = processes.start_standin("membership", "membership", "--file", str(file))
+    host_processes = [start_host(processes, f"host-{n}", membership.port) for n in range(hosts)]
+    return Fleet(processes, membership, engine_processes, service_processes, host_processes)
+
+
+def start_host(processes: Processes, name: str, membership_port: int) -> Process:
+    """Starts one entry host."""
+    port = free_port()
+    settings = processes.directory / f"{name}.ini"
+    settings.write_text(
+        f"""
+[host]
+name = {name}
+region = fes
+data_centre = fes-1
+initial_deployments = {EXAMPLES / "jamiat.ini"}
+
+[callers]
+address = 127.0.0.1:{port}
+
+[platform]
+membership = 127.0.0.1:{membership_port}
+""",
+        encoding="utf-8",
+    )
+    return processes.start(name, "berylquay.daemon", port, str(settings))
+
+
+def _member(process: Process, kind: str, pool: str) -> dict[str, object]:
+    return {
+        "name": process.name,
+        "kind": kind,
+        "address": f"127.0.0.1:{process.port}",
+        "region": "fes",
+        "data_centre": "fes-1",
+        "pool": pool,
+        "state": "live",
+    }
