--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -10,6 +10,8 @@
 from berylquay.decisions.calls import Attempt, Call
 from berylquay.decisions.deployment import Configuration
 from berylquay.decisions.fleet import LoadReport, MembershipView
+from berylquay.peers.payloads import PeerPayload
+from berylquay.platform.records import LogRecord, NewRecord
 from berylquay.verdicts import Refusal, Verdict
 
 
@@ -132,3 +134,85 @@
     """backends -> dispatch: an engine reported its load."""
 
     report: LoadReport
+
+
+@frozen
+class RecordAppendRequested:
+    """any -> platform: append a record to a stream of the log.
+
+    The answer may be lost, so the writer waits for `RecordsRead` to bring the record back; it hears
+    `RecordAppendFailed` only when the record is known not to have been appended.
+    """
+
+    stream: str
+    record: NewRecord
+
+
+@frozen
+class RecordAppendFailed:
+    """platform -> any: the record was not appended and will not be."""
+
+    stream: str
+    record_id: str
+    detail: str
+
+
+@frozen
+class StreamFollowRequested:
+    """any -> platform: follow a stream from an offset and post what is read."""
+
+    stream: str
+    from_offset: int
+
+
+@frozen
+class RecordsRead:
+    """platform -> any: records of a followed stream, in offset order."""
+
+    stream: str
+    records: tuple[LogRecord, ...]
+    # Offset of the oldest record that the log still keeps.
+    first_offset: int
+    # Offset that the next record will get; the reader is up to date when it has read up to here.
+    next_offset: int
+    # Monotonic time before the read was sent.
+    asked_s: float
+
+
+@frozen
+class LogReachabilityChanged:
+    """platform -> all: the log service began or ceased to answer."""
+
+    reachable: bool
+
+
+@frozen
+class PeerSendRequested:
+    """any -> peers: send a message to one other entry host; it is dropped if the link is down."""
+
+    host: str
+    payload: PeerPayload
+
+
+@frozen
+class PeerReceived:
+    """peers -> any: a message came from another entry host."""
+
+    host: str
+    payload: PeerPayload
+
+
+@frozen
+class PeerLinkChanged:
+    """peers -> all: the link to another entry host came up or went down."""
+
+    host: str
+    connected: bool
+
+
+@frozen
+class BackendDrainChanged:
+    """any -> dispatch: begin or cease to keep new work away from a backend server."""
+
+    backend: str
+    draining: bool
--- /dev/null
+++ b/berylquay/peers/payloads.py
@@ -0,0 +1,35 @@
+"""Payloads between entry hosts: each is an attrs class with an entry in the codec's table."""
+
+from attrs import frozen
+
+
+@frozen
+class Heartbeat:
+    """Shows that the sender is alive."""
+
+    # Incarnation of the sending process; changes with each restart.
+    incarnation: str
+    # Configuration revision in force at the sender.
+    revision: int
+
+
+@frozen
+class DrainNotice:
+    """Asks every host to keep new work away from a backend server, or to cease doing so."""
+
+    backend: str
+    draining: bool
+    # Fencing number of the sender's authority.
+    term: int
+
+
+@frozen
+class DrainAcknowledgement:
+    """Says that the sender keeps new work away and how many attempts it still has in flight."""
+
+    backend: str
+    term: int
+    in_flight: int
+
+
+PeerPayload = Heartbeat | DrainNotice | DrainAcknowledgement
