Measure policies in virtual time, the baselines first

Cause: the decisions have no measure yet, so no change to them could be judged. Routing now gets its servers through Candidates, which FleetLoads keeps at a cost per event that does not grow with the fleet.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Bench of the decision core in virtual time against small fakes; not shipped."""
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,68 @@
+"""Named sets of policies that the bench compares."""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+from attrs import frozen
+
+from bench.scenarios import FleetShape
+from berylquay.decisions.admission import AdmissionPolicy, AdmitAll
+from berylquay.decisions.roles import FixedRoles, GreedyRoles, RolePlanner
+from berylquay.decisions.routing import LeastLoaded, RoundRobin, RoutingPolicy
+
+
+@frozen
+class HostShape:
+    """What a host's policies are told about the host."""
+
+    # Region, which has one data centre.
+    region: str
+    # Part of the fleet's callers that come to this host.
+    callers: float
+    # Part of the region's callers that come to this host.
+    region_part: float
+    # Number of engines in the region.
+    region_engines: int
+
+
+@frozen
+class PolicySet:
+    """Everything that decides in one run."""
+
+    name: str
+    # Whether roles are split at the start; else every engine is mixed.
+    split_at_start: bool
+    routing: Callable[[FleetShape, HostShape, random.Random], RoutingPolicy]
+    admission: Callable[[FleetShape, HostShape, random.Random], AdmissionPolicy]
+    roles: Callable[[FleetShape], RolePlanner]
+
+
+def _admit_all(fleet: FleetShape, host: HostShape, rng: random.Random) -> AdmissionPolicy:
+    return AdmitAll()
+
+
+def _round_robin(fleet: FleetShape, host: HostShape, rng: random.Random) -> RoutingPolicy:
+    return RoundRobin()
+
+
+def _least_loaded(fleet: FleetShape, host: HostShape, rng: random.Random) -> RoutingPolicy:
+    return LeastLoaded()
+
+
+def _fixed(fleet: FleetShape) -> RolePlanner:
+    return FixedRoles()
+
+
+def _greedy(fleet: FleetShape) -> RolePlanner:
+    return GreedyRoles(fleet.speed.mixed_overhead)
+
+
+BASELINES: Final = (
+    PolicySet("round-robin", False, _round_robin, _admit_all, _fixed),
+    PolicySet("fixed-mixed", False, _least_loaded, _admit_all, _fixed),
+    PolicySet("fixed-split", True, _least_loaded, _admit_all, _fixed),
+    PolicySet("greedy", False, _least_loaded, _admit_all, _greedy),
+)
+
+POLICY_SETS: Final = BASELINES
--- a/berylquay/decisions/fates.py
+++ b/berylquay/decisions/fates.py
@@ -11,7 +11,7 @@
 
 from berylquay.decisions.calls import Attempt, Call
 from berylquay.decisions.fleet import BackendServer, Liveness, LoadReport, MembershipView
-from berylquay.decisions.routing import Candidate, RoutingPolicy
+from berylquay.decisions.routing import Candidate, Candidates, RoutingPolicy
 from berylquay.messages import (
     AttemptCancelled,
     AttemptCompleted,
@@ -186,7 +186,8 @@
             and server.liveness is Liveness.LIVE
             and server.name not in avoided
         ]
-        return self._routing.choose(call, candidates, now_s)
+        chosen = self._routing.choose(call, Candidates(candidates), now_s)
+        return None if chosen is None else chosen.server.name
 
     def _new_attempt(self, call: Call, backend: str, first_token: int) -> Attempt:
         self._attempt_count += 1
--- /dev/null
+++ b/berylquay/decisions/roles.py
@@ -0,0 +1,145 @@
+"""Roles: decides when an engine of a pool should change between prefill, decode and mixed.
+
+The controller of a data centre asks once per planning interval for each pool there. A plan is at
+most a few orders; the drain before a change and the fencing of the order are not decided here. The
+policy varies, so it is a `Protocol`; the baselines stand here.
+"""
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import Protocol
+
+from attrs import frozen
+
+from berylquay.decisions.fleet import Role
+
+
+@frozen
+class RoleChange:
+    """An engine that should take another role."""
+
+    # Name of the engine.
+    backend: str
+    # Role that it should take.
+    role: Role
+
+
+@frozen
+class EngineRole:
+    """An engine of the pool as the controller knows it."""
+
+    # Name of the engine.
+    name: str
+    # Role that it has, or that it is changing to.
+    role: Role
+    # Whether a change is under way.
+    changing: bool = False
+    # Work that it has now, for the choice among equals; lower goes first.
+    load: int = 0
+
+
+@frozen
+class Demand:
+    """Work that callers ask of one pool in one data centre, in engine seconds per second."""
+
+    # Work on prompts.
+    prefill: float
+    # Work on outputs, at a full batch.
+    decode: float
+
+    @property
+    def total(self) -> float:
+        """Returns the whole work."""
+        return self.prefill + self.decode
+
+
+@frozen
+class RoleCounts:
+    """How many engines have which role."""
+
+    prefill: int
+    decode: int
+    mixed: int
+
+    def of(self, role: Role) -> int:
+        """Returns the number of engines in the role."""
+        counts = {Role.PREFILL: self.prefill, Role.DECODE: self.decode, Role.MIXED: self.mixed}
+        return counts[role]
+
+    def capacity(self, demand: Demand, mixed_overhead: float) -> float:
+        """Returns how many times the demand the engines could serve."""
+        whole = self.mixed / (mixed_overhead * max(demand.total, 1e-9))
+        if not self.prefill or not self.decode:
+            return whole
+        split = min(
+            self.prefill / max(demand.prefill, 1e-9), self.decode / max(demand.decode, 1e-9)
+        )
+        return whole + split
+
+
+class RolePlanner(Protocol):
+    """Plans the role changes of one pool in one data centre."""
+
+    def plan(
+        self, engines: Sequence[EngineRole], demand: Demand, now_s: float
+    ) -> Sequence[RoleChange]:
+        """Returns the changes to order now, none most of the time."""
+
+
+class FixedRoles:
+    """Never changes a role."""
+
+    def plan(
+        self, engines: Sequence[EngineRole], demand: Demand, now_s: float
+    ) -> Sequence[RoleChange]:
+        """Returns no change."""
+        return ()
+
+
+class GreedyRoles:
+    """Changes roles at each imbalance, whatever the changes cost."""
+
+    # Factor on all times of a mixed engine.
+    _mixed_overhead: float
+
+    def __init__(self, mixed_overhead: float) -> None:
+        self._mixed_overhead = mixed_overhead
+
+    def plan(
+        self, engines: Sequence[EngineRole], demand: Demand, now_s: float
+    ) -> Sequence[RoleChange]:
+        """Returns every change on the way to the best roles for the present demand."""
+        if any(engine.changing for engine in engines) or demand.total <= 0.0:
+            return ()
+        target = best_counts(len(engines), demand, self._mixed_overhead)
+        return changes_towards(engines, target)
+
+
+def count_roles(engines: Sequence[EngineRole]) -> RoleCounts:
+    """Returns how many of the engines have which role."""
+    counts = Counter(engine.role for engine in engines)
+    return RoleCounts(counts[Role.PREFILL], counts[Role.DECODE], counts[Role.MIXED])
+
+
+def best_counts(engine_count: int, demand: Demand, mixed_overhead: float) -> RoleCounts:
+    """Returns the role counts with the greatest capacity for the demand."""
+    options = [RoleCounts(0, 0, engine_count)]
+    for specialised in range(2, engine_count + 1):
+        ideal = specialised * demand.prefill / max(demand.total, 1e-9)
+        for prefill in {int(ideal), int(ideal) + 1}:
+            clamped = min(max(prefill, 1), specialised - 1)
+            options.append(RoleCounts(clamped, specialised - clamped, engine_count - specialised))
+    return max(options, key=lambda counts: (counts.capacity(demand, mixed_overhead), counts.mixed))
+
+
+def changes_towards(engines: Sequence[EngineRole], target: RoleCounts) -> list[RoleChange]:
+    """Returns the fewest changes that lead to the target, the least loaded engines first."""
+    present = count_roles(engines)
+    missing = [role for role in Role for _ in range(max(0, target.of(role) - present.of(role)))]
+    spare = {role: max(0, present.of(role) - target.of(role)) for role in Role}
+    changes: list[RoleChange] = []
+    for engine in sorted(engines, key=lambda each: (each.load, each.name)):
+        if missing and spare[engine.role] > 0:
+            spare[engine.role] -= 1
+            changes.append(RoleChange(engine.name, missing.pop()))
+    return changes
--- a/berylquay/decisions/routing.py
+++ b/berylquay/decisions/routing.py
@@ -1,20 +1,22 @@
 """Routing: chooses the backend server for an attempt.
 
-The policy varies, so it is a `Protocol`; the simplest baseline stands here.
+The policy varies, so it is a `Protocol`; the simplest baselines stand here. Policies look at the
+fleet through `Candidates`, which `berylquay.decisions.loads` keeps up to date at a cost per event
+that does not grow with the fleet.
 """
 
 from collections.abc import Sequence
 from typing import Protocol
 
-from attrs import frozen
+from attrs import define, frozen
 
 from berylquay.decisions.calls import Call
 from berylquay.decisions.fleet import BackendServer, LoadReport
 
 
-@frozen
+@define
 class Candidate:
-    """A backend server that could run a call now."""
+    """A backend server that could run a call now, with what is known of its load."""
 
     # The server itself.
     server: BackendServer
@@ -22,21 +24,109 @@
     in_flight: int
     # Newest report, or None if none has come.
     report: LoadReport | None
+    # Prompt tokens that this host sent to it and whose first token has not come back.
+    pending_prompt_tokens: int = 0
+    # Prompt tokens that this host sent to it since the newest report came.
+    prompt_tokens_since_report: int = 0
+    # Attempts that this host started on it, less those that ended, since the newest report came.
+    started_since_report: int = 0
+
+
+@frozen
+class Candidates:
+    """The servers that could run a call, by nearness; nothing in it is copied for one call."""
+
+    # Servers in the host's own data centre that can begin a generation, or services.
+    local: Sequence[Candidate]
+    # Servers elsewhere that can begin a generation, or services.
+    remote: Sequence[Candidate] = ()
+    # Servers that must not be chosen.
+    avoided: frozenset[str] = frozenset()
+
+    def __len__(self) -> int:
+        """Returns the number of servers, the avoided ones among them."""
+        return len(self.local) + len(self.remote)
 
 
 class RoutingPolicy(Protocol):
     """Chooses one of the servers that could run a call."""
 
-    def choose(self, call: Call, candidates: Sequence[Candidate], now_s: float) -> str | None:
-        """Returns the name of the chosen server, or None if none should take the call."""
+    def choose(self, call: Call, candidates: Candidates, now_s: float) -> Candidate | None:
+        """Returns the chosen server, or None if none should take the call."""
+
+    def choose_decoder(
+        self, call: Call, decoders: Sequence[Candidate], now_s: float
+    ) -> Candidate | None:
+        """Returns the engine of the same data centre that takes over the KV cache, or None."""
+
+
+def allowed(candidates: Candidates) -> Sequence[Candidate]:
+    """Returns the candidates that may be chosen, own data centre first if it has any."""
+    local = [c for c in candidates.local if c.server.name not in candidates.avoided]
+    if local:
+        return local
+    return [c for c in candidates.remote if c.server.name not in candidates.avoided]
 
 
 class LeastInFlight:
     """Chooses the server with the fewest attempts in flight from this host."""
 
-    def choose(self, call: Call, candidates: Sequence[Candidate], now_s: float) -> str | None:
-        """Returns the name of the least loaded server, or None without candidates."""
-        if not candidates:
+    def choose(self, call: Call, candidates: Candidates, now_s: float) -> Candidate | None:
+        """Returns the least loaded server, or None without candidates."""
+        return min(allowed(candidates), key=_by_in_flight, default=None)
+
+    def choose_decoder(
+        self, call: Call, decoders: Sequence[Candidate], now_s: float
+    ) -> Candidate | None:
+        """Returns the least loaded decoder, or None without any."""
+        return min(decoders, key=_by_in_flight, default=None)
+
+
+class RoundRobin:
+    """Chooses the servers in turn."""
+
+    # Number of choices made so far.
+    _count: int
+
+    def __init__(self) -> None:
+        self._count = 0
+
+    def choose(self, call: Call, candidates: Candidates, now_s: float) -> Candidate | None:
+        """Returns the next server, or None without candidates."""
+        return self._next(allowed(candidates))
+
+    def choose_decoder(
+        self, call: Call, decoders: Sequence[Candidate], now_s: float
+    ) -> Candidate | None:
+        """Returns the next decoder, or None without any."""
+        return self._next(decoders)
+
+    def _next(self, servers: Sequence[Candidate]) -> Candidate | None:
+        if not servers:
             return None
-        chosen = min(candidates, key=lambda candidate: (candidate.in_flight, candidate.server.name))
-        return chosen.server.name
+        self._count += 1
+        return servers[self._count % len(servers)]
+
+
+class LeastLoaded:
+    """Chooses by the newest reports and the attempts since, without regard to prefixes."""
+
+    def choose(self, call: Call, candidates: Candidates, now_s: float) -> Candidate | None:
+        """Returns the server with the least load, or None without candidates."""
+        return min(allowed(candidates), key=_by_reported_load, default=None)
+
+    def choose_decoder(
+        self, call: Call, decoders: Sequence[Candidate], now_s: float
+    ) -> Candidate | None:
+        """Returns the decoder with the least load, or None without any."""
+        return min(decoders, key=_by_reported_load, default=None)
+
+
+def _by_in_flight(candidate: Candidate) -> tuple[int, str]:
+    return candidate.in_flight, candidate.server.name
+
+
+def _by_reported_load(candidate: Candidate) -> tuple[int, int, str]:
+    report = candidate.report
+    reported = report.running + report.waiting if report else candidate.in_flight
+    return reported + candidate.started_since_report, candidate.in_flight, candidate.server.name
