--- /dev/null
+++ b/tests/support/background.py
@@ -0,0 +1,37 @@
+"""Callers that run in threads while a scenario goes on."""
+
+from collections.abc import Callable
+from threading import Thread
+
+from attrs import define, field
+
+from tests.support.caller import Answer
+
+
+@define
+class BackgroundCallers:
+    """Requests that were sent and whose answers are collected later."""
+
+    threads: list[Thread] = field(factory=list)
+    answers: dict[str, Answer] = field(factory=dict)
+    errors: dict[str, str] = field(factory=dict)
+
+    def send(self, name: str, ask: Callable[[], Answer]) -> None:
+        """Sends a request in a thread of its own; its outcome is kept under the name."""
+
+        def run() -> None:
+            try:
+                self.answers[name] = ask()
+            except OSError as error:
+                self.errors[name] = repr(error)
+
+        thread = Thread(target=run, daemon=True)
+        self.threads.append(thread)
+        thread.start()
+
+    def wait(self, timeout_s: float) -> None:
+        """Waits until every request has its outcome."""
+        for thread in self.threads:
+            thread.join(timeout_s)
+        if any(thread.is_alive() for thread in self.threads):
+            raise TimeoutError("a caller still waits for its answer")
