Bound callers, serve health and metrics, and stop without cutting answers off

Cause: circuits.web bounds neither heads, bodies, time nor buffers, mixes a pipelined request up with the answer under way, and its signal handler ends the loop at once. A filter before the parser meters each connection, the TCP server drops a caller whose unread data passes a bound, and a stop first reports not ready, then refuses new requests, then waits for the last answer.

--- a/berylquay/callers/gate.py
+++ b/berylquay/callers/gate.py
@@ -22,21 +22,30 @@
     whole_answer,
 )
 from berylquay.callers.parsing import CHAT_PATH, SERVICE_PREFIX, RawRequest, parse_call
-from berylquay.callers.server import CALLERS_CHANNEL
+from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
 from berylquay.decisions.calls import Call
 from berylquay.decisions.deployment import Configuration
 from berylquay.messages import (
+    AdmissionClosed,
+    AnswersDrained,
     CallCompleted,
     CallerGone,
     CallReceived,
     CallRefused,
     ConfigurationInForce,
+    Tick,
     TokensForCaller,
 )
 from berylquay.net.bus import BUS, post
-from berylquay.verdicts import Refusal, Verdict
+from berylquay.verdicts import Refusal, RefusalReason, Verdict
 
-STATUS_OK: Final = 200
+# When a caller should come back to another host while this one stops.
+STOPPING_RETRY_AFTER_S: Final = 1.0
+
+
+_STOPPING: Final = Refusal(
+    RefusalReason.SHUTTING_DOWN, Verdict.NOT_RUN, "this host is stopping", STOPPING_RETRY_AFTER_S
+)
 
 
 @define(eq=False)
@@ -55,6 +64,8 @@
 
     channel = CALLERS_CHANNEL
 
+    # Server that the callers are connected to.
+    _server: HttpServer
     # Configuration that requests are checked against.
     _configuration: Configuration
     # Waiting callers by call id.
@@ -62,8 +73,13 @@
     # Call id by the caller's socket.
     _call_of_sock: dict[socket, str]
 
-    def __init__(self) -> None:
+    # Whether new requests are refused.
+    _closed: bool
+
+    def __init__(self, server: HttpServer) -> None:
         super().__init__()
+        self._server = server
+        self._closed = False
         self._configuration = Configuration()
         self._pending = {}
         self._call_of_sock = {}
@@ -77,6 +93,10 @@
         if request.path != CHAT_PATH and not request.path.startswith(SERVICE_PREFIX):
             return None
         event.stop()
+        if self._closed:
+            answer.close = True
+            self._send_refusal(answer, _STOPPING, request.headers.get(REQUEST_ID_HEADER, ""))
+            return True
         parsed = parse_call(_raw_of(request), self._configuration, time.monotonic())
         if not isinstance(parsed, Success):
             self._send_refusal(answer, parsed.failure(), request.headers.get(REQUEST_ID_HEADER, ""))
@@ -87,6 +107,15 @@
         post(self, CallReceived(call))
         return True
 
+    @handler("AdmissionClosed", channel=BUS)
+    def _on_admission_closed(self, _message: AdmissionClosed) -> None:
+        self._closed = True
+
+    @handler("Tick", channel=BUS)
+    def _on_tick(self, _message: Tick) -> None:
+        if self._closed and not self._pending and not self._server.has_unsent_data:
+            post(self, AnswersDrained())
+
     @handler("disconnect")
     def _on_disconnect(self, sock: socket) -> None:
         call_id = self._call_of_sock.pop(sock, None)
--- /dev/null
+++ b/berylquay/callers/metering.py
@@ -0,0 +1,94 @@
+"""Metering of callers' connections: decides when one exceeds its limits, before HTTP is parsed."""
+
+import re
+from enum import Enum
+from typing import Final
+
+from attrs import define, field
+
+from berylquay.settings.options import CallerLimits
+
+HEAD_END: Final = b"\r\n\r\n"
+_CONTENT_LENGTH: Final = re.compile(rb"\r\ncontent-length:[ \t]*([^\r]*)\r\n", re.IGNORECASE)
+_TRANSFER_ENCODING: Final = re.compile(rb"\r\ntransfer-encoding:", re.IGNORECASE)
+
+
+class Breach(Enum):
+    """Limit that a connection exceeded; the value is the HTTP status that tells the caller."""
+
+    # The head is larger than allowed.
+    HEAD_TOO_LARGE = 431
+    # The body is larger than allowed.
+    BODY_TOO_LARGE = 413
+    # The length of the body is ambiguous or no number.
+    BAD_LENGTH = 400
+    # The request did not come whole in time.
+    TOO_SLOW = 408
+
+
+@define
+class ConnectionMeter:
+    """What one connection has sent of its current request."""
+
+    # Monotonic time at which the connection last became idle or the request began.
+    since_s: float
+    # Bytes of the head while it has not come whole.
+    head: bytearray = field(factory=bytearray)
+    # Whether a request has begun and has not come whole.
+    receiving: bool = False
+    # Whether the head has come whole.
+    head_complete: bool = False
+    # Bytes of the body so far.
+    body_bytes: int = 0
+
+    def on_bytes(self, data: bytes, limits: CallerLimits, now_s: float) -> Breach | None:
+        """Counts the bytes and returns the limit that they exceed, if any."""
+        if not self.receiving:
+            self.receiving = True
+            self.since_s = now_s
+        if self.head_complete:
+            return self._count_body(len(data), limits)
+        self.head += data
+        return self._check_head(limits)
+
+    def on_request_complete(self, now_s: float) -> None:
+        """Makes the meter ready for the next request."""
+        self.receiving = False
+        self.head_complete = False
+        self.head.clear()
+        self.body_bytes = 0
+        self.since_s = now_s
+
+    def overdue(self, limits: CallerLimits, now_s: float) -> bool:
+        """Tells whether the connection has been waited for long enough."""
+        timeout_s = limits.request_timeout_s if self.receiving else limits.idle_timeout_s
+        return now_s - self.since_s >= timeout_s
+
+    def _check_head(self, limits: CallerLimits) -> Breach | None:
+        end = self.head.find(HEAD_END)
+        length = len(self.head) if end < 0 else end + len(HEAD_END)
+        if length > limits.head_bytes:
+            return Breach.HEAD_TOO_LARGE
+        if end < 0:
+            return None
+        self.head_complete = True
+        excess = len(self.head) - length
+        return _check_declared_length(bytes(self.head[:length]), limits) or self._count_body(
+            excess, limits
+        )
+
+    def _count_body(self, count: int, limits: CallerLimits) -> Breach | None:
+        self.body_bytes += count
+        return Breach.BODY_TOO_LARGE if self.body_bytes > limits.body_bytes else None
+
+
+def _check_declared_length(head: bytes, limits: CallerLimits) -> Breach | None:
+    lengths = _CONTENT_LENGTH.findall(head)
+    chunked = _TRANSFER_ENCODING.search(head) is not None
+    if len(lengths) > 1 or (lengths and chunked):
+        return Breach.BAD_LENGTH
+    if lengths and not lengths[0].strip().isdigit():
+        return Breach.BAD_LENGTH
+    if lengths and int(lengths[0]) > limits.body_bytes:
+        return Breach.BODY_TOO_LARGE
+    return None
--- a/berylquay/callers/server.py
+++ b/berylquay/callers/server.py
@@ -1,4 +1,4 @@
-"""The callers' HTTP server: circuits.web over a TCP server whose buffers are bounded."""
+"""HTTP servers of an entry host: circuits.web over a TCP server whose buffers are bounded."""
 
 from socket import socket
 from typing import Final
@@ -53,10 +53,8 @@
             return b""
 
 
-class CallersServer(BaseComponent):
-    """The TCP server and circuits.web's HTTP parser, on one channel."""
-
-    channel = CALLERS_CHANNEL
+class HttpServer(BaseComponent):
+    """A bounded TCP server and circuits.web's HTTP parser, on one channel."""
 
     # TCP server.
     server: BoundedTCPServer
@@ -66,11 +64,20 @@
     secure: bool = False
     display_banner: bool = False
 
-    def __init__(self, address: Address, limits: CallerLimits) -> None:
-        super().__init__()
+    def __init__(self, address: Address, limits: CallerLimits, channel: str) -> None:
+        super().__init__(channel=channel)
         bind = (address.ip, address.port)
-        self.server = BoundedTCPServer(bind, self.channel, limits).register(self)
-        self.http = HTTP(self, channel=self.channel).register(self)
+        self.server = BoundedTCPServer(bind, channel, limits).register(self)
+        self.http = HTTP(self, channel=channel).register(self)
+
+    def is_answering(self, sock: socket) -> bool:
+        """Tells whether a request of the connection came whole and its answer has not ended."""
+        return sock in self.http._clients and sock not in self.http._buffers
+
+    @property
+    def has_unsent_data(self) -> bool:
+        """Tells whether data waits for a caller to read it."""
+        return any(self.server._buffers.values())
 
     @property
     def host(self) -> str:
--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -3,6 +3,7 @@
 import argparse
 import signal
 import sys
+import time
 import uuid
 from typing import Final
 
@@ -13,20 +14,25 @@
 from berylquay.backends.attempts import BackendAttempts
 from berylquay.backends.dispatch import Dispatch
 from berylquay.callers.gate import Gate
-from berylquay.callers.server import CallersServer
+from berylquay.callers.limits import RequestLimits
+from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
 from berylquay.decisions.deployment import Configuration, Deployment
 from berylquay.decisions.fates import CallFates
+from berylquay.decisions.fleet import Address
 from berylquay.decisions.routing import LeastInFlight
 from berylquay.errors import SettingsError
+from berylquay.health import HEALTH_CHANNEL, HealthPages
+from berylquay.lifecycle import Lifecycle
 from berylquay.logs import set_up_logs
-from berylquay.messages import ConfigurationInForce
+from berylquay.messages import ConfigurationInForce, StopRequested
+from berylquay.metrics import Metrics
 from berylquay.net.bus import post
 from berylquay.net.outbound import OutboundConnections
 from berylquay.net.ticker import Ticker
 from berylquay.platform.membership import MembershipPoller
 from berylquay.settings.deployment_file import read_deployment_file
 from berylquay.settings.host_file import read_host_file
-from berylquay.settings.options import Options
+from berylquay.settings.options import CallerLimits, Options
 
 EXIT_BAD_SETTINGS: Final = 2
 _log = logbook.Logger("daemon")
@@ -36,8 +42,8 @@
     """The root of the component tree: the poller, which also hears the signals."""
 
     def _signal_handler(self, signo: int, stack: object) -> None:
-        _log.info("stopping", signal=signal.Signals(signo).name)
-        self.stop()
+        _log.info("signal received", signal=signal.Signals(signo).name)
+        post(self, StopRequested(time.monotonic()))
 
 
 def main() -> None:
@@ -64,13 +70,24 @@
     BackendAttempts(outbound).register(loop)
     fates = CallFates(LeastInFlight(), incarnation=f"{options.host}-{uuid.uuid4().hex[:8]}")
     Dispatch(fates).register(loop)
-    CallersServer(options.callers_address, options.caller_limits).register(loop)
-    Gate().register(loop)
+    callers = _serve_http(loop, options.callers_address, options.caller_limits, CALLERS_CHANNEL)
+    Gate(callers).register(loop)
+    metrics = Metrics().register(loop)
+    if options.health_address is not None:
+        _serve_http(loop, options.health_address, options.caller_limits, HEALTH_CHANNEL)
+        HealthPages(metrics).register(loop)
+    Lifecycle(options.stop_notice_s).register(loop)
     post(loop, ConfigurationInForce(Configuration(deployments=deployments)))
     _log.info("starting", host=options.host, callers=str(options.callers_address))
     return loop
 
 
+def _serve_http(loop: Loop, address: Address, limits: CallerLimits, channel: str) -> HttpServer:
+    server = HttpServer(address, limits, channel).register(loop)
+    RequestLimits(server, limits).register(loop)
+    return server
+
+
 def _parse_arguments() -> argparse.Namespace:
     parser = argparse.ArgumentParser(
         prog="berylquayd", description="Serves callers on one entry host."
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -216,3 +216,20 @@
 
     backend: str
     draining: bool
+
+
+@frozen
+class StopRequested:
+    """daemon -> all: this host shall stop gracefully; it reports itself as not ready."""
+
+    now_s: float
+
+
+@frozen
+class AdmissionClosed:
+    """lifecycle -> callers: refuse new requests from now on; those in flight go on."""
+
+
+@frozen
+class AnswersDrained:
+    """callers -> lifecycle: every answer has been sent whole after admission was closed."""
--- /dev/null
+++ b/berylquay/metrics.py
@@ -0,0 +1,129 @@
+"""Metrics: histograms for each tenant and class, and counters of verdicts, for Prometheus."""
+
+import time
+from typing import Final
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+from attrs import define
+from circuits import BaseComponent, handler
+
+from berylquay.decisions.calls import Call
+from berylquay.messages import (
+    AttemptRequested,
+    CallCompleted,
+    CallerGone,
+    CallReceived,
+    CallRefused,
+    ConfigurationInForce,
+    TokensForCaller,
+)
+from berylquay.net.bus import BUS
+from berylquay.verdicts import Verdict
+
+LATENCY_BUCKETS_S: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 60.0)
+TOKEN_GAP_BUCKETS_S: Final = (0.005, 0.01, 0.02, 0.03, 0.045, 0.06, 0.1, 0.25, 1.0, 5.0)
+
+
+@define
+class _Timing:
+    """Times of one open call."""
+
+    call: Call
+    labels: dict[str, str]
+    queued: bool = True
+    last_token_s: float | None = None
+
+
+class Metrics(BaseComponent):
+    """Watches the messages of calls and keeps the registry."""
+
+    channel = BUS
+
+    # All metrics of the process.
+    registry: Registry
+    # Times of open calls by call id.
+    _open: dict[str, _Timing]
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.registry = Registry()
+        self._open = {}
+        self._queue_time = self._histogram("queue_time_seconds", "From receipt to first attempt")
+        self._first_token = self._histogram("first_token_seconds", "From receipt to first token")
+        self._token_gap = self._histogram(
+            "token_gap_seconds", "Between tokens of an answer", TOKEN_GAP_BUCKETS_S
+        )
+        self._total_time = self._histogram("request_seconds", "From receipt to the final answer")
+        self._outcomes = Counter(
+            "berylquay_requests_total",
+            "Final answers by verdict and reason",
+            registry=self.registry,
+        )
+        self._revision = Gauge(
+            "berylquay_configuration_revision", "Revision in force", registry=self.registry
+        )
+        self._open_calls = Gauge(
+            "berylquay_open_requests", "Requests without a final answer", registry=self.registry
+        )
+
+    def render(self) -> bytes:
+        """Returns all metrics in Prometheus' text format."""
+        self._open_calls.set({}, len(self._open))
+        content, _headers = render(self.registry, ["text/plain"])
+        return content
+
+    def _histogram(
+        self, name: str, doc: str, buckets: tuple[float, ...] = LATENCY_BUCKETS_S
+    ) -> Histogram:
+        full_name = f"berylquay_{name}"
+        return Histogram(full_name, doc, registry=self.registry, buckets=list(buckets))
+
+    @handler("CallReceived")
+    def _on_received(self, message: CallReceived) -> None:
+        call = message.call
+        labels = {"tenant": call.tenant, "class": call.spec.name}
+        self._open[call.call_id] = _Timing(call, labels)
+
+    @handler("AttemptRequested")
+    def _on_attempt(self, message: AttemptRequested) -> None:
+        timing = self._open.get(message.attempt.call.call_id)
+        if timing is not None and timing.queued:
+            timing.queued = False
+            self._queue_time.add(timing.labels, time.monotonic() - timing.call.received_s)
+
+    @handler("TokensForCaller")
+    def _on_tokens(self, message: TokensForCaller) -> None:
+        timing = self._open.get(message.call_id)
+        if timing is None:
+            return
+        now_s = time.monotonic()
+        if timing.last_token_s is None:
+            self._first_token.add(timing.labels, now_s - timing.call.received_s)
+        else:
+            self._token_gap.add(timing.labels, now_s - timing.last_token_s)
+        timing.last_token_s = now_s
+
+    @handler("CallCompleted")
+    def _on_completed(self, message: CallCompleted) -> None:
+        self._end(message.call_id, Verdict.COMPLETED.value, "")
+
+    @handler("CallRefused")
+    def _on_refused(self, message: CallRefused) -> None:
+        refusal = message.refusal
+        self._end(message.call_id, refusal.verdict.value, refusal.reason.value)
+
+    @handler("CallerGone")
+    def _on_caller_gone(self, message: CallerGone) -> None:
+        self._end(message.call_id, "caller-gone", "")
+
+    @handler("ConfigurationInForce")
+    def _on_configuration(self, message: ConfigurationInForce) -> None:
+        self._revision.set({}, message.configuration.revision)
+
+    def _end(self, call_id: str, verdict: str, reason: str) -> None:
+        timing = self._open.pop(call_id, None)
+        if timing is None:
+            return
+        self._total_time.add(timing.labels, time.monotonic() - timing.call.received_s)
+        self._outcomes.inc({**timing.labels, "verdict": verdict, "reason": reason})
--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -32,6 +32,8 @@
         data_centre=reader.text("host", "data_centre"),
         callers_address=reader.address("callers", "address"),
         membership_address=reader.address("platform", "membership"),
+        health_address=reader.optional_address("health", "address"),
+        stop_notice_s=reader.number("host", "stop_notice_s", 2.0),
         initial_deployments=reader.words("host", "initial_deployments", ()),
         caller_limits=_read_caller_limits(reader),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
--- a/berylquay/settings/ini.py
+++ b/berylquay/settings/ini.py
@@ -60,6 +60,12 @@
         """Returns an address of the form ip:port."""
         return self._read(section, key, default, "an address like 127.0.0.1:8080", _parse_address)
 
+    def optional_address(self, section: str, key: str) -> Address | None:
+        """Returns an address of the form ip:port, or None if the key is absent."""
+        absent = Address("", 0)
+        found = self.address(section, key, absent)
+        return None if found == absent else found
+
     def choice(
         self, section: str, key: str, allowed: tuple[str, ...], default: str | None = None
     ) -> str:
--- a/berylquay/settings/options.py
+++ b/berylquay/settings/options.py
@@ -37,6 +37,10 @@
     callers_address: Address
     # Where the platform's membership list is served.
     membership_address: Address
+    # Where health, readiness and metrics are served, or None for nowhere.
+    health_address: Address | None = None
+    # Time for which a stopping host still admits, so that the balancer learns of the stop.
+    stop_notice_s: float = 2.0
     # Deployment files that are in force until the platform's log gives a configuration.
     initial_deployments: tuple[str, ...] = ()
     # Bounds on callers.
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example deployments, requests and a demonstration on loopback."""
--- a/tests/support/processes.py
+++ b/examples/processes.py
@@ -1,4 +1,4 @@
-"""Starts real processes for tests and ends exactly those that it started."""
+"""Starts real processes for tests and demonstrations and ends exactly those that it started."""
 
 import json
 import signal
@@ -70,7 +70,7 @@
 
 @define
 class Processes:
-    """All processes of one test."""
+    """All processes of one test or demonstration."""
 
     directory: Path
     started: list[Process] = field(factory=list)
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -9,11 +9,11 @@
 from attrs import define, field
 from pytest_bdd import given, parsers, then, when
 
+from examples.processes import Process
 from standins.engine import token_text
 from tests.support.background import BackgroundCallers
 from tests.support.caller import Answer, ask, ask_model
 from tests.support.fleet import Fleet, start_fleet
-from tests.support.processes import Process
 
 MODEL: Final = "cellar-lm"
 READY_TIMEOUT_S: Final = 20.0
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -5,7 +5,7 @@
 
 from attrs import define
 
-from tests.support.processes import Process, Processes, free_port
+from examples.processes import Process, Processes, free_port
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 
