Refuse malformed callers' requests before the parser, with their verdict

Seen failing first: a second Content-Length was not noticed, since the pattern consumed the line's end; an encoded line end in the path was answered by circuits.web with a redirection; a query string of a service call was lost; an unknown path closed the connection with an HTML page.

--- a/berylquay/callers/gate.py
+++ b/berylquay/callers/gate.py
@@ -43,6 +43,10 @@
 STOPPING_RETRY_AFTER_S: Final = 1.0
 
 
+STATUS_NOT_FOUND: Final = 404
+_UNKNOWN_PATH: Final = Refusal(
+    RefusalReason.INVALID, Verdict.NOT_RUN, f"use {CHAT_PATH} or {SERVICE_PREFIX}NAME/..."
+)
 _STOPPING: Final = Refusal(
     RefusalReason.SHUTTING_DOWN, Verdict.NOT_RUN, "this host is stopping", STOPPING_RETRY_AFTER_S
 )
@@ -89,17 +93,19 @@
         self._configuration = message.configuration
 
     @handler("request", priority=1.0)
-    def _on_request(self, event: Event, request: Request, answer: Response) -> bool | None:
-        if request.path != CHAT_PATH and not request.path.startswith(SERVICE_PREFIX):
-            return None
+    def _on_request(self, event: Event, request: Request, answer: Response) -> bool:
         event.stop()
+        request_id = request.headers.get(REQUEST_ID_HEADER, "")
+        if request.path != CHAT_PATH and not request.path.startswith(SERVICE_PREFIX):
+            self._send_refusal(answer, _UNKNOWN_PATH, request_id, STATUS_NOT_FOUND)
+            return True
         if self._closed:
             answer.close = True
-            self._send_refusal(answer, _STOPPING, request.headers.get(REQUEST_ID_HEADER, ""))
+            self._send_refusal(answer, _STOPPING, request_id)
             return True
         parsed = parse_call(_raw_of(request), self._configuration, time.monotonic())
         if not isinstance(parsed, Success):
-            self._send_refusal(answer, parsed.failure(), request.headers.get(REQUEST_ID_HEADER, ""))
+            self._send_refusal(answer, parsed.failure(), request_id)
             return True
         call = parsed.unwrap()
         self._pending[call.call_id] = _Pending(call, answer)
@@ -193,8 +199,10 @@
         answer.body = body
         self.fire(response(answer))
 
-    def _send_refusal(self, answer: Response, refusal: Refusal, request_id: str) -> None:
-        answer.status = refusal_status(refusal)
+    def _send_refusal(
+        self, answer: Response, refusal: Refusal, request_id: str, status: int | None = None
+    ) -> None:
+        answer.status = status or refusal_status(refusal)
         answer.headers["Content-Type"] = "application/json"
         answer.headers[VERDICT_HEADER] = refusal.verdict.value
         if request_id:
@@ -209,7 +217,7 @@
     headers = request.headers
     return RawRequest(
         method=request.method,
-        path=request.path,
+        path=f"{request.path}?{request.qs}" if request.qs else request.path,
         tenant=headers.get("X-Tenant", ""),
         request_class=headers.get("X-Class", ""),
         deadline_ms=headers.get("X-Deadline-Ms", ""),
--- a/berylquay/callers/limits.py
+++ b/berylquay/callers/limits.py
@@ -7,7 +7,7 @@
 from circuits.net.events import close, write
 
 from berylquay.callers.answers import refusal_body
-from berylquay.callers.metering import Breach, ConnectionMeter
+from berylquay.callers.metering import BREACH_STATUS, Breach, ConnectionMeter
 from berylquay.callers.server import HttpServer
 from berylquay.messages import Tick
 from berylquay.net.bus import BUS
@@ -77,10 +77,10 @@
 
     def _refuse(self, sock: socket, breach: Breach) -> None:
         self._meters.pop(sock, None)
-        detail = breach.name.lower().replace("_", " ")
-        body = refusal_body(Refusal(RefusalReason.INVALID, Verdict.NOT_RUN, detail))
+        refusal = Refusal(RefusalReason.INVALID, Verdict.NOT_RUN, breach.value)
+        body = refusal_body(refusal)
         head = (
-            f"HTTP/1.1 {breach.value} {detail}\r\n"
+            f"HTTP/1.1 {BREACH_STATUS[breach]} {breach.value}\r\n"
             f"X-Verdict: {Verdict.NOT_RUN.value}\r\n"
             "Content-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\n"
--- a/berylquay/callers/metering.py
+++ b/berylquay/callers/metering.py
@@ -9,21 +9,34 @@
 from berylquay.settings.options import CallerLimits
 
 HEAD_END: Final = b"\r\n\r\n"
-_CONTENT_LENGTH: Final = re.compile(rb"\r\ncontent-length:[ \t]*([^\r]*)\r\n", re.IGNORECASE)
+_CONTENT_LENGTH: Final = re.compile(rb"\r\ncontent-length:[ \t]*([^\r]*)(?=\r\n)", re.IGNORECASE)
 _TRANSFER_ENCODING: Final = re.compile(rb"\r\ntransfer-encoding:", re.IGNORECASE)
+# Control characters in the target, which circuits.web would answer with a redirection.
+_BAD_TARGET: Final = re.compile(rb"^\S+ \S*%(?:[01][0-9a-f]|7f)\S* ", re.IGNORECASE)
 
 
 class Breach(Enum):
-    """Limit that a connection exceeded; the value is the HTTP status that tells the caller."""
+    """Limit that a connection exceeded."""
 
     # The head is larger than allowed.
-    HEAD_TOO_LARGE = 431
+    HEAD_TOO_LARGE = "head too large"
     # The body is larger than allowed.
-    BODY_TOO_LARGE = 413
+    BODY_TOO_LARGE = "body too large"
     # The length of the body is ambiguous or no number.
-    BAD_LENGTH = 400
+    BAD_LENGTH = "bad length"
+    # The path holds control characters.
+    BAD_TARGET = "bad target"
     # The request did not come whole in time.
-    TOO_SLOW = 408
+    TOO_SLOW = "too slow"
+
+
+BREACH_STATUS: Final = {
+    Breach.HEAD_TOO_LARGE: 431,
+    Breach.BODY_TOO_LARGE: 413,
+    Breach.BAD_LENGTH: 400,
+    Breach.BAD_TARGET: 400,
+    Breach.TOO_SLOW: 408,
+}
 
 
 @define
@@ -73,6 +86,8 @@
             return None
         self.head_complete = True
         excess = len(self.head) - length
+        if _BAD_TARGET.search(self.head):
+            return Breach.BAD_TARGET
         return _check_declared_length(bytes(self.head[:length]), limits) or self._count_body(
             excess, limits
         )
--- /dev/null
+++ b/tests/scenarios/test_graceful_stop.py
@@ -0,0 +1,24 @@
+"""Scenarios of planned stops of entry hosts."""
+
+from pytest_bdd import parsers, scenarios, then
+
+from tests.scenarios.conftest import World, lookup
+
+scenarios("../../test-data/scenarios/graceful_stop.feature")
+
+STOP_TIMEOUT_S = 20.0
+
+
+@then(parsers.parse('process "{name}" ends by itself'))
+def then_ends(world: World, name: str) -> None:
+    assert world.process(name).popen.wait(STOP_TIMEOUT_S) == 0
+
+
+@then(parsers.parse('a lookup at "{name}" is refused as "{reason}" with verdict "{verdict}"'))
+def then_refused(world: World, name: str, reason: str, verdict: str) -> None:
+    answer = lookup(world.process(name).port)
+    error = answer.value()["error"]
+    assert isinstance(error, dict)
+    assert (error["reason"], error["verdict"]) == (reason, verdict)
+    assert answer.headers["x-verdict"] == verdict
+    assert int(answer.headers["retry-after"]) >= 1
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -47,7 +47,9 @@
     return Fleet(processes, membership, engine_processes, service_processes, host_processes)
 
 
-def start_host(processes: Processes, name: str, membership_port: int) -> Process:
+def start_host(
+    processes: Processes, name: str, membership_port: int, callers_settings: str = ""
+) -> Process:
     """Starts one entry host."""
     port = free_port()
     settings = processes.directory / f"{name}.ini"
@@ -61,6 +63,7 @@
 
 [callers]
 address = 127.0.0.1:{port}
+{callers_settings}
 
 [platform]
 membership = 127.0.0.1:{membership_port}
