--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -21,12 +21,24 @@
     hosts: list[Process]
 
 
-def start_fleet(directory: Path, engines: int, services: int, hosts: int) -> Fleet:
+def start_fleet(
+    directory: Path,
+    engines: int,
+    services: int,
+    hosts: int,
+    engine_arguments: tuple[str, ...] = (),
+) -> Fleet:
     """Starts stand-ins and entry hosts for the Jamiat example and returns them running."""
     processes = Processes(directory)
     engine_processes = [
         processes.start_standin(
-            f"engine-{n}", "engine", "--name", f"engine-{n}", "--model", "cellar-lm"
+            f"engine-{n}",
+            "engine",
+            "--name",
+            f"engine-{n}",
+            "--model",
+            "cellar-lm",
+            *engine_arguments,
         )
         for n in range(engines)
     ]
