--- a/berylquay/callers/gate.py
+++ b/berylquay/callers/gate.py
@@ -22,21 +22,34 @@
     whole_answer,
 )
 from berylquay.callers.parsing import CHAT_PATH, SERVICE_PREFIX, RawRequest, parse_call
-from berylquay.callers.server import CALLERS_CHANNEL
+from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
 from berylquay.decisions.calls import Call
 from berylquay.decisions.deployment import Configuration
 from berylquay.messages import (
+    AdmissionClosed,
+    AnswersDrained,
     CallCompleted,
     CallerGone,
     CallReceived,
     CallRefused,
     ConfigurationInForce,
+    Tick,
     TokensForCaller,
 )
 from berylquay.net.bus import BUS, post
-from berylquay.verdicts import Refusal, Verdict
+from berylquay.verdicts import Refusal, RefusalReason, Verdict
 
-STATUS_OK: Final = 200
+# When a caller should come back to another host while this one stops.
+STOPPING_RETRY_AFTER_S: Final = 1.0
+
+
+STATUS_NOT_FOUND: Final = 404
+_UNKNOWN_PATH: Final = Refusal(
+    RefusalReason.INVALID, Verdict.NOT_RUN, f"use {CHAT_PATH} or {SERVICE_PREFIX}NAME/..."
+)
+_STOPPING: Final = Refusal(
+    RefusalReason.SHUTTING_DOWN, Verdict.NOT_RUN, "this host is stopping", STOPPING_RETRY_AFTER_S
+)
 
 
 @define(eq=False)
@@ -55,6 +68,8 @@
 
     channel = CALLERS_CHANNEL
 
+    # Server that the callers are connected to.
+    _server: HttpServer
     # Configuration that requests are checked against.
     _configuration: Configuration
     # Waiting callers by call id.
@@ -62,8 +77,13 @@
     # Call id by the caller's socket.
     _call_of_sock: dict[socket, str]
 
-    def __init__(self) -> None:
+    # Whether new requests are refused.
+    _closed: bool
+
+    def __init__(self, server: HttpServer) -> None:
         super().__init__()
+        self._server = server
+        self._closed = False
         self._configuration = Configuration()
         self._pending = {}
         self._call_of_sock = {}
@@ -73,13 +93,19 @@
         self._configuration = message.configuration
 
     @handler("request", priority=1.0)
-    def _on_request(self, event: Event, request: Request, answer: Response) -> bool | None:
-        if request.path != CHAT_PATH and not request.path.startswith(SERVICE_PREFIX):
-            return None
+    def _on_request(self, event: Event, request: Request, answer: Response) -> bool:
         event.stop()
+        request_id = request.headers.get(REQUEST_ID_HEADER, "")
+        if request.path != CHAT_PATH and not request.path.startswith(SERVICE_PREFIX):
+            self._send_refusal(answer, _UNKNOWN_PATH, request_id, STATUS_NOT_FOUND)
+            return True
+        if self._closed:
+            answer.close = True
+            self._send_refusal(answer, _STOPPING, request_id)
+            return True
         parsed = parse_call(_raw_of(request), self._configuration, time.monotonic())
         if not isinstance(parsed, Success):
-            self._send_refusal(answer, parsed.failure(), request.headers.get(REQUEST_ID_HEADER, ""))
+            self._send_refusal(answer, parsed.failure(), request_id)
             return True
         call = parsed.unwrap()
         self._pending[call.call_id] = _Pending(call, answer)
@@ -87,6 +113,15 @@
         post(self, CallReceived(call))
         return True
 
+    @handler("AdmissionClosed", channel=BUS)
+    def _on_admission_closed(self, _message: AdmissionClosed) -> None:
+        self._closed = True
+
+    @handler("Tick", channel=BUS)
+    def _on_tick(self, _message: Tick) -> None:
+        if self._closed and not self._pending and not self._server.has_unsent_data:
+            post(self, AnswersDrained())
+
     @handler("disconnect")
     def _on_disconnect(self, sock: socket) -> None:
         call_id = self._call_of_sock.pop(sock, None)
@@ -164,8 +199,10 @@
         answer.body = body
         self.fire(response(answer))
 
-    def _send_refusal(self, answer: Response, refusal: Refusal, request_id: str) -> None:
-        answer.status = refusal_status(refusal)
+    def _send_refusal(
+        self, answer: Response, refusal: Refusal, request_id: str, status: int | None = None
+    ) -> None:
+        answer.status = status or refusal_status(refusal)
         answer.headers["Content-Type"] = "application/json"
         answer.headers[VERDICT_HEADER] = refusal.verdict.value
         if request_id:
@@ -180,7 +217,7 @@
     headers = request.headers
     return RawRequest(
         method=request.method,
-        path=request.path,
+        path=f"{request.path}?{request.qs}" if request.qs else request.path,
         tenant=headers.get("X-Tenant", ""),
         request_class=headers.get("X-Class", ""),
         deadline_ms=headers.get("X-Deadline-Ms", ""),
