Route by prefix home, two sampled engines and predicted wait

Cause: least-loaded looks at every engine, trusts stale reports (all hosts then run to the same engine) and never leaves its region, while another region stands idle.

Ruled out: a directory of prefixes (state and messages that grow with the fleet).

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -8,6 +8,8 @@
 
 from bench.scenarios import FleetShape
 from berylquay.decisions.admission import AdmissionPolicy, AdmitAll
+from berylquay.decisions.nearby_routing import NearbyChoice
+from berylquay.decisions.predictions import Predictor
 from berylquay.decisions.roles import FixedRoles, GreedyRoles, RolePlanner
 from berylquay.decisions.routing import LeastLoaded, RoundRobin, RoutingPolicy
 
@@ -50,6 +52,10 @@
     return LeastLoaded()
 
 
+def _nearby(fleet: FleetShape, host: HostShape, rng: random.Random) -> RoutingPolicy:
+    return NearbyChoice(Predictor(fleet.speed), rng)
+
+
 def _fixed(fleet: FleetShape) -> RolePlanner:
     return FixedRoles()
 
@@ -65,4 +71,5 @@
     PolicySet("greedy", False, _least_loaded, _admit_all, _greedy),
 )
 
-POLICY_SETS: Final = BASELINES
+ROUTED: Final = PolicySet("routed", True, _nearby, _admit_all, _fixed)
+POLICY_SETS: Final = (*BASELINES, ROUTED)
--- a/berylquay/decisions/loads.py
+++ b/berylquay/decisions/loads.py
@@ -92,7 +92,8 @@
 
     def candidates(self, pool: str, avoided: frozenset[str] = frozenset()) -> Candidates:
         """Returns the servers of the pool that can begin a call."""
-        return Candidates(self._local[pool], self._remote[pool], avoided)
+        decoders = self._decoders[pool, self._data_centre]
+        return Candidates(self._local[pool], self._remote[pool], avoided, decoders)
 
     def decoders(self, pool: str, data_centre: str) -> list[Candidate]:
         """Returns the data centre's decode engines, or its mixed ones if it has none."""
--- /dev/null
+++ b/berylquay/decisions/predictions.py
@@ -0,0 +1,65 @@
+"""Predictions of when an engine would give a first token, and how fast the others would follow."""
+
+from attrs import frozen
+
+from berylquay.decisions.fleet import Role
+from berylquay.decisions.routing import Candidate
+from berylquay.decisions.speeds import EngineSpeed
+
+
+@frozen
+class Predictor:
+    """Predicts from stale reports and from what this host itself has sent since."""
+
+    # Rates of the pool's engines.
+    speed: EngineSpeed
+
+    def prefill_wait_s(self, candidate: Candidate, now_s: float) -> float:
+        """Returns how long a new prompt would wait for its prefill to start."""
+        seconds_per_token = self.speed.prefill_s(1.0, *_prefill_state(candidate))
+        return self._backlog_tokens(candidate, seconds_per_token, now_s) * seconds_per_token
+
+    def prefill_s(self, candidate: Candidate, prompt_tokens: int) -> float:
+        """Returns how long the prefill itself would take without a cached prefix."""
+        return self.speed.prefill_s(prompt_tokens, *_prefill_state(candidate))
+
+    def batch_size(self, candidate: Candidate) -> int:
+        """Returns the sequences that are in the batch or wait for it."""
+        report = candidate.report
+        if report is None:
+            return candidate.in_flight
+        known = report.running + report.waiting + candidate.started_since_report
+        return max(known, candidate.in_flight, 0)
+
+    def batch_wait_s(self, candidate: Candidate, output_tokens: float) -> float:
+        """Returns how long a prefilled sequence would wait for room in the batch."""
+        excess = self.batch_size(candidate) + 1 - self.speed.max_batch
+        if excess <= 0:
+            return 0.0
+        return excess * output_tokens * self.token_s(candidate) / self.speed.max_batch
+
+    def token_s(self, candidate: Candidate) -> float:
+        """Returns the time between tokens if one more sequence joined the batch."""
+        batch = min(self.batch_size(candidate) + 1, self.speed.max_batch)
+        prefilling = role_of(candidate) is Role.MIXED
+        return self.speed.token_s(batch, role_of(candidate), prefilling)
+
+    def _backlog_tokens(
+        self, candidate: Candidate, seconds_per_token: float, now_s: float
+    ) -> float:
+        report = candidate.report
+        if report is None:
+            return candidate.pending_prompt_tokens
+        done = (now_s - report.received_s) / seconds_per_token
+        left = report.prefill_backlog_tokens + candidate.prompt_tokens_since_report - done
+        return max(left, candidate.pending_prompt_tokens, 0.0)
+
+
+def role_of(candidate: Candidate) -> Role:
+    """Returns the role that the engine reported last; mixed if it never reported."""
+    return candidate.report.role if candidate.report else Role.MIXED
+
+
+def _prefill_state(candidate: Candidate) -> tuple[Role, bool]:
+    report = candidate.report
+    return role_of(candidate), report is not None and report.running > 0
--- a/berylquay/decisions/routing.py
+++ b/berylquay/decisions/routing.py
@@ -42,6 +42,8 @@
     remote: Sequence[Candidate] = ()
     # Servers that must not be chosen.
     avoided: frozenset[str] = frozenset()
+    # Engines of the own data centre that take over KV cache after a prefill.
+    decoders: Sequence[Candidate] = ()
 
     def __len__(self) -> int:
         """Returns the number of servers, the avoided ones among them."""
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,113 @@
+"""Routing: its cost does not grow with the fleet, prefixes have homes, other regions must pay."""
+
+import random
+from collections.abc import Sequence
+from typing import overload
+
+import pytest
+
+from berylquay.decisions.calls import Call
+from berylquay.decisions.deployment import ClassSpec, WorkKind
+from berylquay.decisions.fleet import Address, BackendKind, BackendServer, LoadReport, Role
+from berylquay.decisions.nearby_routing import NearbyChoice
+from berylquay.decisions.predictions import Predictor
+from berylquay.decisions.prefixes import home_of
+from berylquay.decisions.routing import Candidate, Candidates
+from berylquay.decisions.speeds import EngineSpeed
+
+LOOKS = 8
+
+
+class CountedServers(Sequence[Candidate]):
+    """Counts how many servers are looked at."""
+
+    def __init__(self, servers: list[Candidate]) -> None:
+        self.servers = servers
+        self.looks = 0
+
+    @overload
+    def __getitem__(self, index: int) -> Candidate: ...
+
+    @overload
+    def __getitem__(self, index: slice) -> Sequence[Candidate]: ...
+
+    def __getitem__(self, index: int | slice) -> Candidate | Sequence[Candidate]:
+        """Returns a server and counts the look."""
+        self.looks += 1 if isinstance(index, int) else len(self.servers)
+        return self.servers[index]
+
+    def __len__(self) -> int:
+        """Returns the number of servers."""
+        return len(self.servers)
+
+
+def make_call(prompt: str = "prefix") -> Call:
+    spec = ClassSpec("quick-question", WorkKind.GENERATION, "pool")
+    return Call(
+        "1", "1", "fes", spec, 0.0, 60.0, True, "", "1", True, "", "", prompt, 800, 128
+    )  # fmt: skip
+
+
+def make_server(name: str, backlog_tokens: int = 0, region: str = "fes") -> Candidate:
+    server = BackendServer(
+        name, BackendKind.ENGINE, Address("127.0.0.1", 1), region, region, "pool"
+    )
+    report = LoadReport(name, 0.0, Role.MIXED, "", prefill_backlog_tokens=backlog_tokens)
+    return Candidate(server, 0, report)
+
+
+def make_policy() -> NearbyChoice:
+    return NearbyChoice(Predictor(EngineSpeed()), random.Random(1))
+
+
+@pytest.mark.parametrize("engines", [5, 50, 500, 5000])
+def test_a_choice_looks_at_as_many_servers_in_any_fleet(engines: int) -> None:
+    policy = make_policy()
+    local = CountedServers([make_server(f"e{n}", 100000) for n in range(engines)])
+    remote = CountedServers([make_server(f"r{n}", 0, "tangier") for n in range(engines)])
+    for number in range(100):
+        local.looks = remote.looks = 0
+        policy.choose(make_call(f"prefix-{number}"), Candidates(local, remote), 0.0)
+        assert local.looks + remote.looks <= LOOKS
+
+
+def test_calls_with_the_same_prefix_go_to_one_idle_engine_from_every_host() -> None:
+    servers = [make_server(f"e{n}") for n in range(50)]
+    names = set()
+    for host in range(9):
+        policy = NearbyChoice(Predictor(EngineSpeed()), random.Random(host))
+        chosen = policy.choose(make_call("the same"), Candidates(servers), 0.0)
+        assert chosen is not None
+        names.add(chosen.server.name)
+    assert len(names) == 1
+
+
+def test_a_loaded_home_gives_way() -> None:
+    servers = [make_server(f"e{n}") for n in range(3)]
+    policy = make_policy()
+    home = policy.choose(make_call(), Candidates(servers), 0.0)
+    assert home is not None
+    home.pending_prompt_tokens = 50000
+    assert policy.choose(make_call(), Candidates(servers), 0.0) is not home
+
+
+def test_another_region_is_chosen_only_when_it_pays() -> None:
+    policy = make_policy()
+    remote = [make_server("r", 0, "tangier")]
+    light, heavy = make_server("light", 1000), make_server("heavy", 60000)
+    assert policy.choose(make_call(), Candidates([light], remote), 0.0) is light
+    assert policy.choose(make_call(), Candidates([heavy], remote), 0.0) is remote[0]
+
+
+def test_an_avoided_server_is_never_chosen() -> None:
+    servers = [make_server(f"e{n}") for n in range(9)]
+    policy = make_policy()
+    avoided = frozenset(f"e{n}" for n in range(8))
+    for number in range(50):
+        chosen = policy.choose(make_call(str(number)), Candidates(servers, (), avoided), 0.0)
+        assert chosen is servers[8]
+
+
+def test_one_more_engine_moves_few_prefixes() -> None:
+    moved = sum(home_of(key, 50) != home_of(key, 51) for key in range(10000))
+    assert moved < 10000 / 51 * 1.5
