Admit by predicted time to first token and to the last, by share and promise

Cause: past saturation every engine prefills calls that expire before they end, so goodput falls and the wait grows to the deadline; the tenants that stay under their share pay with the one that floods.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -9,6 +9,7 @@
 from bench.scenarios import FleetShape
 from berylquay.decisions.admission import AdmissionPolicy, AdmitAll
 from berylquay.decisions.nearby_routing import NearbyChoice
+from berylquay.decisions.predicted_admission import PredictedAdmission
 from berylquay.decisions.predictions import Predictor
 from berylquay.decisions.roles import FixedRoles, GreedyRoles, RolePlanner
 from berylquay.decisions.routing import LeastLoaded, RoundRobin, RoutingPolicy
@@ -56,6 +57,11 @@
     return NearbyChoice(Predictor(fleet.speed), rng)
 
 
+def _predicted(fleet: FleetShape, host: HostShape, rng: random.Random) -> AdmissionPolicy:
+    capacity = host.region_engines * host.region_part
+    return PredictedAdmission(fleet.deployment, Predictor(fleet.speed), capacity)
+
+
 def _fixed(fleet: FleetShape) -> RolePlanner:
     return FixedRoles()
 
@@ -72,4 +78,5 @@
 )
 
 ROUTED: Final = PolicySet("routed", True, _nearby, _admit_all, _fixed)
-POLICY_SETS: Final = (*BASELINES, ROUTED)
+ADMITTED: Final = PolicySet("admitted", True, _nearby, _predicted, _fixed)
+POLICY_SETS: Final = (*BASELINES, ROUTED, ADMITTED)
--- a/bench/world.py
+++ b/bench/world.py
@@ -29,7 +29,7 @@
 )
 from berylquay.decisions.loads import FleetLoads
 from berylquay.decisions.roles import Demand, EngineRole, RoleChange, RolePlanner
-from berylquay.decisions.routing import RoutingPolicy
+from berylquay.decisions.routing import Candidate, RoutingPolicy
 
 NEAR_LATENCY_S: Final = 0.001
 FAR_LATENCY_S: Final = 0.020
@@ -212,14 +212,15 @@
         if chosen is None:
             self._refused(job, 1.0)
             return
-        refusal = host.admission.refusal_of(call, chosen, self._now_s, returning)
+        decoder = self._decoder_for(host, call, chosen)
+        refusal = host.admission.refusal_of(call, chosen, self._now_s, returning, decoder)
         if returning:
             self.measures.returned(job, refusal is None)
         if refusal is not None:
             self._refused(job, refusal.retry_after_s)
             return
         host.admission.on_started(call, self._now_s)
-        self._dispatch(host, Run(job, call, host.number, chosen.server.name, ""))
+        self._dispatch(host, _make_run(job, call, host, chosen, decoder))
         self._at(call.deadline_s, self._deadline, job, call)
 
     def _refused(self, job: Job, retry_after_s: float | None) -> None:
@@ -249,7 +250,6 @@
     def _dispatch(self, host: Host, run: Run) -> None:
         self._runs[run.job.number] = run
         server = self._engines[run.engine].server
-        run.decoder = self._decoder_for(host, run)
         self._bound_for[run.engine] += 1
         self._bound_for[run.decoder] += 1
         host.loads.on_sent(run.engine, run.job.prompt_tokens + run.resumed_tokens)
@@ -264,14 +264,11 @@
             return
         self._at(self._now_s + (FAR_LATENCY_S if far else NEAR_LATENCY_S), self._arrive, run)
 
-    def _decoder_for(self, host: Host, run: Run) -> str:
-        candidate = host.loads.named(run.engine)
-        assert candidate is not None
-        if candidate.report is None or candidate.report.role is not Role.PREFILL:
-            return run.engine
-        decoders = host.loads.decoders(self.fleet.pool, candidate.server.data_centre)
-        decoder = host.routing.choose_decoder(run.call, decoders, self._now_s)
-        return run.engine if decoder is None else decoder.server.name
+    def _decoder_for(self, host: Host, call: Call, chosen: Candidate) -> Candidate | None:
+        if chosen.report is None or chosen.report.role is not Role.PREFILL:
+            return None
+        decoders = host.loads.decoders(self.fleet.pool, chosen.server.data_centre)
+        return host.routing.choose_decoder(call, decoders, self._now_s)
 
     def _arrive(self, run: Run) -> None:
         engine = self._engines[run.engine]
@@ -305,7 +302,8 @@
             return False
         host.retry_tokens -= 1.0
         self.measures.retries += 1
-        fresh = Run(run.job, run.call, run.host, chosen.server.name, "")
+        decoder = self._decoder_for(host, run.call, chosen)
+        fresh = _make_run(run.job, run.call, host, chosen, decoder)
         fresh.attempts_before = run.attempts_before + 1
         fresh.resumed_tokens = run.resumed_tokens
         fresh.first_token_s = run.first_token_s
@@ -495,3 +493,10 @@
 
     def _is_cut(self, one: str, other: str) -> bool:
         return one != other and self._cut_region in (one, other)
+
+
+def _make_run(
+    job: Job, call: Call, host: Host, chosen: Candidate, decoder: Candidate | None
+) -> Run:
+    engine = chosen.server.name
+    return Run(job, call, host.number, engine, decoder.server.name if decoder else engine)
--- a/berylquay/decisions/admission.py
+++ b/berylquay/decisions/admission.py
@@ -15,7 +15,12 @@
     """Admits or refuses calls, and hears how the admitted ones go on."""
 
     def refusal_of(
-        self, call: Call, chosen: Candidate, now_s: float, returning: bool = False
+        self,
+        call: Call,
+        chosen: Candidate,
+        now_s: float,
+        returning: bool = False,
+        decoder: Candidate | None = None,
     ) -> Refusal | None:
         """Returns None to admit the call on the chosen server, or the refusal to give at once.
 
@@ -24,6 +29,7 @@
             chosen: The backend server that routing chose, with its load.
             now_s: Present monotonic time.
             returning: Whether the caller comes back after a refusal, having waited as it was told.
+            decoder: The engine that takes over after prefill, or None if the chosen one goes on.
         """
 
     def on_started(self, call: Call, now_s: float) -> None:
@@ -40,7 +46,12 @@
     """Admits every call."""
 
     def refusal_of(
-        self, call: Call, chosen: Candidate, now_s: float, returning: bool = False
+        self,
+        call: Call,
+        chosen: Candidate,
+        now_s: float,
+        returning: bool = False,
+        decoder: Candidate | None = None,
     ) -> Refusal | None:
         """Returns None always."""
         return None
--- /dev/null
+++ b/berylquay/decisions/shares.py
@@ -0,0 +1,49 @@
+"""Shares: how much of the recent work each tenant has had, against what is its by declaration."""
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable
+
+from berylquay.decisions.deployment import TenantSpec
+
+
+class TenantShares:
+    """Sums each tenant's recent work with exponential decay, at a fixed cost per call."""
+
+    # Time in which past work loses all but 1/e of its weight.
+    _window_s: float
+    # Part of the whole that is each tenant's.
+    _parts: dict[str, float]
+    # Decayed work by tenant, as of the time beside it.
+    _work_s: defaultdict[str, float]
+    _updated_s: defaultdict[str, float]
+
+    def __init__(self, tenants: Iterable[TenantSpec], window_s: float = 20.0) -> None:
+        specs = tuple(tenants)
+        whole = sum(tenant.share for tenant in specs) or 1.0
+        self._window_s = window_s
+        self._parts = {tenant.name: tenant.share / whole for tenant in specs}
+        self._work_s = defaultdict(float)
+        self._updated_s = defaultdict(float)
+
+    def add(self, tenant: str, work_s: float, now_s: float) -> None:
+        """Counts work that was admitted for the tenant."""
+        self._work_s[tenant] = self._decayed_s(tenant, now_s) + work_s
+        self._updated_s[tenant] = now_s
+
+    def use_of(self, tenant: str, capacity: float, now_s: float) -> float:
+        """Returns the tenant's recent work as a part of its share of the capacity.
+
+        Args:
+            tenant: Name of the tenant; one that was not declared has no share.
+            capacity: Work per second that this host may ask of the engines.
+            now_s: Present time.
+        """
+        owned = self._parts.get(tenant, 0.0) * capacity * self._window_s
+        if owned <= 0.0:
+            return math.inf
+        return self._decayed_s(tenant, now_s) / owned
+
+    def _decayed_s(self, tenant: str, now_s: float) -> float:
+        elapsed_s = now_s - self._updated_s[tenant]
+        return self._work_s[tenant] * math.exp(-elapsed_s / self._window_s)
