Bound the backlog for all classes, and the wait by priority, with shares of what was admitted

Cause: one wait of 0.8 s for all classes refuses work whose deadline is far away, and tells callers to come back into the same burst.

Now: a backlog that any class may join (3 s), a wait by priority of 0.15 of the class's deadline, both longer for tenants under their share of what was admitted in the last minute, shorter for one far above it, longest for callers back as told; Retry-After is at least the predicted backlog.

--- a/bench/world.py
+++ b/bench/world.py
@@ -252,7 +252,9 @@
         server = self._engines[run.engine].server
         self._bound_for[run.engine] += 1
         self._bound_for[run.decoder] += 1
-        host.loads.on_sent(run.engine, run.job.prompt_tokens + run.resumed_tokens)
+        prompt_tokens = run.job.prompt_tokens + run.resumed_tokens
+        spec = run.call.spec
+        host.loads.on_sent(run.engine, prompt_tokens, spec.priority)
         if run.decoder != run.engine:
             host.loads.on_sent(run.decoder, 0)
         far = server.region != host.region
@@ -324,7 +326,12 @@
         if run.decoder != run.engine:
             loads.on_ended(run.decoder)
         if run.prompt_left >= 0:
-            loads.on_first_token(run.engine, run.job.prompt_tokens + run.resumed_tokens)
+            self._count_first_token(run)
+
+    def _count_first_token(self, run: Run) -> None:
+        prompt_tokens = run.job.prompt_tokens + run.resumed_tokens
+        loads = self._host_of(run).loads
+        loads.on_first_token(run.engine, prompt_tokens, run.call.spec.priority)
 
     # Engines
 
@@ -350,7 +357,7 @@
         if run.over:
             return
         host = self._host_of(run)
-        host.loads.on_first_token(run.engine, run.job.prompt_tokens + run.resumed_tokens)
+        self._count_first_token(run)
         run.prompt_left = -1
         if run.first_token_s < 0.0:
             run.first_token_s = self._now_s + self._latency(run)
--- a/berylquay/decisions/loads.py
+++ b/berylquay/decisions/loads.py
@@ -63,21 +63,23 @@
         if _role_of(candidate) is not role_before:
             self._rebuild()
 
-    def on_sent(self, backend: str, prompt_tokens: int) -> None:
+    def on_sent(self, backend: str, prompt_tokens: int, priority: int = 0) -> None:
         """Counts an attempt that is sent to a server."""
         candidate = self._by_name.get(backend)
         if candidate is None:
             return
         candidate.in_flight += 1
         candidate.pending_prompt_tokens += prompt_tokens
+        candidate.pending_by_priority[priority] += prompt_tokens
         candidate.prompt_tokens_since_report += prompt_tokens
         candidate.started_since_report += 1
 
-    def on_first_token(self, backend: str, prompt_tokens: int) -> None:
+    def on_first_token(self, backend: str, prompt_tokens: int, priority: int = 0) -> None:
         """Counts a prompt as prefilled."""
         candidate = self._by_name.get(backend)
         if candidate is not None:
             candidate.pending_prompt_tokens -= prompt_tokens
+            candidate.pending_by_priority[priority] -= prompt_tokens
 
     def on_ended(self, backend: str) -> None:
         """Counts an attempt as ended."""
--- a/berylquay/decisions/predicted_admission.py
+++ b/berylquay/decisions/predicted_admission.py
@@ -19,12 +19,17 @@
 class AdmissionLimits:
     """Bounds by which calls are admitted."""
 
-    # Longest predicted wait for the first token, for a tenant that has its share already.
-    wait_s: float = 0.8
-    # Factor on that wait for a tenant that is under its share.
-    under_share: float = 2.0
-    # Factor on that wait for a caller who comes back as told.
-    returning: float = 4.0
+    # Longest backlog that a call of a tenant over its share may join, whatever its priority.
+    backlog_s: float = 3
+    # Part of the class's deadline that may pass before the prefill starts, by priority.
+    wait_part: float = 0.15
+    # Factor on both waits for a tenant that is under its share.
+    under_share: float = 3
+    # Factor on both waits for a tenant whose work is above so many times its share.
+    flooding: float = 0.3
+    flood_use: float = 1.3
+    # Factor on both waits for a caller who comes back as told.
+    returning: float = 6
     # Part of the time to the deadline that the predicted answer may take.
     deadline_part: float = 0.9
     # Part of the capacity that is promised to callers who are told to come back.
@@ -73,14 +78,19 @@
         if not call.is_generation:
             return None
         sequences = decoder or chosen
-        wait_s = self._predictor.prefill_wait_s(chosen, now_s)
-        wait_s += self._predictor.batch_wait_s(sequences, call.spec.expected_output_tokens)
+        batch_wait_s = self._predictor.batch_wait_s(sequences, call.spec.expected_output_tokens)
+        backlog_s = self._predictor.prefill_wait_s(chosen, now_s) + batch_wait_s
+        wait_s = self._predictor.prefill_wait_s(chosen, now_s, call.spec.priority) + batch_wait_s
         answer_s = wait_s + self._predictor.prefill_s(chosen, call.prompt_tokens)
         answer_s += call.spec.expected_output_tokens * self._predictor.token_s(sequences)
         if answer_s > (call.deadline_s - now_s) * self._limits.deadline_part:
-            return self._refuse(call, RefusalReason.DEADLINE, "too late to be worth it", now_s)
-        if wait_s > self._allowed_wait_s(call, now_s, returning):
-            return self._refuse(call, RefusalReason.OVERLOADED, "engines are busy", now_s)
+            late = RefusalReason.DEADLINE
+            return self._refuse(call, late, "too late to be worth it", now_s, backlog_s)
+        factor = self._patience(call, now_s, returning)
+        too_long = wait_s > factor * self._limits.wait_part * call.spec.deadline_s
+        if too_long or backlog_s > factor * self._limits.backlog_s:
+            busy = RefusalReason.OVERLOADED
+            return self._refuse(call, busy, "engines are busy", now_s, backlog_s)
         return None
 
     def on_started(self, call: Call, now_s: float) -> None:
@@ -93,21 +103,24 @@
     def on_ended(self, call: Call, output_tokens: int, now_s: float) -> None:
         """Does nothing."""
 
-    def _allowed_wait_s(self, call: Call, now_s: float, returning: bool) -> float:
-        wait_s = self._limits.wait_s
+    def _patience(self, call: Call, now_s: float, returning: bool) -> float:
+        """Returns the factor on the waits that the call may have."""
         if returning:
-            wait_s *= self._limits.returning
-        elif self._shares.use_of(call.tenant, self._capacity, now_s) < 1.0:
-            wait_s *= self._limits.under_share
-        return wait_s
-
-    def _refuse(self, call: Call, reason: RefusalReason, detail: str, now_s: float) -> Refusal:
-        return Refusal(reason, Verdict.NOT_RUN, detail, self._promise(call, now_s))
-
-    def _promise(self, call: Call, now_s: float) -> float:
+            return self._limits.returning
+        use = self._shares.use_of(call.tenant, now_s)
+        if use <= 1.0:
+            return self._limits.under_share
+        return self._limits.flooding if use > self._limits.flood_use else 1.0
+
+    def _refuse(
+        self, call: Call, reason: RefusalReason, detail: str, now_s: float, backlog_s: float
+    ) -> Refusal:
+        return Refusal(reason, Verdict.NOT_RUN, detail, self._promise(call, now_s, backlog_s))
+
+    def _promise(self, call: Call, now_s: float, backlog_s: float) -> float:
         """Returns after how long the caller will be admitted, and gives that time away."""
         rate = self._capacity * self._limits.promised_part
-        earliest_s = now_s + self._limits.min_retry_after_s
+        earliest_s = now_s + max(self._limits.min_retry_after_s, backlog_s)
         begin_s = max(self._promised_until_s, earliest_s)
         self._promised_until_s = begin_s + self._work_s(call) / rate
         return min(begin_s - now_s, self._limits.max_retry_after_s)
--- a/berylquay/decisions/predictions.py
+++ b/berylquay/decisions/predictions.py
@@ -14,10 +14,20 @@
     # Rates of the pool's engines.
     speed: EngineSpeed
 
-    def prefill_wait_s(self, candidate: Candidate, now_s: float) -> float:
-        """Returns how long a new prompt would wait for its prefill to start."""
+    def prefill_wait_s(
+        self, candidate: Candidate, now_s: float, priority: int | None = None
+    ) -> float:
+        """Returns how long a new prompt would wait for its prefill to start.
+
+        Args:
+            candidate: The engine.
+            now_s: Present time.
+            priority: Priority of the prompt, if only what goes before it is to count.
+        """
         seconds_per_token = self.speed.prefill_s(1.0, *_prefill_state(candidate))
-        return self._backlog_tokens(candidate, seconds_per_token, now_s) * seconds_per_token
+        tokens = self._backlog_tokens(candidate, seconds_per_token, now_s)
+        part = 1.0 if priority is None else candidate.pending_part(priority)
+        return tokens * part * seconds_per_token
 
     def prefill_s(self, candidate: Candidate, prompt_tokens: int) -> float:
         """Returns how long the prefill itself would take without a cached prefix."""
@@ -32,7 +42,11 @@
         return max(known, candidate.in_flight, 0)
 
     def batch_wait_s(self, candidate: Candidate, output_tokens: float) -> float:
-        """Returns how long a prefilled sequence would wait for room in the batch."""
+        """Returns how long a prefilled sequence would wait for room in the batch.
+
+        The others are taken to be as long as the sequence itself. Short answers, which engines
+        let pass by priority, thus see a short wait, and long ones give way first in an overload.
+        """
         excess = self.batch_size(candidate) + 1 - self.speed.max_batch
         if excess <= 0:
             return 0.0
--- a/berylquay/decisions/routing.py
+++ b/berylquay/decisions/routing.py
@@ -5,10 +5,11 @@
 that does not grow with the fleet.
 """
 
+from collections import Counter
 from collections.abc import Sequence
 from typing import Protocol
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from berylquay.decisions.calls import Call
 from berylquay.decisions.fleet import BackendServer, LoadReport
@@ -30,6 +31,15 @@
     prompt_tokens_since_report: int = 0
     # Attempts that this host started on it, less those that ended, since the newest report came.
     started_since_report: int = 0
+    # The pending prompt tokens of this host by the priority of their class.
+    pending_by_priority: Counter[int] = field(factory=Counter)
+
+    def pending_part(self, priority: int) -> float:
+        """Returns the part of the pending prompt tokens that goes before or with a priority."""
+        if self.pending_prompt_tokens <= 0:
+            return 1.0
+        ahead = sum(count for each, count in self.pending_by_priority.items() if each <= priority)
+        return ahead / self.pending_prompt_tokens
 
 
 @frozen
--- a/berylquay/decisions/shares.py
+++ b/berylquay/decisions/shares.py
@@ -3,9 +3,13 @@
 import math
 from collections import defaultdict
 from collections.abc import Iterable
+from typing import Final
 
 from berylquay.decisions.deployment import TenantSpec
 
+# No tenant may have this name: the INI reader strips section names.
+_EVERYONE: Final = " "
+
 
 class TenantShares:
     """Sums each tenant's recent work with exponential decay, at a fixed cost per call."""
@@ -18,7 +22,7 @@
     _work_s: defaultdict[str, float]
     _updated_s: defaultdict[str, float]
 
-    def __init__(self, tenants: Iterable[TenantSpec], window_s: float = 20.0) -> None:
+    def __init__(self, tenants: Iterable[TenantSpec], window_s: float = 60.0) -> None:
         specs = tuple(tenants)
         whole = sum(tenant.share for tenant in specs) or 1.0
         self._window_s = window_s
@@ -28,22 +32,24 @@
 
     def add(self, tenant: str, work_s: float, now_s: float) -> None:
         """Counts work that was admitted for the tenant."""
-        self._work_s[tenant] = self._decayed_s(tenant, now_s) + work_s
-        self._updated_s[tenant] = now_s
+        self._add(tenant, work_s, now_s)
+        self._add(_EVERYONE, work_s, now_s)
 
-    def use_of(self, tenant: str, capacity: float, now_s: float) -> float:
-        """Returns the tenant's recent work as a part of its share of the capacity.
+    def use_of(self, tenant: str, now_s: float) -> float:
+        """Returns the tenant's part of all recent work against its declared part.
 
-        Args:
-            tenant: Name of the tenant; one that was not declared has no share.
-            capacity: Work per second that this host may ask of the engines.
-            now_s: Present time.
+        Above 1 the tenant has had more than its share; one that was not declared has no share.
         """
-        owned = self._parts.get(tenant, 0.0) * capacity * self._window_s
-        if owned <= 0.0:
-            return math.inf
-        return self._decayed_s(tenant, now_s) / owned
+        whole_s = self._decayed_s(_EVERYONE, now_s)
+        owned_s = self._parts.get(tenant, 0.0) * whole_s
+        if owned_s <= 0.0:
+            return 0.0 if tenant in self._parts else math.inf
+        return self._decayed_s(tenant, now_s) / owned_s
 
     def _decayed_s(self, tenant: str, now_s: float) -> float:
         elapsed_s = now_s - self._updated_s[tenant]
         return self._work_s[tenant] * math.exp(-elapsed_s / self._window_s)
+
+    def _add(self, tenant: str, work_s: float, now_s: float) -> None:
+        self._work_s[tenant] = self._decayed_s(tenant, now_s) + work_s
+        self._updated_s[tenant] = now_s
