Plan roles by forecast gain over a horizon against the cost of the change

Now: demand on prompts and outputs is forecast with its trend; one change at a time, only when the work won over 120 s beats the engine time lost and a price by the operator's role_change_weight; a floor per role, a pause between changes and the deployment's budget per hour. The capacity model of mixed engines, which greedy uses as well, now knows that prefill gets at most 0.6 of their time.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -8,6 +8,7 @@
 
 from bench.scenarios import FleetShape
 from berylquay.decisions.admission import AdmissionPolicy, AdmitAll
+from berylquay.decisions.forecast_roles import ForecastRoles, RoleLimits
 from berylquay.decisions.nearby_routing import NearbyChoice
 from berylquay.decisions.predicted_admission import PredictedAdmission
 from berylquay.decisions.predictions import Predictor
@@ -67,7 +68,21 @@
 
 
 def _greedy(fleet: FleetShape) -> RolePlanner:
-    return GreedyRoles(fleet.speed.mixed_overhead)
+    return GreedyRoles(fleet.speed)
+
+
+def limits_of(fleet: FleetShape) -> RoleLimits:
+    """Returns the role limits that the fleet's deployment declares."""
+    pool = next(each for each in fleet.deployment.pools if each.name == fleet.pool)
+    return RoleLimits(
+        weight=fleet.deployment.role_change_weight,
+        changes_per_hour=fleet.deployment.role_changes_per_hour,
+        min_per_role=pool.min_per_role,
+    )
+
+
+def _forecast(fleet: FleetShape) -> RolePlanner:
+    return ForecastRoles(fleet.speed, limits_of(fleet))
 
 
 BASELINES: Final = (
@@ -79,4 +94,5 @@
 
 ROUTED: Final = PolicySet("routed", True, _nearby, _admit_all, _fixed)
 ADMITTED: Final = PolicySet("admitted", True, _nearby, _predicted, _fixed)
-POLICY_SETS: Final = (*BASELINES, ROUTED, ADMITTED)
+PLANNED: Final = PolicySet("berylquay", True, _nearby, _predicted, _forecast)
+POLICY_SETS: Final = (*BASELINES, ROUTED, ADMITTED, PLANNED)
--- a/berylquay/decisions/roles.py
+++ b/berylquay/decisions/roles.py
@@ -7,11 +7,15 @@
 
 from collections import Counter
 from collections.abc import Sequence
-from typing import Protocol
+from typing import Final, Protocol
 
 from attrs import frozen
 
 from berylquay.decisions.fleet import Role
+from berylquay.decisions.speeds import EngineSpeed
+
+# Demand below which a division would make no sense.
+LEAST_DEMAND: Final = 1e-9
 
 
 @frozen
@@ -66,15 +70,15 @@
         counts = {Role.PREFILL: self.prefill, Role.DECODE: self.decode, Role.MIXED: self.mixed}
         return counts[role]
 
-    def capacity(self, demand: Demand, mixed_overhead: float) -> float:
+    def capacity(self, demand: Demand, speed: EngineSpeed) -> float:
         """Returns how many times the demand the engines could serve."""
-        whole = self.mixed / (mixed_overhead * max(demand.total, 1e-9))
+        cost = max(demand.total, demand.prefill / speed.mixed_prefill_limit, LEAST_DEMAND)
+        whole = self.mixed / (speed.mixed_overhead * cost)
         if not self.prefill or not self.decode:
             return whole
-        split = min(
-            self.prefill / max(demand.prefill, 1e-9), self.decode / max(demand.decode, 1e-9)
-        )
-        return whole + split
+        prefill = self.prefill / max(demand.prefill, LEAST_DEMAND)
+        decode = self.decode / max(demand.decode, LEAST_DEMAND)
+        return whole + min(prefill, decode)
 
 
 class RolePlanner(Protocol):
@@ -99,11 +103,11 @@
 class GreedyRoles:
     """Changes roles at each imbalance, whatever the changes cost."""
 
-    # Factor on all times of a mixed engine.
-    _mixed_overhead: float
+    # Rates of the pool's engines.
+    _speed: EngineSpeed
 
-    def __init__(self, mixed_overhead: float) -> None:
-        self._mixed_overhead = mixed_overhead
+    def __init__(self, speed: EngineSpeed) -> None:
+        self._speed = speed
 
     def plan(
         self, engines: Sequence[EngineRole], demand: Demand, now_s: float
@@ -111,7 +115,7 @@
         """Returns every change on the way to the best roles for the present demand."""
         if any(engine.changing for engine in engines) or demand.total <= 0.0:
             return ()
-        target = best_counts(len(engines), demand, self._mixed_overhead)
+        target = best_counts(len(engines), demand, self._speed)
         return changes_towards(engines, target)
 
 
@@ -121,15 +125,15 @@
     return RoleCounts(counts[Role.PREFILL], counts[Role.DECODE], counts[Role.MIXED])
 
 
-def best_counts(engine_count: int, demand: Demand, mixed_overhead: float) -> RoleCounts:
+def best_counts(engine_count: int, demand: Demand, speed: EngineSpeed) -> RoleCounts:
     """Returns the role counts with the greatest capacity for the demand."""
     options = [RoleCounts(0, 0, engine_count)]
     for specialised in range(2, engine_count + 1):
-        ideal = specialised * demand.prefill / max(demand.total, 1e-9)
+        ideal = specialised * demand.prefill / max(demand.total, LEAST_DEMAND)
         for prefill in {int(ideal), int(ideal) + 1}:
             clamped = min(max(prefill, 1), specialised - 1)
             options.append(RoleCounts(clamped, specialised - clamped, engine_count - specialised))
-    return max(options, key=lambda counts: (counts.capacity(demand, mixed_overhead), counts.mixed))
+    return max(options, key=lambda counts: (counts.capacity(demand, speed), counts.mixed))
 
 
 def changes_towards(engines: Sequence[EngineRole], target: RoleCounts) -> list[RoleChange]:
--- a/berylquay/decisions/speeds.py
+++ b/berylquay/decisions/speeds.py
@@ -21,6 +21,8 @@
     mixed_overhead: float = 1.2
     # Part of a mixed engine's time that prefill gets while sequences decode.
     mixed_prefill_share: float = 0.35
+    # Part of a mixed engine's time that prefill gets over long stretches at the most.
+    mixed_prefill_limit: float = 0.6
 
     def prefill_s(self, tokens: float, role: Role, decoding: bool = False) -> float:
         """Returns the time to prefill the tokens."""
