--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,8 +4,10 @@
 import sys
 from typing import Final
 
+from bench.knob import WEIGHTS, draw_curves, knob_curve
 from bench.policies import POLICY_SETS
 from bench.scenarios import read_fleet, read_scenarios
+from bench.slopes import measure_slopes
 from bench.table import as_markdown, run_scenario
 
 FLEETS: Final = ("jamiat", "meskel")
@@ -26,9 +28,37 @@
     table.add_argument("--policy", action="append", help="name of a policy set; all if not given")
     table.add_argument("--seed", type=int, default=1)
     table.set_defaults(run=_table)
+    knob = commands.add_parser("knob", help="measure the curve of role_change_weight")
+    knob.add_argument("--scenario", default="swing")
+    knob.add_argument("--seeds", type=int, default=3)
+    knob.add_argument("--plot", help="path of a PNG to write")
+    knob.set_defaults(run=_knob)
+    slopes = commands.add_parser("slopes", help="measure processor time and memory per decision")
+    slopes.set_defaults(run=_slopes)
     return parser.parse_args()
 
 
+def _knob(arguments: argparse.Namespace) -> None:
+    scenario = next(each for each in read_scenarios() if each.name == arguments.scenario)
+    curves = {
+        name: knob_curve(read_fleet(name), scenario, WEIGHTS, arguments.seeds) for name in FLEETS
+    }
+    for name, points in curves.items():
+        for point in points:
+            cells = (name, point.weight, point.share_of_bound, point.changes_per_hour)
+            sys.stdout.write("| {} | {:.2f} | {:.3f} | {:.0f} |\n".format(*cells))
+    if arguments.plot:
+        draw_curves(curves, arguments.plot)
+
+
+def _slopes(arguments: argparse.Namespace) -> None:
+    sys.stdout.write("| engines | route us | report us | plan us | membership us | bytes |\n")
+    for row in measure_slopes():
+        cells = (row.route_us, row.report_us, row.plan_us, row.membership_us)
+        figures = " | ".join(f"{cell:.1f}" for cell in cells)
+        sys.stdout.write(f"| {row.engines} | {figures} | {row.memory_bytes} |\n")
+
+
 def _table(arguments: argparse.Namespace) -> None:
     policies = [each for each in POLICY_SETS if _wanted(each.name, arguments.policy)]
     lines = []
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,138 @@
+"""Processor time of one decision, and memory, against the number of engines."""
+
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Final
+
+from attrs import frozen
+
+from bench.scenarios import read_fleet
+from berylquay.decisions.calls import Call
+from berylquay.decisions.deployment import ClassSpec, WorkKind
+from berylquay.decisions.fleet import (
+    Address,
+    BackendKind,
+    BackendServer,
+    LoadReport,
+    MembershipView,
+    Role,
+)
+from berylquay.decisions.forecast_roles import ForecastRoles, RoleLimits
+from berylquay.decisions.loads import FleetLoads
+from berylquay.decisions.nearby_routing import NearbyChoice
+from berylquay.decisions.predicted_admission import PredictedAdmission
+from berylquay.decisions.predictions import Predictor
+from berylquay.decisions.roles import Demand, EngineRole
+from berylquay.decisions.speeds import EngineSpeed
+
+SIZES: Final = (5, 50, 414, 500, 5000)
+REPEATS: Final = 5
+POOL: Final = "pool"
+ENGINES_PER_CENTRE: Final = 414
+
+
+@frozen
+class SlopeRow:
+    """Figures for one number of engines."""
+
+    engines: int
+    # Processor time of one choice with its admission.
+    route_us: float
+    # Processor time of one load report taken in.
+    report_us: float
+    # Processor time of one role plan over all the engines.
+    plan_us: float
+    # Processor time of one membership list taken in.
+    membership_us: float
+    # Memory that the host's view of the fleet takes.
+    memory_bytes: int
+
+
+def measure_slopes() -> list[SlopeRow]:
+    """Returns a row for each number of engines."""
+    return [_measure(engines) for engines in SIZES]
+
+
+def _measure(engines: int) -> SlopeRow:
+    view = MembershipView(1, tuple(_server(number) for number in range(engines)), ())
+    tracemalloc.start()
+    loads = FleetLoads("dc-0")
+    loads.on_membership(view)
+    reports = [_report(number) for number in range(engines)]
+    for report in reports:
+        loads.on_report(report)
+    memory_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    predictor = Predictor(EngineSpeed())
+    routing = NearbyChoice(predictor, random.Random(1))
+    admission = PredictedAdmission(read_fleet("jamiat").deployment, predictor, 1.0)
+    calls = [_call(number) for number in range(500)]
+
+    def route() -> None:
+        for call in calls:
+            chosen = routing.choose(call, loads.candidates(POOL), 0.5)
+            assert chosen is not None
+            admission.refusal_of(call, chosen, 0.5)
+
+    def take_reports() -> None:
+        for number in range(500):
+            loads.on_report(reports[number % engines])
+
+    planner = ForecastRoles(EngineSpeed(), RoleLimits(weight=0.0))
+    roles = [EngineRole(f"e{n}", tuple(Role)[n % 3]) for n in range(engines)]
+    plans = iter(range(1000))
+
+    def plan() -> None:
+        planner.plan(roles, Demand(0.3 * engines, 0.3 * engines), 30.0 * next(plans))
+
+    return SlopeRow(
+        engines,
+        _least_us(route) / len(calls),
+        _least_us(take_reports) / len(calls),
+        _least_us(plan),
+        _least_us(lambda: loads.on_membership(view)),
+        memory_bytes,
+    )
+
+
+def _least_us(action: Callable[[], None]) -> float:
+    times = []
+    for _ in range(REPEATS):
+        begin_s = time.process_time()
+        action()
+        times.append(time.process_time() - begin_s)
+    return min(times) * 1e6
+
+
+def _server(number: int) -> BackendServer:
+    centre = f"dc-{number // ENGINES_PER_CENTRE}"
+    address = Address("127.0.0.1", 1)
+    return BackendServer(f"e{number}", BackendKind.ENGINE, address, centre, centre, POOL)
+
+
+def _report(number: int) -> LoadReport:
+    tokens = 1000 * (number % 7)
+    return LoadReport(f"e{number}", 0.0, Role.MIXED, "m", prefill_backlog_tokens=tokens)
+
+
+def _call(number: int) -> Call:
+    spec = ClassSpec("quick-question", WorkKind.GENERATION, POOL)
+    return Call(
+        call_id=str(number),
+        request_id=str(number),
+        tenant="fes",
+        spec=spec,
+        received_s=0.0,
+        deadline_s=60.0,
+        repeatable=True,
+        idempotency_key="",
+        fingerprint="",
+        streamed=True,
+        model="m",
+        adapter="",
+        prompt=f"{number} " * 300,
+        prompt_tokens=800,
+        max_output_tokens=256,
+    )
--- a/berylquay/decisions/forecast.py
+++ b/berylquay/decisions/forecast.py
@@ -1,4 +1,4 @@
-"""Forecast of a rate: level and trend by double exponential smoothing, at a fixed cost per sample."""
+"""Forecast of a rate: level and trend by double exponential smoothing."""
 
 import math
 
--- a/berylquay/decisions/forecast_roles.py
+++ b/berylquay/decisions/forecast_roles.py
@@ -11,8 +11,8 @@
 
 from attrs import frozen
 
-from berylquay.decisions.forecast import Forecast
 from berylquay.decisions.fleet import Role
+from berylquay.decisions.forecast import Forecast
 from berylquay.decisions.roles import (
     Demand,
     EngineRole,
@@ -120,7 +120,7 @@
 
 def _near(present: RoleCounts) -> list[RoleCounts]:
     """Returns the role counts that one or two changes lead to."""
-    once = {moved for moved in _moves(present)}
+    once = set(_moves(present))
     twice = {moved for each in once for moved in _moves(each)}
     return sorted((once | twice) - {present}, key=_order)
 
