Weigh the last minute's demand beside the forecast when planning roles

Cause: in a swing the forecast alone wins a change each way, every time.

Now: half of the gain is judged by the demand of the last minute without its trend; the price of a change falls from 20 to 15 engine seconds.

--- a/berylquay/decisions/forecast_roles.py
+++ b/berylquay/decisions/forecast_roles.py
@@ -5,6 +5,7 @@
 take and, by the operator's `role_change_weight`, against the number of changes.
 """
 
+import math
 from collections import deque
 from collections.abc import Sequence
 from typing import Final
@@ -43,7 +44,12 @@
     # Part of the capacity up to which engines can be filled before queues grow.
     fill: float = 0.75
     # Engine seconds that one change is worth at weight 0.5.
-    change_price_s: float = 20.0
+    change_price_s: float = 15.0
+    # Weight of the demand of the last while against the forecast one, so that a swing that comes
+    # back does not win a change each way.
+    usual_part: float = 0.5
+    # Time over which that demand is taken.
+    usual_window_s: float = 60.0
     # Shortest time between two changes in a pool.
     pause_s: float = 20.0
 
@@ -58,6 +64,9 @@
     # Expected demand on prompts and on outputs.
     _prefill: Forecast
     _decode: Forecast
+    # Demand of the last while, without its trend.
+    _usual_prefill: Forecast
+    _usual_decode: Forecast
     # Times of the changes of the last hour.
     _changed_s: deque[float]
 
@@ -66,6 +75,8 @@
         self._limits = limits or RoleLimits()
         self._prefill = Forecast()
         self._decode = Forecast()
+        self._usual_prefill = Forecast(self._limits.usual_window_s, math.inf)
+        self._usual_decode = Forecast(self._limits.usual_window_s, math.inf)
         self._changed_s = deque()
 
     def plan(
@@ -74,6 +85,8 @@
         """Returns the one change to order now, or none."""
         self._prefill.observe(demand.prefill, now_s)
         self._decode.observe(demand.decode, now_s)
+        self._usual_prefill.observe(demand.prefill, now_s)
+        self._usual_decode.observe(demand.decode, now_s)
         if any(engine.changing for engine in engines) or not self._may_change(now_s):
             return ()
         target = self._best_target(count_roles(engines))
@@ -91,12 +104,17 @@
 
     def _best_target(self, present: RoleCounts) -> RoleCounts | None:
         half_s = self._limits.horizon_s / 2.0
-        demand = Demand(self._prefill.at(half_s), self._decode.at(half_s))
+        soon = Demand(self._prefill.at(half_s), self._decode.at(half_s))
+        usual = Demand(self._usual_prefill.at(0.0), self._usual_decode.at(0.0))
+
+        def gain_s(target: RoleCounts) -> float:
+            part = self._limits.usual_part
+            usual_s = self._gain_s(present, target, usual)
+            return (1.0 - part) * self._gain_s(present, target, soon) + part * usual_s
+
         options = [option for option in _near(present) if self._keeps_floor(option)]
-        best = max(options, key=lambda each: self._gain_s(present, each, demand), default=None)
-        if best is None or self._gain_s(present, best, demand) <= 0.0:
-            return None
-        return best
+        best = max(options, key=gain_s, default=None)
+        return best if best is not None and gain_s(best) > 0.0 else None
 
     def _keeps_floor(self, counts: RoleCounts) -> bool:
         floor = self._limits.min_per_role
