--- a/bench/world.py
+++ b/bench/world.py
@@ -254,9 +254,10 @@
         self._bound_for[run.decoder] += 1
         prompt_tokens = run.job.prompt_tokens + run.resumed_tokens
         spec = run.call.spec
-        host.loads.on_sent(run.engine, prompt_tokens, spec.priority)
+        output_tokens = spec.expected_output_tokens
+        host.loads.on_sent(run.engine, prompt_tokens, output_tokens, spec.priority)
         if run.decoder != run.engine:
-            host.loads.on_sent(run.decoder, 0)
+            host.loads.on_sent(run.decoder, 0, output_tokens, spec.priority)
         far = server.region != host.region
         if far:
             tokens = run.job.prompt_tokens + run.job.output_tokens
@@ -322,9 +323,10 @@
         self._bound_for[run.engine] -= 1
         self._bound_for[run.decoder] -= 1
         loads = self._host_of(run).loads
-        loads.on_ended(run.engine)
+        spec = run.call.spec
+        loads.on_ended(run.engine, spec.expected_output_tokens, spec.priority)
         if run.decoder != run.engine:
-            loads.on_ended(run.decoder)
+            loads.on_ended(run.decoder, spec.expected_output_tokens, spec.priority)
         if run.prompt_left >= 0:
             self._count_first_token(run)
 
--- a/berylquay/decisions/nearby_routing.py
+++ b/berylquay/decisions/nearby_routing.py
@@ -103,10 +103,9 @@
         wait_s = self._predictor.prefill_wait_s(server, now_s)
         if role_of(server) is Role.PREFILL:
             return wait_s
-        return wait_s + self._predictor.batch_wait_s(server, call.spec.expected_output_tokens)
+        return wait_s + self._predictor.batch_wait_s(server, call.spec)
 
     def _decode_wait_s(self, call: Call, decoders: Sequence[Candidate]) -> float:
         sampled = self._sample(decoders, frozenset())
-        tokens = call.spec.expected_output_tokens
-        waits = [self._predictor.batch_wait_s(each, tokens) for each in sampled]
+        waits = [self._predictor.batch_wait_s(each, call.spec) for each in sampled]
         return min(waits, default=0.0)
