--- a/bench/world.py
+++ b/bench/world.py
@@ -254,10 +254,9 @@
         self._bound_for[run.decoder] += 1
         prompt_tokens = run.job.prompt_tokens + run.resumed_tokens
         spec = run.call.spec
-        output_tokens = spec.expected_output_tokens
-        host.loads.on_sent(run.engine, prompt_tokens, output_tokens, spec.priority)
+        host.loads.on_sent(run.engine, prompt_tokens, spec.priority)
         if run.decoder != run.engine:
-            host.loads.on_sent(run.decoder, 0, output_tokens, spec.priority)
+            host.loads.on_sent(run.decoder, 0)
         far = server.region != host.region
         if far:
             tokens = run.job.prompt_tokens + run.job.output_tokens
@@ -323,10 +322,9 @@
         self._bound_for[run.engine] -= 1
         self._bound_for[run.decoder] -= 1
         loads = self._host_of(run).loads
-        spec = run.call.spec
-        loads.on_ended(run.engine, spec.expected_output_tokens, spec.priority)
+        loads.on_ended(run.engine)
         if run.decoder != run.engine:
-            loads.on_ended(run.decoder, spec.expected_output_tokens, spec.priority)
+            loads.on_ended(run.decoder)
         if run.prompt_left >= 0:
             self._count_first_token(run)
 
--- a/berylquay/decisions/loads.py
+++ b/berylquay/decisions/loads.py
@@ -63,16 +63,12 @@
         if _role_of(candidate) is not role_before:
             self._rebuild()
 
-    def on_sent(
-        self, backend: str, prompt_tokens: int, output_tokens: int = 0, priority: int = 0
-    ) -> None:
-        """Counts an attempt that is sent to a server, with its expected output."""
+    def on_sent(self, backend: str, prompt_tokens: int, priority: int = 0) -> None:
+        """Counts an attempt that is sent to a server."""
         candidate = self._by_name.get(backend)
         if candidate is None:
             return
         candidate.in_flight += 1
-        candidate.in_flight_by_priority[priority] += 1
-        candidate.expected_output_tokens += output_tokens
         candidate.pending_prompt_tokens += prompt_tokens
         candidate.pending_by_priority[priority] += prompt_tokens
         candidate.prompt_tokens_since_report += prompt_tokens
@@ -85,13 +81,11 @@
             candidate.pending_prompt_tokens -= prompt_tokens
             candidate.pending_by_priority[priority] -= prompt_tokens
 
-    def on_ended(self, backend: str, output_tokens: int = 0, priority: int = 0) -> None:
-        """Counts an attempt as ended, with the output that was expected when it was sent."""
+    def on_ended(self, backend: str) -> None:
+        """Counts an attempt as ended."""
         candidate = self._by_name.get(backend)
         if candidate is not None:
             candidate.in_flight -= 1
-            candidate.in_flight_by_priority[priority] -= 1
-            candidate.expected_output_tokens -= output_tokens
             candidate.started_since_report -= 1
 
     def named(self, backend: str) -> Candidate | None:
--- a/berylquay/decisions/nearby_routing.py
+++ b/berylquay/decisions/nearby_routing.py
@@ -103,9 +103,10 @@
         wait_s = self._predictor.prefill_wait_s(server, now_s)
         if role_of(server) is Role.PREFILL:
             return wait_s
-        return wait_s + self._predictor.batch_wait_s(server, call.spec)
+        return wait_s + self._predictor.batch_wait_s(server, call.spec.expected_output_tokens)
 
     def _decode_wait_s(self, call: Call, decoders: Sequence[Candidate]) -> float:
         sampled = self._sample(decoders, frozenset())
-        waits = [self._predictor.batch_wait_s(each, call.spec) for each in sampled]
+        tokens = call.spec.expected_output_tokens
+        waits = [self._predictor.batch_wait_s(each, tokens) for each in sampled]
         return min(waits, default=0.0)
--- a/berylquay/decisions/predicted_admission.py
+++ b/berylquay/decisions/predicted_admission.py
@@ -78,7 +78,7 @@
         if not call.is_generation:
             return None
         sequences = decoder or chosen
-        batch_wait_s = self._predictor.batch_wait_s(sequences, call.spec)
+        batch_wait_s = self._predictor.batch_wait_s(sequences, call.spec.expected_output_tokens)
         backlog_s = self._predictor.prefill_wait_s(chosen, now_s) + batch_wait_s
         wait_s = self._predictor.prefill_wait_s(chosen, now_s, call.spec.priority) + batch_wait_s
         answer_s = wait_s + self._predictor.prefill_s(chosen, call.prompt_tokens)
--- a/berylquay/decisions/predictions.py
+++ b/berylquay/decisions/predictions.py
@@ -2,7 +2,6 @@
 
 from attrs import frozen
 
-from berylquay.decisions.deployment import ClassSpec
 from berylquay.decisions.fleet import Role
 from berylquay.decisions.routing import Candidate
 from berylquay.decisions.speeds import EngineSpeed
@@ -42,19 +41,16 @@
         known = report.running + report.waiting + candidate.started_since_report
         return max(known, candidate.in_flight, 0)
 
-    def batch_wait_s(self, candidate: Candidate, spec: ClassSpec) -> float:
-        """Returns how long a prefilled sequence of the class would wait for room in the batch.
+    def batch_wait_s(self, candidate: Candidate, output_tokens: float) -> float:
+        """Returns how long a prefilled sequence would wait for room in the batch.
 
-        Only sequences that go before it or with it by priority are counted.
+        The others are taken to be as long as the sequence itself. Short answers, which engines
+        let pass by priority, thus see a short wait, and long ones give way first in an overload.
         """
         excess = self.batch_size(candidate) + 1 - self.speed.max_batch
         if excess <= 0:
             return 0.0
-        output_tokens: float = spec.expected_output_tokens
-        if candidate.in_flight > 0:
-            output_tokens = candidate.expected_output_tokens / candidate.in_flight
-        ahead = 1.0 + (excess - 1.0) * candidate.in_flight_part(spec.priority)
-        return ahead * output_tokens * self.token_s(candidate) / self.speed.max_batch
+        return excess * output_tokens * self.token_s(candidate) / self.speed.max_batch
 
     def token_s(self, candidate: Candidate) -> float:
         """Returns the time between tokens if one more sequence joined the batch."""
--- a/berylquay/decisions/routing.py
+++ b/berylquay/decisions/routing.py
@@ -31,20 +31,9 @@
     prompt_tokens_since_report: int = 0
     # Attempts that this host started on it, less those that ended, since the newest report came.
     started_since_report: int = 0
-    # Output tokens that the attempts of this host on it are expected to have in all.
-    expected_output_tokens: int = 0
-    # Attempts of this host on it by the priority of their class.
-    in_flight_by_priority: Counter[int] = field(factory=Counter)
     # The pending prompt tokens of this host by the priority of their class.
     pending_by_priority: Counter[int] = field(factory=Counter)
 
-    def in_flight_part(self, priority: int) -> float:
-        """Returns the part of the attempts in flight that goes before or with a priority."""
-        if self.in_flight <= 0:
-            return 1.0
-        ahead = sum(count for each, count in self.in_flight_by_priority.items() if each <= priority)
-        return ahead / self.in_flight
-
     def pending_part(self, priority: int) -> float:
         """Returns the part of the pending prompt tokens that goes before or with a priority."""
         if self.pending_prompt_tokens <= 0:
