--- a/berylquay/decisions/predicted_admission.py
+++ b/berylquay/decisions/predicted_admission.py
@@ -29,11 +29,11 @@
     flooding: float = 0.3
     flood_use: float = 1.3
     # Factor on both waits for a caller who comes back as told.
-    returning: float = 6
+    returning: float = 15.0
     # Part of the time to the deadline that the predicted answer may take.
     deadline_part: float = 0.9
     # Part of the capacity that is promised to callers who are told to come back.
-    promised_part: float = 0.5
+    promised_part: float = 0.35
     # Shortest and longest time after which a caller is told to come back.
     min_retry_after_s: float = 1.0
     max_retry_after_s: float = 600.0
