--- a/berylquay/callers/answers.py
+++ b/berylquay/callers/answers.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+from json.encoder import encode_basestring_ascii as _encode_text
 from typing import Final
 
 from berylquay.decisions.calls import Call
@@ -47,15 +48,31 @@
     return str(max(1, math.ceil(retry_after_s)))
 
 
-def token_event(call: Call, text: str) -> bytes:
-    """Returns the server-sent event of one or more tokens."""
-    value = {
-        "id": call.request_id,
-        "object": "chat.completion.chunk",
-        "model": call.model,
-        "choices": [{"index": 0, "delta": {"content": text}, "finish_reason": None}],
-    }
-    return b"data: " + json.dumps(value).encode() + b"\n\n"
+class TokenEvents:
+    """Makes the server-sent events of one answer's tokens.
+
+    All but the text is the same in each event of an answer, so that it is encoded only once.
+    """
+
+    # Bytes of an event before its text.
+    _before: bytes
+    # Bytes of an event after its text.
+    _after: bytes
+
+    def __init__(self, call: Call) -> None:
+        value = {
+            "id": call.request_id,
+            "object": "chat.completion.chunk",
+            "model": call.model,
+            "choices": [{"index": 0, "delta": {"content": ""}, "finish_reason": None}],
+        }
+        before, after = json.dumps(value).rsplit('""', 1)
+        self._before = b"data: " + before.encode()
+        self._after = after.encode() + b"\n\n"
+
+    def event(self, text: str) -> bytes:
+        """Returns the event of one or more tokens."""
+        return self._before + _encode_text(text).encode() + self._after
 
 
 def end_event(call: Call, total_tokens: int) -> bytes:
--- a/berylquay/callers/gate.py
+++ b/berylquay/callers/gate.py
@@ -14,12 +14,12 @@
 from berylquay.callers.answers import (
     REQUEST_ID_HEADER,
     VERDICT_HEADER,
+    TokenEvents,
     end_event,
     refusal_body,
     refusal_event,
     refusal_status,
     retry_after_text,
-    token_event,
     whole_answer,
 )
 from berylquay.callers.parsing import CHAT_PATH, SERVICE_PREFIX, RawRequest, parse_call
@@ -59,6 +59,7 @@
 
     call: Call
     response: Response
+    events: TokenEvents
     texts: list[str] = field(factory=list)
     total_tokens: int = 0
     head_sent: bool = False
@@ -109,7 +110,7 @@
             self._send_refusal(answer, parsed.failure(), request_id)
             return True
         call = parsed.unwrap()
-        self._pending[call.call_id] = _Pending(call, answer)
+        self._pending[call.call_id] = _Pending(call, answer, TokenEvents(call))
         self._call_of_sock[request.sock] = call.call_id
         post(self, CallReceived(call))
         return True
@@ -141,7 +142,7 @@
             pending.texts.append(text)
             return
         self._start_stream(pending)
-        self._send_chunk(pending, token_event(pending.call, text))
+        self._send_chunk(pending, pending.events.event(text))
 
     @handler("CallCompleted", channel=BUS)
     def _on_completed(self, message: CallCompleted) -> None:
