Append to the platform's log and follow its streams over a client of its own

Cause: nothing carried the messages between the components and the log service. The decisions (retry, what is settled, when to read) are sans-I/O; a lost answer is never called a failure: the append stays pending until it is read back, or ends as unsettled. Appends are bounded per second and grouped where the writer allows it; idle streams are read by a read that the log holds back for a second, or at a steady interval where the log does not.

Ruled out: polling every 50 ms (idle bytes), a retry under a new record id (two effects).

--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 import uuid
+from random import Random
 from typing import Final
 
 import logbook
@@ -14,6 +15,7 @@
 from berylquay.backends.dispatch import Dispatch
 from berylquay.callers.gate import Gate
 from berylquay.callers.server import CallersServer
+from berylquay.decisions.appends import AppendLimits
 from berylquay.decisions.deployment import Configuration, Deployment
 from berylquay.decisions.fates import CallFates
 from berylquay.decisions.routing import LeastInFlight
@@ -23,6 +25,7 @@
 from berylquay.net.bus import post
 from berylquay.net.outbound import OutboundConnections
 from berylquay.net.ticker import Ticker
+from berylquay.platform.log_client import LogClient
 from berylquay.platform.membership import MembershipPoller
 from berylquay.settings.deployment_file import read_deployment_file
 from berylquay.settings.host_file import read_host_file
@@ -61,6 +64,9 @@
     Ticker().register(loop)
     outbound = OutboundConnections(loop).register(loop)
     MembershipPoller(outbound, options.membership_address).register(loop)
+    if options.log is not None:
+        limits = AppendLimits(appends_per_s=options.log.appends_per_s)
+        LogClient(outbound, options.log.address, limits, Random()).register(loop)
     BackendAttempts(outbound).register(loop)
     fates = CallFates(LeastInFlight(), incarnation=f"{options.host}-{uuid.uuid4().hex[:8]}")
     Dispatch(fates).register(loop)
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -141,11 +141,17 @@
     """any -> platform: append a record to a stream of the log.
 
     The answer may be lost, so the writer waits for `RecordsRead` to bring the record back; it hears
-    `RecordAppendFailed` only when the record is known not to have been appended.
+    `RecordAppendFailed` only when the record is known not to have been appended, and
+    `RecordAppendUnsettled` when that could not be found out in time. A retry may append the record
+    twice, so folds ignore a record id that they have seen.
     """
 
     stream: str
     record: NewRecord
+    # Whether the record may share its offset with others of this host, to save appends.
+    groupable: bool = False
+    # Time after which no further attempt is started.
+    give_up_after_s: float = 5.0
 
 
 @frozen
@@ -157,9 +163,22 @@
     detail: str
 
 
+@frozen
+class RecordAppendUnsettled:
+    """platform -> any: no further attempt is made; the record may still turn up in the stream."""
+
+    stream: str
+    record_id: str
+    detail: str
+
+
 @frozen
 class StreamFollowRequested:
-    """any -> platform: follow a stream from an offset and post what is read."""
+    """any -> platform: follow a stream from an offset and post what is read.
+
+    If the stream is followed already and the offset lies behind, its reading goes back there, so
+    folds ignore offsets that they have taken in.
+    """
 
     stream: str
     from_offset: int
@@ -167,7 +186,10 @@
 
 @frozen
 class RecordsRead:
-    """platform -> any: records of a followed stream, in offset order."""
+    """platform -> any: records of a followed stream, in offset order.
+
+    It is posted for each read, also when nothing was new.
+    """
 
     stream: str
     records: tuple[LogRecord, ...]
--- a/berylquay/net/http_client.py
+++ b/berylquay/net/http_client.py
@@ -82,6 +82,10 @@
         self._ended = True
         self._outbound.close(self._connection)
 
+    def abort(self, detail: str) -> None:
+        """Closes the connection and tells the user that the exchange failed."""
+        self._fail(detail)
+
     def on_connected(self) -> None:
         """Sends the request."""
         address = self._connection.address
--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -1,12 +1,17 @@
 """The settings file of one entry host: INI text to checked `Options`."""
 
 from configparser import ConfigParser, Error
+from typing import Final
 
 from returns.result import Failure, Result, Success
 
+from berylquay.decisions.fleet import Address
 from berylquay.errors import SettingsError
 from berylquay.settings.ini import IniReader
-from berylquay.settings.options import CallerLimits, Options
+from berylquay.settings.options import CallerLimits, LogOptions, Options
+
+# Stands for a setting that was left out.
+NO_ADDRESS: Final = Address("0.0.0.0", 0)
 
 
 def read_host_file(path: str) -> Result[Options, tuple[SettingsError, ...]]:
@@ -33,11 +38,24 @@
         callers_address=reader.address("callers", "address"),
         membership_address=reader.address("platform", "membership"),
         initial_deployments=reader.words("host", "initial_deployments", ()),
+        log=_read_log_options(reader),
         caller_limits=_read_caller_limits(reader),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
     )
 
 
+def _read_log_options(reader: IniReader) -> LogOptions | None:
+    section = "platform"
+    address = reader.address(section, "log", NO_ADDRESS)
+    defaults = LogOptions(address)
+    options = LogOptions(
+        address=address,
+        retention_s=reader.number(section, "log_retention_s", defaults.retention_s),
+        appends_per_s=reader.number(section, "log_appends_per_s", defaults.appends_per_s),
+    )
+    return None if address == NO_ADDRESS else options
+
+
 def _read_caller_limits(reader: IniReader) -> CallerLimits:
     defaults = CallerLimits()
     section = "callers"
--- a/berylquay/settings/options.py
+++ b/berylquay/settings/options.py
@@ -23,6 +23,18 @@
     write_buffer_bytes: int = 262144
 
 
+@frozen
+class LogOptions:
+    """How the platform's log is used."""
+
+    # Where the log service listens.
+    address: Address
+    # Time for which the log keeps a record.
+    retention_s: float = 3600.0
+    # Most appends that this host sends per second.
+    appends_per_s: float = 20.0
+
+
 @frozen
 class Options:
     """Everything that one entry host is told by its settings file."""
@@ -39,6 +51,8 @@
     membership_address: Address
     # Deployment files that are in force until the platform's log gives a configuration.
     initial_deployments: tuple[str, ...] = ()
+    # The platform's log, or None if the host runs on its deployment files alone.
+    log: LogOptions | None = None
     # Bounds on callers.
     caller_limits: CallerLimits = field(factory=CallerLimits)
     # Lowest level of logs to write.
