--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -1,18 +1,13 @@
 """The settings file of one entry host: INI text to checked `Options`."""
 
 from configparser import ConfigParser, Error
-from typing import Final
 
 from returns.result import Failure, Result, Success
 
-from berylquay.decisions.fleet import Address
 from berylquay.errors import SettingsError
 from berylquay.settings.ini import IniReader
 from berylquay.settings.options import CallerLimits, LogOptions, Options
 
-# Stands for a setting that was left out.
-NO_ADDRESS: Final = Address("0.0.0.0", 0)
-
 
 def read_host_file(path: str) -> Result[Options, tuple[SettingsError, ...]]:
     """Returns the options in the file, or every fault in it."""
@@ -37,6 +32,8 @@
         data_centre=reader.text("host", "data_centre"),
         callers_address=reader.address("callers", "address"),
         membership_address=reader.address("platform", "membership"),
+        health_address=reader.optional_address("health", "address"),
+        stop_notice_s=reader.number("host", "stop_notice_s", 2.0),
         initial_deployments=reader.words("host", "initial_deployments", ()),
         log=_read_log_options(reader),
         caller_limits=_read_caller_limits(reader),
@@ -46,14 +43,10 @@
 
 def _read_log_options(reader: IniReader) -> LogOptions | None:
     section = "platform"
-    address = reader.address(section, "log", NO_ADDRESS)
-    defaults = LogOptions(address)
-    options = LogOptions(
-        address=address,
-        retention_s=reader.number(section, "log_retention_s", defaults.retention_s),
-        appends_per_s=reader.number(section, "log_appends_per_s", defaults.appends_per_s),
-    )
-    return None if address == NO_ADDRESS else options
+    address = reader.optional_address(section, "log")
+    retention_s = reader.number(section, "log_retention_s", 3600.0)
+    appends_per_s = reader.number(section, "log_appends_per_s", 20.0)
+    return None if address is None else LogOptions(address, retention_s, appends_per_s)
 
 
 def _read_caller_limits(reader: IniReader) -> CallerLimits:
--- a/tests/test_log_client.py
+++ b/tests/test_log_client.py
@@ -5,8 +5,8 @@
 
 import pytest
 
+from examples.processes import Process, Processes
 from tests.support.log_bench import LogBench
-from tests.support.processes import Process, Processes
 
 
 @pytest.fixture
