Fold the configuration out of the log's stream, sans I/O

Cause: the host had only its deployment files; nothing agreed on a change or kept it. A change names the revision it was based on; what it touches must not have changed since. A host that starts puts nothing in force before it has read to the end, so that it does not pass through old revisions.

--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -31,11 +31,12 @@
 from berylquay.net.bus import post
 from berylquay.net.outbound import OutboundConnections
 from berylquay.net.ticker import Ticker
+from berylquay.platform.configuration import ConfigurationKeeper
 from berylquay.platform.log_client import LogClient
 from berylquay.platform.membership import MembershipPoller
 from berylquay.settings.deployment_file import read_deployment_file
 from berylquay.settings.host_file import read_host_file
-from berylquay.settings.options import CallerLimits, Options
+from berylquay.settings.options import CallerLimits, LogOptions, Options
 
 EXIT_BAD_SETTINGS: Final = 2
 _log = logbook.Logger("daemon")
@@ -70,9 +71,6 @@
     Ticker().register(loop)
     outbound = OutboundConnections(loop).register(loop)
     MembershipPoller(outbound, options.membership_address).register(loop)
-    if options.log is not None:
-        limits = AppendLimits(appends_per_s=options.log.appends_per_s)
-        LogClient(outbound, options.log.address, limits, Random()).register(loop)
     BackendAttempts(outbound).register(loop)
     fates = CallFates(LeastInFlight(), incarnation=f"{options.host}-{uuid.uuid4().hex[:8]}")
     Dispatch(fates).register(loop)
@@ -83,11 +81,26 @@
         _serve_http(loop, options.health_address, options.caller_limits, HEALTH_CHANNEL)
         HealthPages(metrics).register(loop)
     Lifecycle(options.stop_notice_s).register(loop)
-    post(loop, ConfigurationInForce(Configuration(deployments=deployments)))
+    if options.log is not None:
+        _keep_configuration(loop, outbound, options.log, deployments)
+    else:
+        post(loop, ConfigurationInForce(Configuration(deployments=deployments)))
     _log.info("starting", host=options.host, callers=str(options.callers_address))
     return loop
 
 
+def _keep_configuration(
+    loop: Loop,
+    outbound: OutboundConnections,
+    options: LogOptions,
+    initial: tuple[Deployment, ...],
+) -> None:
+    limits = AppendLimits(appends_per_s=options.appends_per_s)
+    LogClient(outbound, options.address, limits, Random()).register(loop)
+    stream = options.configuration_stream
+    ConfigurationKeeper(stream, options.retention_s, initial, Random()).register(loop)
+
+
 def _serve_http(loop: Loop, address: Address, limits: CallerLimits, channel: str) -> HttpServer:
     server = HttpServer(address, limits, channel).register(loop)
     RequestLimits(server, limits).register(loop)
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -8,6 +8,7 @@
 from attrs import frozen
 
 from berylquay.decisions.calls import Attempt, Call
+from berylquay.decisions.configuration_state import Change, ChangeOutcome, ConfigurationState
 from berylquay.decisions.deployment import Configuration
 from berylquay.decisions.fleet import LoadReport, MembershipView
 from berylquay.peers.payloads import PeerPayload
@@ -129,6 +130,36 @@
     configuration: Configuration
 
 
+@frozen
+class ChangeRequested:
+    """operators -> platform: change the configuration; `ChangeEnded` tells the outcome."""
+
+    change: Change
+    # Whether to judge the change only.
+    dry_run: bool = False
+
+
+@frozen
+class ChangeEnded:
+    """platform -> operators: what became of a change that this host was asked for."""
+
+    outcome: ChangeOutcome
+
+
+@frozen
+class ConfigurationStatus:
+    """platform -> all: what this host knows of the configuration; posted when any of it changes."""
+
+    # State in force, or None before a beginning was found.
+    state: ConfigurationState | None
+    # Whether the host has read the whole stream and the log answers.
+    up_to_date: bool
+    # Whether records are missing between the state and what was read.
+    gap: bool
+    # Whether the log answers.
+    reachable: bool
+
+
 @frozen
 class LoadReported:
     """backends -> dispatch: an engine reported its load."""
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -32,4 +32,21 @@
     in_flight: int
 
 
-PeerPayload = Heartbeat | DrainNotice | DrainAcknowledgement
+@frozen
+class ConfigurationRequest:
+    """Asks for the configuration's snapshot, if the receiver has read further than the offset."""
+
+    offset: int
+
+
+@frozen
+class ConfigurationOffer:
+    """Carries a snapshot of the configuration, as the log's snapshot records do."""
+
+    # JSON of the snapshot.
+    snapshot: bytes
+
+
+PeerPayload = (
+    Heartbeat | DrainNotice | DrainAcknowledgement | ConfigurationRequest | ConfigurationOffer
+)
--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -46,7 +46,8 @@
     address = reader.optional_address(section, "log")
     retention_s = reader.number(section, "log_retention_s", 3600.0)
     appends_per_s = reader.number(section, "log_appends_per_s", 20.0)
-    return None if address is None else LogOptions(address, retention_s, appends_per_s)
+    stream = reader.text(section, "configuration_stream", "configuration")
+    return None if address is None else LogOptions(address, retention_s, appends_per_s, stream)
 
 
 def _read_caller_limits(reader: IniReader) -> CallerLimits:
--- a/berylquay/settings/options.py
+++ b/berylquay/settings/options.py
@@ -33,6 +33,8 @@
     retention_s: float = 3600.0
     # Most appends that this host sends per second.
     appends_per_s: float = 20.0
+    # Stream that carries the configuration.
+    configuration_stream: str = "configuration"
 
 
 @frozen
