Split the fates of calls and make every verdict wait for what was really sent

Cause: a call given up on at its deadline or on cancel was always refused as MAY_HAVE_RUN, also while its connection was still being made; nothing noticed silent connections, drains or crashing contents; frames of an engine were taken without checks, so that bad JSON raised in the loop.

Now a cancelled attempt reports what the kernel was handed, and only then is the call refused.

Ruled out: refusing at once from the core's own knowledge (a report of sent bytes may still be in the queue, so NOT_RUN could be untrue).

--- a/berylquay/backends/dispatch.py
+++ b/berylquay/backends/dispatch.py
@@ -7,13 +7,20 @@
 
 from berylquay.decisions.fates import CallFates, Command
 from berylquay.messages import (
+    AttemptAnswered,
     AttemptCompleted,
     AttemptFailed,
+    AttemptSent,
     AttemptTokens,
+    BackendDrainChanged,
     CallerGone,
+    CallGranted,
     CallReceived,
+    ConfigurationInForce,
     LoadReported,
     MembershipRead,
+    PeerReceived,
+    ProbeEnded,
     Tick,
 )
 from berylquay.net.bus import BUS, post
@@ -26,22 +33,38 @@
 
     # The decisions.
     _fates: CallFates
+    # Whether non-repeatable calls wait until their key is granted.
+    _grants_needed: bool
 
-    def __init__(self, fates: CallFates) -> None:
+    def __init__(self, fates: CallFates, grants_needed: bool = False) -> None:
         super().__init__()
         self._fates = fates
+        self._grants_needed = grants_needed
 
     @handler("CallReceived")
     def _on_call(self, message: CallReceived) -> None:
+        if message.call.repeatable or not self._grants_needed:
+            self._post_all(self._fates.on_call(message.call, time.monotonic()))
+
+    @handler("CallGranted")
+    def _on_granted(self, message: CallGranted) -> None:
         self._post_all(self._fates.on_call(message.call, time.monotonic()))
 
     @handler("CallerGone")
     def _on_caller_gone(self, message: CallerGone) -> None:
-        self._post_all(self._fates.on_caller_gone(message.call_id))
+        self._post_all(self._fates.on_caller_gone(message.call_id, time.monotonic()))
+
+    @handler("AttemptSent")
+    def _on_sent(self, message: AttemptSent) -> None:
+        self._fates.on_sent(message, time.monotonic())
+
+    @handler("AttemptAnswered")
+    def _on_answered(self, message: AttemptAnswered) -> None:
+        self._post_all(self._fates.on_answered(message, time.monotonic()))
 
     @handler("AttemptTokens")
     def _on_tokens(self, message: AttemptTokens) -> None:
-        self._post_all(self._fates.on_tokens(message))
+        self._post_all(self._fates.on_tokens(message, time.monotonic()))
 
     @handler("AttemptCompleted")
     def _on_completed(self, message: AttemptCompleted) -> None:
@@ -51,10 +74,26 @@
     def _on_failed(self, message: AttemptFailed) -> None:
         self._post_all(self._fates.on_failed(message, time.monotonic()))
 
+    @handler("ProbeEnded")
+    def _on_probe_ended(self, message: ProbeEnded) -> None:
+        self._post_all(self._fates.on_probe_ended(message, time.monotonic()))
+
+    @handler("PeerReceived")
+    def _on_peer(self, message: PeerReceived) -> None:
+        self._fates.on_peer(message.payload, time.monotonic())
+
     @handler("MembershipRead")
     def _on_membership(self, message: MembershipRead) -> None:
         self._fates.on_membership(message.view)
 
+    @handler("ConfigurationInForce")
+    def _on_configuration(self, message: ConfigurationInForce) -> None:
+        self._fates.on_configured_drains(message.configuration.draining)
+
+    @handler("BackendDrainChanged")
+    def _on_drain_changed(self, message: BackendDrainChanged) -> None:
+        self._fates.on_drain_changed(message.backend, message.draining)
+
     @handler("LoadReported")
     def _on_load(self, message: LoadReported) -> None:
         self._fates.on_load(message.report)
--- /dev/null
+++ b/berylquay/backends/exchanges.py
@@ -0,0 +1,203 @@
+"""Exchanges of attempts: follows one attempt on its connection and turns it into messages."""
+
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from returns.result import Success
+
+from berylquay.backends.frames import EndFrame, TokenFrame, parse_frame
+from berylquay.backends.requests import request_of
+from berylquay.backends.sse import EventSplitter, OversizedEventError
+from berylquay.decisions.calls import Attempt
+from berylquay.decisions.fleet import Address
+from berylquay.errors import TransportError
+from berylquay.messages import (
+    AttemptAnswered,
+    AttemptCompleted,
+    AttemptFailed,
+    AttemptSent,
+    AttemptTokens,
+)
+from berylquay.net.http_client import HttpExchange, HttpHead
+from berylquay.net.outbound import OutboundConnections
+from berylquay.verdicts import Verdict
+
+# Header by which a backend server says that a refused request was not started.
+NOT_STARTED_HEADER: Final = "x-not-started"
+# Header by which an engine names the version of the model that answers.
+MODEL_VERSION_HEADER: Final = "x-model-version"
+# Header by which a backend server names its incarnation, which changes with each restart.
+INCARNATION_HEADER: Final = "x-incarnation"
+STATUS_OK: Final = 200
+STATUS_SERVER_ERROR: Final = 500
+# Most bytes of a service's answer.
+MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
+# Most characters of a backend server's own words in a refusal.
+MAX_DETAIL: Final = 200
+# Longest time after which a backend server may ask to be tried again.
+MAX_RETRY_AFTER_S: Final = 3600.0
+
+AttemptReport = AttemptSent | AttemptAnswered | AttemptTokens | AttemptCompleted | AttemptFailed
+Report = Callable[[AttemptReport], None]
+
+
+class AttemptExchange:
+    """Owns the exchange of one attempt; after its last report it says nothing more."""
+
+    # What is run.
+    _attempt: Attempt
+    # Takes what is to be told.
+    _report: Report
+    # Head of the answer, once it has come.
+    _head: HttpHead | None
+    # Body of a service's answer or of a refusal so far.
+    _body: bytearray
+    # Splits an engine's stream.
+    _splitter: EventSplitter
+    # Whether the last report was given.
+    _ended: bool
+    # The exchange on its own connection, which no other attempt ever uses.
+    _exchange: HttpExchange
+
+    def __init__(
+        self, outbound: OutboundConnections, address: Address, attempt: Attempt, report: Report
+    ) -> None:
+        self._attempt = attempt
+        self._report = report
+        self._head = None
+        self._body = bytearray()
+        self._splitter = EventSplitter()
+        self._ended = False
+        self._exchange = HttpExchange(
+            outbound, address, request_of(attempt), self, self._on_sending
+        )
+
+    def cancel(self) -> None:
+        """Closes the connection and reports whether the attempt may have run."""
+        if not self._ended:
+            self._fail(self._verdict(self._exchange.verdict), "cancelled")
+
+    def on_head(self, head: HttpHead) -> None:
+        """Reports the beginning of a good answer."""
+        self._head = head
+        if head.status < STATUS_SERVER_ERROR:
+            version = head.headers.get(MODEL_VERSION_HEADER, "")
+            incarnation = head.headers.get(INCARNATION_HEADER, "")
+            self._report(AttemptAnswered(self._attempt.attempt_id, version, incarnation))
+
+    def on_body(self, data: bytes) -> None:
+        """Reports tokens, or collects the body of a service call or refusal."""
+        if self._ended:
+            return
+        if self._attempt.call.is_generation and self._status == STATUS_OK:
+            self._take_stream(data)
+            return
+        self._body += data
+        if len(self._body) > MAX_ANSWER_BYTES:
+            self._fail(Verdict.MAY_HAVE_RUN, "the answer is too long")
+
+    def on_end(self) -> None:
+        """Reports the outcome of a service call or a refusal, or a stream without its end."""
+        if self._ended:
+            return
+        refused = self._status >= STATUS_SERVER_ERROR
+        if self._attempt.call.is_generation and self._status == STATUS_OK:
+            self._fail(Verdict.MAY_HAVE_RUN, "the stream ended early")
+        elif refused or self._attempt.call.is_generation:
+            words = bytes(self._body[:MAX_DETAIL]).decode(errors="replace")
+            self._fail(self._verdict(Verdict.MAY_HAVE_RUN), words)
+        else:
+            self._complete(0, bytes(self._body))
+
+    def on_error(self, error: TransportError) -> None:
+        """Reports a broken exchange."""
+        if self._ended:
+            return
+        verdict = self._verdict(error.verdict)
+        lost_connection = error.disconnected and verdict is Verdict.MAY_HAVE_RUN
+        self._fail(verdict, error.detail, lost_connection)
+
+    @property
+    def _status(self) -> int:
+        return self._head.status if self._head is not None else 0
+
+    def _on_sending(self) -> None:
+        self._report(AttemptSent(self._attempt.attempt_id))
+
+    def _verdict(self, otherwise: Verdict) -> Verdict:
+        refused = self._head is not None and self._status >= STATUS_SERVER_ERROR
+        if refused and self._head is not None and NOT_STARTED_HEADER in self._head.headers:
+            return Verdict.NOT_RUN
+        return otherwise
+
+    def _take_stream(self, data: bytes) -> None:
+        try:
+            events = self._splitter.feed(data)
+        except OversizedEventError:
+            self._fail(Verdict.MAY_HAVE_RUN, "a frame is too long")
+            return
+        tokens: list[TokenFrame] = []
+        for event in events:
+            parsed = parse_frame(event)
+            if not isinstance(parsed, Success):
+                self._fail_after(tokens, parsed.failure())
+                return
+            frame = parsed.unwrap()
+            if frame.attempt_id != self._attempt.attempt_id:
+                self._fail_after(tokens, "a frame of another attempt came back")
+                return
+            if isinstance(frame, EndFrame):
+                self._report_tokens(tokens)
+                self._complete(frame.total_tokens, b"")
+                return
+            tokens.append(frame)
+        self._report_tokens(tokens)
+
+    def _report_tokens(self, tokens: Sequence[TokenFrame]) -> None:
+        run: list[TokenFrame] = []
+        for token in tokens:
+            if run and token.index != run[-1].index + 1:
+                self._report_run(run)
+                run = []
+            run.append(token)
+        self._report_run(run)
+
+    def _report_run(self, run: Sequence[TokenFrame]) -> None:
+        if run:
+            texts = tuple(token.text for token in run)
+            self._report(AttemptTokens(self._attempt.attempt_id, run[0].index, texts))
+
+    def _complete(self, total_tokens: int, body: bytes) -> None:
+        self._end()
+        headers = self._head.headers if self._head is not None else {}
+        content_type = headers.get("content-type", "application/json")
+        self._report(
+            AttemptCompleted(
+                self._attempt.attempt_id, total_tokens, self._status, body, content_type
+            )
+        )
+
+    def _fail_after(self, tokens: Sequence[TokenFrame], detail: str) -> None:
+        self._report_tokens(tokens)
+        self._fail(Verdict.MAY_HAVE_RUN, detail)
+
+    def _fail(self, verdict: Verdict, detail: str, lost_connection: bool = False) -> None:
+        self._end()
+        headers = self._head.headers if self._head is not None else {}
+        retry_after_s = parse_retry_after(headers.get("retry-after", ""))
+        self._report(
+            AttemptFailed(self._attempt.attempt_id, verdict, detail, lost_connection, retry_after_s)
+        )
+
+    def _end(self) -> None:
+        self._ended = True
+        self._exchange.cancel()
+
+
+def parse_retry_after(text: str) -> float | None:
+    """Returns the seconds in a Retry-After header, or None if there are none to be had."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if 0.0 <= seconds <= MAX_RETRY_AFTER_S else None
--- /dev/null
+++ b/berylquay/backends/probes.py
@@ -0,0 +1,110 @@
+"""Probes: tries a fresh connection to a backend server, to tell whether it still answers."""
+
+import json
+from typing import Final
+
+from circuits import BaseComponent, handler
+
+from berylquay.decisions.fleet import Address
+from berylquay.errors import TransportError
+from berylquay.messages import MembershipRead, ProbeEnded, ProbeRequested, Tick
+from berylquay.net.bus import BUS, post
+from berylquay.net.http_client import HttpExchange, HttpHead, HttpRequest
+from berylquay.net.outbound import OutboundConnections
+
+# Time within which a probe must have been answered.
+PROBE_TIMEOUT_S: Final = 1.0
+PROBE_PATH: Final = "/v1/state"
+# Most bytes of a probe's answer.
+MAX_STATE_BYTES: Final = 65536
+
+
+class BackendProbes(BaseComponent):
+    """Owns the probes under way; each ends with exactly one `ProbeEnded`."""
+
+    channel = BUS
+
+    # Opens the connections.
+    _outbound: OutboundConnections
+    # Address by backend server.
+    _addresses: dict[str, Address]
+    # Probe under way by backend server.
+    _probes: dict[str, "_Probe"]
+    # Monotonic time of the last tick.
+    _now_s: float
+
+    def __init__(self, outbound: OutboundConnections) -> None:
+        super().__init__()
+        self._outbound = outbound
+        self._addresses = {}
+        self._probes = {}
+        self._now_s = 0.0
+
+    @handler("MembershipRead")
+    def _on_membership(self, message: MembershipRead) -> None:
+        self._addresses = {server.name: server.address for server in message.view.backends}
+
+    @handler("ProbeRequested")
+    def _on_requested(self, message: ProbeRequested) -> None:
+        address = self._addresses.get(message.backend)
+        if address is None:
+            post(self, ProbeEnded(message.backend, alive=False))
+        elif message.backend not in self._probes:
+            give_up_s = self._now_s + PROBE_TIMEOUT_S
+            self._probes[message.backend] = _Probe(self, message.backend, address, give_up_s)
+
+    @handler("Tick")
+    def _on_tick(self, message: Tick) -> None:
+        self._now_s = message.now_s
+        for probe in list(self._probes.values()):
+            if message.now_s >= probe.give_up_s:
+                probe.exchange.cancel()
+                self.on_ended(ProbeEnded(probe.backend, alive=False))
+
+    def start_exchange(self, address: Address, probe: "_Probe") -> HttpExchange:
+        """Opens the fresh connection of a probe."""
+        return HttpExchange(self._outbound, address, HttpRequest("GET", PROBE_PATH), probe)
+
+    def on_ended(self, message: ProbeEnded) -> None:
+        """Posts what a probe gave."""
+        del self._probes[message.backend]
+        post(self, message)
+
+
+class _Probe:
+    """One probe; any HTTP answer shows that the server is alive."""
+
+    def __init__(
+        self, owner: BackendProbes, backend: str, address: Address, give_up_s: float
+    ) -> None:
+        self.backend = backend
+        self.give_up_s = give_up_s
+        self._owner = owner
+        self._body = bytearray()
+        self.exchange = owner.start_exchange(address, self)
+
+    def on_head(self, head: HttpHead) -> None:
+        """Waits for the body, which may name the incarnation."""
+
+    def on_body(self, data: bytes) -> None:
+        """Collects the body as far as it is looked at."""
+        if len(self._body) < MAX_STATE_BYTES:
+            self._body += data
+
+    def on_end(self) -> None:
+        """Reports that the server is alive."""
+        incarnation = _incarnation_in(bytes(self._body))
+        self._owner.on_ended(ProbeEnded(self.backend, alive=True, incarnation=incarnation))
+
+    def on_error(self, error: TransportError) -> None:
+        """Reports that the server does not answer."""
+        self._owner.on_ended(ProbeEnded(self.backend, alive=False))
+
+
+def _incarnation_in(body: bytes) -> str:
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError):
+        return ""
+    incarnation = value.get("incarnation") if isinstance(value, dict) else None
+    return incarnation if isinstance(incarnation, str) else ""
--- a/berylquay/backends/sse.py
+++ b/berylquay/backends/sse.py
@@ -4,6 +4,12 @@
 
 _SEPARATOR: Final = b"\n\n"
 _PREFIX: Final = b"data: "
+# Most bytes of one event.
+MAX_EVENT_BYTES: Final = 65536
+
+
+class OversizedEventError(Exception):
+    """An event is longer than any that an engine may send."""
 
 
 class EventSplitter:
@@ -16,6 +22,12 @@
         self._rest = b""
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Takes bytes and returns the data of the events that they complete."""
+        """Takes bytes and returns the data of the events that they complete.
+
+        Raises:
+            OversizedEventError: An event has become too long.
+        """
         *whole, self._rest = (self._rest + data).split(_SEPARATOR)
+        if max(map(len, (*whole, self._rest))) > MAX_EVENT_BYTES:
+            raise OversizedEventError
         return [event.removeprefix(_PREFIX) for event in whole if event.startswith(_PREFIX)]
--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -12,11 +12,13 @@
 
 from berylquay.backends.attempts import BackendAttempts
 from berylquay.backends.dispatch import Dispatch
+from berylquay.backends.probes import BackendProbes
 from berylquay.callers.gate import Gate
 from berylquay.callers.server import CallersServer
 from berylquay.decisions.deployment import Configuration, Deployment
-from berylquay.decisions.fates import CallFates
+from berylquay.decisions.fates import CallFates, FatesOptions
 from berylquay.decisions.routing import LeastInFlight
+from berylquay.decisions.serving import HostPlace
 from berylquay.errors import SettingsError
 from berylquay.logs import set_up_logs
 from berylquay.messages import ConfigurationInForce
@@ -62,7 +64,12 @@
     outbound = OutboundConnections(loop).register(loop)
     MembershipPoller(outbound, options.membership_address).register(loop)
     BackendAttempts(outbound).register(loop)
-    fates = CallFates(LeastInFlight(), incarnation=f"{options.host}-{uuid.uuid4().hex[:8]}")
+    BackendProbes(outbound).register(loop)
+    fates = CallFates(
+        LeastInFlight(),
+        incarnation=f"{options.host}-{uuid.uuid4().hex[:8]}",
+        options=FatesOptions(place=HostPlace(options.host, options.data_centre)),
+    )
     Dispatch(fates).register(loop)
     CallersServer(options.callers_address, options.caller_limits).register(loop)
     Gate().register(loop)
--- a/berylquay/decisions/calls.py
+++ b/berylquay/decisions/calls.py
@@ -64,3 +64,5 @@
     backend: str
     # First token that is wanted; above 0 when an earlier attempt delivered some already.
     first_token: int = 0
+    # Version that made the tokens delivered so far, if it is known; no other may go on with them.
+    model_version: str = ""
--- a/berylquay/decisions/fates.py
+++ b/berylquay/decisions/fates.py
@@ -1,89 +1,121 @@
 """The fate of each call: from its receipt to its whole answer or its refusal.
 
 This state machine stands between the callers' side and the backends' side. It takes messages with
-the present time and returns messages to post; it holds no socket and reads no clock.
+the present time and returns messages to post; it holds no socket and reads no clock. A
+non-repeatable call comes here only after its key was granted to this host.
 """
 
-from collections import Counter
 from collections.abc import Sequence
+from heapq import heappop, heappush
+from random import Random
+from typing import Final
 
-from attrs import define, field, frozen
+from attrs import field, frozen
 
+from berylquay.decisions.admission import AdmissionPolicy, AdmitAll
 from berylquay.decisions.calls import Attempt, Call
-from berylquay.decisions.fleet import BackendServer, Liveness, LoadReport, MembershipView
-from berylquay.decisions.routing import Candidate, RoutingPolicy
+from berylquay.decisions.fleet import LoadReport, MembershipView
+from berylquay.decisions.judging import JudgeLimits, ServerJudge
+from berylquay.decisions.open_calls import OpenCall, OpenCalls, Stage
+from berylquay.decisions.placement import Placement
+from berylquay.decisions.progress import Phase, ProgressLimits
+from berylquay.decisions.retries import RetryBudget, RetryLimits, backoff_s
+from berylquay.decisions.routing import RoutingPolicy
+from berylquay.decisions.serving import HostPlace, ServingSet
+from berylquay.decisions.suspects import Standing
 from berylquay.messages import (
+    AttemptAnswered,
     AttemptCancelled,
     AttemptCompleted,
     AttemptFailed,
     AttemptRequested,
+    AttemptSent,
     AttemptTokens,
     CallCompleted,
     CallRefused,
+    PeerSendRequested,
+    ProbeEnded,
+    ProbeRequested,
     TokensForCaller,
 )
+from berylquay.peers.payloads import CrashCleared, CrashReport, PeerPayload
 from berylquay.verdicts import Refusal, RefusalReason, Verdict
 
-Command = AttemptRequested | AttemptCancelled | TokensForCaller | CallCompleted | CallRefused
-
-
-@frozen
-class RetryLimits:
-    """Bounds on retries."""
+Command = (
+    AttemptRequested
+    | AttemptCancelled
+    | TokensForCaller
+    | CallCompleted
+    | CallRefused
+    | PeerSendRequested
+    | ProbeRequested
+)
 
-    # Most attempts for one call.
-    max_attempts: int = 3
-    # When a caller should come back if nothing better is known.
-    default_retry_after_s: float = 1.0
+STALL_CHECK_INTERVAL_S: Final = 0.25
+# Time between two looks whether a suspect may have a server to itself.
+ISOLATION_POLL_S: Final = 0.05
+# Time after which a message that this process owes itself counts as lost.
+INTERNAL_TIMEOUT_S: Final = 3.0
+CALLER_GONE: Final = "the caller went away"
 
 
-@define
-class _OpenCall:
-    """A call without its final answer."""
+@frozen
+class FatesOptions:
+    """Bounds on what is done for calls, and where the host stands."""
 
-    call: Call
-    attempt: Attempt
-    attempts_made: int = 1
-    tokens_delivered: int = 0
-    # Whether any attempt may have reached a backend server.
-    may_have_run: bool = False
-    # Servers that failed the call.
-    avoided: set[str] = field(factory=set)
+    retries: RetryLimits = field(factory=RetryLimits)
+    progress: ProgressLimits = field(factory=ProgressLimits)
+    judge: JudgeLimits = field(factory=JudgeLimits)
+    place: HostPlace = field(factory=HostPlace)
 
 
 class CallFates:
     """Holds every open call and decides what happens to it next."""
 
-    # Chooses backend servers.
-    _routing: RoutingPolicy
-    # Bounds on retries.
-    _limits: RetryLimits
+    # Bounds.
+    _options: FatesOptions
+    # Turns calls away at the door.
+    _admission: AdmissionPolicy
+    # Source of jitter.
+    _rng: Random
     # Prefix that makes attempt ids unique among hosts and restarts.
     _incarnation: str
-    # Open calls by call id.
-    _open: dict[str, _OpenCall]
-    # Call id by attempt id, for the current attempt of each call only.
-    _call_of_attempt: dict[str, str]
-    # Attempts in flight by backend server.
-    _in_flight: Counter[str]
-    # Backend servers by name.
-    _backends: dict[str, BackendServer]
-    # Newest load report by backend server.
-    _reports: dict[str, LoadReport]
+    # Calls without a final answer.
+    _open: OpenCalls
+    # Retries that may still be made.
+    _budget: RetryBudget
+    # What is known of servers and contents.
+    _judge: ServerJudge
+    # Servers that may take new work.
+    _serving: ServingSet
+    # Chooses servers for attempts.
+    _placement: Placement
+    # Time and call id of attempts to come, soonest first.
+    _resumptions: list[tuple[float, str]]
+    # Monotonic time of the next look for stalled attempts.
+    _next_stall_check_s: float
     # Number of attempts made so far, for their ids.
     _attempt_count: int
 
     def __init__(
-        self, routing: RoutingPolicy, incarnation: str, limits: RetryLimits | None = None
+        self,
+        routing: RoutingPolicy,
+        incarnation: str,
+        options: FatesOptions | None = None,
+        admission: AdmissionPolicy | None = None,
+        rng: Random | None = None,
     ) -> None:
-        self._routing = routing
-        self._limits = limits or RetryLimits()
+        self._options = options or FatesOptions()
+        self._admission = admission or AdmitAll()
+        self._rng = rng or Random(incarnation)
         self._incarnation = incarnation
-        self._open = {}
-        self._call_of_attempt = {}
-        self._in_flight = Counter()
-        self._backends = {}
-        self._reports = {}
+        self._open = OpenCalls()
+        self._budget = RetryBudget(self._options.retries)
+        self._judge = ServerJudge(self._options.judge, self._rng)
+        self._serving = ServingSet(self._options.place, self._judge.health)
+        self._placement = Placement(routing, self._serving, self._judge.ledger)
+        self._resumptions = []
+        self._next_stall_check_s = 0.0
         self._attempt_count = 0
 
     @property
@@ -91,33 +123,80 @@
         """Returns the number of calls without a final answer."""
         return len(self._open)
 
+    def in_flight(self, backend: str) -> int:
+        """Returns the number of attempts that this host has in flight on a backend server."""
+        return self._serving.in_flight(backend)
+
     def on_membership(self, view: MembershipView) -> None:
         """Takes a newer membership list."""
-        self._backends = {server.name: server for server in view.backends}
+        self._serving.on_membership(view)
 
     def on_load(self, report: LoadReport) -> None:
         """Takes a load report."""
-        self._reports[report.backend] = report
+        self._serving.on_load(report)
+
+    def on_configured_drains(self, draining: frozenset[str]) -> None:
+        """Takes the servers that the configuration in force drains."""
+        self._serving.on_configured_drains(draining)
+
+    def on_drain_changed(self, backend: str, draining: bool) -> None:
+        """Begins or ceases to keep new work away from a server."""
+        self._serving.on_drain_changed(backend, draining)
+
+    def on_peer(self, payload: PeerPayload, now_s: float) -> None:
+        """Takes what another host of the data centre has learnt about contents."""
+        if isinstance(payload, CrashReport):
+            self._judge.on_crash_report(payload, now_s)
+        elif isinstance(payload, CrashCleared):
+            self._judge.ledger.clear(payload.fingerprint)
 
     def on_call(self, call: Call, now_s: float) -> Sequence[Command]:
         """Starts the first attempt of a call, or refuses it."""
+        self._budget.on_offered()
+        state = self._open.add(call)
         if now_s >= call.deadline_s:
-            return [self._refuse(call, RefusalReason.DEADLINE, Verdict.NOT_RUN, "deadline passed")]
-        backend = self._choose(call, frozenset(), now_s)
-        if backend is None:
-            return [self._refuse_for_lack_of_backends(call, Verdict.NOT_RUN)]
-        attempt = self._new_attempt(call, backend, first_token=0)
-        self._open[call.call_id] = _OpenCall(call, attempt)
-        return [AttemptRequested(attempt)]
-
-    def on_tokens(self, message: AttemptTokens) -> Sequence[Command]:
+            return [self._give_up(state, RefusalReason.DEADLINE, "the deadline has passed", now_s)]
+        return self._start_attempt(state, now_s)
+
+    def on_sent(self, message: AttemptSent, now_s: float) -> None:
+        """Takes note that an attempt's request is being handed over."""
+        state = self._open.of_attempt(message.attempt_id)
+        if state is not None:
+            state.phase = Phase.SENT
+            state.progress_s = now_s
+
+    def on_answered(self, message: AttemptAnswered, now_s: float) -> Sequence[Command]:
+        """Takes note of an answer's beginning, and of the model version that gives it."""
+        state = self._open.of_attempt(message.attempt_id)
+        if state is None or state.attempt is None:
+            return []
+        state.phase = Phase.ANSWERED
+        state.progress_s = now_s
+        self._judge.on_answered(state.attempt.backend, message)
+        if not state.tokens_delivered:
+            state.model_version = message.model_version
+        elif message.model_version != state.model_version:
+            detail = f"the model changed to version {message.model_version} amid the answer"
+            return self._fail_attempt(state, state.attempt, detail, now_s)
+        return []
+
+    def on_tokens(self, message: AttemptTokens, now_s: float) -> Sequence[Command]:
         """Passes on tokens that follow those already delivered."""
-        state = self._state_of(message.attempt_id)
-        if state is None:
+        state = self._open.of_attempt(message.attempt_id)
+        if state is None or state.attempt is None:
             return []
+        state.progress_s = now_s
         already = state.tokens_delivered - message.first_index
-        fresh = message.texts[max(already, 0) :]
-        if already < 0 or not fresh:
+        if already < 0:
+            detail = "tokens are missing in the stream"
+            return self._fail_attempt(state, state.attempt, detail, now_s)
+        if state.phase is not Phase.STREAMING:
+            state.phase = Phase.STREAMING
+            self._judge.health.on_success(state.attempt.backend)
+            if not state.tokens_delivered:
+                self._admission.on_first_token(state.call, now_s)
+        fresh = message.texts[already:]
+        if not fresh:
             return []
         first_index = state.tokens_delivered
         state.tokens_delivered += len(fresh)
@@ -125,108 +204,255 @@
 
     def on_completed(self, message: AttemptCompleted, now_s: float) -> Sequence[Command]:
         """Completes the call if every token was delivered, else treats it as a failure."""
-        state = self._state_of(message.attempt_id)
-        if state is None:
+        state = self._open.of_attempt(message.attempt_id)
+        if state is None or state.attempt is None:
             return []
         if state.tokens_delivered != message.total_tokens:
-            failure = AttemptFailed(
-                message.attempt_id, Verdict.MAY_HAVE_RUN, "tokens are missing", False
-            )
+            detail = "tokens are missing at the end"
+            failure = AttemptFailed(message.attempt_id, Verdict.MAY_HAVE_RUN, detail, False)
             return self.on_failed(failure, now_s)
-        self._forget(state)
+        backend = state.attempt.backend
+        self._end_attempt(state)
+        self._close(state, now_s)
+        call = state.call
         return [
-            CallCompleted(state.call.call_id, message.status, message.body, message.content_type)
+            CallCompleted(call.call_id, message.status, message.body, message.content_type),
+            *self._judge.on_whole_answer(backend, call.fingerprint, self._serving.peers()),
         ]
 
     def on_failed(self, message: AttemptFailed, now_s: float) -> Sequence[Command]:
         """Retries the call elsewhere, or refuses it with a true verdict."""
-        state = self._state_of(message.attempt_id)
-        if state is None:
+        state = self._open.of_attempt(message.attempt_id)
+        if state is None or state.attempt is None:
             return []
+        backend = state.attempt.backend
+        cancelled = state.stage is Stage.CANCELLING
         self._end_attempt(state)
-        state.avoided.add(state.attempt.backend)
-        if message.verdict is not Verdict.NOT_RUN:
-            state.may_have_run = True
-        if not self._may_retry(state, now_s):
-            return [self._give_up(state, message)]
-        backend = self._choose(state.call, frozenset(state.avoided), now_s)
-        if backend is None:
-            return [self._give_up(state, message)]
-        state.attempt = self._new_attempt(state.call, backend, state.tokens_delivered)
-        state.attempts_made += 1
-        return [AttemptRequested(state.attempt)]
-
-    def on_caller_gone(self, call_id: str) -> Sequence[Command]:
+        state.avoided.add(backend)
+        state.may_have_run |= message.verdict is not Verdict.NOT_RUN
+        if state.giving_up is not None:
+            return [self._give_up(state, state.giving_up, state.last_failure, now_s)]
+        if not cancelled:
+            state.last_failure = message.detail
+            state.retry_after_s = message.retry_after_s
+        if message.lost_connection:
+            return self._on_broken_off(state, backend, now_s)
+        commands = [] if cancelled else self._judge_failure(state, message, backend, now_s)
+        return [*commands, *self._retry_or_give_up(state, now_s)]
+
+    def on_probe_ended(self, message: ProbeEnded, now_s: float) -> Sequence[Command]:
+        """Goes on with the calls that waited to hear whether a server was lost."""
+        outcome = self._judge.on_probe_ended(message, self._serving.peers(), now_s)
+        if not self._serving.knows(message.backend):
+            self._judge.health.forget(message.backend)
+        commands: list[Command] = list(outcome.commands)
+        wait_s = self._options.retries.crash_backoff_s if outcome.lost else 0.0
+        for call_id in outcome.held:
+            state = self._open.get(call_id)
+            if state is not None and state.stage is Stage.HELD:
+                commands.extend(self._retry_or_give_up(state, now_s, wait_s))
+        return commands
+
+    def on_caller_gone(self, call_id: str, now_s: float) -> Sequence[Command]:
         """Cancels the call's attempt, since nobody waits for its answer."""
         state = self._open.get(call_id)
         if state is None:
             return []
-        self._forget(state)
-        return [AttemptCancelled(state.attempt.attempt_id)]
+        state.caller_gone = True
+        return self._abandon(state, RefusalReason.DEADLINE, CALLER_GONE, now_s)
 
     def on_tick(self, now_s: float) -> Sequence[Command]:
-        """Gives up on calls whose deadline has passed."""
-        late = [state for state in self._open.values() if now_s >= state.call.deadline_s]
-        commands: list[Command] = []
-        for state in late:
-            self._forget(state)
-            commands.append(AttemptCancelled(state.attempt.attempt_id))
-            commands.append(
-                self._refuse(
-                    state.call, RefusalReason.DEADLINE, Verdict.MAY_HAVE_RUN, "deadline passed"
-                )
-            )
+        """Gives up on calls whose deadline has passed and starts attempts that are due."""
+        commands: list[Command] = list(self._judge.on_tick(now_s))
+        for state in self._open.pop_late(now_s):
+            detail = "the deadline has passed"
+            commands.extend(self._abandon(state, RefusalReason.DEADLINE, detail, now_s))
+        while self._resumptions and self._resumptions[0][0] <= now_s:
+            resumed = self._open.get(heappop(self._resumptions)[1])
+            if resumed is not None and resumed.stage is Stage.BACKING_OFF:
+                commands.extend(self._start_attempt(resumed, now_s))
+        if now_s >= self._next_stall_check_s:
+            self._next_stall_check_s = now_s + STALL_CHECK_INTERVAL_S
+            commands.extend(self._check_for_stalls(now_s))
         return commands
 
-    def _choose(self, call: Call, avoided: frozenset[str], now_s: float) -> str | None:
-        candidates = [
-            Candidate(server, self._in_flight[server.name], self._reports.get(server.name))
-            for server in self._backends.values()
-            if server.pool == call.spec.pool
-            and server.liveness is Liveness.LIVE
-            and server.name not in avoided
-        ]
-        return self._routing.choose(call, candidates, now_s)
+    def _start_attempt(self, state: OpenCall, now_s: float) -> Sequence[Command]:
+        call = state.call
+        if self._judge.ledger.standing_of(call.fingerprint) is Standing.QUARANTINED:
+            return [self._quarantine(state, now_s)]
+        choice = self._placement.choose(call, frozenset(state.avoided), now_s)
+        if choice.wait:
+            self._resume_at(state, now_s + ISOLATION_POLL_S)
+            return []
+        if choice.candidate is None:
+            return [self._give_up_for_lack_of_servers(state, now_s)]
+        if not state.attempts_made:
+            refusal = self._admission.refusal_of(call, choice.candidate, now_s)
+            if refusal is not None:
+                self._open.remove(state)
+                return [CallRefused(call.call_id, refusal)]
+            self._admission.on_started(call, now_s)
+        attempt = self._new_attempt(state, choice.candidate.server.name)
+        self._serving.on_started(attempt.backend)
+        self._placement.on_started(call, attempt.backend)
+        self._open.start_attempt(state, attempt, now_s)
+        return [AttemptRequested(attempt)]
 
-    def _new_attempt(self, call: Call, backend: str, first_token: int) -> Attempt:
+    def _new_attempt(self, state: OpenCall, backend: str) -> Attempt:
         self._attempt_count += 1
         attempt_id = f"{self._incarnation}-{self._attempt_count}"
-        self._call_of_attempt[attempt_id] = call.call_id
-        self._in_flight[backend] += 1
-        return Attempt(attempt_id, call, backend, first_token)
+        first_token = state.tokens_delivered
+        version = state.model_version if first_token else ""
+        return Attempt(attempt_id, state.call, backend, first_token, version)
+
+    def _end_attempt(self, state: OpenCall) -> None:
+        attempt = self._open.end_attempt(state)
+        if attempt is not None:
+            self._serving.on_ended(attempt.backend)
+            self._placement.on_ended(state.call, attempt.backend)
+
+    def _close(self, state: OpenCall, now_s: float) -> None:
+        self._open.remove(state)
+        if state.attempts_made:
+            self._admission.on_ended(state.call, state.tokens_delivered, now_s)
+
+    def _judge_failure(
+        self, state: OpenCall, message: AttemptFailed, backend: str, now_s: float
+    ) -> Sequence[Command]:
+        if state.phase is Phase.CONNECTING:
+            return self._judge.on_unreachable(backend, now_s)
+        # A server that refuses before it starts is busy or leaving, not ill.
+        if message.verdict is not Verdict.NOT_RUN:
+            self._judge.health.on_failure(backend, now_s)
+        return []
+
+    def _on_broken_off(self, state: OpenCall, backend: str, now_s: float) -> Sequence[Command]:
+        held = self._retry_obstacle(state, now_s) is None
+        call = state.call
+        held_id = call.call_id if held else None
+        commands = self._judge.on_broken_off(backend, call.fingerprint, held_id, now_s)
+        if not held:
+            return [*commands, *self._retry_or_give_up(state, now_s)]
+        state.stage = Stage.HELD
+        state.progress_s = now_s
+        return commands
 
-    def _state_of(self, attempt_id: str) -> _OpenCall | None:
-        call_id = self._call_of_attempt.get(attempt_id)
-        return None if call_id is None else self._open[call_id]
+    def _fail_attempt(
+        self, state: OpenCall, attempt: Attempt, detail: str, now_s: float
+    ) -> Sequence[Command]:
+        # Ended here at once: what the attempt has already sent must not be taken for the answer.
+        failure = AttemptFailed(attempt.attempt_id, Verdict.MAY_HAVE_RUN, detail, False)
+        return [AttemptCancelled(attempt.attempt_id), *self.on_failed(failure, now_s)]
+
+    def _retry_obstacle(self, state: OpenCall, now_s: float) -> str | None:
+        if state.may_have_run and not state.call.repeatable:
+            return "the call may not be repeated"
+        if now_s >= state.call.deadline_s:
+            return "the deadline has passed"
+        if state.attempts_made >= self._options.retries.max_attempts:
+            return f"{state.attempts_made} attempts were made"
+        if not self._budget.has_retry:
+            return "the host's retry budget is spent"
+        return None
+
+    def _retry_or_give_up(
+        self, state: OpenCall, now_s: float, wait_s: float = 0.0
+    ) -> Sequence[Command]:
+        obstacle = self._retry_obstacle(state, now_s)
+        if obstacle is not None:
+            detail = f"{state.last_failure}; not retried: {obstacle}"
+            return [self._give_up(state, RefusalReason.BACKEND_FAILED, detail, now_s)]
+        self._budget.spend()
+        jitter_s = backoff_s(self._options.retries, state.attempts_made, self._rng)
+        self._resume_at(state, now_s + wait_s + jitter_s)
+        return []
+
+    def _resume_at(self, state: OpenCall, resume_s: float) -> None:
+        state.stage = Stage.BACKING_OFF
+        heappush(self._resumptions, (resume_s, state.call.call_id))
+
+    def _abandon(
+        self, state: OpenCall, reason: RefusalReason, detail: str, now_s: float
+    ) -> Sequence[Command]:
+        if state.attempt is None:
+            return [self._give_up(state, reason, detail, now_s)]
+        # The refusal waits for the attempt's verdict, which comes back in the same round.
+        return self._cancel(state, reason, detail, now_s)
+
+    def _cancel(
+        self, state: OpenCall, giving_up: RefusalReason | None, detail: str, now_s: float
+    ) -> Sequence[Command]:
+        state.giving_up = giving_up or state.giving_up
+        state.last_failure = detail
+        if state.stage is Stage.CANCELLING or state.attempt is None:
+            return []
+        state.stage = Stage.CANCELLING
+        state.progress_s = now_s
+        return [AttemptCancelled(state.attempt.attempt_id)]
 
-    def _end_attempt(self, state: _OpenCall) -> None:
-        if self._call_of_attempt.pop(state.attempt.attempt_id, None) is not None:
-            self._in_flight[state.attempt.backend] -= 1
+    def _check_for_stalls(self, now_s: float) -> Sequence[Command]:
+        commands: list[Command] = []
+        for state in list(self._open):
+            if state.stage is Stage.RUNNING:
+                commands.extend(self._check_for_stall(state, now_s))
+            elif state.stage is not Stage.BACKING_OFF:
+                commands.extend(self._check_for_lost_message(state, now_s))
+        return commands
 
-    def _forget(self, state: _OpenCall) -> None:
-        self._end_attempt(state)
-        del self._open[state.call.call_id]
-
-    def _may_retry(self, state: _OpenCall, now_s: float) -> bool:
-        if state.attempts_made >= self._limits.max_attempts or now_s >= state.call.deadline_s:
-            return False
-        return state.call.repeatable or not state.may_have_run
-
-    def _give_up(self, state: _OpenCall, failure: AttemptFailed) -> CallRefused:
-        self._forget(state)
-        verdict = Verdict.MAY_HAVE_RUN if state.may_have_run else Verdict.NOT_RUN
-        retry_after_s = failure.retry_after_s
-        if retry_after_s is None and (state.call.repeatable or verdict is Verdict.NOT_RUN):
-            retry_after_s = self._limits.default_retry_after_s
-        refusal = Refusal(RefusalReason.BACKEND_FAILED, verdict, failure.detail, retry_after_s)
-        return CallRefused(state.call.call_id, refusal)
+    def _check_for_stall(self, state: OpenCall, now_s: float) -> Sequence[Command]:
+        attempt = state.attempt
+        if attempt is None:
+            return []
+        limits = self._options.progress
+        timeout_s = limits.timeout_s(state.call, state.phase, attempt.first_token)
+        if now_s < state.progress_s + timeout_s:
+            return []
+        commands: list[Command] = list(self._judge.on_unreachable(attempt.backend, now_s))
+        # Without a retry to be had, waiting on can only be better.
+        will_retry = state.phase is Phase.CONNECTING or state.call.repeatable
+        if will_retry and self._retry_obstacle(state, now_s) is None:
+            detail = f"no progress for {timeout_s:.1f} s ({state.phase.value})"
+            return [*commands, *self._cancel(state, None, detail, now_s)]
+        state.progress_s = now_s
+        return commands
 
-    def _refuse_for_lack_of_backends(self, call: Call, verdict: Verdict) -> CallRefused:
-        detail = f"no backend server of pool {call.spec.pool} is in reach"
-        return self._refuse(call, RefusalReason.NO_BACKEND, verdict, detail)
+    def _check_for_lost_message(self, state: OpenCall, now_s: float) -> Sequence[Command]:
+        if now_s < state.progress_s + INTERNAL_TIMEOUT_S:
+            return []
+        if state.stage is Stage.HELD:
+            return self._retry_or_give_up(state, now_s)
+        if state.attempt is None:
+            return []
+        failure = AttemptFailed(
+            state.attempt.attempt_id, Verdict.MAY_HAVE_RUN, state.last_failure, False
+        )
+        return self.on_failed(failure, now_s)
 
-    def _refuse(
-        self, call: Call, reason: RefusalReason, verdict: Verdict, detail: str
+    def _give_up(
+        self, state: OpenCall, reason: RefusalReason, detail: str, now_s: float
     ) -> CallRefused:
-        refusal = Refusal(reason, verdict, detail, self._limits.default_retry_after_s)
-        return CallRefused(call.call_id, refusal)
+        self._close(state, now_s)
+        retry_after_s = state.retry_after_s
+        if retry_after_s is None:
+            retry_after_s = self._options.retries.default_retry_after_s
+        if not state.call.repeatable and state.may_have_run:
+            retry_after_s = None
+        refusal = Refusal(reason, state.verdict, detail, retry_after_s)
+        return CallRefused(state.call.call_id, refusal)
+
+    def _give_up_for_lack_of_servers(self, state: OpenCall, now_s: float) -> CallRefused:
+        pool = state.call.spec.pool
+        if state.attempts_made:
+            detail = f"{state.last_failure}; no other backend server of pool {pool} is in reach"
+            return self._give_up(state, RefusalReason.BACKEND_FAILED, detail, now_s)
+        soonest_s = self._judge.health.soonest_probe_s(now_s)
+        if soonest_s is not None:
+            state.retry_after_s = max(soonest_s, self._options.retries.default_retry_after_s)
+        detail = f"no backend server of pool {pool} is in reach"
+        return self._give_up(state, RefusalReason.NO_BACKEND, detail, now_s)
+
+    def _quarantine(self, state: OpenCall, now_s: float) -> CallRefused:
+        fingerprint = state.call.fingerprint
+        state.retry_after_s = self._judge.ledger.quarantine_left_s(fingerprint, now_s)
+        detail = "backend servers were lost under requests with the same content"
+        return self._give_up(state, RefusalReason.QUARANTINED, detail, now_s)
--- a/berylquay/errors.py
+++ b/berylquay/errors.py
@@ -13,6 +13,8 @@
     detail: str
     # Whether the other process may have acted on what was sent.
     verdict: Verdict
+    # Whether the connection broke off, as it does when the other process crashes.
+    disconnected: bool = False
 
 
 @frozen
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -80,6 +80,24 @@
     attempt_id: str
 
 
+@frozen
+class AttemptSent:
+    """backends -> dispatch: the connection stands and the request is being handed over."""
+
+    attempt_id: str
+
+
+@frozen
+class AttemptAnswered:
+    """backends -> dispatch: the head of a good answer came back."""
+
+    attempt_id: str
+    # Version of the model that answers, or empty if the backend server does not say.
+    model_version: str = ""
+    # Changes with each restart of the backend server; empty if it does not say.
+    incarnation: str = ""
+
+
 @frozen
 class AttemptTokens:
     """backends -> dispatch: tokens came back."""
@@ -216,3 +234,27 @@
 
     backend: str
     draining: bool
+
+
+@frozen
+class CallGranted:
+    """tickets -> dispatch: the key of a non-repeatable call is this host's to spend."""
+
+    call: Call
+
+
+@frozen
+class ProbeRequested:
+    """dispatch -> backends: try a fresh connection to a backend server."""
+
+    backend: str
+
+
+@frozen
+class ProbeEnded:
+    """backends -> dispatch: what a fresh connection to a backend server gave."""
+
+    backend: str
+    alive: bool
+    # Changes with each restart of the backend server; empty if it does not say.
+    incarnation: str = ""
--- a/berylquay/net/http_client.py
+++ b/berylquay/net/http_client.py
@@ -1,6 +1,7 @@
 """An HTTP client over outbound connections: one exchange a connection, answers piece by piece."""
 
 import json
+from collections.abc import Callable
 from typing import Protocol
 
 import h11
@@ -60,6 +61,8 @@
     _protocol: h11.Connection
     # The connection.
     _connection: Connection
+    # Called before the first byte is handed over, if given.
+    _on_sending: Callable[[], None] | None
     # Whether the user has heard the end.
     _ended: bool
 
@@ -69,14 +72,21 @@
         address: Address,
         request: HttpRequest,
         user: ExchangeUser,
+        on_sending: Callable[[], None] | None = None,
     ) -> None:
         self._outbound = outbound
+        self._on_sending = on_sending
         self._request = request
         self._user = user
         self._protocol = h11.Connection(our_role=h11.CLIENT)
         self._ended = False
         self._connection = outbound.open(address, self)
 
+    @property
+    def verdict(self) -> Verdict:
+        """Returns whether the other process may have acted on what was sent so far."""
+        return Verdict.MAY_HAVE_RUN if self._connection.bytes_sent else Verdict.NOT_RUN
+
     def cancel(self) -> None:
         """Closes the connection; the user hears no more."""
         self._ended = True
@@ -84,12 +94,21 @@
 
     def on_connected(self) -> None:
         """Sends the request."""
-        address = self._connection.address
+        try:
+            data = self._encode_request()
+        except (h11.LocalProtocolError, ValueError) as error:
+            self._fail(f"the request can't be sent: {error}", disconnected=False)
+            return
+        if self._on_sending is not None:
+            self._on_sending()
+        self._outbound.send(self._connection, data)
+
+    def _encode_request(self) -> bytes:
         head = h11.Request(
             method=self._request.method,
             target=self._request.target,
             headers=[
-                ("Host", str(address)),
+                ("Host", str(self._connection.address)),
                 ("Connection", "close"),
                 ("Content-Type", self._request.content_type),
                 ("Content-Length", str(len(self._request.body))),
@@ -100,22 +119,22 @@
         if self._request.body:
             parts.append(self._protocol.send(h11.Data(data=self._request.body)))
         parts.append(self._protocol.send(h11.EndOfMessage()))
-        self._outbound.send(self._connection, b"".join(part for part in parts if part))
+        return b"".join(part for part in parts if part)
 
-    def on_received(self, data: bytes) -> None:
+    def on_received(self, data: bytes, disconnected: bool = False) -> None:
         """Feeds the protocol and passes on what it makes of the data."""
         try:
             self._protocol.receive_data(data)
             self._deliver_events()
         except h11.RemoteProtocolError as error:
-            self._fail(f"bad HTTP answer: {error}")
+            self._fail(f"bad HTTP answer: {error}", disconnected)
 
     def on_disconnected(self, detail: str) -> None:
         """Ends the exchange, with an error unless the answer was whole."""
         if self._ended:
             return
-        self.on_received(b"")
-        self._fail(detail)
+        self.on_received(b"", disconnected=True)
+        self._fail(detail, disconnected=True)
 
     def _deliver_events(self) -> None:
         while not self._ended:
@@ -132,12 +151,12 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return
 
-    def _fail(self, detail: str) -> None:
+    def _fail(self, detail: str, disconnected: bool) -> None:
         if self._ended:
             return
-        verdict = Verdict.MAY_HAVE_RUN if self._connection.bytes_sent else Verdict.NOT_RUN
+        verdict = self.verdict
         self.cancel()
-        self._user.on_error(TransportError(detail, verdict))
+        self._user.on_error(TransportError(detail, verdict, disconnected))
 
 
 def _head_of(event: h11.Response) -> HttpHead:
--- a/berylquay/net/outbound.py
+++ b/berylquay/net/outbound.py
@@ -16,6 +16,11 @@
 from berylquay.decisions.fleet import Address
 
 RECEIVE_BYTES: Final = 65536
+# Time after which a connection ends whose bytes or keep-alives the other end does not acknowledge.
+USER_TIMEOUT_MS: Final = 4000
+# Time without traffic before keep-alives are sent, and between them.
+KEEPALIVE_IDLE_S: Final = 1
+KEEPALIVE_INTERVAL_S: Final = 1
 _IN_PROGRESS: Final = (errno.EINPROGRESS, errno.EWOULDBLOCK)
 
 
@@ -69,7 +74,7 @@
         """Starts to connect; the user hears of the outcome later."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _set_options(sock)
         connection = Connection(address, user, sock)
         self._by_sock[sock] = connection
         code = sock.connect_ex((address.ip, address.port))
@@ -171,3 +176,12 @@
             return
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         self._end(connection, errno.errorcode.get(code, "hung up"))
+
+
+def _set_options(sock: socket.socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # The kernel ends connections that something between the two ends has lost track of.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -32,4 +32,21 @@
     in_flight: int
 
 
-PeerPayload = Heartbeat | DrainNotice | DrainAcknowledgement
+@frozen
+class CrashReport:
+    """Names the contents that were in flight on a backend server when it was lost."""
+
+    # Name of the backend server.
+    backend: str
+    # Content fingerprints, sorted.
+    fingerprints: tuple[str, ...]
+
+
+@frozen
+class CrashCleared:
+    """Says that a suspected content was answered whole and crashes no server."""
+
+    fingerprint: str
+
+
+PeerPayload = Heartbeat | DrainNotice | DrainAcknowledgement | CrashReport | CrashCleared
