--- a/berylquay/decisions/placement.py
+++ b/berylquay/decisions/placement.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from berylquay.decisions.calls import Call
-from berylquay.decisions.routing import Candidate, RoutingPolicy
+from berylquay.decisions.routing import Candidate, Candidates, RoutingPolicy
 from berylquay.decisions.serving import ServingSet
 from berylquay.decisions.suspects import Standing, SuspectLedger
 
@@ -100,7 +100,7 @@
         self, call: Call, order: Iterator[Candidate], now_s: float
     ) -> Candidate | None:
         for candidate in order:
-            if self._routing.choose(call, [candidate], now_s) is not None:
+            if self._routing.choose(call, Candidates([candidate]), now_s) is not None:
                 return candidate
         return None
 
@@ -110,5 +110,4 @@
         allowed = [c for c in candidates if c.server.name not in avoided] if avoided else candidates
         if not allowed:
             return None
-        name = self._routing.choose(call, allowed, now_s)
-        return next((c for c in allowed if c.server.name == name), None)
+        return self._routing.choose(call, Candidates(allowed), now_s)
