--- /dev/null
+++ b/tests/authority/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of authority over engines."""
