Prove the allowance for clock drift by a case of its own

The new test sees it: FAILED test_successor_waits_out_the_slowest_clock_by_the_fastest[0.005], [0.1] without the allowance, and passes with it.

--- a/tests/authority/test_lease.py
+++ b/tests/authority/test_lease.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -113,6 +114,16 @@
     assert takeover.record.fields["supersedes"] == 1
 
 
+@pytest.mark.parametrize("drift", [0.0, 0.005, 0.1])
+def test_successor_waits_out_the_slowest_clock_by_the_fastest(drift: float) -> None:
+    limits = LeaseLimits(clock_drift=drift, claim_jitter_s=0.0)
+    fast_rate, slow_rate = 1.0 + drift, 1.0 - drift
+    successor = LeaseKeeper("fes-1", "b", limits, random.Random(1))
+    successor.on_tick(0.0)
+    last_effect_s = limits.lease_s / slow_rate + limits.order_margin_s
+    assert not successor.on_tick((last_effect_s - 0.001) * fast_rate)
+
+
 def interleaves(terms: list[int]) -> bool:
     return any(later < earlier for earlier, later in zip(terms, terms[1:], strict=False))
 
