--- a/tests/test_engine_standin.py
+++ b/tests/test_engine_standin.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from tests.support.processes import Process, Processes
+from examples.processes import Process, Processes
 
 ROLE_ORDER = {"kind": "role", "role": "decode"}
 
