--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -6,7 +6,7 @@
 
 from berylquay.errors import SettingsError
 from berylquay.settings.ini import IniReader
-from berylquay.settings.options import CallerLimits, Options
+from berylquay.settings.options import CallerLimits, LogOptions, Options
 
 
 def read_host_file(path: str) -> Result[Options, tuple[SettingsError, ...]]:
@@ -35,11 +35,21 @@
         health_address=reader.optional_address("health", "address"),
         stop_notice_s=reader.number("host", "stop_notice_s", 2.0),
         initial_deployments=reader.words("host", "initial_deployments", ()),
+        log=_read_log_options(reader),
         caller_limits=_read_caller_limits(reader),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
     )
 
 
+def _read_log_options(reader: IniReader) -> LogOptions | None:
+    section = "platform"
+    address = reader.optional_address(section, "log")
+    retention_s = reader.number(section, "log_retention_s", 3600.0)
+    appends_per_s = reader.number(section, "log_appends_per_s", 20.0)
+    stream = reader.text(section, "configuration_stream", "configuration")
+    return None if address is None else LogOptions(address, retention_s, appends_per_s, stream)
+
+
 def _read_caller_limits(reader: IniReader) -> CallerLimits:
     defaults = CallerLimits()
     section = "callers"
--- a/berylquay/settings/options.py
+++ b/berylquay/settings/options.py
@@ -23,6 +23,20 @@
     write_buffer_bytes: int = 262144
 
 
+@frozen
+class LogOptions:
+    """How the platform's log is used."""
+
+    # Where the log service listens.
+    address: Address
+    # Time for which the log keeps a record.
+    retention_s: float = 3600.0
+    # Most appends that this host sends per second.
+    appends_per_s: float = 20.0
+    # Stream that carries the configuration.
+    configuration_stream: str = "configuration"
+
+
 @frozen
 class Options:
     """Everything that one entry host is told by its settings file."""
@@ -43,6 +57,8 @@
     stop_notice_s: float = 2.0
     # Deployment files that are in force until the platform's log gives a configuration.
     initial_deployments: tuple[str, ...] = ()
+    # The platform's log, or None if the host runs on its deployment files alone.
+    log: LogOptions | None = None
     # Bounds on callers.
     caller_limits: CallerLimits = field(factory=CallerLimits)
     # Lowest level of logs to write.
