Send orders from a process that a kernel timer ends with the order's time

Cause: an engine that ignores fencing numbers takes a late order from a process that was paused between its check of the lease and the write. Ways: orders from the daemon with a check only; the timer in the daemon, which would kill every stream of the host; a separate sender. The sender arms ITIMER_REAL to the order's time, then checks that it did so in time, and closes with a reset. An order whose connection hangs is given up on before its time.

--- /dev/null
+++ b/berylquay/authority/order_exchange.py
@@ -0,0 +1,111 @@
+"""One order over one connection to an engine, blocking, with nothing left behind at its end."""
+
+import json
+import socket
+import struct
+import time
+from typing import Final
+
+import h11
+from attrs import frozen
+
+from berylquay.decisions.engine_orders import SendOutcome
+from berylquay.decisions.fleet import Address
+
+RECEIVE_BYTES: Final = 65536
+STATUS_ACCEPTED: Final = 202
+# Closing drops unsent bytes and resets the connection, also when the kernel closes it.
+LINGER_RESET: Final = struct.pack("ii", 1, 0)
+# Time before the deadline at which the exchange is given up on, so that the timer seldom fires.
+GIVE_UP_BEFORE_S: Final = 0.2
+MIN_TIMEOUT_S: Final = 0.01
+
+
+@frozen
+class SendReport:
+    """What became of an order, and why."""
+
+    outcome: SendOutcome
+    detail: str = ""
+
+
+class OrderExchange:
+    """Sends one order and reads the engine's answer."""
+
+    # Where the engine listens.
+    _address: Address
+    # Monotonic time at which the process ends.
+    _deadline_s: float
+
+    def __init__(self, address: Address, deadline_s: float) -> None:
+        self._address = address
+        self._deadline_s = deadline_s
+
+    def run(self, body: dict[str, object]) -> SendReport:
+        """Sends the order; the connection is closed and emptied when this returns."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            left_ms = max(1, int(self._left_s() * 1000))
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, left_ms)
+            return self._run_on(sock, body)
+        finally:
+            sock.close()
+
+    def _run_on(self, sock: socket.socket, body: dict[str, object]) -> SendReport:
+        protocol = h11.Connection(our_role=h11.CLIENT)
+        data = self._encode(protocol, body)
+        try:
+            sock.settimeout(self._left_s())
+            sock.connect((self._address.ip, self._address.port))
+        except OSError as error:
+            return SendReport(SendOutcome.NOT_SENT, str(error))
+        try:
+            self.write(sock, data)
+            return self._read_answer(sock, protocol)
+        except (OSError, h11.RemoteProtocolError) as error:
+            return SendReport(SendOutcome.UNKNOWN, str(error))
+
+    def write(self, sock: socket.socket, data: bytes) -> None:
+        """Writes the whole order."""
+        sock.sendall(data)
+
+    def _encode(self, protocol: h11.Connection, body: dict[str, object]) -> bytes:
+        content = json.dumps(body).encode()
+        head = h11.Request(
+            method="POST",
+            target="/v1/orders",
+            headers=[
+                ("Host", str(self._address)),
+                ("Connection", "close"),
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(content))),
+            ],
+        )
+        events = (head, h11.Data(data=content), h11.EndOfMessage())
+        return b"".join(protocol.send(event) or b"" for event in events)
+
+    def _read_answer(self, sock: socket.socket, protocol: h11.Connection) -> SendReport:
+        status = 0
+        content = b""
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                sock.settimeout(self._left_s())
+                protocol.receive_data(sock.recv(RECEIVE_BYTES))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                content += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                return SendReport(SendOutcome.UNKNOWN, "the connection ended early")
+        accepted = status == STATUS_ACCEPTED
+        outcome = SendOutcome.ACCEPTED if accepted else SendOutcome.REFUSED
+        return SendReport(outcome, content.decode(errors="replace"))
+
+    def _left_s(self) -> float:
+        left_s = self._deadline_s - GIVE_UP_BEFORE_S - time.monotonic()
+        return max(left_s, MIN_TIMEOUT_S)
--- /dev/null
+++ b/berylquay/authority/sender.py
@@ -0,0 +1,155 @@
+"""`berylquay-orders`: the process that alone sends orders to engines, one at a time.
+
+It stands beside each `berylquayd`, on the same host, started by the operator's supervisor. The
+daemon hands it one order with the time up to which the order may leave the host, on the clock that
+both share; the process ends rather than send a byte after that time, and the supervisor starts it
+again.
+"""
+
+import argparse
+import json
+from typing import Final
+
+import logbook
+from attrs import frozen
+from circuits import BaseComponent, Event, handler
+from circuits.core.pollers import EPoll
+from circuits.web.wrappers import Request, Response
+
+from berylquay.authority.deadline import Deadline, KernelDeadline
+from berylquay.authority.order_exchange import OrderExchange, SendReport
+from berylquay.callers.server import HttpServer
+from berylquay.decisions.engine_orders import SendOutcome
+from berylquay.decisions.fleet import Address
+from berylquay.logs import set_up_logs
+from berylquay.settings.options import CallerLimits
+
+ORDERS_CHANNEL: Final = "orders"
+ORDERS_PATH: Final = "/v1/orders"
+STATUS_BAD_REQUEST: Final = 400
+_log = logbook.Logger("orders")
+
+
+@frozen
+class SendRequest:
+    """An order as the daemon hands it over."""
+
+    address: Address
+    expires_s: float
+    term: int
+    # Body of the order as engines take it.
+    body: dict[str, object]
+
+
+def encode_send_request(request: SendRequest) -> dict[str, object]:
+    """Returns the JSON shape of a request to the sender."""
+    return {
+        "ip": request.address.ip,
+        "port": request.address.port,
+        "expires_s": request.expires_s,
+        "term": request.term,
+        "body": request.body,
+    }
+
+
+def parse_send_request(data: bytes) -> SendRequest:
+    """Returns the request in the data; a `ValueError` or `KeyError` means that it is malformed."""
+    value = json.loads(data)
+    if not isinstance(value, dict) or not isinstance(value["body"], dict):
+        raise ValueError(value)
+    address = Address(str(value["ip"]), int(value["port"]))
+    return SendRequest(address, float(value["expires_s"]), int(value["term"]), value["body"])
+
+
+class Sender:
+    """Sends an order under its deadline, unless a newer term was seen before."""
+
+    # Ends the process when an order's time is up.
+    _deadline: Deadline
+    # Highest term seen.
+    _term: int
+
+    def __init__(self, deadline: Deadline) -> None:
+        self._deadline = deadline
+        self._term = 0
+
+    def send(self, request: SendRequest) -> SendReport:
+        """Sends the order and returns what became of it."""
+        if request.term < self._term:
+            return SendReport(SendOutcome.NOT_SENT, "a newer term was seen")
+        self._term = request.term
+        if not self._deadline.arm(request.expires_s):
+            return SendReport(SendOutcome.NOT_SENT, "the order has expired")
+        try:
+            return self.exchange(request).run(request.body)
+        finally:
+            # The exchange has closed its socket, so no byte can leave any more.
+            self._deadline.disarm()
+
+    def exchange(self, request: SendRequest) -> OrderExchange:
+        """Returns the exchange that carries the order."""
+        return OrderExchange(request.address, request.expires_s)
+
+
+class OrderPages(BaseComponent):
+    """Takes orders from the daemon of this host over HTTP."""
+
+    channel = ORDERS_CHANNEL
+
+    # Sends the orders.
+    _sender: Sender
+
+    def __init__(self, sender: Sender) -> None:
+        super().__init__()
+        self._sender = sender
+
+    @handler("request", priority=1.0)
+    def _on_request(self, event: Event, request: Request, answer: Response) -> bytes | None:
+        event.stop()
+        if request.method != "POST" or request.path != ORDERS_PATH:
+            return None
+        try:
+            wanted = parse_send_request(request.body.read())
+        except (ValueError, KeyError, TypeError) as error:
+            answer.status = STATUS_BAD_REQUEST
+            return json.dumps({"outcome": "not-sent", "detail": f"malformed: {error}"}).encode()
+        report = self._sender.send(wanted)
+        _log.info(
+            "order handled",
+            order_id=wanted.body.get("order_id"),
+            term=wanted.term,
+            engine=str(wanted.address),
+            outcome=report.outcome.value,
+            detail=report.detail,
+        )
+        answer.headers["Content-Type"] = "application/json"
+        return json.dumps({"outcome": report.outcome.value, "detail": report.detail}).encode()
+
+
+def run_sender(sender: Sender, port: int) -> None:
+    """Serves the daemon of this host until SIGTERM."""
+    loop = EPoll()
+    HttpServer(Address("127.0.0.1", port), CallerLimits(), ORDERS_CHANNEL).register(loop)
+    OrderPages(sender).register(loop)
+    _log.info("starting", port=port)
+    loop.run()
+
+
+def parse_port(arguments: list[str] | None = None) -> int:
+    """Returns the port in the command line."""
+    parser = argparse.ArgumentParser(
+        prog="berylquay-orders", description="Sends the orders of this host's berylquayd."
+    )
+    parser.add_argument("--port", type=int, required=True, help="loopback port to listen on")
+    return int(parser.parse_args(arguments).port)
+
+
+def main() -> None:
+    """Runs the sender; SIGTERM ends it after the order that is under way."""
+    port = parse_port()
+    set_up_logs("info")
+    run_sender(Sender(KernelDeadline()), port)
+
+
+if __name__ == "__main__":
+    main()
