Link entry hosts by websockets with CBOR messages and heartbeats

Within a data centre each pair of hosts has one link, dialled by the host whose name sorts first; beyond it a host dials three others in three data centres. Frames, unknown, malformed and oversized messages are counted, and a peer that breaks the format loses its link. TLS runs over memory buffers, since circuits' handshake waits in select and one slow peer would stop the loop. Settings that set mutual TLS by half are refused with each missing key.

--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -5,7 +5,8 @@
 import sys
 import time
 import uuid
-from typing import Final
+from random import Random
+from typing import Final, NoReturn
 
 import logbook
 from circuits.core.pollers import EPoll
@@ -19,6 +20,7 @@
 from berylquay.decisions.deployment import Configuration, Deployment
 from berylquay.decisions.fates import CallFates
 from berylquay.decisions.fleet import Address
+from berylquay.decisions.peering import DialPlan, PeeringLimits
 from berylquay.decisions.routing import LeastInFlight
 from berylquay.errors import SettingsError
 from berylquay.health import HEALTH_CHANNEL, HealthPages
@@ -29,6 +31,8 @@
 from berylquay.net.bus import post
 from berylquay.net.outbound import OutboundConnections
 from berylquay.net.ticker import Ticker
+from berylquay.peers.links import LinkIdentity, PeerLinks
+from berylquay.peers.pipes import PipeFactory, make_pipe_factory
 from berylquay.platform.membership import MembershipPoller
 from berylquay.settings.deployment_file import read_deployment_file
 from berylquay.settings.host_file import read_host_file
@@ -54,21 +58,27 @@
         _exit_for_bad_settings(read.failure())
     options = read.unwrap()
     deployments = _read_initial_deployments(options)
+    pipes = _make_pipes(options, arguments.settings)
     if arguments.check:
         print(f"{arguments.settings}: ok")  # noqa: T201
         return
     set_up_logs(options.log_level)
-    build_loop(options, deployments).run()
+    build_loop(options, deployments, pipes).run()
 
 
-def build_loop(options: Options, deployments: tuple[Deployment, ...]) -> Loop:
+def build_loop(options: Options, deployments: tuple[Deployment, ...], pipes: PipeFactory) -> Loop:
     """Returns the component tree of one entry host, ready to run."""
     loop = Loop()
+    incarnation = f"{options.host}-{uuid.uuid4().hex[:8]}"
     Ticker().register(loop)
     outbound = OutboundConnections(loop).register(loop)
     MembershipPoller(outbound, options.membership_address).register(loop)
     BackendAttempts(outbound).register(loop)
-    fates = CallFates(LeastInFlight(), incarnation=f"{options.host}-{uuid.uuid4().hex[:8]}")
+    if options.peers is not None:
+        identity = LinkIdentity(options.host, options.data_centre, incarnation)
+        plan = DialPlan(PeeringLimits(), Random(incarnation))
+        PeerLinks(outbound, options.peers, identity, pipes, plan).register(loop)
+    fates = CallFates(LeastInFlight(), incarnation)
     Dispatch(fates).register(loop)
     callers = _serve_http(loop, options.callers_address, options.caller_limits, CALLERS_CHANNEL)
     Gate(callers).register(loop)
@@ -107,7 +117,17 @@
     return tuple(deployments)
 
 
-def _exit_for_bad_settings(errors: tuple[SettingsError, ...]) -> None:
+def _make_pipes(options: Options, file: str) -> PipeFactory:
+    made = make_pipe_factory(options.peers.tls if options.peers is not None else None)
+    if isinstance(made, Failure):
+        allowed = "a certificate, its key and the authority's certificate, in PEM files"
+        _exit_for_bad_settings(
+            (SettingsError(file, "peers", "certificate", made.failure(), allowed),)
+        )
+    return made.unwrap()
+
+
+def _exit_for_bad_settings(errors: tuple[SettingsError, ...]) -> NoReturn:
     for error in errors:
         print(error, file=sys.stderr)  # noqa: T201
     sys.exit(EXIT_BAD_SETTINGS)
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -1,8 +1,21 @@
-"""Payloads between entry hosts: each is an attrs class with an entry in the codec's table."""
+"""Payloads between entry hosts: each is an attrs class with an entry in the codec's table.
+
+Fields are texts, numbers, flags, bytes, or maps of what JSON can carry.
+"""
 
 from attrs import frozen
 
 
+@frozen
+class Hello:
+    """The first message on a link, from both ends: says who is there."""
+
+    # Name of the sending host.
+    host: str
+    # Incarnation of the sending process; changes with each restart.
+    incarnation: str
+
+
 @frozen
 class Heartbeat:
     """Shows that the sender is alive."""
@@ -32,4 +45,70 @@
     in_flight: int
 
 
-PeerPayload = Heartbeat | DrainNotice | DrainAcknowledgement
+@frozen
+class ConfigurationRequest:
+    """Asks for a configuration that is newer than the sender's."""
+
+    # Revision in force at the sender.
+    revision: int
+    # Offset up to which the sender has read the configuration stream.
+    offset: int
+
+
+@frozen
+class ConfigurationOffer:
+    """Gives the newest configuration of the sender to a host that has an older one."""
+
+    # Revision of the configuration.
+    revision: int
+    # Offset of the record that the configuration came with.
+    offset: int
+    # Body of the configuration's snapshot, as a snapshot record of the log has it.
+    snapshot: dict[str, object]
+
+
+@frozen
+class TicketAsked:
+    """Asks the issuer of a single-use ticket to hand the right to spend it over to the sender."""
+
+    # Id of the question; the answer repeats it.
+    ask_id: str
+    # The ticket.
+    ticket: str
+    # Tenant that sent the ticket.
+    tenant: str
+    # Hash of the content that is to run.
+    fingerprint: str
+
+
+@frozen
+class TicketAnswered:
+    """Answers `TicketAsked`; the right to spend the ticket passes over at most once."""
+
+    # Id of the question.
+    ask_id: str
+    # Outcome, as the name of a `TicketOutcome`.
+    outcome: str
+
+
+@frozen
+class TicketReturned:
+    """Gives the right to spend a ticket back to its issuer, since the call was not run."""
+
+    # Id of the question by which the right had passed over.
+    ask_id: str
+    # The ticket.
+    ticket: str
+
+
+PeerPayload = (
+    Hello
+    | Heartbeat
+    | DrainNotice
+    | DrainAcknowledgement
+    | ConfigurationRequest
+    | ConfigurationOffer
+    | TicketAsked
+    | TicketAnswered
+    | TicketReturned
+)
--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -7,6 +7,7 @@
 from berylquay.errors import SettingsError
 from berylquay.settings.ini import IniReader
 from berylquay.settings.options import CallerLimits, Options
+from berylquay.settings.peer_section import read_peer_section
 
 
 def read_host_file(path: str) -> Result[Options, tuple[SettingsError, ...]]:
@@ -18,14 +19,14 @@
     except (OSError, UnicodeDecodeError, Error) as error:
         return Failure((SettingsError(path, "", "", str(error), "a readable INI file"),))
     reader = IniReader(path, parser)
-    options = _read_options(reader)
+    options = _read_options(reader, parser)
     reader.check_for_unknown_keys()
     if reader.errors:
         return Failure(tuple(reader.errors))
     return Success(options)
 
 
-def _read_options(reader: IniReader) -> Options:
+def _read_options(reader: IniReader, parser: ConfigParser) -> Options:
     return Options(
         host=reader.text("host", "name"),
         region=reader.text("host", "region"),
@@ -36,6 +37,7 @@
         stop_notice_s=reader.number("host", "stop_notice_s", 2.0),
         initial_deployments=reader.words("host", "initial_deployments", ()),
         caller_limits=_read_caller_limits(reader),
+        peers=read_peer_section(reader, parser.has_section("peers")),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
     )
 
--- a/berylquay/settings/options.py
+++ b/berylquay/settings/options.py
@@ -23,6 +23,28 @@
     write_buffer_bytes: int = 262144
 
 
+@frozen
+class PeerTls:
+    """Paths of what mutual TLS between entry hosts needs."""
+
+    # Certificate of this host, which names the host among its alternative names.
+    certificate: str
+    # Private key of the certificate.
+    key: str
+    # Certificate of the authority that signed the certificates of all entry hosts.
+    ca: str
+
+
+@frozen
+class PeerOptions:
+    """How this host and the other entry hosts reach each other."""
+
+    # Where the other hosts connect.
+    address: Address
+    # Mutual TLS, or None for links without TLS.
+    tls: PeerTls | None = None
+
+
 @frozen
 class Options:
     """Everything that one entry host is told by its settings file."""
@@ -45,5 +67,7 @@
     initial_deployments: tuple[str, ...] = ()
     # Bounds on callers.
     caller_limits: CallerLimits = field(factory=CallerLimits)
+    # Links to other entry hosts, or None for a host that stands alone.
+    peers: PeerOptions | None = None
     # Lowest level of logs to write.
     log_level: str = "info"
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -34,20 +34,23 @@
         processes.start_standin(f"service-{n}", "service", "--name", f"service-{n}")
         for n in range(services)
     ]
+    peer_ports = {f"host-{n}": free_port() for n in range(hosts)}
     members = {
         "version": 1,
-        "hosts": [],
+        "hosts": [_host_member(name, port) for name, port in peer_ports.items()],
         "backends": [_member(p, "engine", "cellar-lm") for p in engine_processes]
         + [_member(p, "service", "cellar-log") for p in service_processes],
     }
     file = directory / "members.json"
     file.write_text(json.dumps(members), encoding="utf-8")
     membership = processes.start_standin("membership", "membership", "--file", str(file))
-    host_processes = [start_host(processes, f"host-{n}", membership.port) for n in range(hosts)]
+    host_processes = [
+        start_host(processes, name, membership.port, port) for name, port in peer_ports.items()
+    ]
     return Fleet(processes, membership, engine_processes, service_processes, host_processes)
 
 
-def start_host(processes: Processes, name: str, membership_port: int) -> Process:
+def start_host(processes: Processes, name: str, membership_port: int, peer_port: int) -> Process:
     """Starts one entry host."""
     port = free_port()
     settings = processes.directory / f"{name}.ini"
@@ -64,12 +67,25 @@
 
 [platform]
 membership = 127.0.0.1:{membership_port}
+
+[peers]
+address = 127.0.0.1:{peer_port}
 """,
         encoding="utf-8",
     )
     return processes.start(name, "berylquay.daemon", port, str(settings))
 
 
+def _host_member(name: str, peer_port: int) -> dict[str, object]:
+    return {
+        "name": name,
+        "address": f"127.0.0.1:{peer_port}",
+        "region": "fes",
+        "data_centre": "fes-1",
+        "state": "live",
+    }
+
+
 def _member(process: Process, kind: str, pool: str) -> dict[str, object]:
     return {
         "name": process.name,
--- /dev/null
+++ b/tests/test_peer_links.py
@@ -0,0 +1,246 @@
+"""Links between entry hosts over real sockets of one process, with the loop driven by the test."""
+
+import ssl
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from random import Random
+from threading import RLock
+from typing import Final
+
+import pytest
+from attrs import define, field
+from circuits import BaseComponent, handler
+from circuits.core.events import generate_events
+from circuits.core.pollers import EPoll
+
+from berylquay.decisions.fleet import Address, EntryHost, MembershipView
+from berylquay.decisions.peering import DialPlan, PeeringLimits
+from berylquay.messages import (
+    MembershipRead,
+    PeerLinkChanged,
+    PeerReceived,
+    PeerSendRequested,
+    Tick,
+)
+from berylquay.net.bus import BUS, post
+from berylquay.net.outbound import OutboundConnections
+from berylquay.peers.codec import MAX_MESSAGE_BYTES, encode_payload
+from berylquay.peers.links import LinkIdentity, PeerLinks
+from berylquay.peers.payloads import DrainNotice, Heartbeat, Hello
+from berylquay.peers.pipes import PipeFactory, make_pipe_factory, plain_pipes
+from berylquay.settings.options import PeerOptions, PeerTls
+from examples.processes import free_port
+from tests.support.certificates import Authority
+from tests.support.raw_peers import RawPeer, Relay
+
+LIMITS: Final = PeeringLimits(
+    heartbeat_interval_s=0.05,
+    silence_timeout_s=0.4,
+    handshake_timeout_s=0.4,
+    first_wait_s=0.01,
+    retry_wait_s=0.05,
+    longest_wait_s=0.1,
+)
+WAIT_S: Final = 10.0
+NOTICE: Final = DrainNotice("engine-1", True, 7)
+
+
+class Recorder(BaseComponent):
+    """Keeps what a host posts about its peers."""
+
+    channel = BUS
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.received: list[PeerReceived] = []
+        self.changes: list[PeerLinkChanged] = []
+
+    @handler("PeerReceived")
+    def _on_received(self, message: PeerReceived) -> None:
+        if not isinstance(message.payload, Heartbeat | Hello):
+            self.received.append(message)
+
+    @handler("PeerLinkChanged")
+    def _on_changed(self, message: PeerLinkChanged) -> None:
+        self.changes.append(message)
+
+
+class Host:
+    """The peers' part of one entry host, with a loop of its own."""
+
+    def __init__(self, name: str, pipes: PipeFactory, port: int) -> None:
+        self.name = name
+        self._lock = RLock()
+        self.loop = EPoll()
+        self.recorder = Recorder().register(self.loop)
+        self.address = Address("127.0.0.1", port)
+        outbound = OutboundConnections(self.loop).register(self.loop)
+        identity = LinkIdentity(name, "fes-1", f"{name}-1")
+        options = PeerOptions(self.address)
+        self.links = PeerLinks(outbound, options, identity, pipes, DialPlan(LIMITS, Random(name)))
+        self.links.register(self.loop)
+
+    def turn(self) -> None:
+        post(self.loop, Tick(time.monotonic()))
+        for _ in range(4):
+            self.loop.fire(generate_events(self._lock, 0.001), "*")
+            self.loop.tick()
+
+    def close(self) -> None:
+        for session in list(self.links._sessions):
+            self.links.end(session, "the test is over")
+        self.links._server.close()
+
+
+@define
+class Hosts:
+    """Hosts whose loops the test turns."""
+
+    hosts: list[Host] = field(factory=list)
+
+    def add(self, name: str, pipes: PipeFactory = plain_pipes, port: int = 0) -> Host:
+        host = Host(name, pipes, port or free_port())
+        self.hosts.append(host)
+        return host
+
+    def introduce(self, addresses: dict[str, Address] | None = None) -> None:
+        known = {host.name: host.address for host in self.hosts} | (addresses or {})
+        entries = tuple(EntryHost(name, at, "fes", "fes-1") for name, at in known.items())
+        for host in self.hosts:
+            post(host.loop, MembershipRead(MembershipView(1, (), entries)))
+
+    def until(self, condition: Callable[[], bool]) -> None:
+        give_up_s = time.monotonic() + WAIT_S
+        while not condition():
+            assert time.monotonic() < give_up_s, [host.links.counts for host in self.hosts]
+            for host in self.hosts:
+                host.turn()
+
+    def all_linked(self) -> bool:
+        return all(len(host.links.linked_hosts) == len(self.hosts) - 1 for host in self.hosts)
+
+    def close(self) -> None:
+        for host in self.hosts:
+            host.close()
+
+
+@pytest.fixture
+def hosts() -> Iterator[Hosts]:
+    made = Hosts()
+    yield made
+    made.close()
+
+
+def test_one_link_per_pair_carries_payloads_both_ways(hosts: Hosts) -> None:
+    for name in ("a", "b", "c"):
+        hosts.add(name)
+    hosts.introduce()
+    hosts.until(hosts.all_linked)
+    assert sum(host.links.counts["links_made"] for host in hosts.hosts) == 6
+    for sender in hosts.hosts:
+        for receiver in hosts.hosts:
+            post(sender.loop, PeerSendRequested(receiver.name, NOTICE))
+    hosts.until(lambda: all(len(host.recorder.received) == 2 for host in hosts.hosts))
+    assert {message.host for message in hosts.hosts[0].recorder.received} == {"b", "c"}
+
+
+def test_payload_to_a_host_without_a_link_is_dropped_and_counted(hosts: Hosts) -> None:
+    alone = hosts.add("a")
+    post(alone.loop, PeerSendRequested("b", NOTICE))
+    hosts.until(lambda: alone.links.counts["payloads_dropped"] == 1)
+
+
+def test_silent_link_is_replaced_by_a_fresh_one(hosts: Hosts) -> None:
+    first, second = hosts.add("a"), hosts.add("b")
+    with Relay(second.address) as relay:
+        hosts.introduce({"b": relay.address})
+        hosts.until(lambda: relay.turn() and hosts.all_linked())
+        relay.drop_everything()
+        hosts.until(lambda: relay.turn() and len(first.recorder.changes) >= 3)
+        assert [change.connected for change in first.recorder.changes] == [True, False, True]
+        assert first.links.counts["links_silent"] + second.links.counts["links_silent"] >= 1
+        hosts.until(lambda: relay.turn() and hosts.all_linked())
+        post(second.loop, PeerSendRequested("a", NOTICE))
+        hosts.until(lambda: relay.turn() and first.recorder.received != [])
+
+
+def test_restarted_host_is_linked_again(hosts: Hosts) -> None:
+    first, second = hosts.add("a"), hosts.add("b")
+    hosts.introduce()
+    hosts.until(hosts.all_linked)
+    hosts.hosts.remove(second)
+    Hosts([second]).close()
+    hosts.until(lambda: not first.links.linked_hosts)
+    hosts.add("b", port=second.address.port)
+    hosts.until(hosts.all_linked)
+
+
+@pytest.mark.parametrize(
+    ("count", "messages"),
+    [
+        ("links_rejected", [b"\xff\xff"]),
+        ("links_rejected", [encode_payload(NOTICE)]),
+        ("links_rejected", [encode_payload(Hello("z", "z-1")), b"not CBOR"]),
+        ("links_rejected", [encode_payload(Hello("z", "z-1"))] * 2),
+        ("links_rejected", [encode_payload(Hello("a", "a-9"))]),
+        ("messages_unknown", [encode_payload(Hello("z", "z-1")), b"\x83\x01\x65Later\xa0"]),
+        ("messages_unknown", [encode_payload(Hello("z", "z-1")), b"\x83\x09\x65Hello\xa0"]),
+        ("links_broken", [encode_payload(Hello("z", "z-1")), bytes(MAX_MESSAGE_BYTES + 1)]),
+    ],
+)
+def test_bad_messages_are_counted_and_never_end_the_loop(
+    hosts: Hosts, count: str, messages: list[bytes]
+) -> None:
+    first, _ = hosts.add("a"), hosts.add("b")
+    hosts.introduce()
+    hosts.until(hosts.all_linked)
+    sender = RawPeer(first.address, messages)
+    hosts.until(lambda: sender.turn() and first.links.counts[count] >= 1)
+    sender.close()
+    hosts.until(hosts.all_linked)
+
+
+def test_dials_are_bounded_while_nobody_answers(hosts: Hosts) -> None:
+    alone = hosts.add("a")
+    hosts.introduce({f"b{n}": Address("127.0.0.1", free_port()) for n in range(30)})
+    end_s = time.monotonic() + 1.0
+    while time.monotonic() < end_s:
+        alone.turn()
+        assert len(alone.links._sessions) <= LIMITS.dials_at_once
+
+
+def test_mutual_tls_links_hosts_that_the_authority_signed(hosts: Hosts, tmp_path: Path) -> None:
+    authority = Authority(tmp_path / "ours")
+    for name in ("a", "b"):
+        hosts.add(name, _pipes(authority.tls_for(name)))
+    hosts.introduce()
+    hosts.until(hosts.all_linked)
+    post(hosts.hosts[0].loop, PeerSendRequested("b", NOTICE))
+    hosts.until(lambda: hosts.hosts[1].recorder.received != [])
+
+
+@pytest.mark.parametrize("fault", ["other authority", "other name", "no TLS"])
+def test_mutual_tls_keeps_others_out(hosts: Hosts, tmp_path: Path, fault: str) -> None:
+    ours, other = Authority(tmp_path / "ours"), Authority(tmp_path / "other")
+    intruders = {
+        "other authority": _pipes(other.tls_for("b")),
+        "other name": _pipes(ours.tls_for("c")),
+        "no TLS": plain_pipes,
+    }
+    first = hosts.add("a", _pipes(ours.tls_for("a")))
+    hosts.add("b", intruders[fault])
+    hosts.introduce()
+    hosts.until(lambda: first.links.counts["dials"] >= 3)
+    assert all(host.links.counts["links_made"] == 0 for host in hosts.hosts[:1])
+    assert first.recorder.changes == []
+
+
+def _pipes(tls: PeerTls) -> PipeFactory:
+    return make_pipe_factory(tls).unwrap()
+
+
+def test_certificate_that_cannot_be_read_is_an_error(tmp_path: Path) -> None:
+    missing = str(tmp_path / "missing.pem")
+    assert "No such file" in make_pipe_factory(PeerTls(missing, missing, missing)).failure()
+    assert ssl.HAS_TLSv1_3
--- a/typings/circuits/core/events.pyi
+++ b/typings/circuits/core/events.pyi
@@ -1,3 +1,5 @@
+from threading import RLock
+
 class Event:
     name: str
     channels: tuple[str, ...]
@@ -9,6 +11,7 @@
 
 class generate_events(Event):
     time_left: float
+    def __init__(self, lock: RLock, max_wait: float) -> None: ...
     def reduce_time_left(self, time_left: float) -> None: ...
 
 class signal(Event): ...
