--- /dev/null
+++ b/berylquay/decisions/tickets.py
@@ -0,0 +1,109 @@
+"""Tickets: idempotency keys that one process issues and that only it can let anyone spend.
+
+A ticket needs no agreement through the platform's log: the process that issued it decides alone who
+runs the call, so a ticket works while the data centre is cut off. When that process is gone, nobody
+can spend the ticket any more.
+"""
+
+import hashlib
+import hmac
+from enum import Enum
+from typing import Final
+
+from attrs import define, frozen
+
+# Time for which a ticket can be spent.
+TICKET_LIFETIME_S: Final = 600.0
+_PREFIX: Final = "ticket"
+_SEPARATOR: Final = "~"
+_PARTS: Final = 6
+_MAC_BYTES: Final = 12
+_MILLISECONDS_PER_SECOND: Final = 1000.0
+
+
+class TicketOutcome(Enum):
+    """What the issuer says of a ticket."""
+
+    # The asker may run the call, and nobody else may.
+    PASSED = "passed"
+    # The call may have run, or is running.
+    SPENT = "spent"
+    # The whole answer was delivered.
+    COMPLETED = "completed"
+    # The ticket was spent for a request with another content.
+    OTHER_CONTENT = "other-content"
+    # The ticket's time is over; what became of it is no longer known.
+    EXPIRED = "expired"
+    # The process that issued the ticket is gone.
+    ISSUER_GONE = "issuer-gone"
+    # Nobody issued the ticket to this tenant.
+    INVALID = "invalid"
+
+
+@frozen
+class Ticket:
+    """A ticket, as its text says."""
+
+    # Host that issued it.
+    host: str
+    # Incarnation of the process that issued it.
+    incarnation: str
+    # Monotonic time of issue, on the issuer's clock.
+    issued_ms: int
+    # Number of the ticket within the incarnation.
+    serial: int
+    # Proof that the issuer made it for the tenant.
+    mac: str
+
+
+@define
+class TicketIssuer:
+    """Issues the tickets of one process and checks them."""
+
+    # Host of the process.
+    host: str
+    # Incarnation of the process.
+    incarnation: str
+    # Random bytes that no other process knows.
+    secret: bytes
+    # Number of tickets issued.
+    issued: int = 0
+
+    def issue(self, tenant: str, now_s: float) -> str:
+        """Returns a new ticket for the tenant."""
+        self.issued += 1
+        issued_ms = int(now_s * _MILLISECONDS_PER_SECOND)
+        mac = self._mac(tenant, issued_ms, self.issued)
+        parts = (_PREFIX, self.host, self.incarnation, str(issued_ms), str(self.issued), mac)
+        return _SEPARATOR.join(parts)
+
+    def check(self, ticket: Ticket, tenant: str, now_s: float) -> TicketOutcome | None:
+        """Returns why the ticket cannot be spent, or None if nothing speaks against it."""
+        if ticket.incarnation != self.incarnation:
+            return TicketOutcome.ISSUER_GONE
+        expected = self._mac(tenant, ticket.issued_ms, ticket.serial)
+        if not hmac.compare_digest(expected, ticket.mac):
+            return TicketOutcome.INVALID
+        if now_s >= ticket_expiry_s(ticket):
+            return TicketOutcome.EXPIRED
+        return None
+
+    def _mac(self, tenant: str, issued_ms: int, serial: int) -> str:
+        text = f"{tenant}\0{issued_ms}\0{serial}".encode()
+        return hmac.new(self.secret, text, hashlib.blake2b).hexdigest()[: 2 * _MAC_BYTES]
+
+
+def ticket_expiry_s(ticket: Ticket) -> float:
+    """Returns when the ticket expires, on the issuer's clock."""
+    return ticket.issued_ms / _MILLISECONDS_PER_SECOND + TICKET_LIFETIME_S
+
+
+def parse_ticket(key: str) -> Ticket | None:
+    """Returns the ticket that a key is, or None for any other key."""
+    parts = key.split(_SEPARATOR)
+    if len(parts) != _PARTS or parts[0] != _PREFIX:
+        return None
+    _, host, incarnation, issued_ms, serial, mac = parts
+    if not (issued_ms.isdecimal() and serial.isdecimal() and mac.isascii()):
+        return None
+    return Ticket(host, incarnation, int(issued_ms), int(serial), mac)
