--- a/berylquay/callers/gate.py
+++ b/berylquay/callers/gate.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 from circuits import BaseComponent, Event, handler
+from circuits.net.events import write
 from circuits.web.events import response, stream
 from circuits.web.wrappers import Request, Response
 from returns.result import Success
@@ -13,12 +14,12 @@
 from berylquay.callers.answers import (
     REQUEST_ID_HEADER,
     VERDICT_HEADER,
+    TokenEvents,
     end_event,
     refusal_body,
     refusal_event,
     refusal_status,
     retry_after_text,
-    token_event,
     whole_answer,
 )
 from berylquay.callers.parsing import CHAT_PATH, SERVICE_PREFIX, RawRequest, parse_call
@@ -43,6 +44,10 @@
 STOPPING_RETRY_AFTER_S: Final = 1.0
 
 
+STATUS_NOT_FOUND: Final = 404
+_UNKNOWN_PATH: Final = Refusal(
+    RefusalReason.INVALID, Verdict.NOT_RUN, f"use {CHAT_PATH} or {SERVICE_PREFIX}NAME/..."
+)
 _STOPPING: Final = Refusal(
     RefusalReason.SHUTTING_DOWN, Verdict.NOT_RUN, "this host is stopping", STOPPING_RETRY_AFTER_S
 )
@@ -54,6 +59,7 @@
 
     call: Call
     response: Response
+    events: TokenEvents
     texts: list[str] = field(factory=list)
     total_tokens: int = 0
     head_sent: bool = False
@@ -89,20 +95,22 @@
         self._configuration = message.configuration
 
     @handler("request", priority=1.0)
-    def _on_request(self, event: Event, request: Request, answer: Response) -> bool | None:
-        if request.path != CHAT_PATH and not request.path.startswith(SERVICE_PREFIX):
-            return None
+    def _on_request(self, event: Event, request: Request, answer: Response) -> bool:
         event.stop()
+        request_id = request.headers.get(REQUEST_ID_HEADER, "")
+        if request.path != CHAT_PATH and not request.path.startswith(SERVICE_PREFIX):
+            self._send_refusal(answer, _UNKNOWN_PATH, request_id, STATUS_NOT_FOUND)
+            return True
         if self._closed:
             answer.close = True
-            self._send_refusal(answer, _STOPPING, request.headers.get(REQUEST_ID_HEADER, ""))
+            self._send_refusal(answer, _STOPPING, request_id)
             return True
         parsed = parse_call(_raw_of(request), self._configuration, time.monotonic())
         if not isinstance(parsed, Success):
-            self._send_refusal(answer, parsed.failure(), request.headers.get(REQUEST_ID_HEADER, ""))
+            self._send_refusal(answer, parsed.failure(), request_id)
             return True
         call = parsed.unwrap()
-        self._pending[call.call_id] = _Pending(call, answer)
+        self._pending[call.call_id] = _Pending(call, answer, TokenEvents(call))
         self._call_of_sock[request.sock] = call.call_id
         post(self, CallReceived(call))
         return True
@@ -134,7 +142,7 @@
             pending.texts.append(text)
             return
         self._start_stream(pending)
-        self.fire(stream(pending.response, token_event(pending.call, text)))
+        self._send_chunk(pending, pending.events.event(text))
 
     @handler("CallCompleted", channel=BUS)
     def _on_completed(self, message: CallCompleted) -> None:
@@ -143,8 +151,7 @@
             return
         if pending.call.streamed:
             self._start_stream(pending)
-            last = end_event(pending.call, pending.total_tokens)
-            self.fire(stream(pending.response, last))
+            self._send_chunk(pending, end_event(pending.call, pending.total_tokens))
             self.fire(stream(pending.response, None))
             return
         body = message.body
@@ -158,7 +165,7 @@
         if pending is None:
             return
         if pending.head_sent:
-            self.fire(stream(pending.response, refusal_event(message.refusal)))
+            self._send_chunk(pending, refusal_event(message.refusal))
             self.fire(stream(pending.response, None))
             return
         self._send_refusal(pending.response, message.refusal, pending.call.request_id)
@@ -180,7 +187,15 @@
         answer.stream = True
         # An empty tuple, since a list or None would give Content-Length: 0.
         answer.body = ()
-        self.fire(response(answer))
+        answer.prepare()
+        # Written here and not by circuits.web, so that the chunks queue up behind the head.
+        self.fire(write(answer.request.sock, bytes(answer) + bytes(answer.headers)))
+
+    def _send_chunk(self, pending: _Pending, data: bytes) -> None:
+        # circuits.web's own stream event costs three more events for each chunk.
+        answer = pending.response
+        chunk = b"%x\r\n%b\r\n" % (len(data), data) if answer.chunked else data
+        self.fire(write(answer.request.sock, chunk))
 
     def _send_whole(self, pending: _Pending, status: int, body: bytes, content_type: str) -> None:
         answer = pending.response
@@ -193,8 +208,10 @@
         answer.body = body
         self.fire(response(answer))
 
-    def _send_refusal(self, answer: Response, refusal: Refusal, request_id: str) -> None:
-        answer.status = refusal_status(refusal)
+    def _send_refusal(
+        self, answer: Response, refusal: Refusal, request_id: str, status: int | None = None
+    ) -> None:
+        answer.status = status or refusal_status(refusal)
         answer.headers["Content-Type"] = "application/json"
         answer.headers[VERDICT_HEADER] = refusal.verdict.value
         if request_id:
@@ -209,7 +226,7 @@
     headers = request.headers
     return RawRequest(
         method=request.method,
-        path=request.path,
+        path=f"{request.path}?{request.qs}" if request.qs else request.path,
         tenant=headers.get("X-Tenant", ""),
         request_class=headers.get("X-Class", ""),
         deadline_ms=headers.get("X-Deadline-Ms", ""),
--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -17,6 +17,7 @@
 from berylquay.callers.gate import Gate
 from berylquay.callers.limits import RequestLimits
 from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
+from berylquay.decisions.appends import AppendLimits
 from berylquay.decisions.deployment import Configuration, Deployment
 from berylquay.decisions.fates import CallFates
 from berylquay.decisions.fleet import Address
@@ -33,10 +34,12 @@
 from berylquay.net.ticker import Ticker
 from berylquay.peers.links import LinkIdentity, PeerLinks
 from berylquay.peers.pipes import PipeFactory, make_pipe_factory
+from berylquay.platform.configuration import ConfigurationKeeper
+from berylquay.platform.log_client import LogClient
 from berylquay.platform.membership import MembershipPoller
 from berylquay.settings.deployment_file import read_deployment_file
 from berylquay.settings.host_file import read_host_file
-from berylquay.settings.options import CallerLimits, Options
+from berylquay.settings.options import CallerLimits, LogOptions, Options
 
 EXIT_BAD_SETTINGS: Final = 2
 _log = logbook.Logger("daemon")
@@ -87,11 +90,26 @@
         _serve_http(loop, options.health_address, options.caller_limits, HEALTH_CHANNEL)
         HealthPages(metrics).register(loop)
     Lifecycle(options.stop_notice_s).register(loop)
-    post(loop, ConfigurationInForce(Configuration(deployments=deployments)))
+    if options.log is not None:
+        _keep_configuration(loop, outbound, options.log, deployments)
+    else:
+        post(loop, ConfigurationInForce(Configuration(deployments=deployments)))
     _log.info("starting", host=options.host, callers=str(options.callers_address))
     return loop
 
 
+def _keep_configuration(
+    loop: Loop,
+    outbound: OutboundConnections,
+    options: LogOptions,
+    initial: tuple[Deployment, ...],
+) -> None:
+    limits = AppendLimits(appends_per_s=options.appends_per_s)
+    LogClient(outbound, options.address, limits, Random()).register(loop)
+    stream = options.configuration_stream
+    ConfigurationKeeper(stream, options.retention_s, initial, Random()).register(loop)
+
+
 def _serve_http(loop: Loop, address: Address, limits: CallerLimits, channel: str) -> HttpServer:
     server = HttpServer(address, limits, channel).register(loop)
     RequestLimits(server, limits).register(loop)
--- a/berylquay/peers/codec.py
+++ b/berylquay/peers/codec.py
@@ -16,8 +16,6 @@
 # Most bytes of one message, checked before it is decoded.
 MAX_MESSAGE_BYTES: Final = 262144
 _ENVELOPE_ITEMS: Final = 3
-# Most lists and maps within each other that a field may hold.
-_MAX_DEPTH: Final = 8
 
 
 @frozen
@@ -86,18 +84,4 @@
     expected = item.type
     if expected is float:
         return type(value) in {float, int}
-    if expected in {str, int, bool, bytes}:
-        return type(value) is expected
-    return isinstance(value, dict) and _is_plain(value, _MAX_DEPTH)
-
-
-def _is_plain(value: object, depth: int) -> bool:
-    if depth == 0:
-        return False
-    if isinstance(value, dict):
-        return all(
-            isinstance(key, str) and _is_plain(inner, depth - 1) for key, inner in value.items()
-        )
-    if isinstance(value, list):
-        return all(_is_plain(inner, depth - 1) for inner in value)
-    return value is None or type(value) in {str, int, float, bool}
+    return type(value) is expected
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -1,6 +1,6 @@
 """Payloads between entry hosts: each is an attrs class with an entry in the codec's table.
 
-Fields are texts, numbers, flags, bytes, or maps of what JSON can carry.
+Fields are texts, numbers, flags or bytes.
 """
 
 from attrs import frozen
@@ -47,24 +47,17 @@
 
 @frozen
 class ConfigurationRequest:
-    """Asks for a configuration that is newer than the sender's."""
+    """Asks for the configuration's snapshot, if the receiver has read further than the offset."""
 
-    # Revision in force at the sender.
-    revision: int
-    # Offset up to which the sender has read the configuration stream.
     offset: int
 
 
 @frozen
 class ConfigurationOffer:
-    """Gives the newest configuration of the sender to a host that has an older one."""
+    """Carries a snapshot of the configuration, as the log's snapshot records do."""
 
-    # Revision of the configuration.
-    revision: int
-    # Offset of the record that the configuration came with.
-    offset: int
-    # Body of the configuration's snapshot, as a snapshot record of the log has it.
-    snapshot: dict[str, object]
+    # JSON of the snapshot.
+    snapshot: bytes
 
 
 @frozen
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -21,12 +21,24 @@
     hosts: list[Process]
 
 
-def start_fleet(directory: Path, engines: int, services: int, hosts: int) -> Fleet:
+def start_fleet(
+    directory: Path,
+    engines: int,
+    services: int,
+    hosts: int,
+    engine_arguments: tuple[str, ...] = (),
+) -> Fleet:
     """Starts stand-ins and entry hosts for the Jamiat example and returns them running."""
     processes = Processes(directory)
     engine_processes = [
         processes.start_standin(
-            f"engine-{n}", "engine", "--name", f"engine-{n}", "--model", "cellar-lm"
+            f"engine-{n}",
+            "engine",
+            "--name",
+            f"engine-{n}",
+            "--model",
+            "cellar-lm",
+            *engine_arguments,
         )
         for n in range(engines)
     ]
@@ -45,12 +57,19 @@
     file.write_text(json.dumps(members), encoding="utf-8")
     membership = processes.start_standin("membership", "membership", "--file", str(file))
     host_processes = [
-        start_host(processes, name, membership.port, port) for name, port in peer_ports.items()
+        start_host(processes, name, membership.port, peer_port=port)
+        for name, port in peer_ports.items()
     ]
     return Fleet(processes, membership, engine_processes, service_processes, host_processes)
 
 
-def start_host(processes: Processes, name: str, membership_port: int, peer_port: int) -> Process:
+def start_host(
+    processes: Processes,
+    name: str,
+    membership_port: int,
+    callers_settings: str = "",
+    peer_port: int | None = None,
+) -> Process:
     """Starts one entry host."""
     port = free_port()
     settings = processes.directory / f"{name}.ini"
@@ -64,12 +83,13 @@
 
 [callers]
 address = 127.0.0.1:{port}
+{callers_settings}
 
 [platform]
 membership = 127.0.0.1:{membership_port}
 
 [peers]
-address = 127.0.0.1:{peer_port}
+address = 127.0.0.1:{peer_port or free_port()}
 """,
         encoding="utf-8",
     )
--- a/typings/circuits/core/events.pyi
+++ b/typings/circuits/core/events.pyi
@@ -1,5 +1,3 @@
-from threading import RLock
-
 class Event:
     name: str
     channels: tuple[str, ...]
@@ -11,7 +9,7 @@
 
 class generate_events(Event):
     time_left: float
-    def __init__(self, lock: RLock, max_wait: float) -> None: ...
+    def __init__(self, lock: object, max_wait: float) -> None: ...
     def reduce_time_left(self, time_left: float) -> None: ...
 
 class signal(Event): ...
