--- a/berylquay/backends/attempts.py
+++ b/berylquay/backends/attempts.py
@@ -9,7 +9,10 @@
     AttemptCompleted,
     AttemptFailed,
     AttemptRequested,
+    AttemptTokens,
     MembershipRead,
+    TokensArrived,
+    TokensCollected,
 )
 from berylquay.net.bus import BUS, post
 from berylquay.net.outbound import OutboundConnections
@@ -27,12 +30,15 @@
     _addresses: dict[str, Address]
     # Running exchange by attempt id.
     _exchanges: dict[str, AttemptExchange]
+    # Tokens that were read since the last hand-over.
+    _collected: list[AttemptTokens]
 
     def __init__(self, outbound: OutboundConnections) -> None:
         super().__init__()
         self._outbound = outbound
         self._addresses = {}
         self._exchanges = {}
+        self._collected = []
 
     @handler("MembershipRead")
     def _on_membership(self, message: MembershipRead) -> None:
@@ -56,7 +62,26 @@
         if exchange is not None:
             exchange.cancel()
 
+    @handler("TokensCollected")
+    def _on_collected(self, _message: TokensCollected) -> None:
+        self._hand_over_tokens()
+
     def _report(self, message: AttemptReport) -> None:
+        if isinstance(message, AttemptTokens):
+            self._collect(message)
+            return
+        # What ends an attempt must not overtake its tokens.
+        self._hand_over_tokens()
         if isinstance(message, AttemptCompleted | AttemptFailed):
             self._exchanges.pop(message.attempt_id, None)
         post(self, message)
+
+    def _collect(self, message: AttemptTokens) -> None:
+        if not self._collected:
+            post(self, TokensCollected())
+        self._collected.append(message)
+
+    def _hand_over_tokens(self) -> None:
+        if self._collected:
+            post(self, TokensArrived(tuple(self._collected)))
+            self._collected.clear()
--- a/berylquay/backends/dispatch.py
+++ b/berylquay/backends/dispatch.py
@@ -11,7 +11,6 @@
     AttemptCompleted,
     AttemptFailed,
     AttemptSent,
-    AttemptTokens,
     BackendDrainChanged,
     CallerGone,
     CallGranted,
@@ -22,6 +21,9 @@
     PeerReceived,
     ProbeEnded,
     Tick,
+    TokensArrived,
+    TokensForCaller,
+    TokensForCallers,
 )
 from berylquay.net.bus import BUS, post
 
@@ -62,9 +64,18 @@
     def _on_answered(self, message: AttemptAnswered) -> None:
         self._post_all(self._fates.on_answered(message, time.monotonic()))
 
-    @handler("AttemptTokens")
-    def _on_tokens(self, message: AttemptTokens) -> None:
-        self._post_all(self._fates.on_tokens(message, time.monotonic()))
+    @handler("TokensArrived")
+    def _on_tokens(self, message: TokensArrived) -> None:
+        now_s = time.monotonic()
+        ready: list[TokensForCaller] = []
+        for tokens in message.batch:
+            for command in self._fates.on_tokens(tokens, now_s):
+                if isinstance(command, TokensForCaller):
+                    ready.append(command)
+                    continue
+                self._post_tokens(ready)
+                post(self, command)
+        self._post_tokens(ready)
 
     @handler("AttemptCompleted")
     def _on_completed(self, message: AttemptCompleted) -> None:
@@ -105,3 +116,8 @@
     def _post_all(self, commands: Sequence[Command]) -> None:
         for command in commands:
             post(self, command)
+
+    def _post_tokens(self, ready: list[TokensForCaller]) -> None:
+        if ready:
+            post(self, TokensForCallers(tuple(ready)))
+            ready.clear()
--- a/berylquay/callers/gate.py
+++ b/berylquay/callers/gate.py
@@ -36,6 +36,7 @@
     ConfigurationInForce,
     Tick,
     TokensForCaller,
+    TokensForCallers,
 )
 from berylquay.net.bus import BUS, post
 from berylquay.verdicts import Refusal, RefusalReason, Verdict
@@ -131,13 +132,17 @@
             del self._pending[call_id]
             post(self, CallerGone(call_id))
 
-    @handler("TokensForCaller", channel=BUS)
-    def _on_tokens(self, message: TokensForCaller) -> None:
-        pending = self._pending.get(message.call_id)
+    @handler("TokensForCallers", channel=BUS)
+    def _on_tokens(self, message: TokensForCallers) -> None:
+        for tokens in message.batch:
+            self._pass_on(tokens)
+
+    def _pass_on(self, tokens: TokensForCaller) -> None:
+        pending = self._pending.get(tokens.call_id)
         if pending is None:
             return
-        pending.total_tokens += len(message.texts)
-        text = "".join(message.texts)
+        pending.total_tokens += len(tokens.texts)
+        text = "".join(tokens.texts)
         if not pending.call.streamed:
             pending.texts.append(text)
             return
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -39,7 +39,7 @@
 
 @frozen
 class TokensForCaller:
-    """dispatch -> callers: the next tokens of an answer, without gap or repetition."""
+    """The next tokens of an answer, without gap or repetition."""
 
     call_id: str
     # Index of the first of the tokens.
@@ -47,6 +47,13 @@
     texts: tuple[str, ...]
 
 
+@frozen
+class TokensForCallers:
+    """dispatch -> callers: the next tokens of several answers."""
+
+    batch: tuple[TokensForCaller, ...]
+
+
 @frozen
 class CallCompleted:
     """dispatch -> callers: the answer is whole."""
@@ -101,13 +108,25 @@
 
 @frozen
 class AttemptTokens:
-    """backends -> dispatch: tokens came back."""
+    """Tokens that came back for one attempt."""
 
     attempt_id: str
     first_index: int
     texts: tuple[str, ...]
 
 
+@frozen
+class TokensCollected:
+    """backends -> backends: tokens wait to be handed over behind all that was read with them."""
+
+
+@frozen
+class TokensArrived:
+    """backends -> dispatch: tokens came back for several attempts."""
+
+    batch: tuple[AttemptTokens, ...]
+
+
 @frozen
 class AttemptCompleted:
     """backends -> dispatch: the attempt delivered everything."""
--- a/berylquay/metrics.py
+++ b/berylquay/metrics.py
@@ -17,6 +17,7 @@
     CallRefused,
     ConfigurationInForce,
     TokensForCaller,
+    TokensForCallers,
 )
 from berylquay.net.bus import BUS
 from berylquay.verdicts import Verdict
@@ -92,12 +93,16 @@
             timing.queued = False
             self._queue_time.add(timing.labels, time.monotonic() - timing.call.received_s)
 
-    @handler("TokensForCaller")
-    def _on_tokens(self, message: TokensForCaller) -> None:
-        timing = self._open.get(message.call_id)
+    @handler("TokensForCallers")
+    def _on_tokens(self, message: TokensForCallers) -> None:
+        now_s = time.monotonic()
+        for tokens in message.batch:
+            self._time_tokens(tokens, now_s)
+
+    def _time_tokens(self, tokens: TokensForCaller, now_s: float) -> None:
+        timing = self._open.get(tokens.call_id)
         if timing is None:
             return
-        now_s = time.monotonic()
         if timing.last_token_s is None:
             self._first_token.add(timing.labels, now_s - timing.call.received_s)
         else:
