--- a/berylquay/callers/gate.py
+++ b/berylquay/callers/gate.py
@@ -6,7 +6,6 @@
 
 from attrs import define, field
 from circuits import BaseComponent, Event, handler
-from circuits.net.events import write
 from circuits.web.events import response, stream
 from circuits.web.wrappers import Request, Response
 from returns.result import Success
@@ -194,13 +193,13 @@
         answer.body = ()
         answer.prepare()
         # Written here and not by circuits.web, so that the chunks queue up behind the head.
-        self.fire(write(answer.request.sock, bytes(answer) + bytes(answer.headers)))
+        self._server.send(answer.request.sock, bytes(answer) + bytes(answer.headers))
 
     def _send_chunk(self, pending: _Pending, data: bytes) -> None:
         # circuits.web's own stream event costs three more events for each chunk.
         answer = pending.response
         chunk = b"%x\r\n%b\r\n" % (len(data), data) if answer.chunked else data
-        self.fire(write(answer.request.sock, chunk))
+        self._server.send(answer.request.sock, chunk)
 
     def _send_whole(self, pending: _Pending, status: int, body: bytes, content_type: str) -> None:
         answer = pending.response
--- a/berylquay/callers/server.py
+++ b/berylquay/callers/server.py
@@ -70,6 +70,10 @@
         self.server = BoundedTCPServer(bind, channel, limits).register(self)
         self.http = HTTP(self, channel=channel).register(self)
 
+    def send(self, sock: socket, data: bytes) -> None:
+        """Sends the data to a caller, or buffers it."""
+        self.server.write(sock, data)
+
     def is_answering(self, sock: socket) -> bool:
         """Tells whether a request of the connection came whole and its answer has not ended."""
         return sock in self.http._clients and sock not in self.http._buffers
