--- a/berylquay/metrics.py
+++ b/berylquay/metrics.py
@@ -1,10 +1,9 @@
 """Metrics: histograms for each tenant and class, and counters of verdicts, for Prometheus."""
 
 import time
-from typing import Final, cast
+from typing import Final
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
-from aioprometheus.histogram import Histogram as Observations
 from aioprometheus.renderer import render
 from attrs import define
 from circuits import BaseComponent, handler
@@ -35,8 +34,6 @@
     labels: dict[str, str]
     queued: bool = True
     last_token_s: float | None = None
-    # Gaps of the tenant and class, kept here since the look-up by labels costs more than the count.
-    gaps: Observations | None = None
 
 
 class Metrics(BaseComponent):
@@ -109,16 +106,9 @@
         if timing.last_token_s is None:
             self._first_token.add(timing.labels, now_s - timing.call.received_s)
         else:
-            self._time_gap(timing, now_s - timing.last_token_s)
+            self._token_gap.add(timing.labels, now_s - timing.last_token_s)
         timing.last_token_s = now_s
 
-    def _time_gap(self, timing: _Timing, gap_s: float) -> None:
-        if timing.gaps is None:
-            self._token_gap.add(timing.labels, gap_s)
-            timing.gaps = cast(Observations, self._token_gap.get_value(timing.labels))
-        else:
-            timing.gaps.observe(gap_s)
-
     @handler("CallCompleted")
     def _on_completed(self, message: CallCompleted) -> None:
         self._end(message.call_id, Verdict.COMPLETED.value, "")
