--- a/tests/support/configuration_model.py
+++ b/tests/support/configuration_model.py
@@ -1,6 +1,6 @@
 """A log that expires and hosts that follow it, driven step by step by a property test."""
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from berylquay.decisions.changes import decide_at_once
 from berylquay.decisions.configuration import ConfigurationFold, Page, Progress
@@ -103,22 +103,45 @@
     hosts: list[ModelHost]
     log: ModelLog
     change_count: int = 0
+    # Copies of appends that may still land.
+    strays: list[Change] = field(factory=list)
     # Answers given to operators by change.
     answers: dict[str, ChangeOutcome] = field(factory=dict)
 
     def ask(self, host: ModelHost, name: str, stale: int, copies: int) -> None:
-        """An operator changes a deployment; the append takes effect 0, 1 or more times."""
+        """An operator changes a deployment; the append takes effect 0, 1 or more times.
+
+        Deployments d0 and d2 claim the same class, as do d1 and d3, so that some are invalid.
+        """
+        class_name = f"class-{int(name[1:]) % 2}"
+        deployment = Deployment(name, classes=(ClassSpec(class_name, WorkKind.GENERATION, "p"),))
+        change = self._new_change(host, ChangeKind.APPLY, name, stale)
+        self._send(host, evolve(change, deployment=deployment), copies)
+
+    def remove(self, host: ModelHost, name: str) -> None:
+        """An operator removes a deployment."""
+        self._send(host, self._new_change(host, ChangeKind.REMOVE, name, stale=0), copies=1)
+
+    def land_stray(self) -> None:
+        """A copy of an append that was under way for long reaches the log."""
+        if self.strays:
+            change = self.strays.pop(0)
+            self.log.append(change.change_id, change.kind.value, change_fields(change))
+
+    def _new_change(self, host: ModelHost, kind: ChangeKind, name: str, stale: int) -> Change:
         self.change_count += 1
-        change_id = f"change-{self.change_count}"
         base = max(0, (host.fold.state.revision if host.fold.state else 0) - stale)
-        deployment = Deployment(name, classes=(ClassSpec(f"c-{name}", WorkKind.GENERATION, "p"),))
-        change = Change(change_id, ChangeKind.APPLY, name, base, "operator", deployment)
+        return Change(f"change-{self.change_count}", kind, name, base, "operator")
+
+    def _send(self, host: ModelHost, change: Change, copies: int) -> None:
         at_once = decide_at_once(host.fold.state, host.fold.up_to_date, change)
         if at_once is not None:
-            self.answers[change_id] = at_once
+            self.answers[change.change_id] = at_once
             return
         for _ in range(copies):
-            self.log.append(change_id, change.kind.value, change_fields(change))
+            self.log.append(change.change_id, change.kind.value, change_fields(change))
+        if copies > 1:
+            self.strays.append(change)
 
     def snapshot(self, host: ModelHost) -> None:
         """A host that is up to date, or was lately, appends a snapshot."""
--- a/tests/test_configuration_core.py
+++ b/tests/test_configuration_core.py
@@ -20,7 +20,10 @@
 
 CASES = int(os.environ.get("BERYLQUAY_CASES", "150"))
 HOSTS = 4
-KINDS = ("ask", "ask", "ask", "read", "read", "snapshot", "offer", "restart", "expire", "catch-up")
+KINDS = (
+    *("ask", "ask", "ask", "remove", "stray", "read", "read", "catch-up", "catch-up"),
+    *("snapshot", "offer", "restart", "expire"),
+)
 
 host_numbers = st.integers(0, HOSTS - 1)
 events = st.tuples(st.sampled_from(KINDS), host_numbers, host_numbers, st.integers(0, 3))
@@ -37,6 +40,10 @@
     if kind == "ask":
         # 0 copies: the append was dropped; 2 or 3: its answer was lost and it was retried.
         model.ask(host, f"d{second}", stale=number // 2 * 3, copies=number)
+    elif kind == "remove":
+        model.remove(host, f"d{second}")
+    elif kind == "stray":
+        model.land_stray()
     elif kind == "read":
         host.read()
     elif kind == "catch-up":
@@ -56,7 +63,7 @@
 
 
 @settings(max_examples=CASES, derandomize=True, deadline=None)
-@given(st.lists(events, min_size=5, max_size=60))
+@given(st.lists(events, min_size=40, max_size=100))
 def test_every_host_has_what_the_log_adds_up_to_and_never_goes_back(
     history: list[tuple[str, int, int, int]],
 ) -> None:
@@ -104,7 +111,7 @@
     host = model.hosts[0]
     host.read_to_end()
     for n in range(earlier):
-        model.ask(host, f"d{n % 3}", stale=0, copies=1)
+        model.ask(host, f"d{n % 2}", stale=0, copies=1)
         host.read_to_end()
     state = host.fold.state
     assert state is not None
@@ -138,7 +145,7 @@
     writer = model.hosts[0]
     writer.read_to_end()
     for n in range(changes):
-        model.ask(writer, f"d{n % 4}", stale=0, copies=1)
+        model.ask(writer, f"d{n % 2}", stale=0, copies=1)
         writer.read_to_end()
     state = writer.fold.state
     assert state is not None
@@ -161,3 +168,18 @@
     next_host.read_to_end()
     assert next_host.fold.gap
     assert next_host.fold.state is None
+
+
+def test_late_copy_of_a_refused_change_has_no_effect() -> None:
+    model = new_model()
+    host = model.hosts[0]
+    host.read_to_end()
+    model.ask(host, "d0", stale=0, copies=1)
+    # Lands after d0, whose class it claims too, and twice because its answer was lost.
+    model.ask(host, "d2", stale=0, copies=2)
+    host.read_to_end()
+    model.remove(host, "d0")
+    model.land_stray()
+    host.read_to_end()
+    assert host.fold.state is not None
+    assert not host.fold.state.deployments
