--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -14,14 +14,16 @@
 
 from berylquay.backends.attempts import BackendAttempts
 from berylquay.backends.dispatch import Dispatch
+from berylquay.backends.probes import BackendProbes
 from berylquay.callers.gate import Gate
 from berylquay.callers.limits import RequestLimits
 from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
 from berylquay.decisions.appends import AppendLimits
 from berylquay.decisions.deployment import Configuration, Deployment
-from berylquay.decisions.fates import CallFates
+from berylquay.decisions.fates import CallFates, FatesOptions
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.routing import LeastInFlight
+from berylquay.decisions.serving import HostPlace
 from berylquay.errors import SettingsError
 from berylquay.health import HEALTH_CHANNEL, HealthPages
 from berylquay.lifecycle import Lifecycle
@@ -72,7 +74,12 @@
     outbound = OutboundConnections(loop).register(loop)
     MembershipPoller(outbound, options.membership_address).register(loop)
     BackendAttempts(outbound).register(loop)
-    fates = CallFates(LeastInFlight(), incarnation=f"{options.host}-{uuid.uuid4().hex[:8]}")
+    BackendProbes(outbound).register(loop)
+    fates = CallFates(
+        LeastInFlight(),
+        incarnation=f"{options.host}-{uuid.uuid4().hex[:8]}",
+        options=FatesOptions(place=HostPlace(options.host, options.data_centre)),
+    )
     Dispatch(fates).register(loop)
     callers = _serve_http(loop, options.callers_address, options.caller_limits, CALLERS_CHANNEL)
     Gate(callers).register(loop)
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -47,6 +47,29 @@
     snapshot: bytes
 
 
+@frozen
+class CrashReport:
+    """Names the contents that were in flight on a backend server when it was lost."""
+
+    # Name of the backend server.
+    backend: str
+    # Content fingerprints, sorted.
+    fingerprints: tuple[str, ...]
+
+
+@frozen
+class CrashCleared:
+    """Says that a suspected content was answered whole and crashes no server."""
+
+    fingerprint: str
+
+
 PeerPayload = (
-    Heartbeat | DrainNotice | DrainAcknowledgement | ConfigurationRequest | ConfigurationOffer
+    Heartbeat
+    | DrainNotice
+    | DrainAcknowledgement
+    | ConfigurationRequest
+    | ConfigurationOffer
+    | CrashReport
+    | CrashCleared
 )
