Serve the operators' calls by gRPC, and operate them with a command-line tool

Cause: operators had no way to change or see anything while hosts run. One published schema; servicers run in threads, put questions into a queue, wake the poller and wait; the loop alone reads and changes state. A change is answered as accepted only after it was read back. The tool tells refused, conflict, unreachable and unknown outcome apart by exit code; a change sent again under its id takes effect once. The first read of a stream is no longer held back: a host was ready 1.0 s after it began to read, now as soon as the log answers.

--- /dev/null
+++ b/berylquay/command/__init__.py
@@ -0,0 +1,3 @@
+"""`berylquay`: the operators' command-line tool, a client of the operators' RPCs."""
+
+from berylquay.command.main import main as main
--- /dev/null
+++ b/berylquay/command/client.py
@@ -0,0 +1,71 @@
+"""Connections of the tool to the hosts' gRPC servers."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Final
+
+import grpc
+from attrs import frozen
+
+from berylquay.operators.generated.berylquay_pb2_grpc import OperatorsStub
+
+# Time within which a host must accept the connection.
+CONNECT_TIMEOUT_S: Final = 3.0
+MAX_MESSAGE_BYTES: Final = 16 * 1024 * 1024
+
+
+class UnreachableError(Exception):
+    """No host could be reached, so nothing was sent."""
+
+
+class UnknownOutcomeError(Exception):
+    """A change was sent and its answer did not come."""
+
+
+class RefusedError(Exception):
+    """The host refused the call."""
+
+
+@frozen
+class Server:
+    """One connected host."""
+
+    address: str
+    stub: OperatorsStub
+
+
+def split_servers(text: str) -> list[str]:
+    """Returns the addresses in the --server option."""
+    return [part.strip() for part in text.split(",") if part.strip()]
+
+
+@contextmanager
+def connect(address: str) -> Iterator[Server]:
+    """Connects to one host; raises `UnreachableError` if it does not accept."""
+    options = [("grpc.max_receive_message_length", MAX_MESSAGE_BYTES)]
+    channel = grpc.insecure_channel(address, options)
+    try:
+        try:
+            grpc.channel_ready_future(channel).result(CONNECT_TIMEOUT_S)
+        except grpc.FutureTimeoutError:
+            raise UnreachableError(f"{address} does not answer") from None
+        yield Server(address, OperatorsStub(channel))
+    finally:
+        channel.close()
+
+
+@contextmanager
+def connect_to_any(addresses: list[str]) -> Iterator[Server]:
+    """Connects to the first host that accepts."""
+    for address in addresses:
+        try:
+            connection = connect(address)
+            server = connection.__enter__()
+        except UnreachableError:
+            continue
+        try:
+            yield server
+        finally:
+            connection.__exit__(None, None, None)
+        return
+    raise UnreachableError(f"no host answers: {', '.join(addresses)}")
--- /dev/null
+++ b/berylquay/command/main.py
@@ -0,0 +1,79 @@
+"""Entry point of the tool: parses the command line, runs the command, ends with its code."""
+
+import argparse
+import sys
+
+from returns.result import Failure
+
+from berylquay.command.arguments import SERVER_VARIABLE, build_parser
+from berylquay.command.changes import apply_deployment, remove_deployment, set_draining
+from berylquay.command.client import RefusedError, UnknownOutcomeError, UnreachableError
+from berylquay.command.exits import ExitCode
+from berylquay.command.queries import (
+    list_backends,
+    list_hosts,
+    show_configuration,
+    show_differences,
+    show_revisions,
+    watch_configuration,
+)
+from berylquay.decisions.deployment import Deployment
+from berylquay.settings.deployment_file import read_deployment_file
+
+
+class BadUsageError(Exception):
+    """The command line or a file that it names is wrong."""
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs one command and returns its exit code."""
+    parsed = build_parser().parse_args(arguments)
+    try:
+        if not parsed.server:
+            raise BadUsageError(f"name a host with --server or the variable {SERVER_VARIABLE}")
+        return _run(parsed)
+    except BadUsageError as error:
+        return _fail(error, ExitCode.BAD_USAGE)
+    except RefusedError as error:
+        return _fail(error, ExitCode.REFUSED)
+    except UnreachableError as error:
+        return _fail(error, ExitCode.UNREACHABLE)
+    except UnknownOutcomeError as error:
+        return _fail(error, ExitCode.UNKNOWN_OUTCOME)
+    except KeyboardInterrupt:
+        return ExitCode.OK
+
+
+def _run(arguments: argparse.Namespace) -> ExitCode:
+    match arguments.command:
+        case "apply":
+            return apply_deployment(arguments, _read_deployment(arguments.file))
+        case "remove":
+            return remove_deployment(arguments)
+        case "drain" | "undrain":
+            return set_draining(arguments, arguments.command == "drain")
+        case "diff":
+            return show_differences(arguments, _read_deployment(arguments.file))
+        case _:
+            return _QUERIES[arguments.command](arguments)
+
+
+_QUERIES = {
+    "get": show_configuration,
+    "watch": watch_configuration,
+    "hosts": list_hosts,
+    "backends": list_backends,
+    "revisions": show_revisions,
+}
+
+
+def _read_deployment(path: str) -> Deployment:
+    read = read_deployment_file(path)
+    if isinstance(read, Failure):
+        raise BadUsageError("\n".join(str(error) for error in read.failure()))
+    return read.unwrap()
+
+
+def _fail(error: Exception, code: ExitCode) -> ExitCode:
+    print(f"berylquay: {error}", file=sys.stderr)  # noqa: T201
+    return code
--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -33,6 +33,8 @@
 from berylquay.net.bus import post
 from berylquay.net.outbound import OutboundConnections
 from berylquay.net.ticker import Ticker
+from berylquay.operators.bridge import OperatorsBridge
+from berylquay.operators.server import OperatorsServer
 from berylquay.platform.configuration import ConfigurationKeeper
 from berylquay.platform.log_client import LogClient
 from berylquay.platform.membership import MembershipPoller
@@ -87,6 +89,9 @@
     if options.health_address is not None:
         _serve_http(loop, options.health_address, options.caller_limits, HEALTH_CHANNEL)
         HealthPages(metrics).register(loop)
+    if options.operators_address is not None:
+        bridge = OperatorsBridge(loop, options.host, options.data_centre).register(loop)
+        OperatorsServer(options.operators_address, bridge).register(loop)
     Lifecycle(options.stop_notice_s).register(loop)
     if options.log is not None:
         _keep_configuration(loop, outbound, options.log, deployments)
--- a/berylquay/decisions/following.py
+++ b/berylquay/decisions/following.py
@@ -48,6 +48,8 @@
     due_s: float
     asked: ReadAttempt | None = None
     failures: int = 0
+    # Whether the last read was answered.
+    answered: bool = False
 
 
 class StreamReads:
@@ -77,7 +79,7 @@
         for stream, cursor in self._cursors.items():
             if cursor.asked is None and cursor.due_s <= now_s:
                 # The first read tells at once whether the log answers and what there is.
-                wait_s = 0.0 if cursor.failures else READ_WAIT_S
+                wait_s = READ_WAIT_S if cursor.answered else 0.0
                 cursor.asked = ReadAttempt(stream, cursor.next_offset, wait_s, now_s)
                 started.append(cursor.asked)
         return started
@@ -86,6 +88,7 @@
         """Moves on past a page; returns False if the page is out of date and must be dropped."""
         cursor = self._cursors[attempt.stream]
         cursor.asked = None
+        cursor.answered = True
         cursor.failures = 0
         if attempt.from_offset != cursor.next_offset:
             cursor.due_s = now_s
@@ -103,6 +106,7 @@
         """Notes that a read failed."""
         cursor = self._cursors[attempt.stream]
         cursor.asked = None
+        cursor.answered = False
         cursor.failures += 1
         cursor.due_s = now_s + READ_BACKOFF.delay_s(cursor.failures, self._rng)
 
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -178,6 +178,17 @@
     reachable: bool
 
 
+@frozen
+class AuthorityObserved:
+    """authority -> operators: who may give orders to a data centre's engines, as last read."""
+
+    data_centre: str
+    # Name of the host, or empty if no host holds the authority.
+    holder: str
+    # Fencing number of the holder.
+    term: int
+
+
 @frozen
 class LoadReported:
     """backends -> dispatch: an engine reported its load."""
--- /dev/null
+++ b/berylquay/operators/conversions.py
@@ -0,0 +1,135 @@
+"""Conversions between the operators' schema and the data that the decisions read."""
+
+from typing import Final
+
+from berylquay.decisions.configuration_state import ChangeOutcome, ChangeStatus, LastChange
+from berylquay.decisions.deployment import (
+    ClassSpec,
+    Deployment,
+    ModelSpec,
+    PoolSpec,
+    TenantSpec,
+    WorkKind,
+)
+from berylquay.decisions.fleet import Role
+from berylquay.operators.generated import berylquay_pb2 as pb
+
+_KINDS: Final = {
+    WorkKind.GENERATION: pb.WORK_KIND_GENERATION,
+    WorkKind.SERVICE_CALL: pb.WORK_KIND_SERVICE_CALL,
+}
+_ROLES: Final = {
+    Role.PREFILL: pb.ROLE_PREFILL,
+    Role.DECODE: pb.ROLE_DECODE,
+    Role.MIXED: pb.ROLE_MIXED,
+}
+_STATUSES: Final = {
+    ChangeStatus.ACCEPTED: pb.CHANGE_STATUS_ACCEPTED,
+    ChangeStatus.CONFLICT: pb.CHANGE_STATUS_CONFLICT,
+    ChangeStatus.INVALID: pb.CHANGE_STATUS_INVALID,
+    ChangeStatus.REFUSED: pb.CHANGE_STATUS_REFUSED,
+    ChangeStatus.UNKNOWN: pb.CHANGE_STATUS_UNKNOWN,
+}
+_KIND_OF: Final = {number: kind for kind, number in _KINDS.items()}
+_ROLE_OF: Final = {number: role for role, number in _ROLES.items()}
+_STATUS_OF: Final[dict[int, ChangeStatus]] = {
+    number: status for status, number in _STATUSES.items()
+}
+
+
+def deployment_to_schema(deployment: Deployment) -> pb.Deployment:
+    """Returns the deployment as the schema has it."""
+    return pb.Deployment(
+        name=deployment.name,
+        models=[
+            pb.Model(name=item.name, version=item.version, adapters=item.adapters)
+            for item in deployment.models
+        ],
+        pools=[_pool_to_schema(item) for item in deployment.pools],
+        classes=[_class_to_schema(item) for item in deployment.classes],
+        tenants=[pb.Tenant(name=item.name, share=item.share) for item in deployment.tenants],
+        role_change_weight=deployment.role_change_weight,
+        role_changes_per_hour=deployment.role_changes_per_hour,
+    )
+
+
+def deployment_from_schema(message: pb.Deployment) -> Deployment:
+    """Returns the deployment; raises ValueError if an enum's value is missing or unknown."""
+    return Deployment(
+        name=message.name,
+        models=tuple(
+            ModelSpec(item.name, item.version, tuple(item.adapters)) for item in message.models
+        ),
+        pools=tuple(_pool_from_schema(item) for item in message.pools),
+        classes=tuple(_class_from_schema(item) for item in message.classes),
+        tenants=tuple(TenantSpec(item.name, item.share) for item in message.tenants),
+        role_change_weight=message.role_change_weight,
+        role_changes_per_hour=message.role_changes_per_hour,
+    )
+
+
+def outcome_to_schema(outcome: ChangeOutcome) -> pb.ChangeReply:
+    """Returns the answer to a change."""
+    return pb.ChangeReply(
+        change_id=outcome.change_id,
+        status=_STATUSES[outcome.status],
+        revision=outcome.revision,
+        winner=last_change_to_schema(outcome.winner) if outcome.winner else None,
+        detail=outcome.detail,
+    )
+
+
+def status_from_schema(number: int) -> ChangeStatus:
+    """Returns what became of a change; a status that this version does not know is unknown."""
+    return _STATUS_OF.get(number, ChangeStatus.UNKNOWN)
+
+
+def last_change_to_schema(last: LastChange) -> pb.LastChange:
+    """Returns the change that something was last changed by."""
+    return pb.LastChange(revision=last.revision, change_id=last.change_id, author=last.author)
+
+
+def _pool_to_schema(pool: PoolSpec) -> pb.Pool:
+    return pb.Pool(
+        name=pool.name,
+        models=pool.models,
+        min_per_role=pool.min_per_role,
+        roles=[_ROLES[role] for role in pool.roles],
+    )
+
+
+def _pool_from_schema(message: pb.Pool) -> PoolSpec:
+    roles = [_ROLE_OF.get(number) for number in message.roles]
+    known = tuple(role for role in roles if role is not None)
+    if len(known) != len(roles):
+        raise ValueError(f"pool {message.name} has an unknown role")
+    return PoolSpec(message.name, tuple(message.models), message.min_per_role, known)
+
+
+def _class_to_schema(spec: ClassSpec) -> pb.RequestClass:
+    return pb.RequestClass(
+        name=spec.name,
+        kind=_KINDS[spec.kind],
+        pool=spec.pool,
+        priority=spec.priority,
+        deadline_s=spec.deadline_s,
+        repeatable=spec.repeatable,
+        max_output_tokens=spec.max_output_tokens,
+        expected_output_tokens=spec.expected_output_tokens,
+    )
+
+
+def _class_from_schema(message: pb.RequestClass) -> ClassSpec:
+    kind = _KIND_OF.get(message.kind)
+    if kind is None:
+        raise ValueError(f"class {message.name} has no kind")
+    return ClassSpec(
+        name=message.name,
+        kind=kind,
+        pool=message.pool,
+        priority=message.priority,
+        deadline_s=message.deadline_s,
+        repeatable=message.repeatable,
+        max_output_tokens=message.max_output_tokens,
+        expected_output_tokens=message.expected_output_tokens,
+    )
--- /dev/null
+++ b/berylquay/operators/server.py
@@ -0,0 +1,49 @@
+"""The operators' gRPC server: starts and stops with the circuits loop."""
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import Final
+
+import grpc
+import logbook
+from circuits import BaseComponent, handler
+
+from berylquay.decisions.fleet import Address
+from berylquay.net.bus import BUS
+from berylquay.operators.bridge import OperatorsBridge
+from berylquay.operators.generated.berylquay_pb2_grpc import add_OperatorsServicer_to_server
+from berylquay.operators.servicer import Servicer
+
+THREADS: Final = 16
+MAX_CALLS: Final = 32
+MAX_MESSAGE_BYTES: Final = 16 * 1024 * 1024
+# Time that the calls under way have when the process ends.
+STOP_GRACE_S: Final = 0.5
+_log = logbook.Logger("operators")
+
+
+class OperatorsServer(BaseComponent):
+    """Owns the gRPC server and its threads."""
+
+    channel = BUS
+
+    # The server.
+    _server: grpc.Server
+
+    def __init__(self, address: Address, bridge: OperatorsBridge) -> None:
+        super().__init__()
+        self._server = grpc.server(
+            ThreadPoolExecutor(max_workers=THREADS, thread_name_prefix="operators"),
+            maximum_concurrent_rpcs=MAX_CALLS,
+            options=[
+                ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+                ("grpc.so_reuseport", 0),
+            ],
+        )
+        add_OperatorsServicer_to_server(Servicer(bridge), self._server)
+        self._server.add_insecure_port(str(address))
+        self._server.start()
+        _log.info("operators' calls served", address=str(address))
+
+    @handler("stopped", channel="*")
+    def _on_stopped(self, *_: object) -> None:
+        self._server.stop(STOP_GRACE_S)
--- /dev/null
+++ b/berylquay/operators/servicer.py
@@ -0,0 +1,256 @@
+"""The operators' calls: each runs in a thread, asks the loop over the bridge and answers."""
+
+import time
+import uuid
+from collections.abc import Iterator
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from threading import BoundedSemaphore
+from typing import Final, NoReturn, TypeVar
+
+import grpc
+
+from berylquay.decisions.changes import OUTCOME_TIMEOUT_S
+from berylquay.decisions.configuration_state import Change, ChangeKind, ChangeOutcome, ChangeStatus
+from berylquay.decisions.deployment import Deployment
+from berylquay.decisions.deployment_checks import deployment_faults
+from berylquay.decisions.deployment_diff import diff_deployments
+from berylquay.decisions.fleet import BackendServer, EntryHost
+from berylquay.operators.bridge import OperatorsBridge
+from berylquay.operators.conversions import (
+    deployment_from_schema,
+    deployment_to_schema,
+    last_change_to_schema,
+    outcome_to_schema,
+)
+from berylquay.operators.generated import berylquay_pb2 as pb
+from berylquay.operators.generated.berylquay_pb2_grpc import OperatorsServicer
+from berylquay.operators.view import OperatorsView
+
+T = TypeVar("T")
+# Time within which the loop answers what it knows already.
+LOOP_TIMEOUT_S: Final = 5.0
+# Interval at which a watching thread checks that its caller is still there.
+WATCH_INTERVAL_S: Final = 1.0
+# Watching calls at once; each holds a thread.
+MAX_WATCHERS: Final = 8
+# Time after which a peer's revision counts as old.
+HEARD_LATELY_S: Final = 10.0
+
+
+class Servicer(OperatorsServicer):
+    """Serves the operators' calls of one host."""
+
+    # The way to the loop.
+    _bridge: OperatorsBridge
+    # Leaves threads for the other calls.
+    _watchers: BoundedSemaphore
+
+    def __init__(self, bridge: OperatorsBridge) -> None:
+        self._bridge = bridge
+        self._watchers = BoundedSemaphore(MAX_WATCHERS)
+
+    def ApplyDeployment(  # noqa: N802 (gRPC gives the name)
+        self, request: pb.ApplyDeploymentRequest, context: grpc.ServicerContext
+    ) -> pb.ChangeReply:
+        """Puts a deployment in place of the one of the same name, or adds it."""
+        deployment = _deployment_of(request.deployment, context)
+        return self._change(request.header, ChangeKind.APPLY, deployment.name, deployment)
+
+    def RemoveDeployment(  # noqa: N802
+        self, request: pb.RemoveDeploymentRequest, context: grpc.ServicerContext
+    ) -> pb.ChangeReply:
+        """Removes a deployment."""
+        return self._change(request.header, ChangeKind.REMOVE, request.name)
+
+    def SetDraining(  # noqa: N802
+        self, request: pb.SetDrainingRequest, context: grpc.ServicerContext
+    ) -> pb.ChangeReply:
+        """Drains a host or backend server, or ceases to."""
+        if not self._knows(request.name, context):
+            _abort(context, f"there is no host or backend server {request.name!r}")
+        kind = ChangeKind.DRAIN if request.draining else ChangeKind.UNDRAIN
+        return self._change(request.header, kind, request.name)
+
+    def GetConfiguration(  # noqa: N802
+        self, request: pb.GetConfigurationRequest, context: grpc.ServicerContext
+    ) -> pb.Configuration:
+        """Returns the configuration in force."""
+        return _configuration_of(self._view(context))
+
+    def DiffDeployment(  # noqa: N802
+        self, request: pb.DiffDeploymentRequest, context: grpc.ServicerContext
+    ) -> pb.DiffReply:
+        """Tells how a deployment differs from the one in force."""
+        given = _deployment_of(request.deployment, context)
+        configuration = self._view(context).configuration
+        in_force = next((d for d in configuration.deployments if d.name == given.name), None)
+        differences = [
+            pb.Difference(path=item.path, in_force=item.in_force, given=item.given)
+            for item in diff_deployments(in_force, given)
+        ]
+        return pb.DiffReply(revision=configuration.revision, differences=differences)
+
+    def WatchConfiguration(  # noqa: N802
+        self, request: pb.WatchConfigurationRequest, context: grpc.ServicerContext
+    ) -> Iterator[pb.Configuration]:
+        """Sends each newer configuration as it comes into force."""
+        if not self._watchers.acquire(blocking=False):
+            context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "too many calls watch this host")
+        try:
+            newer_than = request.newer_than_revision or -1
+            while context.is_active():
+                future = self._bridge.ask_view(newer_than)
+                view = self._next_view(future, context)
+                if view is None:
+                    return
+                newer_than = view.configuration.revision
+                yield _configuration_of(view)
+        finally:
+            self._watchers.release()
+
+    def ListHosts(  # noqa: N802
+        self, request: pb.ListHostsRequest, context: grpc.ServicerContext
+    ) -> pb.ListHostsReply:
+        """Lists the entry hosts with the revision in force on each, as far as it is known."""
+        view = self._view(context)
+        now_s = time.monotonic()
+        hosts = [_host_of(host, view, now_s) for host in view.membership.hosts]
+        if all(host.name != view.host for host in hosts):
+            hosts.insert(0, _this_host(view))
+        return pb.ListHostsReply(hosts=hosts)
+
+    def ListBackends(  # noqa: N802
+        self, request: pb.ListBackendsRequest, context: grpc.ServicerContext
+    ) -> pb.ListBackendsReply:
+        """Lists the backend servers, and who holds the authority over them."""
+        view = self._view(context)
+        return pb.ListBackendsReply(
+            backends=[_backend_of(backend, view) for backend in view.membership.backends],
+            authorities=[
+                pb.Authority(data_centre=name, holder=seen.holder, term=seen.term)
+                for name, seen in sorted(view.authorities.items())
+            ],
+        )
+
+    def _change(
+        self,
+        header: pb.ChangeHeader,
+        kind: ChangeKind,
+        name: str,
+        deployment: Deployment | None = None,
+    ) -> pb.ChangeReply:
+        change_id = header.change_id or uuid.uuid4().hex
+        change = Change(change_id, kind, name, header.base_revision, header.author, deployment)
+        faults = deployment_faults(deployment) if deployment is not None else []
+        if faults:
+            detail = "; ".join(faults)
+            invalid = ChangeOutcome(change_id, ChangeStatus.INVALID, 0, detail=detail)
+            return outcome_to_schema(invalid)
+        future = self._bridge.ask_change(change, header.dry_run)
+        try:
+            outcome = future.result(OUTCOME_TIMEOUT_S + LOOP_TIMEOUT_S)
+        except FutureTimeoutError:
+            detail = "this host did not answer in time"
+            outcome = ChangeOutcome(change_id, ChangeStatus.UNKNOWN, 0, detail=detail)
+        return outcome_to_schema(outcome)
+
+    def _knows(self, name: str, context: grpc.ServicerContext) -> bool:
+        view = self._view(context)
+        names = {host.name for host in view.membership.hosts}
+        names.update(backend.name for backend in view.membership.backends)
+        return name in names or name in view.configuration.draining or name == view.host
+
+    def _view(self, context: grpc.ServicerContext) -> OperatorsView:
+        return _result_of(self._bridge.ask_view(), context)
+
+    def _next_view(
+        self, future: "Future[OperatorsView]", context: grpc.ServicerContext
+    ) -> OperatorsView | None:
+        while context.is_active():
+            try:
+                return future.result(WATCH_INTERVAL_S)
+            except FutureTimeoutError:
+                continue
+        future.cancel()
+        return None
+
+
+def _result_of(future: "Future[T]", context: grpc.ServicerContext) -> T:
+    try:
+        return future.result(LOOP_TIMEOUT_S)
+    except FutureTimeoutError:
+        context.abort(grpc.StatusCode.UNAVAILABLE, "this host did not answer in time")
+        raise
+
+
+def _abort(context: grpc.ServicerContext, detail: str) -> NoReturn:
+    context.abort(grpc.StatusCode.INVALID_ARGUMENT, detail)
+    raise AssertionError(detail)
+
+
+def _deployment_of(message: pb.Deployment, context: grpc.ServicerContext) -> Deployment:
+    try:
+        return deployment_from_schema(message)
+    except ValueError as error:
+        _abort(context, str(error))
+
+
+def _configuration_of(view: OperatorsView) -> pb.Configuration:
+    configuration = view.configuration
+    changes = view.state.changes if view.state is not None else {}
+    return pb.Configuration(
+        revision=configuration.revision,
+        deployments=[deployment_to_schema(item) for item in configuration.deployments],
+        draining=sorted(configuration.draining),
+        last_changes={key: last_change_to_schema(last) for key, last in changes.items()},
+        up_to_date=view.up_to_date,
+        gap=view.gap,
+        host=view.host,
+        data_centre=view.data_centre,
+    )
+
+
+def _host_of(host: EntryHost, view: OperatorsView, now_s: float) -> pb.Host:
+    heard = view.heard.get(host.name)
+    here = host.name == view.host
+    revision = view.configuration.revision if here else (heard.revision if heard else 0)
+    lately = heard is not None and now_s - heard.heard_s < HEARD_LATELY_S
+    return pb.Host(
+        name=host.name,
+        address=str(host.address),
+        region=host.region,
+        data_centre=host.data_centre,
+        liveness=host.liveness.value,
+        draining=host.name in view.configuration.draining,
+        revision=revision,
+        heard=here or lately,
+    )
+
+
+def _this_host(view: OperatorsView) -> pb.Host:
+    return pb.Host(
+        name=view.host,
+        data_centre=view.data_centre,
+        draining=view.host in view.configuration.draining,
+        revision=view.configuration.revision,
+        heard=True,
+    )
+
+
+def _backend_of(backend: BackendServer, view: OperatorsView) -> pb.Backend:
+    report = view.loads.get(backend.name)
+    return pb.Backend(
+        name=backend.name,
+        kind=backend.kind.value,
+        address=str(backend.address),
+        region=backend.region,
+        data_centre=backend.data_centre,
+        pool=backend.pool,
+        liveness=backend.liveness.value,
+        draining=backend.name in view.configuration.draining,
+        role=report.role.value if report else "",
+        model=report.model if report else "",
+        running=report.running if report else 0,
+        waiting=report.waiting if report else 0,
+    )
--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -35,6 +35,7 @@
         health_address=reader.optional_address("health", "address"),
         stop_notice_s=reader.number("host", "stop_notice_s", 2.0),
         initial_deployments=reader.words("host", "initial_deployments", ()),
+        operators_address=reader.optional_address("operators", "address"),
         log=_read_log_options(reader),
         caller_limits=_read_caller_limits(reader),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
--- a/berylquay/settings/options.py
+++ b/berylquay/settings/options.py
@@ -57,6 +57,8 @@
     stop_notice_s: float = 2.0
     # Deployment files that are in force until the platform's log gives a configuration.
     initial_deployments: tuple[str, ...] = ()
+    # Where operators' gRPC calls are served, or None.
+    operators_address: Address | None = None
     # The platform's log, or None if the host runs on its deployment files alone.
     log: LogOptions | None = None
     # Bounds on callers.
--- /dev/null
+++ b/tests/scenarios/test_configuration.py
@@ -0,0 +1,172 @@
+"""Scenarios of the configuration: the tool, the hosts and the log as processes."""
+
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+from attrs import define, field
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from berylquay.command.exits import ExitCode
+from tests.scenarios.conftest import World
+from tests.support.configuration_fleet import CommandResult, ConfigurationFleet
+from tests.support.fleet import EXAMPLES
+
+scenarios("../../test-data/scenarios/configuration.feature")
+
+
+@define
+class Operators:
+    """What the operators did."""
+
+    fleet: ConfigurationFleet
+    # Last result by operator.
+    results: dict[str, CommandResult] = field(factory=dict)
+    # Command line by operator, without the change id.
+    lines: dict[str, tuple[str, ...]] = field(factory=dict)
+
+    def run(self, operator: str, host: str, *arguments: str) -> CommandResult:
+        line = (*arguments, "--author", operator)
+        self.lines[operator] = line
+        self.results[operator] = self.fleet.command(host, *line)
+        return self.results[operator]
+
+    def accepted_revision(self) -> int:
+        accepted = [r.value()["revision"] for r in self.results.values() if r.code == ExitCode.OK]
+        return int(max(accepted))
+
+
+@pytest.fixture
+def operators(tmp_path: Path, world: World) -> Iterator[Operators]:
+    fleet = ConfigurationFleet(tmp_path)
+    yield Operators(fleet)
+    fleet.processes.stop_all()
+
+
+@given(parsers.parse("{hosts:d} hosts that follow the log"))
+def given_hosts(operators: Operators, hosts: int) -> None:
+    operators.fleet.start(hosts)
+    for name in operators.fleet.hosts:
+        operators.fleet.wait_for(name, lambda seen: seen.up_to_date)
+
+
+@given(
+    parsers.parse("{hosts:d} hosts that follow a log which keeps records for {seconds:g} seconds")
+)
+def given_short_log(operators: Operators, hosts: int, seconds: float) -> None:
+    operators.fleet.retention_s = seconds
+    given_hosts(operators, hosts)
+
+
+@when(parsers.parse('operator "{operator}" drains "{name}" through "{host}"'))
+def when_drains(operators: Operators, operator: str, name: str, host: str) -> None:
+    operators.run(operator, host, "drain", name)
+
+
+@when(parsers.parse('operator "{operator}" drains "{name}" through "{host}" when it can'))
+def when_drains_when_it_can(operators: Operators, operator: str, name: str, host: str) -> None:
+    operators.fleet.wait_for(host, lambda seen: seen.up_to_date)
+    operators.run(operator, host, "drain", name)
+
+
+@when(parsers.parse('operators "{a}" and "{b}" apply jamiat through "{x}" and "{y}" at once'))
+def when_race(operators: Operators, a: str, b: str, x: str, y: str) -> None:
+    file = str(EXAMPLES / "jamiat.ini")
+    with ThreadPoolExecutor() as pool:
+        pool.submit(operators.run, a, x, "apply", file, "--base", "0")
+        pool.submit(operators.run, b, y, "apply", file, "--base", "0")
+
+
+@when(parsers.parse('"{operator}" sends the change again through "{host}" when it can'))
+def when_sent_again(operators: Operators, operator: str, host: str) -> None:
+    change_id = operators.results[operator].value()["change_id"]
+    operators.fleet.wait_for(host, lambda seen: seen.up_to_date)
+    line = operators.lines[operator]
+    operators.results[operator] = operators.fleet.command(host, *line, "--change-id", change_id)
+
+
+@when(parsers.parse("the log loses the next {count:d} answers"))
+def when_answers_lost(operators: Operators, count: int) -> None:
+    operators.fleet.log.post("/faults", {"lose_answers": count})
+
+
+@when("the log is away")
+def when_log_away(operators: Operators) -> None:
+    operators.fleet.log.post("/faults", {"away": True})
+    for name in operators.fleet.hosts:
+        operators.fleet.wait_for(name, lambda seen: not seen.up_to_date)
+
+
+@when("the log is back")
+def when_log_back(operators: Operators) -> None:
+    operators.fleet.log.post("/faults", {})
+
+
+@when(parsers.parse('process "log" is {state}'))
+def when_log_stopped(operators: Operators, state: str) -> None:
+    log = operators.fleet.log
+    (log.pause if state == "paused" else log.resume)()
+
+
+@when(parsers.parse('host "{name}" is killed and started'))
+def when_host_started_again(operators: Operators, name: str) -> None:
+    operators.fleet.hosts[name].kill()
+    operators.fleet.start_host(name, "dc-again")
+
+
+@then(parsers.parse('the change of "{operator}" is accepted'))
+def then_accepted(operators: Operators, operator: str) -> None:
+    result = operators.results[operator]
+    assert result.code == ExitCode.OK, (result.out, result.error)
+    assert result.value()["status"] == "CHANGE_STATUS_ACCEPTED"
+
+
+@then(parsers.parse('the change of "{operator}" is refused without effect'))
+def then_refused(operators: Operators, operator: str) -> None:
+    result = operators.results[operator]
+    assert result.code == ExitCode.REFUSED, (result.out, result.error)
+    for host in operators.fleet.hosts:
+        changes = operators.fleet.configuration(host).last_changes
+        assert all(last.author != operator for last in changes.values())
+
+
+@then(parsers.parse('the outcome of the change of "{operator}" is unknown'))
+def then_unknown(operators: Operators, operator: str) -> None:
+    result = operators.results[operator]
+    assert result.code == ExitCode.UNKNOWN_OUTCOME, (result.out, result.error)
+
+
+@then(parsers.parse('one of "{a}" and "{b}" is accepted and the other told who won'))
+def then_one_wins(operators: Operators, a: str, b: str) -> None:
+    by_code = {operators.results[name].code: operators.results[name] for name in (a, b)}
+    assert set(by_code) == {ExitCode.OK, ExitCode.CONFLICT}
+    won = by_code[ExitCode.OK].value()
+    told = by_code[ExitCode.CONFLICT].value()["winner"]
+    assert told["change_id"] == won["change_id"]
+    assert told["revision"] == won["revision"]
+
+
+@then(parsers.parse("every host has the newest accepted revision within {seconds:g} seconds"))
+def then_in_force(operators: Operators, seconds: float) -> None:
+    revision = operators.accepted_revision()
+    begun_s = time.monotonic()
+    for host in operators.fleet.hosts:
+        operators.fleet.wait_for(host, lambda seen: seen.revision == revision)
+    assert time.monotonic() - begun_s <= seconds
+
+
+@then(parsers.parse('"{name}" was drained once'))
+def then_drained_once(operators: Operators, name: str) -> None:
+    for host in operators.fleet.hosts:
+        seen = operators.fleet.configuration(host)
+        assert list(seen.draining) == [name]
+        assert seen.last_changes[f"draining/{name}"].revision == seen.revision
+
+
+@then(parsers.parse('"{name}" has nothing in force that is older'))
+def then_nothing_older(operators: Operators, name: str) -> None:
+    seen = operators.fleet.configuration(name)
+    newest = seen.revision == operators.accepted_revision()
+    assert newest or not seen.deployments
--- /dev/null
+++ b/tests/support/configuration_fleet.py
@@ -0,0 +1,112 @@
+"""A log stand-in and entry hosts with operators' calls, one per data centre, for tests."""
+
+import json
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final
+
+import grpc
+from attrs import define, field
+
+from berylquay.operators.generated import berylquay_pb2 as pb
+from berylquay.operators.generated.berylquay_pb2_grpc import OperatorsStub
+from examples.processes import Process, Processes, free_port
+from tests.support.fleet import EXAMPLES
+
+GIVE_UP_S: Final = 20.0
+POLL_S: Final = 0.02
+
+
+@define
+class CommandResult:
+    """What a run of the tool gave."""
+
+    code: int
+    out: str
+    error: str
+
+    def value(self) -> dict[str, Any]:
+        """Returns the output as JSON."""
+        value: dict[str, Any] = json.loads(self.out)
+        return value
+
+
+@define
+class ConfigurationFleet:
+    """The processes."""
+
+    directory: Path
+    retention_s: float = 3600.0
+    processes: Processes = field(init=False)
+    log: Process = field(init=False)
+    membership: Process = field(init=False)
+    # Ports of the operators' calls by host.
+    operators: dict[str, int] = field(factory=dict)
+    hosts: dict[str, Process] = field(factory=dict)
+
+    def start(self, hosts: int) -> None:
+        """Starts everything."""
+        self.processes = Processes(self.directory)
+        self.log = self.processes.start_standin(
+            "log", "log", "--retention-s", f"{self.retention_s}"
+        )
+        self.membership = self.processes.start_standin("membership", "membership")
+        for n in range(hosts):
+            self.start_host(f"host-{n}", f"dc-{n}")
+
+    def start_host(self, name: str, data_centre: str) -> None:
+        """Starts an entry host, or starts it again, without waiting for its configuration."""
+        port = free_port()
+        self.operators[name] = free_port()
+        settings = self.directory / f"{name}.ini"
+        settings.write_text(
+            f"""
+[host]
+name = {name}
+region = {data_centre}
+data_centre = {data_centre}
+initial_deployments = {EXAMPLES / "jamiat.ini"}
+
+[callers]
+address = 127.0.0.1:{port}
+
+[operators]
+address = 127.0.0.1:{self.operators[name]}
+
+[platform]
+membership = 127.0.0.1:{self.membership.port}
+log = 127.0.0.1:{self.log.port}
+log_retention_s = {self.retention_s}
+""",
+            encoding="utf-8",
+        )
+        self.hosts[name] = self.processes.start(name, "berylquay.daemon", port, str(settings))
+
+    def command(self, host: str, *arguments: str) -> CommandResult:
+        """Runs the command-line tool against a host."""
+        server = f"127.0.0.1:{self.operators[host]}"
+        line = [sys.executable, "-m", "berylquay.command", "--server", server, "--json"]
+        done = subprocess.run(
+            [*line, *arguments], capture_output=True, text=True, timeout=60, check=False
+        )
+        return CommandResult(done.returncode, done.stdout, done.stderr)
+
+    def configuration(self, host: str) -> pb.Configuration:
+        """Returns what a host has in force."""
+        with grpc.insecure_channel(f"127.0.0.1:{self.operators[host]}") as channel:
+            stub = OperatorsStub(channel)
+            reply: pb.Configuration = stub.GetConfiguration(
+                pb.GetConfigurationRequest(), timeout=10, wait_for_ready=True
+            )
+            return reply
+
+    def wait_for(self, host: str, condition: Callable[[pb.Configuration], bool]) -> float:
+        """Waits until what a host has in force fulfils a condition; returns how long it took."""
+        begun_s = time.monotonic()
+        while not condition(self.configuration(host)):
+            assert time.monotonic() < begun_s + GIVE_UP_S, self.configuration(host)
+            time.sleep(POLL_S)
+        return time.monotonic() - begun_s
