--- a/berylquay/callers/gate.py
+++ b/berylquay/callers/gate.py
@@ -6,7 +6,6 @@
 
 from attrs import define, field
 from circuits import BaseComponent, Event, handler
-from circuits.net.events import write
 from circuits.web.events import response, stream
 from circuits.web.wrappers import Request, Response
 from returns.result import Success
@@ -36,6 +35,7 @@
     ConfigurationInForce,
     Tick,
     TokensForCaller,
+    TokensForCallers,
 )
 from berylquay.net.bus import BUS, post
 from berylquay.verdicts import Refusal, RefusalReason, Verdict
@@ -131,13 +131,17 @@
             del self._pending[call_id]
             post(self, CallerGone(call_id))
 
-    @handler("TokensForCaller", channel=BUS)
-    def _on_tokens(self, message: TokensForCaller) -> None:
-        pending = self._pending.get(message.call_id)
+    @handler("TokensForCallers", channel=BUS)
+    def _on_tokens(self, message: TokensForCallers) -> None:
+        for tokens in message.batch:
+            self._pass_on(tokens)
+
+    def _pass_on(self, tokens: TokensForCaller) -> None:
+        pending = self._pending.get(tokens.call_id)
         if pending is None:
             return
-        pending.total_tokens += len(message.texts)
-        text = "".join(message.texts)
+        pending.total_tokens += len(tokens.texts)
+        text = "".join(tokens.texts)
         if not pending.call.streamed:
             pending.texts.append(text)
             return
@@ -189,13 +193,13 @@
         answer.body = ()
         answer.prepare()
         # Written here and not by circuits.web, so that the chunks queue up behind the head.
-        self.fire(write(answer.request.sock, bytes(answer) + bytes(answer.headers)))
+        self._server.send(answer.request.sock, bytes(answer) + bytes(answer.headers))
 
     def _send_chunk(self, pending: _Pending, data: bytes) -> None:
         # circuits.web's own stream event costs three more events for each chunk.
         answer = pending.response
         chunk = b"%x\r\n%b\r\n" % (len(data), data) if answer.chunked else data
-        self.fire(write(answer.request.sock, chunk))
+        self._server.send(answer.request.sock, chunk)
 
     def _send_whole(self, pending: _Pending, status: int, body: bytes, content_type: str) -> None:
         answer = pending.response
