Decide on orders: one in flight per engine, each behind an acknowledged drain

Cause: a planned change must cut nothing off and two orders must never meet on an engine, also when answers are lost and controllers change amid an order.

--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -21,6 +21,8 @@
     draining: bool
     # Fencing number of the sender's authority.
     term: int
+    # Number of the notice; acknowledgements repeat it.
+    notice: int = 0
 
 
 @frozen
@@ -30,6 +32,8 @@
     backend: str
     term: int
     in_flight: int
+    # Number of the newest notice that the sender has taken.
+    notice: int = 0
 
 
 @frozen
