--- a/berylquay/backends/dispatch.py
+++ b/berylquay/backends/dispatch.py
@@ -7,14 +7,23 @@
 
 from berylquay.decisions.fates import CallFates, Command
 from berylquay.messages import (
+    AttemptAnswered,
     AttemptCompleted,
     AttemptFailed,
-    AttemptTokens,
+    AttemptSent,
+    BackendDrainChanged,
     CallerGone,
+    CallGranted,
     CallReceived,
+    ConfigurationInForce,
     LoadReported,
     MembershipRead,
+    PeerReceived,
+    ProbeEnded,
     Tick,
+    TokensArrived,
+    TokensForCaller,
+    TokensForCallers,
 )
 from berylquay.net.bus import BUS, post
 
@@ -26,22 +35,47 @@
 
     # The decisions.
     _fates: CallFates
+    # Whether non-repeatable calls wait until their key is granted.
+    _grants_needed: bool
 
-    def __init__(self, fates: CallFates) -> None:
+    def __init__(self, fates: CallFates, grants_needed: bool = False) -> None:
         super().__init__()
         self._fates = fates
+        self._grants_needed = grants_needed
 
     @handler("CallReceived")
     def _on_call(self, message: CallReceived) -> None:
+        if message.call.repeatable or not self._grants_needed:
+            self._post_all(self._fates.on_call(message.call, time.monotonic()))
+
+    @handler("CallGranted")
+    def _on_granted(self, message: CallGranted) -> None:
         self._post_all(self._fates.on_call(message.call, time.monotonic()))
 
     @handler("CallerGone")
     def _on_caller_gone(self, message: CallerGone) -> None:
-        self._post_all(self._fates.on_caller_gone(message.call_id))
-
-    @handler("AttemptTokens")
-    def _on_tokens(self, message: AttemptTokens) -> None:
-        self._post_all(self._fates.on_tokens(message))
+        self._post_all(self._fates.on_caller_gone(message.call_id, time.monotonic()))
+
+    @handler("AttemptSent")
+    def _on_sent(self, message: AttemptSent) -> None:
+        self._fates.on_sent(message, time.monotonic())
+
+    @handler("AttemptAnswered")
+    def _on_answered(self, message: AttemptAnswered) -> None:
+        self._post_all(self._fates.on_answered(message, time.monotonic()))
+
+    @handler("TokensArrived")
+    def _on_tokens(self, message: TokensArrived) -> None:
+        now_s = time.monotonic()
+        ready: list[TokensForCaller] = []
+        for tokens in message.batch:
+            for command in self._fates.on_tokens(tokens, now_s):
+                if isinstance(command, TokensForCaller):
+                    ready.append(command)
+                    continue
+                self._post_tokens(ready)
+                post(self, command)
+        self._post_tokens(ready)
 
     @handler("AttemptCompleted")
     def _on_completed(self, message: AttemptCompleted) -> None:
@@ -51,10 +85,26 @@
     def _on_failed(self, message: AttemptFailed) -> None:
         self._post_all(self._fates.on_failed(message, time.monotonic()))
 
+    @handler("ProbeEnded")
+    def _on_probe_ended(self, message: ProbeEnded) -> None:
+        self._post_all(self._fates.on_probe_ended(message, time.monotonic()))
+
+    @handler("PeerReceived")
+    def _on_peer(self, message: PeerReceived) -> None:
+        self._fates.on_peer(message.payload, time.monotonic())
+
     @handler("MembershipRead")
     def _on_membership(self, message: MembershipRead) -> None:
         self._fates.on_membership(message.view)
 
+    @handler("ConfigurationInForce")
+    def _on_configuration(self, message: ConfigurationInForce) -> None:
+        self._fates.on_configured_drains(message.configuration.draining)
+
+    @handler("BackendDrainChanged")
+    def _on_drain_changed(self, message: BackendDrainChanged) -> None:
+        self._fates.on_drain_changed(message.backend, message.draining)
+
     @handler("LoadReported")
     def _on_load(self, message: LoadReported) -> None:
         self._fates.on_load(message.report)
@@ -66,3 +116,8 @@
     def _post_all(self, commands: Sequence[Command]) -> None:
         for command in commands:
             post(self, command)
+
+    def _post_tokens(self, ready: list[TokensForCaller]) -> None:
+        if ready:
+            post(self, TokensForCallers(tuple(ready)))
+            ready.clear()
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -39,7 +39,7 @@
 
 @frozen
 class TokensForCaller:
-    """dispatch -> callers: the next tokens of an answer, without gap or repetition."""
+    """The next tokens of an answer, without gap or repetition."""
 
     call_id: str
     # Index of the first of the tokens.
@@ -47,6 +47,13 @@
     texts: tuple[str, ...]
 
 
+@frozen
+class TokensForCallers:
+    """dispatch -> callers: the next tokens of several answers."""
+
+    batch: tuple[TokensForCaller, ...]
+
+
 @frozen
 class CallCompleted:
     """dispatch -> callers: the answer is whole."""
@@ -81,15 +88,45 @@
     attempt_id: str
 
 
+@frozen
+class AttemptSent:
+    """backends -> dispatch: the connection stands and the request is being handed over."""
+
+    attempt_id: str
+
+
+@frozen
+class AttemptAnswered:
+    """backends -> dispatch: the head of a good answer came back."""
+
+    attempt_id: str
+    # Version of the model that answers, or empty if the backend server does not say.
+    model_version: str = ""
+    # Changes with each restart of the backend server; empty if it does not say.
+    incarnation: str = ""
+
+
 @frozen
 class AttemptTokens:
-    """backends -> dispatch: tokens came back."""
+    """Tokens that came back for one attempt."""
 
     attempt_id: str
     first_index: int
     texts: tuple[str, ...]
 
 
+@frozen
+class TokensCollected:
+    """backends -> backends: tokens wait to be handed over behind all that was read with them."""
+
+
+@frozen
+class TokensArrived:
+    """backends -> dispatch: tokens came back for several attempts."""
+
+    batch: tuple[AttemptTokens, ...]
+
+
 @frozen
 class AttemptCompleted:
     """backends -> dispatch: the attempt delivered everything."""
@@ -286,3 +323,27 @@
 @frozen
 class AnswersDrained:
     """callers -> lifecycle: every answer has been sent whole after admission was closed."""
+
+
+@frozen
+class CallGranted:
+    """tickets -> dispatch: the key of a non-repeatable call is this host's to spend."""
+
+    call: Call
+
+
+@frozen
+class ProbeRequested:
+    """dispatch -> backends: try a fresh connection to a backend server."""
+
+    backend: str
+
+
+@frozen
+class ProbeEnded:
+    """backends -> dispatch: what a fresh connection to a backend server gave."""
+
+    backend: str
+    alive: bool
+    # Changes with each restart of the backend server; empty if it does not say.
+    incarnation: str = ""
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -1,8 +1,21 @@
-"""Payloads between entry hosts: each is an attrs class with an entry in the codec's table."""
+"""Payloads between entry hosts: each is an attrs class with an entry in the codec's table.
+
+Fields are texts, numbers, flags or bytes.
+"""
 
 from attrs import frozen
 
 
+@frozen
+class Hello:
+    """The first message on a link, from both ends: says who is there."""
+
+    # Name of the sending host.
+    host: str
+    # Incarnation of the sending process; changes with each restart.
+    incarnation: str
+
+
 @frozen
 class Heartbeat:
     """Shows that the sender is alive."""
@@ -51,6 +64,67 @@
     snapshot: bytes
 
 
+@frozen
+class CrashReport:
+    """Names the contents that were in flight on a backend server when it was lost."""
+
+    # Name of the backend server.
+    backend: str
+    # Content fingerprints, sorted.
+    fingerprints: tuple[str, ...]
+
+
+@frozen
+class CrashCleared:
+    """Says that a suspected content was answered whole and crashes no server."""
+
+    fingerprint: str
+
+
+@frozen
+class TicketAsked:
+    """Asks the issuer of a single-use ticket to hand the right to spend it over to the sender."""
+
+    # Id of the question; the answer repeats it.
+    ask_id: str
+    # The ticket.
+    ticket: str
+    # Tenant that sent the ticket.
+    tenant: str
+    # Hash of the content that is to run.
+    fingerprint: str
+
+
+@frozen
+class TicketAnswered:
+    """Answers `TicketAsked`; the right to spend the ticket passes over at most once."""
+
+    # Id of the question.
+    ask_id: str
+    # Outcome, as the name of a `TicketOutcome`.
+    outcome: str
+
+
+@frozen
+class TicketReturned:
+    """Gives the right to spend a ticket back to its issuer, since the call was not run."""
+
+    # Id of the question by which the right had passed over.
+    ask_id: str
+    # The ticket.
+    ticket: str
+
+
 PeerPayload = (
-    Heartbeat | DrainNotice | DrainAcknowledgement | ConfigurationRequest | ConfigurationOffer
+    Hello
+    | Heartbeat
+    | DrainNotice
+    | DrainAcknowledgement
+    | ConfigurationRequest
+    | ConfigurationOffer
+    | CrashReport
+    | CrashCleared
+    | TicketAsked
+    | TicketAnswered
+    | TicketReturned
 )
