Run the controller, the drains and the load reports in the daemon

Cause: the decisions on lease and orders had no shell. A host stands for the authority when its settings name the log and the sender of orders.

--- /dev/null
+++ b/berylquay/authority/controller.py
@@ -0,0 +1,152 @@
+"""The controller: holds the lease of its data centre, if it can, and gives the orders then."""
+
+import time
+from collections.abc import Sequence
+from typing import Final
+
+import logbook
+from circuits import BaseComponent, handler
+
+from berylquay.decisions.lease import LeaseKeeper
+from berylquay.decisions.orders import ChangeEnded, Command, DrainAnnounced, OrderKeeper
+from berylquay.messages import (
+    AuthorityChanged,
+    ConfigurationInForce,
+    EngineStateRead,
+    MembershipRead,
+    OrderOutcomeKnown,
+    PeerReceived,
+    PeerSendRequested,
+    RecordAppendFailed,
+    RecordsRead,
+    RoleChangeRequested,
+    StopRequested,
+    StreamFollowRequested,
+    Tick,
+)
+from berylquay.net.bus import BUS, post
+from berylquay.peers.payloads import DrainAcknowledgement
+
+FIRST_OFFSET: Final = 1
+# Interval between looks at the engines.
+ORDER_INTERVAL_S: Final = 0.25
+_log = logbook.Logger("authority")
+
+
+class Controller(BaseComponent):
+    """Drives the lease and the orders of this process."""
+
+    channel = BUS
+
+    # Name of this host.
+    _host: str
+    # Decides on the lease.
+    _lease: LeaseKeeper
+    # Decides on the orders.
+    _orders: OrderKeeper
+    # Term that was told last.
+    _told_term: int
+    # Monotonic time of the next look at the engines.
+    _next_look_s: float
+    # Whether the stream of the lease is followed.
+    _following: bool
+    # Whether this host is stopping.
+    _stopping: bool
+
+    def __init__(self, host: str, lease: LeaseKeeper, orders: OrderKeeper) -> None:
+        super().__init__()
+        self._host = host
+        self._lease = lease
+        self._orders = orders
+        self._told_term = 0
+        self._next_look_s = float("-inf")
+        self._following = False
+        self._stopping = False
+
+    @handler("RecordsRead")
+    def _on_records(self, message: RecordsRead) -> None:
+        self._lease.on_records(message, time.monotonic())
+
+    @handler("RecordAppendFailed")
+    def _on_append_failed(self, message: RecordAppendFailed) -> None:
+        self._lease.on_append_failed(message.record_id)
+
+    @handler("MembershipRead")
+    def _on_membership(self, message: MembershipRead) -> None:
+        self._orders.on_membership(message.view)
+
+    @handler("ConfigurationInForce")
+    def _on_configuration(self, message: ConfigurationInForce) -> None:
+        self._orders.on_configuration(message.configuration)
+
+    @handler("RoleChangeRequested")
+    def _on_role_change(self, message: RoleChangeRequested) -> None:
+        self._orders.on_change_wanted(message.change)
+
+    @handler("PeerReceived")
+    def _on_peer(self, message: PeerReceived) -> None:
+        if isinstance(message.payload, DrainAcknowledgement):
+            self._orders.on_acknowledgement(message.host, message.payload)
+
+    @handler("EngineStateRead")
+    def _on_state(self, message: EngineStateRead) -> None:
+        now_s = time.monotonic()
+        if self._lease.authority(now_s) is None:
+            return
+        commands = self._orders.on_state(message.backend, message.state, message.asked_s, now_s)
+        self._obey(commands)
+
+    @handler("OrderOutcomeKnown")
+    def _on_outcome(self, message: OrderOutcomeKnown) -> None:
+        now_s = time.monotonic()
+        self._obey(self._orders.on_outcome(message.order_id, message.outcome, now_s))
+
+    @handler("StopRequested")
+    def _on_stop_requested(self, _message: StopRequested) -> None:
+        self._stopping = True
+
+    @handler("Tick")
+    def _on_tick(self, message: Tick) -> None:
+        if not self._following:
+            self._following = True
+            post(self, StreamFollowRequested(self._lease.stream, FIRST_OFFSET))
+        self._keep_lease(message.now_s)
+        if message.now_s >= self._next_look_s:
+            self._next_look_s = message.now_s + ORDER_INTERVAL_S
+            self._obey(self._orders.on_tick(message.now_s))
+
+    def _keep_lease(self, now_s: float) -> None:
+        requests = list(self._lease.on_tick(now_s))
+        if self._stopping and not self._orders.has_order_under_way:
+            requests += self._lease.release(now_s)
+        authority = self._lease.authority(now_s)
+        self._obey(self._orders.on_authority(authority, now_s))
+        for request in requests:
+            post(self, request)
+        term = authority.term if authority is not None else 0
+        if term != self._told_term:
+            self._told_term = term
+            _log.info("authority changed", host=self._host, term=term)
+            post(self, AuthorityChanged(term))
+
+    def _obey(self, commands: Sequence[Command]) -> None:
+        for command in commands:
+            if isinstance(command, DrainAnnounced):
+                self._announce(command)
+                continue
+            if isinstance(command, ChangeEnded):
+                _log.info(
+                    "change ended",
+                    change=str(command.change),
+                    made=command.made,
+                    detail=command.detail,
+                    term=self._told_term,
+                )
+            post(self, command)
+
+    def _announce(self, command: DrainAnnounced) -> None:
+        for host in command.hosts:
+            if host == self._host:
+                post(self, PeerReceived(host, command.notice))
+            else:
+                post(self, PeerSendRequested(host, command.notice))
--- /dev/null
+++ b/berylquay/authority/drain_holder.py
@@ -0,0 +1,92 @@
+"""The drain holder: keeps this host's new work away from engines that a controller drains."""
+
+import time
+
+from circuits import BaseComponent, handler
+
+from berylquay.decisions.drains import HeldDrains
+from berylquay.messages import (
+    AttemptCancelled,
+    AttemptCompleted,
+    AttemptFailed,
+    AttemptRequested,
+    DrainApplied,
+    PeerReceived,
+    PeerSendRequested,
+    Tick,
+)
+from berylquay.net.bus import BUS, post
+from berylquay.peers.payloads import DrainNotice
+
+
+class DrainHolder(BaseComponent):
+    """Answers drain notices with the number of attempts that this host has in flight."""
+
+    channel = BUS
+
+    # Name of this host.
+    _host: str
+    # Decides what is held.
+    _drains: HeldDrains
+    # Backend server by attempt in flight.
+    _backend_of: dict[str, str]
+
+    def __init__(self, host: str, drains: HeldDrains) -> None:
+        super().__init__()
+        self._host = host
+        self._drains = drains
+        self._backend_of = {}
+
+    @handler("AttemptRequested")
+    def _on_requested(self, message: AttemptRequested) -> None:
+        attempt = message.attempt
+        self._backend_of[attempt.attempt_id] = attempt.backend
+        self._drains.on_attempt_started(attempt.backend)
+
+    @handler("AttemptCancelled")
+    def _on_cancelled(self, message: AttemptCancelled) -> None:
+        self._end(message.attempt_id)
+
+    @handler("AttemptCompleted")
+    def _on_completed(self, message: AttemptCompleted) -> None:
+        self._end(message.attempt_id)
+
+    @handler("AttemptFailed")
+    def _on_failed(self, message: AttemptFailed) -> None:
+        self._end(message.attempt_id)
+
+    @handler("PeerReceived")
+    def _on_peer(self, message: PeerReceived) -> None:
+        if not isinstance(message.payload, DrainNotice):
+            return
+        for change in self._drains.on_notice(message.host, message.payload, time.monotonic()):
+            post(self, change)
+        post(self, DrainApplied(message.payload, settled=False))
+
+    @handler("DrainApplied")
+    def _on_applied(self, message: DrainApplied) -> None:
+        if not message.settled:
+            # An attempt that was decided on before the drain is posted already, behind this
+            # message, so it is counted once another message has gone through the queue.
+            post(self, DrainApplied(message.notice, settled=True))
+            return
+        self._drains.on_applied(message.notice)
+        self._acknowledge()
+
+    @handler("Tick")
+    def _on_tick(self, message: Tick) -> None:
+        for change in self._drains.on_tick(message.now_s):
+            post(self, change)
+        self._acknowledge()
+
+    def _end(self, attempt_id: str) -> None:
+        backend = self._backend_of.pop(attempt_id, None)
+        if backend is not None:
+            self._drains.on_attempt_ended(backend)
+
+    def _acknowledge(self) -> None:
+        for host, message in self._drains.acknowledgements():
+            if host == self._host:
+                post(self, PeerReceived(host, message))
+            else:
+                post(self, PeerSendRequested(host, message))
--- a/berylquay/authority/sender.py
+++ b/berylquay/authority/sender.py
@@ -11,12 +11,12 @@
 from typing import Final
 
 import logbook
-from attrs import frozen
 from circuits import BaseComponent, Event, handler
 from circuits.core.pollers import EPoll
 from circuits.web.wrappers import Request, Response
 
 from berylquay.authority.deadline import Deadline, KernelDeadline
+from berylquay.authority.handover import ORDERS_PATH, SendRequest, parse_send_request
 from berylquay.authority.order_exchange import OrderExchange, SendReport
 from berylquay.callers.server import HttpServer
 from berylquay.decisions.engine_orders import SendOutcome
@@ -25,42 +25,10 @@
 from berylquay.settings.options import CallerLimits
 
 ORDERS_CHANNEL: Final = "orders"
-ORDERS_PATH: Final = "/v1/orders"
 STATUS_BAD_REQUEST: Final = 400
 _log = logbook.Logger("orders")
 
 
-@frozen
-class SendRequest:
-    """An order as the daemon hands it over."""
-
-    address: Address
-    expires_s: float
-    term: int
-    # Body of the order as engines take it.
-    body: dict[str, object]
-
-
-def encode_send_request(request: SendRequest) -> dict[str, object]:
-    """Returns the JSON shape of a request to the sender."""
-    return {
-        "ip": request.address.ip,
-        "port": request.address.port,
-        "expires_s": request.expires_s,
-        "term": request.term,
-        "body": request.body,
-    }
-
-
-def parse_send_request(data: bytes) -> SendRequest:
-    """Returns the request in the data; a `ValueError` or `KeyError` means that it is malformed."""
-    value = json.loads(data)
-    if not isinstance(value, dict) or not isinstance(value["body"], dict):
-        raise ValueError(value)
-    address = Address(str(value["ip"]), int(value["port"]))
-    return SendRequest(address, float(value["expires_s"]), int(value["term"]), value["body"])
-
-
 class Sender:
     """Sends an order under its deadline, unless a newer term was seen before."""
 
--- /dev/null
+++ b/berylquay/backends/reports.py
@@ -0,0 +1,90 @@
+"""Load reports: polls a bounded part of the data centre's engines at a bounded rate."""
+
+import time
+from functools import partial
+from typing import Final
+
+from circuits import BaseComponent, handler
+from returns.result import Failure
+
+from berylquay.decisions.fleet import BackendServer, LoadReport, Role
+from berylquay.decisions.polling import PollSchedule
+from berylquay.messages import LoadReported, MembershipRead, Tick
+from berylquay.net.bus import BUS, post
+from berylquay.net.http_client import HttpRequest
+from berylquay.net.outbound import OutboundConnections
+from berylquay.platform.json_exchange import JsonExchange, Outcome
+
+POLL_TIMEOUT_S: Final = 2.0
+STATUS_OK: Final = 200
+
+
+class ReportPoller(BaseComponent):
+    """Asks engines for their load and posts what they report."""
+
+    channel = BUS
+
+    # Opens the connections.
+    _outbound: OutboundConnections
+    # Decides which engine is asked when.
+    _schedule: PollSchedule
+    # Polls that are under way.
+    _exchanges: set[JsonExchange]
+
+    def __init__(self, outbound: OutboundConnections, schedule: PollSchedule) -> None:
+        super().__init__()
+        self._outbound = outbound
+        self._schedule = schedule
+        self._exchanges = set()
+
+    @handler("MembershipRead")
+    def _on_membership(self, message: MembershipRead) -> None:
+        self._schedule.on_membership(message.view)
+
+    @handler("Tick")
+    def _on_tick(self, message: Tick) -> None:
+        for exchange in tuple(self._exchanges):
+            exchange.expire(message.now_s)
+        for server in self._schedule.due(message.now_s):
+            self._poll(server, message.now_s)
+
+    def _poll(self, server: BackendServer, now_s: float) -> None:
+        def end(outcome: Outcome) -> None:
+            self._exchanges.discard(exchange)
+            self._schedule.on_answered(server.name)
+            on_outcome(outcome)
+
+        on_outcome = partial(self._on_outcome, server.name)
+        request = HttpRequest("GET", "/v1/load")
+        deadline_s = now_s + POLL_TIMEOUT_S
+        exchange = JsonExchange(self._outbound, server.address, request, deadline_s, end)
+        self._exchanges.add(exchange)
+
+    def _on_outcome(self, backend: str, outcome: Outcome) -> None:
+        if isinstance(outcome, Failure) or outcome.unwrap().status != STATUS_OK:
+            return
+        report = parse_load_report(backend, outcome.unwrap().value, time.monotonic())
+        if report is not None:
+            post(self, LoadReported(report))
+
+
+def parse_load_report(
+    backend: str, value: dict[str, object], received_s: float
+) -> LoadReport | None:
+    """Returns the report in the body of an engine's answer, or None if it is malformed."""
+    try:
+        adapters = value["adapters"]
+        return LoadReport(
+            backend=backend,
+            received_s=received_s,
+            role=Role(value["role"]),
+            model=str(value["model"]),
+            adapters=frozenset(map(str, adapters if isinstance(adapters, list) else [])),
+            running=int(str(value["running"])),
+            waiting=int(str(value["waiting"])),
+            prefill_backlog_tokens=int(str(value["prefill_backlog_tokens"])),
+            kv_pieces_used=int(str(value["kv_pieces_used"])),
+            kv_pieces_total=int(str(value["kv_pieces_total"])),
+        )
+    except (KeyError, ValueError):
+        return None
--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -12,17 +12,25 @@
 from circuits.core.pollers import EPoll
 from returns.result import Failure
 
+from berylquay.authority.controller import Controller
+from berylquay.authority.drain_holder import DrainHolder
 from berylquay.backends.attempts import BackendAttempts
 from berylquay.backends.dispatch import Dispatch
+from berylquay.backends.orders import EngineOrders
 from berylquay.backends.probes import BackendProbes
+from berylquay.backends.reports import ReportPoller
 from berylquay.callers.gate import Gate
 from berylquay.callers.limits import RequestLimits
 from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
 from berylquay.decisions.appends import AppendLimits
 from berylquay.decisions.deployment import Configuration, Deployment
+from berylquay.decisions.drains import HeldDrains
 from berylquay.decisions.fates import CallFates, FatesOptions
 from berylquay.decisions.fleet import Address
+from berylquay.decisions.lease import LeaseKeeper, LeaseLimits
+from berylquay.decisions.orders import OrderKeeper, OrderLimits
 from berylquay.decisions.peering import DialPlan, PeeringLimits
+from berylquay.decisions.polling import PollLimits, PollSchedule
 from berylquay.decisions.routing import LeastInFlight
 from berylquay.decisions.serving import HostPlace
 from berylquay.errors import SettingsError
@@ -80,6 +88,8 @@
     MembershipPoller(outbound, options.membership_address).register(loop)
     BackendAttempts(outbound).register(loop)
     BackendProbes(outbound).register(loop)
+    schedule = PollSchedule(options.host, options.data_centre, PollLimits())
+    ReportPoller(outbound, schedule).register(loop)
     if options.peers is not None:
         identity = LinkIdentity(options.host, options.data_centre, incarnation)
         plan = DialPlan(PeeringLimits(), Random(incarnation))
@@ -94,6 +104,9 @@
         _serve_http(loop, options.health_address, options.caller_limits, HEALTH_CHANNEL)
         HealthPages(metrics).register(loop)
     Lifecycle(options.stop_notice_s).register(loop)
+    DrainHolder(options.host, HeldDrains(OrderLimits().host_hold_s)).register(loop)
+    if options.log is not None and options.order_sender_address is not None:
+        _stand_for_authority(loop, outbound, options, options.order_sender_address, incarnation)
     if options.log is not None:
         _keep_configuration(loop, outbound, options.log, deployments)
     else:
@@ -114,6 +127,19 @@
     ConfigurationKeeper(stream, options.retention_s, initial, Random()).register(loop)
 
 
+def _stand_for_authority(
+    loop: Loop,
+    outbound: OutboundConnections,
+    options: Options,
+    sender_address: Address,
+    incarnation: str,
+) -> None:
+    lease = LeaseKeeper(options.data_centre, incarnation, LeaseLimits(), Random())
+    orders = OrderKeeper(options.data_centre, options.host, OrderLimits())
+    EngineOrders(outbound, sender_address).register(loop)
+    Controller(options.host, lease, orders).register(loop)
+
+
 def _serve_http(loop: Loop, address: Address, limits: CallerLimits, channel: str) -> HttpServer:
     server = HttpServer(address, limits, channel).register(loop)
     RequestLimits(server, limits).register(loop)
--- a/berylquay/decisions/drains.py
+++ b/berylquay/decisions/drains.py
@@ -22,6 +22,8 @@
     until_s: float
     # Attempts in flight as they were last told.
     told: int
+    # Whether everything that starts attempts has heard of the drain.
+    applied: bool
 
 
 class HeldDrains:
@@ -59,11 +61,13 @@
         if number < self._newest.get(backend, (0, 0)):
             return []
         self._newest[backend] = number
-        was_held = backend in self._held
+        before = self._held.get(backend)
+        was_held = before is not None
+        applied = before is not None and before.applied
         if not notice.draining:
             self._held.pop(backend, None)
             return [BackendDrainChanged(backend, False)] if was_held else []
-        self._held[backend] = _Held(notice, sender, now_s + self._hold_s, told=-1)
+        self._held[backend] = _Held(notice, sender, now_s + self._hold_s, -1, applied)
         return [] if was_held else [BackendDrainChanged(backend, True)]
 
     def on_tick(self, now_s: float) -> Sequence[BackendDrainChanged]:
@@ -73,15 +77,18 @@
             del self._held[backend]
         return [BackendDrainChanged(backend, False) for backend in over]
 
-    def acknowledgements(self) -> Sequence[tuple[str, DrainAcknowledgement]]:
-        """Returns what has not been told yet, with the host to tell it to.
+    def on_applied(self, notice: DrainNotice) -> None:
+        """Notes that no attempt will be started that was decided on before the notice."""
+        held = self._held.get(notice.backend)
+        if held is not None and held.notice == notice:
+            held.applied = True
 
-        It is called only after the change of the drain has reached whoever starts attempts.
-        """
+    def acknowledgements(self) -> Sequence[tuple[str, DrainAcknowledgement]]:
+        """Returns what has not been told yet, with the host to tell it to."""
         answers: list[tuple[str, DrainAcknowledgement]] = []
         for backend, held in self._held.items():
             in_flight = self._in_flight[backend]
-            if held.told != in_flight:
+            if held.applied and held.told != in_flight:
                 held.told = in_flight
                 notice = held.notice
                 message = DrainAcknowledgement(backend, notice.term, in_flight, notice.notice)
--- a/berylquay/decisions/engine_orders.py
+++ b/berylquay/decisions/engine_orders.py
@@ -5,15 +5,7 @@
 from attrs import frozen
 
 from berylquay.decisions.fleet import Address, Role
-
-
-@frozen
-class RoleChange:
-    """An engine is to take another role."""
-
-    # Name of the backend server.
-    backend: str
-    role: Role
+from berylquay.decisions.roles import RoleChange
 
 
 @frozen
--- a/berylquay/decisions/orders.py
+++ b/berylquay/decisions/orders.py
@@ -6,7 +6,7 @@
 is settled by the engine's state, never by a guess.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Sequence
 from enum import Enum
 from typing import Final
@@ -24,11 +24,11 @@
     Change,
     EngineState,
     Order,
-    RoleChange,
     SendOutcome,
 )
 from berylquay.decisions.fleet import Address, BackendKind, BackendServer, MembershipView
 from berylquay.decisions.lease import Authority
+from berylquay.decisions.roles import RoleChange
 from berylquay.peers.payloads import DrainAcknowledgement, DrainNotice
 
 
@@ -60,6 +60,13 @@
     put_off_s: float = 30.0
     # Most engines of the data centre that are drained or changed at once.
     max_changes: int = 8
+    # Most by which a host's clock runs fast against the controller's, as a share.
+    clock_skew: float = 0.02
+
+    @property
+    def host_hold_s(self) -> float:
+        """Returns how long a host holds a drain on its own clock."""
+        return self.drain_hold_s * (1.0 + self.clock_skew)
 
 
 @frozen
@@ -269,11 +276,12 @@
         if self._authority is None or now_s >= self._authority.until_s:
             return []
         commands: list[Command] = []
+        models_run = self._count_models()
         for engine in self._engines.values():
             if engine.phase is Phase.DRAINING:
                 commands += self._go_on_draining(engine, now_s)
-            if engine.phase is Phase.IDLE:
-                commands += self._begin_change(engine, now_s)
+            if engine.phase is Phase.IDLE and now_s >= engine.put_off_until_s:
+                commands += self._begin_change(engine, models_run[engine.server.pool], now_s)
             if now_s >= engine.next_read_s:
                 engine.next_read_s = now_s + self._read_interval_s(engine)
                 commands.append(StateReadWanted(engine.server.name, engine.server.address))
@@ -317,11 +325,13 @@
             self._make_unknown(engine, now_s)
         return []
 
-    def _begin_change(self, engine: _Engine, now_s: float) -> list[Command]:
-        if now_s < engine.put_off_until_s or self._changes() >= self._limits.max_changes:
+    def _begin_change(
+        self, engine: _Engine, models_run: Counter[str], now_s: float
+    ) -> list[Command]:
+        change = self._wanted_change(engine, models_run)
+        if change is None or self._changes() >= self._limits.max_changes:
             return []
-        change = self._wanted_change(engine)
-        if change is None or not self._may_take_away(engine):
+        if not self._may_take_away(engine):
             return []
         self._wanted.pop(engine.server.name, None)
         engine.change = change
@@ -333,14 +343,17 @@
     def _changes(self) -> int:
         return sum(1 for engine in self._engines.values() if _is_changing(engine))
 
-    def _wanted_change(self, engine: _Engine) -> Change | None:
+    def _count_models(self) -> defaultdict[str, Counter[str]]:
+        """Returns the number of engines by model, for each pool."""
+        models_run: defaultdict[str, Counter[str]] = defaultdict(Counter)
+        for engine in self._engines.values():
+            if engine.state is not None:
+                models_run[engine.server.pool][engine.state.model.partition("@")[0]] += 1
+        return models_run
+
+    def _wanted_change(self, engine: _Engine, models_run: Counter[str]) -> Change | None:
         if engine.state is None:
             return None
-        models_run = Counter(
-            other.state.model.partition("@")[0]
-            for other in self._engines.values()
-            if other.state is not None and other.server.pool == engine.server.pool
-        )
         derived = derive_change(engine.server, engine.state, self._configuration, models_run)
         if derived is not None:
             return derived
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -10,8 +10,10 @@
 from berylquay.decisions.calls import Attempt, Call
 from berylquay.decisions.configuration_state import Change, ChangeOutcome, ConfigurationState
 from berylquay.decisions.deployment import Configuration
+from berylquay.decisions.engine_orders import EngineState, SendOutcome
 from berylquay.decisions.fleet import LoadReport, MembershipView
-from berylquay.peers.payloads import PeerPayload
+from berylquay.decisions.roles import RoleChange
+from berylquay.peers.payloads import DrainNotice, PeerPayload
 from berylquay.platform.records import LogRecord, NewRecord
 from berylquay.verdicts import Refusal, Verdict
 
@@ -347,3 +349,46 @@
     alive: bool
     # Changes with each restart of the backend server; empty if it does not say.
     incarnation: str = ""
+
+
+@frozen
+class RoleChangeRequested:
+    """policy -> authority: an engine should take another role, if this host holds the authority."""
+
+    change: RoleChange
+
+
+@frozen
+class AuthorityChanged:
+    """authority -> all: this host began or ceased to hold the authority over its data centre."""
+
+    # Fencing number, or 0 for a host that holds no authority.
+    term: int
+
+
+@frozen
+class EngineStateRead:
+    """backends -> authority: what an engine says of itself, or that it could not be read."""
+
+    backend: str
+    state: EngineState | None
+    # Monotonic time before the question was sent.
+    asked_s: float
+
+
+@frozen
+class OrderOutcomeKnown:
+    """backends -> authority: what the sender of orders says of one."""
+
+    order_id: str
+    outcome: SendOutcome
+    detail: str
+
+
+@frozen
+class DrainApplied:
+    """authority -> itself: every component has heard of the drain that was posted before."""
+
+    notice: DrainNotice
+    # Whether the attempts that were decided on before the drain have been heard of, too.
+    settled: bool
--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -39,6 +39,7 @@
         log=_read_log_options(reader),
         caller_limits=_read_caller_limits(reader),
         peers=read_peer_section(reader, parser.has_section("peers")),
+        order_sender_address=reader.optional_address("orders", "sender"),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
     )
 
--- a/berylquay/settings/options.py
+++ b/berylquay/settings/options.py
@@ -85,5 +85,7 @@
     caller_limits: CallerLimits = field(factory=CallerLimits)
     # Links to other entry hosts, or None for a host that stands alone.
     peers: PeerOptions | None = None
+    # Where this host's sender of orders listens, or None for a host that gives no orders.
+    order_sender_address: Address | None = None
     # Lowest level of logs to write.
     log_level: str = "info"
--- a/tests/authority/order_world.py
+++ b/tests/authority/order_world.py
@@ -13,7 +13,7 @@
 
 from berylquay.decisions.deployment import Configuration, Deployment, ModelSpec, PoolSpec
 from berylquay.decisions.drains import HeldDrains
-from berylquay.decisions.engine_orders import EngineState, Order, RoleChange, SendOutcome
+from berylquay.decisions.engine_orders import EngineState, Order, SendOutcome
 from berylquay.decisions.fleet import (
     Address,
     BackendKind,
@@ -32,6 +32,7 @@
     OrderSendWanted,
     StateReadWanted,
 )
+from berylquay.decisions.roles import RoleChange
 from berylquay.peers.payloads import DrainAcknowledgement, DrainNotice
 
 LIMITS: Final = OrderLimits(put_off_s=2.0, drain_timeout_s=30.0, idle_read_interval_s=1.0)
@@ -108,7 +109,7 @@
     def run(self) -> "World":
         """Runs the world to its end."""
         for host in HOSTS:
-            self.drains[host] = HeldDrains(LIMITS.drain_hold_s)
+            self.drains[host] = HeldDrains(LIMITS.host_hold_s)
             self.keepers[host] = OrderKeeper("dc", host, LIMITS)
             self.keepers[host].on_membership(membership())
             self.keepers[host].on_configuration(configuration("1"))
@@ -198,6 +199,7 @@
         def act() -> None:
             for change in self.drains[host].on_notice(sender, notice, self.now_s):
                 self._block(host, change.backend, change.draining)
+            self.drains[host].on_applied(notice)
 
         return act
 
--- a/tests/authority/pausing_sender.py
+++ b/tests/authority/pausing_sender.py
@@ -13,8 +13,9 @@
 from unittest.mock import patch
 
 from berylquay.authority.deadline import Deadline, KernelDeadline
+from berylquay.authority.handover import SendRequest
 from berylquay.authority.order_exchange import OrderExchange
-from berylquay.authority.sender import Sender, SendRequest, run_sender
+from berylquay.authority.sender import Sender, run_sender
 
 
 def stop_here() -> None:
--- a/tests/authority/test_orders.py
+++ b/tests/authority/test_orders.py
@@ -55,7 +55,11 @@
 def test_host_tells_again_when_its_last_attempt_has_ended() -> None:
     held = HeldDrains(hold_s=10.0)
     held.on_attempt_started("e")
-    held.on_notice("c", DrainNotice("e", True, term=5, notice=2), 0.0)
+    notice = DrainNotice("e", True, term=5, notice=2)
+    held.on_notice("c", notice, 0.0)
+    # An attempt that was decided on before the notice may not have been heard of yet.
+    assert not held.acknowledgements()
+    held.on_applied(notice)
     assert [message.in_flight for _, message in held.acknowledgements()] == [1]
     assert not held.acknowledgements()
     held.on_attempt_ended("e")
