--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -49,7 +49,7 @@
 from berylquay.platform.membership import MembershipPoller
 from berylquay.settings.deployment_file import read_deployment_file
 from berylquay.settings.host_file import read_host_file
-from berylquay.settings.options import CallerLimits, LogOptions, Options
+from berylquay.settings.options import AuthorityOptions, CallerLimits, LogOptions, Options
 
 EXIT_BAD_SETTINGS: Final = 2
 _log = logbook.Logger("daemon")
@@ -105,8 +105,8 @@
         HealthPages(metrics).register(loop)
     Lifecycle(options.stop_notice_s).register(loop)
     DrainHolder(options.host, HeldDrains(OrderLimits().host_hold_s)).register(loop)
-    if options.log is not None and options.order_sender_address is not None:
-        _stand_for_authority(loop, outbound, options, options.order_sender_address, incarnation)
+    if options.log is not None and options.authority is not None:
+        _stand_for_authority(loop, outbound, options, options.authority, incarnation)
     if options.log is not None:
         _keep_configuration(loop, outbound, options.log, deployments)
     else:
@@ -131,12 +131,18 @@
     loop: Loop,
     outbound: OutboundConnections,
     options: Options,
-    sender_address: Address,
+    authority: AuthorityOptions,
     incarnation: str,
 ) -> None:
-    lease = LeaseKeeper(options.data_centre, incarnation, LeaseLimits(), Random())
-    orders = OrderKeeper(options.data_centre, options.host, OrderLimits())
-    EngineOrders(outbound, sender_address).register(loop)
+    lease_limits = LeaseLimits(
+        lease_s=authority.lease_s,
+        renewal_interval_s=authority.renewal_interval_s,
+        order_margin_s=authority.order_margin_s,
+    )
+    lease = LeaseKeeper(options.data_centre, incarnation, lease_limits, Random())
+    order_limits = OrderLimits(order_margin_s=authority.order_margin_s)
+    orders = OrderKeeper(options.data_centre, options.host, order_limits)
+    EngineOrders(outbound, authority.sender_address).register(loop)
     Controller(options.host, lease, orders).register(loop)
 
 
--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -6,7 +6,7 @@
 
 from berylquay.errors import SettingsError
 from berylquay.settings.ini import IniReader
-from berylquay.settings.options import CallerLimits, LogOptions, Options
+from berylquay.settings.options import AuthorityOptions, CallerLimits, LogOptions, Options
 from berylquay.settings.peer_section import read_peer_section
 
 
@@ -39,7 +39,7 @@
         log=_read_log_options(reader),
         caller_limits=_read_caller_limits(reader),
         peers=read_peer_section(reader, parser.has_section("peers")),
-        order_sender_address=reader.optional_address("orders", "sender"),
+        authority=_read_authority_options(reader),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
     )
 
@@ -53,6 +53,17 @@
     return None if address is None else LogOptions(address, retention_s, appends_per_s, stream)
 
 
+def _read_authority_options(reader: IniReader) -> AuthorityOptions | None:
+    section = "authority"
+    address = reader.optional_address(section, "sender")
+    lease_s = reader.number(section, "lease_s", 10.0)
+    renewal_interval_s = reader.number(section, "renewal_interval_s", 3.0)
+    order_margin_s = reader.number(section, "order_margin_s", 3.0)
+    if address is None:
+        return None
+    return AuthorityOptions(address, lease_s, renewal_interval_s, order_margin_s)
+
+
 def _read_caller_limits(reader: IniReader) -> CallerLimits:
     defaults = CallerLimits()
     section = "callers"
--- a/berylquay/settings/options.py
+++ b/berylquay/settings/options.py
@@ -59,6 +59,23 @@
     configuration_stream: str = "configuration"
 
 
+@frozen
+class AuthorityOptions:
+    """How a host stands for the authority over the engines of its data centre.
+
+    The times must be the same on all hosts of the data centre.
+    """
+
+    # Where this host's sender of orders listens.
+    sender_address: Address
+    # Length of a lease.
+    lease_s: float = 10.0
+    # Interval between renewals.
+    renewal_interval_s: float = 3.0
+    # Longest time between the end of a lease and the last effect of an order sent under it.
+    order_margin_s: float = 3.0
+
+
 @frozen
 class Options:
     """Everything that one entry host is told by its settings file."""
@@ -85,7 +102,7 @@
     caller_limits: CallerLimits = field(factory=CallerLimits)
     # Links to other entry hosts, or None for a host that stands alone.
     peers: PeerOptions | None = None
-    # Where this host's sender of orders listens, or None for a host that gives no orders.
-    order_sender_address: Address | None = None
+    # How this host stands for the authority over its engines, or None if it gives no orders.
+    authority: AuthorityOptions | None = None
     # Lowest level of logs to write.
     log_level: str = "info"
--- /dev/null
+++ b/tests/support/governed.py
@@ -0,0 +1,164 @@
+"""A data centre of real processes with a log, peers and a sender of orders beside each host."""
+
+import json
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+
+from attrs import define, field
+
+from examples.processes import Process, Processes, free_port
+
+EXAMPLES: Final = Path(__file__).parents[2] / "examples"
+DATA_CENTRE: Final = "fes-1"
+MODEL: Final = "cellar-lm"
+ADAPTERS: Final = "fes,tangier,marrakech"
+LEASE_S: Final = 2.0
+ORDER_MARGIN_S: Final = 0.5
+WAIT_S: Final = 60.0
+
+
+@define
+class GovernedCentre:
+    """The processes of one data centre whose controller is elected through the log."""
+
+    processes: Processes
+    log: Process
+    membership: Process
+    hosts: dict[str, Process] = field(factory=dict)
+    senders: dict[str, Process] = field(factory=dict)
+    engines: dict[str, Process] = field(factory=dict)
+    engine_arguments: dict[str, tuple[str, ...]] = field(factory=dict)
+    # Witness entries of engines whose process has ended, by engine.
+    past_witness: dict[str, list[list[str]]] = field(factory=dict)
+
+    def holder(self) -> str:
+        """Returns the name of the host whose claim was the last to be valid, or an empty text."""
+        path = f"/v1/streams/authority-{DATA_CENTRE}/records?from=1&max=10000"
+        records = self.log.get(path)["records"]
+        assert isinstance(records, list)
+        holder = ""
+        for offset, data in records:
+            record = json.loads(data)
+            if record["kind"] == "claim" and record["fields"]["read_to"] == offset - 1:
+                holder = record["fields"]["holder"].rsplit("-", 1)[0]
+        return str(holder)
+
+    def witness(self, engine: str) -> list[list[str]]:
+        """Returns everything that the engine noted, over all its restarts."""
+        entries = self.engines[engine].get("/witness")["entries"]
+        assert isinstance(entries, list)
+        return self.past_witness.get(engine, []) + entries
+
+    def state(self, engine: str) -> dict[str, object]:
+        """Returns what the engine says of itself, or nothing while it is down."""
+        try:
+            return self.engines[engine].get("/v1/state")
+        except OSError:
+            return {}
+
+    def restart_dead(self) -> None:
+        """Starts dead engines and senders again, as the operator's supervisor does."""
+        for name, process in list(self.engines.items()):
+            if process.popen.poll() is not None:
+                self.start_engine(name, process.port)
+        for name, process in list(self.senders.items()):
+            if process.popen.poll() is not None:
+                self._start_sender(name, process.port)
+
+    def start_engine(self, name: str, port: int) -> None:
+        """Starts an engine with the arguments that belong to it."""
+        arguments = ("--port", str(port), "--name", name, *self.engine_arguments[name])
+        self.engines[name] = self.processes.start(name, "standins.engine", port, *arguments)
+
+    def _start_sender(self, host: str, port: int) -> None:
+        module = "berylquay.authority.sender"
+        name = f"sender-of-{host}"
+        self.senders[host] = self.processes.start(name, module, port, "--port", str(port))
+
+    def start_host(self, name: str, port: int, peer_port: int) -> None:
+        """Starts an entry host and its sender."""
+        self._start_sender(name, free_port())
+        settings = self.processes.directory / f"{name}.ini"
+        settings.write_text(
+            f"""
+[host]
+name = {name}
+region = fes
+data_centre = {DATA_CENTRE}
+initial_deployments = {EXAMPLES / "jamiat.ini"}
+[callers]
+address = 127.0.0.1:{port}
+[platform]
+membership = 127.0.0.1:{self.membership.port}
+log = 127.0.0.1:{self.log.port}
+[peers]
+address = 127.0.0.1:{peer_port}
+[authority]
+sender = 127.0.0.1:{self.senders[name].port}
+lease_s = {LEASE_S}
+renewal_interval_s = 0.5
+order_margin_s = {ORDER_MARGIN_S}
+""",
+            encoding="utf-8",
+        )
+        self.hosts[name] = self.processes.start(name, "berylquay.daemon", port, str(settings))
+
+    def wait_until(self, condition: Callable[[], bool], what: str) -> None:
+        """Waits until the condition holds, restarting what has died meanwhile."""
+        give_up_s = time.monotonic() + WAIT_S
+        while not condition():
+            if time.monotonic() >= give_up_s:
+                raise TimeoutError(what)
+            self.restart_dead()
+            time.sleep(0.05)
+
+    def wait_for_version(self, version: str) -> None:
+        """Waits until every engine runs the version and no order is under way."""
+
+        def reached() -> bool:
+            states = [self.state(name) for name in self.engines]
+            return all(
+                state.get("model") == f"{MODEL}@{version}" and not state["order_under_way"]
+                for state in states
+            )
+
+        self.wait_until(reached, f"engines do not reach version {version}")
+
+
+def start_governed_centre(
+    directory: Path, engines: int, hosts: int, checks_fencing: str, change_ms: int = 600
+) -> GovernedCentre:
+    """Starts a data centre whose engines run version 0, while version 1 is declared."""
+    processes = Processes(directory)
+    log = processes.start_standin("log", "log")
+    host_ports = {f"host-{n}": free_port() for n in range(hosts)}
+    engine_ports = {f"engine-{n}": free_port() for n in range(engines)}
+    members = {
+        "version": 1,
+        "hosts": [_member(name, port) for name, port in host_ports.items()],
+        "backends": [
+            {**_member(name, port), "kind": "engine", "pool": MODEL}
+            for name, port in engine_ports.items()
+        ],
+    }
+    file = directory / "members.json"
+    file.write_text(json.dumps(members), encoding="utf-8")
+    membership = processes.start_standin("membership", "membership", "--file", str(file))
+    centre = GovernedCentre(processes, log, membership)
+    for name, port in engine_ports.items():
+        centre.engine_arguments[name] = (
+            *("--model", f"{MODEL}@0", "--adapters", ADAPTERS),
+            *("--checks-fencing", checks_fencing, "--change-ms", str(change_ms)),
+        )
+        centre.start_engine(name, port)
+    for name, peer_port in host_ports.items():
+        centre.start_host(name, free_port(), peer_port)
+    return centre
+
+
+def _member(name: str, port: int) -> dict[str, object]:
+    address = f"127.0.0.1:{port}"
+    place = {"region": "fes", "data_centre": DATA_CENTRE, "state": "live"}
+    return {"name": name, "address": address, **place}
