--- a/berylquay/decisions/tickets.py
+++ b/berylquay/decisions/tickets.py
@@ -30,6 +30,8 @@
     SPENT = "spent"
     # The whole answer was delivered.
     COMPLETED = "completed"
+    # The call was not run, and the ticket is void, so that it never will be.
+    VOID = "void"
     # The ticket was spent for a request with another content.
     OTHER_CONTENT = "other-content"
     # The ticket's time is over; what became of it is no longer known.
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -25,7 +25,17 @@
 
 @frozen
 class CallReceived:
-    """callers -> dispatch: a checked request wants an answer."""
+    """callers -> dispatch, once: a checked request wants an answer.
+
+    Dispatch runs it at once if it may be repeated, and else waits for `CallGranted`.
+    """
+
+    call: Call
+
+
+@frozen
+class CallGranted:
+    """once -> dispatch: a call that may not be repeated may run on this host now."""
 
     call: Call
 
--- /dev/null
+++ b/berylquay/once/keeper.py
@@ -0,0 +1,87 @@
+"""The shell around `AtMostOnce`: passes messages in and posts what comes out."""
+
+import time
+from collections.abc import Sequence
+
+from circuits import BaseComponent, handler
+from circuits.core.events import started
+
+from berylquay.decisions.claims import CLAIMS_STREAM
+from berylquay.decisions.once import AtMostOnce, Command
+from berylquay.messages import (
+    CallCompleted,
+    CallerGone,
+    CallReceived,
+    CallRefused,
+    LogReachabilityChanged,
+    MembershipRead,
+    PeerLinkChanged,
+    PeerReceived,
+    RecordsRead,
+    StreamFollowRequested,
+    Tick,
+)
+from berylquay.net.bus import BUS, post
+
+
+class OnceKeeper(BaseComponent):
+    """Drives the `AtMostOnce` of this process."""
+
+    channel = BUS
+
+    # The decisions.
+    _once: AtMostOnce
+
+    def __init__(self, once: AtMostOnce) -> None:
+        super().__init__()
+        self._once = once
+
+    @handler("started", channel="*")
+    def _on_started(self, event: started, *_: object) -> None:
+        post(self, StreamFollowRequested(CLAIMS_STREAM, 1))
+
+    @handler("CallReceived")
+    def _on_call(self, message: CallReceived) -> None:
+        if not message.call.repeatable:
+            self._post_all(self._once.on_call(message.call, time.monotonic(), time.time()))
+
+    @handler("CallerGone")
+    def _on_caller_gone(self, message: CallerGone) -> None:
+        self._once.on_caller_gone(message.call_id)
+
+    @handler("CallCompleted")
+    def _on_completed(self, message: CallCompleted) -> None:
+        self._once.on_completed(message, time.monotonic())
+
+    @handler("CallRefused")
+    def _on_refused(self, message: CallRefused) -> None:
+        self._post_all(self._once.on_refused(message, time.monotonic()))
+
+    @handler("RecordsRead")
+    def _on_records(self, message: RecordsRead) -> None:
+        if message.stream == CLAIMS_STREAM:
+            self._post_all(self._once.on_records(message, time.monotonic(), time.time()))
+
+    @handler("LogReachabilityChanged")
+    def _on_reachability(self, message: LogReachabilityChanged) -> None:
+        self._once.on_reachability(message.reachable)
+
+    @handler("MembershipRead")
+    def _on_membership(self, message: MembershipRead) -> None:
+        self._once.on_hosts(len(message.view.hosts))
+
+    @handler("PeerLinkChanged")
+    def _on_link(self, message: PeerLinkChanged) -> None:
+        self._once.on_link(message.host, message.connected)
+
+    @handler("PeerReceived")
+    def _on_peer(self, message: PeerReceived) -> None:
+        self._post_all(self._once.on_peer(message.host, message.payload, time.monotonic()))
+
+    @handler("Tick")
+    def _on_tick(self, message: Tick) -> None:
+        self._post_all(self._once.on_tick(message.now_s))
+
+    def _post_all(self, commands: Sequence[Command]) -> None:
+        for command in commands:
+            post(self, command)
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -80,13 +80,15 @@
 
     # Id of the question.
     ask_id: str
-    # Outcome, as the name of a `TicketOutcome`.
+    # The ticket.
+    ticket: str
+    # Value of a `TicketOutcome`.
     outcome: str
 
 
 @frozen
 class TicketReturned:
-    """Gives the right to spend a ticket back to its issuer, since the call was not run."""
+    """Tells the issuer of a ticket that the right to spend it was not and will not be used."""
 
     # Id of the question by which the right had passed over.
     ask_id: str
