Run calls that may not be repeated at most once, by claims in the log or by tickets

A call under a plain key runs where its claim won in the log and was read back; a call under a ticket runs where its issuer lets it, without the platform. Dispatch gets such calls as CallGranted. The demo starts a log, since a plain key is refused without one.

--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -1,6 +1,7 @@
 """`berylquayd`: the process of one entry host; reads its settings and runs the circuits loop."""
 
 import argparse
+import secrets
 import signal
 import sys
 import time
@@ -14,15 +15,20 @@
 
 from berylquay.backends.attempts import BackendAttempts
 from berylquay.backends.dispatch import Dispatch
+from berylquay.backends.probes import BackendProbes
 from berylquay.callers.gate import Gate
 from berylquay.callers.limits import RequestLimits
 from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
+from berylquay.callers.tickets import TicketsPage
 from berylquay.decisions.appends import AppendLimits
 from berylquay.decisions.deployment import Configuration, Deployment
-from berylquay.decisions.fates import CallFates
+from berylquay.decisions.fates import CallFates, FatesOptions
 from berylquay.decisions.fleet import Address
+from berylquay.decisions.once import AtMostOnce
 from berylquay.decisions.peering import DialPlan, PeeringLimits
 from berylquay.decisions.routing import LeastInFlight
+from berylquay.decisions.serving import HostPlace
+from berylquay.decisions.tickets import TicketIssuer
 from berylquay.errors import SettingsError
 from berylquay.health import HEALTH_CHANNEL, HealthPages
 from berylquay.lifecycle import Lifecycle
@@ -32,6 +38,7 @@
 from berylquay.net.bus import post
 from berylquay.net.outbound import OutboundConnections
 from berylquay.net.ticker import Ticker
+from berylquay.once.keeper import OnceKeeper
 from berylquay.peers.links import LinkIdentity, PeerLinks
 from berylquay.peers.pipes import PipeFactory, make_pipe_factory
 from berylquay.platform.configuration import ConfigurationKeeper
@@ -42,6 +49,7 @@
 from berylquay.settings.options import CallerLimits, LogOptions, Options
 
 EXIT_BAD_SETTINGS: Final = 2
+TICKET_SECRET_BYTES: Final = 32
 _log = logbook.Logger("daemon")
 
 
@@ -77,13 +85,23 @@
     outbound = OutboundConnections(loop).register(loop)
     MembershipPoller(outbound, options.membership_address).register(loop)
     BackendAttempts(outbound).register(loop)
+    BackendProbes(outbound).register(loop)
     if options.peers is not None:
         identity = LinkIdentity(options.host, options.data_centre, incarnation)
         plan = DialPlan(PeeringLimits(), Random(incarnation))
         PeerLinks(outbound, options.peers, identity, pipes, plan).register(loop)
-    fates = CallFates(LeastInFlight(), incarnation)
-    Dispatch(fates).register(loop)
+    fates = CallFates(
+        LeastInFlight(),
+        incarnation=incarnation,
+        options=FatesOptions(place=HostPlace(options.host, options.data_centre)),
+    )
+    Dispatch(fates, grants_needed=True).register(loop)
     callers = _serve_http(loop, options.callers_address, options.caller_limits, CALLERS_CHANNEL)
+    once = AtMostOnce(
+        TicketIssuer(options.host, incarnation, secrets.token_bytes(TICKET_SECRET_BYTES))
+    )
+    OnceKeeper(once).register(loop)
+    TicketsPage(once).register(loop)
     Gate(callers).register(loop)
     metrics = Metrics().register(loop)
     if options.health_address is not None:
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -1,6 +1,6 @@
 """Payloads between entry hosts: each is an attrs class with an entry in the codec's table.
 
-Fields are texts, numbers, flags or bytes.
+Fields are texts, numbers, flags, bytes, or tuples of texts.
 """
 
 from attrs import frozen
@@ -96,6 +96,23 @@
     ticket: str
 
 
+@frozen
+class CrashReport:
+    """Names the contents that were in flight on a backend server when it was lost."""
+
+    # Name of the backend server.
+    backend: str
+    # Content fingerprints, sorted.
+    fingerprints: tuple[str, ...]
+
+
+@frozen
+class CrashCleared:
+    """Says that a suspected content was answered whole and crashes no server."""
+
+    fingerprint: str
+
+
 PeerPayload = (
     Hello
     | Heartbeat
@@ -106,4 +123,6 @@
     | TicketAsked
     | TicketAnswered
     | TicketReturned
+    | CrashReport
+    | CrashCleared
 )
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -90,8 +90,10 @@
     membership = processes.start_standin(
         f"{customer.deployment}-membership", "membership", "--file", str(file)
     )
+    log = processes.start_standin(f"{customer.deployment}-log", "log")
+    platform = f"membership = 127.0.0.1:{membership.port}\nlog = 127.0.0.1:{log.port}"
     hosts = [
-        _start_host(processes, customer, data_centre, membership)
+        _start_host(processes, customer, data_centre, platform)
         for data_centre in customer.data_centres
     ]
     count = len(members)
@@ -127,7 +129,7 @@
 
 
 def _start_host(
-    processes: Processes, customer: Customer, data_centre: str, membership: Process
+    processes: Processes, customer: Customer, data_centre: str, platform: str
 ) -> Process:
     port = free_port()
     health_port = free_port()
@@ -146,7 +148,7 @@
 address = 127.0.0.1:{health_port}
 
 [platform]
-membership = 127.0.0.1:{membership.port}
+{platform}
 """,
         encoding="utf-8",
     )
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -19,6 +19,8 @@
     engines: list[Process]
     services: list[Process]
     hosts: list[Process]
+    # The platform's log, for hosts that use one.
+    log: Process | None = None
 
 
 def start_fleet(
@@ -27,6 +29,8 @@
     services: int,
     hosts: int,
     engine_arguments: tuple[str, ...] = (),
+    *,
+    with_log: bool = False,
 ) -> Fleet:
     """Starts stand-ins and entry hosts for the Jamiat example and returns them running."""
     processes = Processes(directory)
@@ -56,11 +60,12 @@
     file = directory / "members.json"
     file.write_text(json.dumps(members), encoding="utf-8")
     membership = processes.start_standin("membership", "membership", "--file", str(file))
+    log = processes.start_standin("log", "log") if with_log else None
     host_processes = [
-        start_host(processes, name, membership.port, peer_port=port)
+        start_host(processes, name, membership.port, peer_port=port, log=log)
         for name, port in peer_ports.items()
     ]
-    return Fleet(processes, membership, engine_processes, service_processes, host_processes)
+    return Fleet(processes, membership, engine_processes, service_processes, host_processes, log)
 
 
 def start_host(
@@ -68,7 +73,9 @@
     name: str,
     membership_port: int,
     callers_settings: str = "",
+    *,
     peer_port: int | None = None,
+    log: Process | None = None,
 ) -> Process:
     """Starts one entry host."""
     port = free_port()
@@ -87,6 +94,7 @@
 
 [platform]
 membership = 127.0.0.1:{membership_port}
+{f"log = 127.0.0.1:{log.port}" if log is not None else ""}
 
 [peers]
 address = 127.0.0.1:{peer_port or free_port()}
