--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -1,6 +1,7 @@
 """`berylquayd`: the process of one entry host; reads its settings and runs the circuits loop."""
 
 import argparse
+import secrets
 import signal
 import sys
 import time
@@ -22,17 +23,20 @@
 from berylquay.callers.gate import Gate
 from berylquay.callers.limits import RequestLimits
 from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
+from berylquay.callers.tickets import TicketsPage
 from berylquay.decisions.appends import AppendLimits
 from berylquay.decisions.deployment import Configuration, Deployment
 from berylquay.decisions.drains import HeldDrains
 from berylquay.decisions.fates import CallFates, FatesOptions
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.lease import LeaseKeeper, LeaseLimits
+from berylquay.decisions.once import AtMostOnce
 from berylquay.decisions.orders import OrderKeeper, OrderLimits
 from berylquay.decisions.peering import DialPlan, PeeringLimits
 from berylquay.decisions.polling import PollLimits, PollSchedule
 from berylquay.decisions.routing import LeastInFlight
 from berylquay.decisions.serving import HostPlace
+from berylquay.decisions.tickets import TicketIssuer
 from berylquay.errors import SettingsError
 from berylquay.health import HEALTH_CHANNEL, HealthPages
 from berylquay.lifecycle import Lifecycle
@@ -42,6 +46,7 @@
 from berylquay.net.bus import post
 from berylquay.net.outbound import OutboundConnections
 from berylquay.net.ticker import Ticker
+from berylquay.once.keeper import OnceKeeper
 from berylquay.operators.bridge import OperatorsBridge
 from berylquay.operators.server import OperatorsServer
 from berylquay.peers.links import LinkIdentity, PeerLinks
@@ -54,6 +59,7 @@
 from berylquay.settings.options import AuthorityOptions, CallerLimits, LogOptions, Options
 
 EXIT_BAD_SETTINGS: Final = 2
+TICKET_SECRET_BYTES: Final = 32
 _log = logbook.Logger("daemon")
 
 
@@ -98,8 +104,13 @@
         PeerLinks(outbound, options.peers, identity, pipes, plan).register(loop)
     place = HostPlace(options.host, options.data_centre)
     fates = CallFates(LeastInFlight(), incarnation, options=FatesOptions(place=place))
-    Dispatch(fates).register(loop)
+    Dispatch(fates, grants_needed=True).register(loop)
     callers = _serve_http(loop, options.callers_address, options.caller_limits, CALLERS_CHANNEL)
+    once = AtMostOnce(
+        TicketIssuer(options.host, incarnation, secrets.token_bytes(TICKET_SECRET_BYTES))
+    )
+    OnceKeeper(once).register(loop)
+    TicketsPage(once).register(loop)
     Gate(callers).register(loop)
     metrics = Metrics().register(loop)
     if options.health_address is not None:
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -27,7 +27,17 @@
 
 @frozen
 class CallReceived:
-    """callers -> dispatch: a checked request wants an answer."""
+    """callers -> dispatch, once: a checked request wants an answer.
+
+    Dispatch runs it at once if it may be repeated, and else waits for `CallGranted`.
+    """
+
+    call: Call
+
+
+@frozen
+class CallGranted:
+    """once -> dispatch: a call that may not be repeated may run on this host now."""
 
     call: Call
 
@@ -338,13 +348,6 @@
     """callers -> lifecycle: every answer has been sent whole after admission was closed."""
 
 
-@frozen
-class CallGranted:
-    """tickets -> dispatch: the key of a non-repeatable call is this host's to spend."""
-
-    call: Call
-
-
 @frozen
 class ProbeRequested:
     """dispatch -> backends: try a fresh connection to a backend server."""
