--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -1,8 +1,21 @@
-"""Payloads between entry hosts: each is an attrs class with an entry in the codec's table."""
+"""Payloads between entry hosts: each is an attrs class with an entry in the codec's table.
+
+Fields are texts, numbers, flags or bytes.
+"""
 
 from attrs import frozen
 
 
+@frozen
+class Hello:
+    """The first message on a link, from both ends: says who is there."""
+
+    # Name of the sending host.
+    host: str
+    # Incarnation of the sending process; changes with each restart.
+    incarnation: str
+
+
 @frozen
 class Heartbeat:
     """Shows that the sender is alive."""
@@ -21,6 +34,8 @@
     draining: bool
     # Fencing number of the sender's authority.
     term: int
+    # Number of the notice; acknowledgements repeat it.
+    notice: int = 0
 
 
 @frozen
@@ -30,6 +45,88 @@
     backend: str
     term: int
     in_flight: int
+    # Number of the newest notice that the sender has taken.
+    notice: int = 0
+
+
+@frozen
+class ConfigurationRequest:
+    """Asks for the configuration's snapshot, if the receiver has read further than the offset."""
+
+    offset: int
+
+
+@frozen
+class ConfigurationOffer:
+    """Carries a snapshot of the configuration, as the log's snapshot records do."""
+
+    # JSON of the snapshot.
+    snapshot: bytes
+
+
+@frozen
+class CrashReport:
+    """Names the contents that were in flight on a backend server when it was lost."""
+
+    # Name of the backend server.
+    backend: str
+    # Content fingerprints, sorted.
+    fingerprints: tuple[str, ...]
+
+
+@frozen
+class CrashCleared:
+    """Says that a suspected content was answered whole and crashes no server."""
+
+    fingerprint: str
+
+
+@frozen
+class TicketAsked:
+    """Asks the issuer of a single-use ticket to hand the right to spend it over to the sender."""
+
+    # Id of the question; the answer repeats it.
+    ask_id: str
+    # The ticket.
+    ticket: str
+    # Tenant that sent the ticket.
+    tenant: str
+    # Hash of the content that is to run.
+    fingerprint: str
+
+
+@frozen
+class TicketAnswered:
+    """Answers `TicketAsked`; the right to spend the ticket passes over at most once."""
+
+    # Id of the question.
+    ask_id: str
+    # The ticket.
+    ticket: str
+    # Value of a `TicketOutcome`.
+    outcome: str
+
+
+@frozen
+class TicketReturned:
+    """Tells the issuer of a ticket that the right to spend it was not and will not be used."""
+
+    # Id of the question by which the right had passed over.
+    ask_id: str
+    # The ticket.
+    ticket: str
 
 
-PeerPayload = Heartbeat | DrainNotice | DrainAcknowledgement
+PeerPayload = (
+    Hello
+    | Heartbeat
+    | DrainNotice
+    | DrainAcknowledgement
+    | ConfigurationRequest
+    | ConfigurationOffer
+    | CrashReport
+    | CrashCleared
+    | TicketAsked
+    | TicketAnswered
+    | TicketReturned
+)
--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -6,7 +6,8 @@
 
 from berylquay.errors import SettingsError
 from berylquay.settings.ini import IniReader
-from berylquay.settings.options import CallerLimits, Options
+from berylquay.settings.options import AuthorityOptions, CallerLimits, LogOptions, Options
+from berylquay.settings.peer_section import read_peer_section
 
 
 def read_host_file(path: str) -> Result[Options, tuple[SettingsError, ...]]:
@@ -18,14 +19,14 @@
     except (OSError, UnicodeDecodeError, Error) as error:
         return Failure((SettingsError(path, "", "", str(error), "a readable INI file"),))
     reader = IniReader(path, parser)
-    options = _read_options(reader)
+    options = _read_options(reader, parser)
     reader.check_for_unknown_keys()
     if reader.errors:
         return Failure(tuple(reader.errors))
     return Success(options)
 
 
-def _read_options(reader: IniReader) -> Options:
+def _read_options(reader: IniReader, parser: ConfigParser) -> Options:
     return Options(
         host=reader.text("host", "name"),
         region=reader.text("host", "region"),
@@ -35,11 +36,35 @@
         health_address=reader.optional_address("health", "address"),
         stop_notice_s=reader.number("host", "stop_notice_s", 2.0),
         initial_deployments=reader.words("host", "initial_deployments", ()),
+        operators_address=reader.optional_address("operators", "address"),
+        log=_read_log_options(reader),
         caller_limits=_read_caller_limits(reader),
+        peers=read_peer_section(reader, parser.has_section("peers")),
+        authority=_read_authority_options(reader),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
     )
 
 
+def _read_log_options(reader: IniReader) -> LogOptions | None:
+    section = "platform"
+    address = reader.optional_address(section, "log")
+    retention_s = reader.number(section, "log_retention_s", 3600.0)
+    appends_per_s = reader.number(section, "log_appends_per_s", 20.0)
+    stream = reader.text(section, "configuration_stream", "configuration")
+    return None if address is None else LogOptions(address, retention_s, appends_per_s, stream)
+
+
+def _read_authority_options(reader: IniReader) -> AuthorityOptions | None:
+    section = "authority"
+    address = reader.optional_address(section, "sender")
+    lease_s = reader.number(section, "lease_s", 10.0)
+    renewal_interval_s = reader.number(section, "renewal_interval_s", 3.0)
+    order_margin_s = reader.number(section, "order_margin_s", 3.0)
+    if address is None:
+        return None
+    return AuthorityOptions(address, lease_s, renewal_interval_s, order_margin_s)
+
+
 def _read_caller_limits(reader: IniReader) -> CallerLimits:
     defaults = CallerLimits()
     section = "callers"
--- a/berylquay/settings/options.py
+++ b/berylquay/settings/options.py
@@ -23,6 +23,59 @@
     write_buffer_bytes: int = 262144
 
 
+@frozen
+class PeerTls:
+    """Paths of what mutual TLS between entry hosts needs."""
+
+    # Certificate of this host, which names the host among its alternative names.
+    certificate: str
+    # Private key of the certificate.
+    key: str
+    # Certificate of the authority that signed the certificates of all entry hosts.
+    ca: str
+
+
+@frozen
+class PeerOptions:
+    """How this host and the other entry hosts reach each other."""
+
+    # Where the other hosts connect.
+    address: Address
+    # Mutual TLS, or None for links without TLS.
+    tls: PeerTls | None = None
+
+
+@frozen
+class LogOptions:
+    """How the platform's log is used."""
+
+    # Where the log service listens.
+    address: Address
+    # Time for which the log keeps a record.
+    retention_s: float = 3600.0
+    # Most appends that this host sends per second.
+    appends_per_s: float = 20.0
+    # Stream that carries the configuration.
+    configuration_stream: str = "configuration"
+
+
+@frozen
+class AuthorityOptions:
+    """How a host stands for the authority over the engines of its data centre.
+
+    The times must be the same on all hosts of the data centre.
+    """
+
+    # Where this host's sender of orders listens.
+    sender_address: Address
+    # Length of a lease.
+    lease_s: float = 10.0
+    # Interval between renewals.
+    renewal_interval_s: float = 3.0
+    # Longest time between the end of a lease and the last effect of an order sent under it.
+    order_margin_s: float = 3.0
+
+
 @frozen
 class Options:
     """Everything that one entry host is told by its settings file."""
@@ -43,7 +96,15 @@
     stop_notice_s: float = 2.0
     # Deployment files that are in force until the platform's log gives a configuration.
     initial_deployments: tuple[str, ...] = ()
+    # Where operators' gRPC calls are served, or None.
+    operators_address: Address | None = None
+    # The platform's log, or None if the host runs on its deployment files alone.
+    log: LogOptions | None = None
     # Bounds on callers.
     caller_limits: CallerLimits = field(factory=CallerLimits)
+    # Links to other entry hosts, or None for a host that stands alone.
+    peers: PeerOptions | None = None
+    # How this host stands for the authority over its engines, or None if it gives no orders.
+    authority: AuthorityOptions | None = None
     # Lowest level of logs to write.
     log_level: str = "info"
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -19,6 +19,8 @@
     engines: list[Process]
     services: list[Process]
     hosts: list[Process]
+    # The platform's log, for hosts that use one.
+    log: Process | None = None
 
 
 def start_fleet(
@@ -27,6 +29,8 @@
     services: int,
     hosts: int,
     engine_arguments: tuple[str, ...] = (),
+    *,
+    with_log: bool = False,
 ) -> Fleet:
     """Starts stand-ins and entry hosts for the Jamiat example and returns them running."""
     processes = Processes(directory)
@@ -46,21 +50,32 @@
         processes.start_standin(f"service-{n}", "service", "--name", f"service-{n}")
         for n in range(services)
     ]
+    peer_ports = {f"host-{n}": free_port() for n in range(hosts)}
     members = {
         "version": 1,
-        "hosts": [],
+        "hosts": [_host_member(name, port) for name, port in peer_ports.items()],
         "backends": [_member(p, "engine", "cellar-lm") for p in engine_processes]
         + [_member(p, "service", "cellar-log") for p in service_processes],
     }
     file = directory / "members.json"
     file.write_text(json.dumps(members), encoding="utf-8")
     membership = processes.start_standin("membership", "membership", "--file", str(file))
-    host_processes = [start_host(processes, f"host-{n}", membership.port) for n in range(hosts)]
-    return Fleet(processes, membership, engine_processes, service_processes, host_processes)
+    log = processes.start_standin("log", "log") if with_log else None
+    host_processes = [
+        start_host(processes, name, membership.port, peer_port=port, log=log)
+        for name, port in peer_ports.items()
+    ]
+    return Fleet(processes, membership, engine_processes, service_processes, host_processes, log)
 
 
 def start_host(
-    processes: Processes, name: str, membership_port: int, callers_settings: str = ""
+    processes: Processes,
+    name: str,
+    membership_port: int,
+    callers_settings: str = "",
+    *,
+    peer_port: int | None = None,
+    log: Process | None = None,
 ) -> Process:
     """Starts one entry host."""
     port = free_port()
@@ -79,12 +94,26 @@
 
 [platform]
 membership = 127.0.0.1:{membership_port}
+{f"log = 127.0.0.1:{log.port}" if log is not None else ""}
+
+[peers]
+address = 127.0.0.1:{peer_port or free_port()}
 """,
         encoding="utf-8",
     )
     return processes.start(name, "berylquay.daemon", port, str(settings))
 
 
+def _host_member(name: str, peer_port: int) -> dict[str, object]:
+    return {
+        "name": name,
+        "address": f"127.0.0.1:{peer_port}",
+        "region": "fes",
+        "data_centre": "fes-1",
+        "state": "live",
+    }
+
+
 def _member(process: Process, kind: str, pool: str) -> dict[str, object]:
     return {
         "name": process.name,
