--- a/berylquay/decisions/predicted_admission.py
+++ b/berylquay/decisions/predicted_admission.py
@@ -20,20 +20,20 @@
     """Bounds by which calls are admitted."""
 
     # Longest backlog that a call of a tenant over its share may join, whatever its priority.
-    backlog_s: float = 2
+    backlog_s: float = 3.5
     # Part of the class's deadline that may pass before the prefill starts, by priority.
     wait_part: float = 0.15
     # Factor on both waits for a tenant that is under its share.
     under_share: float = 5
     # Factor on both waits for a tenant whose work is above so many times its share.
-    flooding: float = 0.3
-    flood_use: float = 1.3
+    flooding: float = 0.12
+    flood_use: float = 1.75
     # Factor on both waits for a caller who comes back as told.
     returning: float = 15
     # Part of the time to the deadline that the predicted answer may take.
     deadline_part: float = 0.9
     # Part of the capacity that is promised to callers who are told to come back.
-    promised_part: float = .35
+    promised_part: float = 0.35
     # Shortest and longest time after which a caller is told to come back.
     min_retry_after_s: float = 1.0
     max_retry_after_s: float = 600.0
