--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,7 @@
 from bench.knob import WEIGHTS, draw_curves, knob_curve
 from bench.policies import POLICY_SETS
 from bench.scenarios import read_fleet, read_scenarios
+from bench.sizes import measure_sizes
 from bench.slopes import measure_slopes
 from bench.table import as_markdown, run_scenario
 
@@ -35,6 +36,8 @@
     knob.set_defaults(run=_knob)
     slopes = commands.add_parser("slopes", help="measure processor time and memory per decision")
     slopes.set_defaults(run=_slopes)
+    sizes = commands.add_parser("sizes", help="measure bytes and memory of control messages")
+    sizes.set_defaults(run=_sizes)
     return parser.parse_args()
 
 
@@ -71,6 +74,11 @@
     sys.stdout.write(as_markdown(lines) + "\n")
 
 
+def _sizes(arguments: argparse.Namespace) -> None:
+    for size in measure_sizes():
+        sys.stdout.write(f"| {size.what} | {size.value:.1f} {size.unit} |\n")
+
+
 def _wanted(name: str, names: list[str] | None) -> bool:
     return not names or name in names
 
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,98 @@
+"""Admission: refusals are NOT_RUN and at once, shares hold, promises do not overlap."""
+
+import pytest
+from attrs import evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from berylquay.decisions.deployment import Deployment, TenantSpec
+from berylquay.decisions.fleet import MembershipView
+from berylquay.decisions.loads import FleetLoads
+from berylquay.decisions.predicted_admission import PredictedAdmission
+from berylquay.decisions.predictions import Predictor
+from berylquay.decisions.shares import TenantShares
+from berylquay.decisions.speeds import EngineSpeed
+from berylquay.verdicts import RefusalReason, Verdict
+from tests.test_routing import make_call, make_server
+
+TENANTS = (TenantSpec("fes", 1.0), TenantSpec("tangier", 1.0))
+
+
+def make_admission() -> PredictedAdmission:
+    deployment = Deployment("jamiat", tenants=TENANTS)
+    return PredictedAdmission(deployment, Predictor(EngineSpeed()), 1.0)
+
+
+def test_an_idle_engine_admits() -> None:
+    assert make_admission().refusal_of(make_call(), make_server("e"), 0.0) is None
+
+
+def test_an_answer_that_cannot_be_in_time_is_refused_before_it_runs() -> None:
+    call = evolve(make_call(), deadline_s=0.5)
+    refusal = make_admission().refusal_of(call, make_server("e"), 0.0)
+    assert refusal is not None
+    assert refusal.reason is RefusalReason.DEADLINE
+    assert refusal.verdict is Verdict.NOT_RUN
+
+
+def test_a_caller_who_comes_back_as_told_is_admitted_before_others() -> None:
+    admission, server = make_admission(), make_server("e", 200000)
+    first = admission.refusal_of(make_call(), server, 0.0)
+    assert first is not None
+    assert first.retry_after_s is not None
+    assert first.retry_after_s >= 1.0
+    assert admission.refusal_of(make_call(), server, 0.0, returning=True) is None
+
+
+def test_a_flooding_tenant_is_refused_where_another_is_admitted() -> None:
+    admission, server = make_admission(), make_server("e", 20000)
+    for _ in range(50):
+        admission.on_started(make_call(), 0.0)
+    flooding = make_call()
+    other = evolve(make_call(), tenant="tangier")
+    assert admission.refusal_of(flooding, server, 0.0) is not None
+    assert admission.refusal_of(other, server, 0.0) is None
+
+
+def test_promised_times_rise_while_refusals_go_on() -> None:
+    admission, server = make_admission(), make_server("e", 2000000)
+    waits = []
+    for _ in range(20):
+        refusal = admission.refusal_of(make_call(), server, 0.0)
+        assert refusal is not None
+        assert refusal.retry_after_s is not None
+        waits.append(refusal.retry_after_s)
+    assert waits == sorted(waits)
+    assert waits[-1] > waits[0]
+
+
+@settings(max_examples=100, derandomize=True)
+@given(st.lists(st.tuples(st.sampled_from(["fes", "tangier", "?"]), st.floats(0.01, 5.0))))
+def test_uses_weighted_by_shares_add_up_to_the_declared_work(
+    work: list[tuple[str, float]],
+) -> None:
+    shares = TenantShares(TENANTS)
+    for tenant, work_s in work:
+        shares.add(tenant, work_s, 0.0)
+    declared = sum(work_s for tenant, work_s in work if tenant != "?")
+    whole = sum(work_s for _, work_s in work)
+    uses = sum(shares.use_of(tenant.name, 0.0) * 0.5 for tenant in TENANTS)
+    assert uses * whole == pytest.approx(declared)
+
+
+@settings(max_examples=100, derandomize=True)
+@given(st.lists(st.tuples(st.integers(0, 2), st.integers(1, 4000), st.integers(1, 20))))
+def test_counts_return_to_zero_when_every_attempt_has_ended(
+    attempts: list[tuple[int, int, int]],
+) -> None:
+    loads = FleetLoads("fes")
+    servers = tuple(make_server(f"e{number}").server for number in range(3))
+    loads.on_membership(MembershipView(1, servers, ()))
+    for number, tokens, priority in attempts:
+        loads.on_sent(f"e{number}", tokens, priority)
+    for number, tokens, priority in attempts:
+        loads.on_first_token(f"e{number}", tokens, priority)
+        loads.on_ended(f"e{number}")
+    for candidate in loads.candidates("pool").local:
+        assert candidate.in_flight == candidate.pending_prompt_tokens == 0
+        assert not any(candidate.pending_by_priority.values())
