--- a/berylquay/backends/dispatch.py
+++ b/berylquay/backends/dispatch.py
@@ -80,7 +80,7 @@
 
     @handler("PeerReceived")
     def _on_peer(self, message: PeerReceived) -> None:
-        self._fates.on_peer(message.payload, time.monotonic())
+        self._fates.on_peer(message.host, message.payload, time.monotonic())
 
     @handler("MembershipRead")
     def _on_membership(self, message: MembershipRead) -> None:
--- a/berylquay/decisions/fates.py
+++ b/berylquay/decisions/fates.py
@@ -15,6 +15,7 @@
 from berylquay.decisions.admission import AdmissionPolicy, AdmitAll
 from berylquay.decisions.calls import Attempt, Call
 from berylquay.decisions.fleet import LoadReport, MembershipView
+from berylquay.decisions.isolation import Isolation, IsolationLimits
 from berylquay.decisions.judging import JudgeLimits, ServerJudge
 from berylquay.decisions.open_calls import OpenCall, OpenCalls, Stage
 from berylquay.decisions.placement import Placement
@@ -38,7 +39,7 @@
     ProbeRequested,
     TokensForCaller,
 )
-from berylquay.peers.payloads import CrashCleared, CrashReport, PeerPayload
+from berylquay.peers.payloads import CrashCleared, CrashReport, IsolationClaim, PeerPayload
 from berylquay.verdicts import Refusal, RefusalReason, Verdict
 
 Command = (
@@ -66,6 +67,7 @@
     retries: RetryLimits = field(factory=RetryLimits)
     progress: ProgressLimits = field(factory=ProgressLimits)
     judge: JudgeLimits = field(factory=JudgeLimits)
+    isolation: IsolationLimits = field(factory=IsolationLimits)
     place: HostPlace = field(factory=HostPlace)
 
 
@@ -88,6 +90,8 @@
     _judge: ServerJudge
     # Servers that may take new work.
     _serving: ServingSet
+    # Servers that suspects have to themselves.
+    _isolation: Isolation
     # Chooses servers for attempts.
     _placement: Placement
     # Time and call id of attempts to come, soonest first.
@@ -113,7 +117,8 @@
         self._budget = RetryBudget(self._options.retries)
         self._judge = ServerJudge(self._options.judge, self._rng)
         self._serving = ServingSet(self._options.place, self._judge.health)
-        self._placement = Placement(routing, self._serving, self._judge.ledger)
+        self._isolation = Isolation(self._options.isolation, self._options.place.host)
+        self._placement = Placement(routing, self._serving, self._judge.ledger, self._isolation)
         self._resumptions = []
         self._next_stall_check_s = 0.0
         self._attempt_count = 0
@@ -143,12 +148,14 @@
         """Begins or ceases to keep new work away from a server."""
         self._serving.on_drain_changed(backend, draining)
 
-    def on_peer(self, payload: PeerPayload, now_s: float) -> None:
+    def on_peer(self, host: str, payload: PeerPayload, now_s: float) -> None:
         """Takes what another host of the data centre has learnt about contents."""
         if isinstance(payload, CrashReport):
             self._judge.on_crash_report(payload, now_s)
         elif isinstance(payload, CrashCleared):
             self._judge.ledger.clear(payload.fingerprint)
+        elif isinstance(payload, IsolationClaim):
+            self._isolation.on_peer(host, payload, now_s)
 
     def on_call(self, call: Call, now_s: float) -> Sequence[Command]:
         """Starts the first attempt of a call, or refuses it."""
@@ -212,10 +219,11 @@
             failure = AttemptFailed(message.attempt_id, Verdict.MAY_HAVE_RUN, detail, False)
             return self.on_failed(failure, now_s)
         backend = state.attempt.backend
-        self._end_attempt(state)
+        released = self._end_attempt(state)
         self._close(state, now_s)
         call = state.call
         return [
+            *released,
             CallCompleted(call.call_id, message.status, message.body, message.content_type),
             *self._judge.on_whole_answer(backend, call.fingerprint, self._serving.peers()),
         ]
@@ -226,8 +234,12 @@
         if state is None or state.attempt is None:
             return []
         backend = state.attempt.backend
+        return [*self._end_attempt(state), *self._after_failure(state, message, backend, now_s)]
+
+    def _after_failure(
+        self, state: OpenCall, message: AttemptFailed, backend: str, now_s: float
+    ) -> Sequence[Command]:
         cancelled = state.stage is Stage.CANCELLING
-        self._end_attempt(state)
         state.avoided.add(backend)
         state.may_have_run |= message.verdict is not Verdict.NOT_RUN
         if state.giving_up is not None:
@@ -274,6 +286,8 @@
         if now_s >= self._next_stall_check_s:
             self._next_stall_check_s = now_s + STALL_CHECK_INTERVAL_S
             commands.extend(self._check_for_stalls(now_s))
+            for claim in self._isolation.renewals(now_s):
+                commands.extend(self._tell_peers(claim))
         return commands
 
     def _start_attempt(self, state: OpenCall, now_s: float) -> Sequence[Command]:
@@ -283,7 +297,7 @@
         choice = self._placement.choose(call, frozenset(state.avoided), now_s)
         if choice.wait:
             self._resume_at(state, now_s + ISOLATION_POLL_S)
-            return []
+            return self._tell_peers(choice.claim)
         if choice.candidate is None:
             return [self._give_up_for_lack_of_servers(state, now_s)]
         if not state.attempts_made:
@@ -294,7 +308,7 @@
             self._admission.on_started(call, now_s)
         attempt = self._new_attempt(state, choice.candidate.server.name)
         self._serving.on_started(attempt.backend)
-        self._placement.on_started(call, attempt.backend)
+        self._isolation.on_started(call.fingerprint, call.call_id)
         self._open.start_attempt(state, attempt, now_s)
         return [AttemptRequested(attempt)]
 
@@ -305,11 +319,18 @@
         version = state.model_version if first_token else ""
         return Attempt(attempt_id, state.call, backend, first_token, version)
 
-    def _end_attempt(self, state: OpenCall) -> None:
+    def _end_attempt(self, state: OpenCall) -> Sequence[Command]:
         attempt = self._open.end_attempt(state)
-        if attempt is not None:
-            self._serving.on_ended(attempt.backend)
-            self._placement.on_ended(state.call, attempt.backend)
+        if attempt is None:
+            return []
+        self._serving.on_ended(attempt.backend)
+        call = state.call
+        return self._tell_peers(self._isolation.on_ended(call.fingerprint, call.call_id))
+
+    def _tell_peers(self, claim: IsolationClaim | None) -> Sequence[Command]:
+        if claim is None:
+            return []
+        return [PeerSendRequested(peer, claim) for peer in self._serving.peers()]
 
     def _close(self, state: OpenCall, now_s: float) -> None:
         self._open.remove(state)
@@ -376,6 +397,9 @@
     ) -> Sequence[Command]:
         if state.attempt is None:
             return [self._give_up(state, reason, detail, now_s)]
+        if state.phase is not Phase.CONNECTING:
+            fingerprint = state.call.fingerprint
+            self._judge.on_abandoned(state.attempt.backend, fingerprint, now_s)
         # The refusal waits for the attempt's verdict, which comes back in the same round.
         return self._cancel(state, reason, detail, now_s)
 
--- a/berylquay/decisions/health.py
+++ b/berylquay/decisions/health.py
@@ -11,6 +11,10 @@
 
     # Failures in a row that set a server aside.
     failures_to_set_aside: int = 3
+    # Failures within this time of each other count as one, since they may have one cause.
+    same_failure_s: float = 0.5
+    # Time within which peers' reports of a server that was set aside should have come.
+    report_delay_s: float = 0.5
     # Mean time before the first probe; doubles with each probe that fails.
     first_probe_s: float = 0.5
     # Longest mean time between probes.
@@ -25,6 +29,8 @@
 
     # Failures since the last success.
     failures: int = 0
+    # Monotonic time of the last failure that was counted.
+    failed_s: float = float("-inf")
     # Mean time before the next probe.
     interval_s: float = 0.0
     # Monotonic time of the next probe; None while the server is not set aside.
@@ -40,8 +46,8 @@
     _rng: Random
     # Servers that have failed since their last success.
     _failing: dict[str, _Server]
-    # Servers that are set aside.
-    _aside: set[str]
+    # Monotonic time since when a server is set aside, for those that are.
+    _aside: dict[str, float]
     # Probes that may start now.
     _probes_saved: float
     # Monotonic time up to which probes were saved.
@@ -51,7 +57,7 @@
         self._limits = limits
         self._rng = rng
         self._failing = {}
-        self._aside = set()
+        self._aside = {}
         self._probes_saved = 1.0
         self._saved_until_s = 0.0
 
@@ -59,6 +65,11 @@
         """Tells whether new work should be kept away from the server."""
         return backend in self._aside
 
+    def is_newly_aside(self, backend: str, now_s: float) -> bool:
+        """Tells whether the server was set aside so lately that peers may know more of it."""
+        since_s = self._aside.get(backend)
+        return since_s is not None and now_s < since_s + self._limits.report_delay_s
+
     def on_success(self, backend: str) -> None:
         """Takes note that the server answered."""
         if backend in self._failing:
@@ -67,6 +78,9 @@
     def on_failure(self, backend: str, now_s: float) -> None:
         """Takes note that the server failed an attempt."""
         server = self._failing.setdefault(backend, _Server())
+        if now_s < server.failed_s + self._limits.same_failure_s:
+            return
+        server.failed_s = now_s
         server.failures += 1
         if server.failures >= self._limits.failures_to_set_aside:
             self._set_aside(backend, server, now_s)
@@ -87,7 +101,7 @@
             return
         server.probe_at_s = None
         server.failures = self._limits.failures_to_set_aside - 1
-        self._aside.discard(backend)
+        self._aside.pop(backend, None)
 
     def forget_all_but(self, backends: frozenset[str]) -> None:
         """Forgets servers that are gone from the membership list."""
@@ -97,7 +111,7 @@
     def forget(self, backend: str) -> None:
         """Forgets a server that is gone from the membership list."""
         self._failing.pop(backend, None)
-        self._aside.discard(backend)
+        self._aside.pop(backend, None)
 
     def due_probes(self, now_s: float) -> list[str]:
         """Returns the servers to probe now, no more than the rate allows."""
@@ -127,7 +141,7 @@
         doubled_s = max(server.interval_s * 2, self._limits.first_probe_s)
         server.interval_s = min(doubled_s, self._limits.max_probe_s)
         server.probe_at_s = now_s + self._jittered(server.interval_s)
-        self._aside.add(backend)
+        self._aside[backend] = now_s
 
     def _jittered(self, interval_s: float) -> float:
         return interval_s * self._rng.uniform(0.5, 1.5)
--- a/berylquay/decisions/judging.py
+++ b/berylquay/decisions/judging.py
@@ -16,6 +16,8 @@
 from berylquay.peers.payloads import CrashCleared, CrashReport
 
 EXPIRY_INTERVAL_S: Final = 1.0
+# Time for which a content that nobody waits for any more is tied to its server's fate.
+ABANDONED_MEMORY_S: Final = 5.0
 # Most fingerprints in one report.
 MAX_REPORTED: Final = 1024
 
@@ -51,6 +53,8 @@
     ledger: SuspectLedger
     # Probes under way and what they settle.
     _outages: Outages
+    # Time at which a content was last abandoned, by backend server and content.
+    _abandoned: dict[str, dict[str, float]]
     # Last known incarnation by backend server.
     _incarnations: dict[str, str]
     # Monotonic time at which old suspicions are next forgotten.
@@ -60,6 +64,7 @@
         self.health = ServerHealth(limits.health, rng)
         self.ledger = SuspectLedger(limits.suspects)
         self._outages = Outages()
+        self._abandoned = {}
         self._incarnations = {}
         self._next_expiry_s = 0.0
 
@@ -90,10 +95,18 @@
         self._outages.add(backend, fingerprint, held_call_id)
         return commands
 
+    def on_abandoned(self, backend: str, fingerprint: str, now_s: float) -> None:
+        """Takes note that nobody waits any more for a content that a server may be at work on.
+
+        The server may be lost under it after the connection was closed from this side.
+        """
+        self._abandoned.setdefault(backend, {})[fingerprint] = now_s
+
     def on_probe_ended(self, message: ProbeEnded, peers: list[str], now_s: float) -> ProbeOutcome:
         """Concludes whether the server was lost, and tells peers of the contents concerned."""
         outage = self._outages.end(message.backend)
-        lost = bool(outage.fingerprints) and self._was_lost(message)
+        contents = outage.fingerprints | self._abandoned.get(message.backend, {}).keys()
+        lost = bool(contents) and self._was_lost(message)
         if message.incarnation:
             self._incarnations[message.backend] = message.incarnation
         if message.alive:
@@ -102,8 +115,8 @@
             self.health.on_probe_failed(message.backend, now_s)
         if not lost:
             return ProbeOutcome([], outage.held, lost=False)
-        self.ledger.on_lost(message.backend, frozenset(outage.fingerprints), now_s)
-        report = CrashReport(message.backend, tuple(sorted(outage.fingerprints))[:MAX_REPORTED])
+        self.ledger.on_lost(message.backend, frozenset(contents), now_s)
+        report = CrashReport(message.backend, tuple(sorted(contents))[:MAX_REPORTED])
         return ProbeOutcome([PeerSendRequested(p, report) for p in peers], outage.held, lost=True)
 
     def on_crash_report(self, report: CrashReport, now_s: float) -> None:
@@ -115,9 +128,19 @@
         if now_s >= self._next_expiry_s:
             self._next_expiry_s = now_s + EXPIRY_INTERVAL_S
             self.ledger.expire(now_s)
+            self._forget_abandoned(now_s)
         due = self.health.due_probes(now_s)
         return [command for backend in due for command in self._probe(backend)]
 
+    def _forget_abandoned(self, now_s: float) -> None:
+        oldest_s = now_s - ABANDONED_MEMORY_S
+        for backend, contents in list(self._abandoned.items()):
+            kept = {content: at_s for content, at_s in contents.items() if at_s > oldest_s}
+            if kept:
+                self._abandoned[backend] = kept
+            else:
+                del self._abandoned[backend]
+
     def _probe(self, backend: str) -> list[JudgeCommand]:
         return [ProbeRequested(backend)] if self._outages.probe(backend) else []
 
--- a/berylquay/decisions/placement.py
+++ b/berylquay/decisions/placement.py
@@ -1,15 +1,17 @@
 """Placement: bounds the backend servers that a content may reach, and lets routing choose there."""
 
 from collections.abc import Iterator
-from itertools import chain, islice
+from itertools import islice
 from typing import Final
 
 from attrs import frozen
 
 from berylquay.decisions.calls import Call
+from berylquay.decisions.isolation import ClaimState, Isolation
 from berylquay.decisions.routing import Candidate, RoutingPolicy
-from berylquay.decisions.serving import ServingSet
+from berylquay.decisions.serving import Place, ServingSet
 from berylquay.decisions.suspects import Standing, SuspectLedger
+from berylquay.peers.payloads import IsolationClaim
 
 # Servers that copies of one content may reach before anything is known of it.
 EXPOSED_SERVERS: Final = 3
@@ -25,6 +27,8 @@
     candidate: Candidate | None
     # Whether the call should wait because another suspect has its server to itself.
     wait: bool = False
+    # What peers must be told of the server that the call claims or gives up, if anything.
+    claim: IsolationClaim | None = None
 
 
 class Placement:
@@ -36,14 +40,20 @@
     _serving: ServingSet
     # What is known of contents.
     _ledger: SuspectLedger
-    # Server by isolated content that is running.
-    _isolated: dict[str, str]
-
-    def __init__(self, routing: RoutingPolicy, serving: ServingSet, ledger: SuspectLedger) -> None:
+    # Servers that suspects have to themselves.
+    _isolation: Isolation
+
+    def __init__(
+        self,
+        routing: RoutingPolicy,
+        serving: ServingSet,
+        ledger: SuspectLedger,
+        isolation: Isolation,
+    ) -> None:
         self._routing = routing
         self._serving = serving
         self._ledger = ledger
-        self._isolated = {}
+        self._isolation = isolation
 
     def choose(self, call: Call, avoided: frozenset[str], now_s: float) -> Choice:
         """Returns the server on which the call should run now, if any."""
@@ -52,62 +62,65 @@
             return Choice(None)
         if standing is Standing.CLEAR:
             return Choice(self._choose_clear(call, avoided, now_s))
+        place = self._first_accepted(call, avoided, now_s)
         if standing is Standing.ISOLATED:
-            return self._choose_isolated(call, avoided, now_s)
-        return Choice(self._first_accepted(call, self._suspect_order(call, avoided, now_s), now_s))
-
-    def on_started(self, call: Call, backend: str) -> None:
-        """Takes note that an attempt of the call starts."""
-        if self._ledger.standing_of(call.fingerprint) is Standing.ISOLATED:
-            self._isolated[call.fingerprint] = backend
-
-    def on_ended(self, call: Call, backend: str) -> None:
-        """Takes note that an attempt of the call has ended."""
-        if self._isolated.get(call.fingerprint) == backend:
-            del self._isolated[call.fingerprint]
+            return self._choose_isolated(call, place, now_s)
+        if place is None or place.usable:
+            return Choice(place.candidate if place else None)
+        return Choice(None, wait=True)
 
     def _choose_clear(self, call: Call, avoided: frozenset[str], now_s: float) -> Candidate | None:
-        near = self._serving.near_order(call)
-        exposed = list(islice(near, EXPOSED_SERVERS))
-        chosen = self._route(call, exposed, avoided, now_s)
+        near = self._serving.near_order(call, now_s)
+        chosen = self._route(call, islice(near, EXPOSED_SERVERS), avoided, now_s)
         if chosen is None:
-            chosen = self._route(call, [*near], avoided, now_s)
+            chosen = self._route(call, near, avoided, now_s)
         if chosen is None:
-            chosen = self._route(call, [*self._serving.far_order(call)], avoided, now_s)
+            chosen = self._route(call, self._serving.far_order(call, now_s), avoided, now_s)
         return chosen
 
-    def _choose_isolated(self, call: Call, avoided: frozenset[str], now_s: float) -> Choice:
-        if call.fingerprint in self._isolated:
+    def _choose_isolated(self, call: Call, place: Place | None, now_s: float) -> Choice:
+        fingerprint = call.fingerprint
+        name = place.candidate.server.name if place is not None and place.usable else ""
+        claim = self._isolation.own_claim(fingerprint, now_s)
+        if claim is None:
+            if place is None or not name or self._isolation.is_claimed(name, fingerprint, now_s):
+                return Choice(None, wait=place is not None)
+            made = self._isolation.claim(fingerprint, name, now_s)
+            return Choice(None, wait=True, claim=made)
+        backend, state = claim
+        if state is not ClaimState.READY:
             return Choice(None, wait=True)
-        order = list(self._suspect_order(call, avoided, now_s))
-        taken = set(self._isolated.values())
-        free = (candidate for candidate in order if candidate.server.name not in taken)
-        chosen = self._first_accepted(call, free, now_s)
-        return Choice(chosen, wait=chosen is None and bool(order) and bool(taken))
-
-    def _suspect_order(
-        self, call: Call, avoided: frozenset[str], now_s: float
-    ) -> Iterator[Candidate]:
-        lost_at_s = {loss.backend: loss.lost_s for loss in self._ledger.losses_of(call.fingerprint)}
-        near = [c for c in self._serving.near_order(call) if c.server.name not in avoided]
-        untouched = [c for c in near if c.server.name not in lost_at_s]
-        returned = [
-            c for c in near if now_s - lost_at_s.get(c.server.name, now_s) >= RETURN_AFTER_S
-        ]
-        return chain(untouched, returned)
-
-    def _first_accepted(
-        self, call: Call, order: Iterator[Candidate], now_s: float
-    ) -> Candidate | None:
-        for candidate in order:
-            if self._routing.choose(call, [candidate], now_s) is not None:
-                return candidate
+        if place is not None and name == backend:
+            return Choice(place.candidate)
+        return Choice(None, wait=True, claim=self._isolation.release(fingerprint))
+
+    def _first_accepted(self, call: Call, avoided: frozenset[str], now_s: float) -> Place | None:
+        for place in self._suspect_order(call, avoided, now_s):
+            if not place.usable or self._routing.choose(call, [place.candidate], now_s) is not None:
+                return place
         return None
 
+    def _suspect_order(self, call: Call, avoided: frozenset[str], now_s: float) -> Iterator[Place]:
+        lost_at_s = {loss.backend: loss.lost_s for loss in self._ledger.losses_of(call.fingerprint)}
+        returned: list[Place] = []
+        for place in self._serving.near_order(call, now_s):
+            name = place.candidate.server.name
+            if name in avoided and place.usable:
+                continue
+            if name not in lost_at_s:
+                yield place
+            elif place.usable and now_s >= lost_at_s[name] + RETURN_AFTER_S:
+                returned.append(place)
+        yield from returned
+
     def _route(
-        self, call: Call, candidates: list[Candidate], avoided: frozenset[str], now_s: float
+        self, call: Call, places: Iterator[Place], avoided: frozenset[str], now_s: float
     ) -> Candidate | None:
-        allowed = [c for c in candidates if c.server.name not in avoided] if avoided else candidates
+        allowed = [
+            place.candidate
+            for place in places
+            if place.usable and place.candidate.server.name not in avoided
+        ]
         if not allowed:
             return None
         name = self._routing.choose(call, allowed, now_s)
--- a/berylquay/decisions/serving.py
+++ b/berylquay/decisions/serving.py
@@ -31,6 +31,17 @@
     data_centre: str = ""
 
 
+@frozen
+class Place:
+    """A server's place in the order of a content."""
+
+    # The server and its load.
+    candidate: Candidate
+    # Whether new work may go there. A server that was set aside just now keeps its place for a
+    # moment, since peers may be about to report which content it was lost under.
+    usable: bool
+
+
 class HashRing:
     """Consistent hashing: gives each content its own order of the servers."""
 
@@ -154,15 +165,17 @@
             if host.data_centre == self._place.data_centre and host.name != self._place.host
         ]
 
-    def near_order(self, call: Call) -> Iterator[Candidate]:
-        """Yields the near servers that may take the call, in its content's order."""
+    def near_order(self, call: Call, now_s: float) -> Iterator[Place]:
+        """Yields the near servers that are in service, in the order of the call's content."""
         pool = self._pools.get(call.spec.pool)
-        return iter(()) if pool is None else self._eligible(pool.near.order_of(call.fingerprint))
+        if pool is not None:
+            yield from self._places(pool.near.order_of(call.fingerprint), now_s)
 
-    def far_order(self, call: Call) -> Iterator[Candidate]:
-        """Yields the servers of other data centres, in the content's order."""
+    def far_order(self, call: Call, now_s: float) -> Iterator[Place]:
+        """Yields the servers of other data centres, in the order of the call's content."""
         pool = self._pools.get(call.spec.pool)
-        return iter(()) if pool is None else self._eligible(pool.far.order_of(call.fingerprint))
+        if pool is not None:
+            yield from self._places(pool.far.order_of(call.fingerprint), now_s)
 
     def _pool_of(self, pool: str, live: list[BackendServer]) -> _Pool:
         members = [server for server in live if server.pool == pool]
@@ -173,11 +186,14 @@
     def _is_near(self, server: BackendServer) -> bool:
         return self._place.data_centre in {"", server.data_centre}
 
-    def _eligible(self, names: Iterator[str]) -> Iterator[Candidate]:
+    def _places(self, names: Iterator[str], now_s: float) -> Iterator[Place]:
         for name in names:
-            if not self._is_drained(name) and not self._health.is_aside(name):
+            aside = self._health.is_aside(name)
+            newly_aside = aside and self._health.is_newly_aside(name, now_s)
+            if not self._is_drained(name) and (not aside or newly_aside):
                 server = self._backends[name]
-                yield Candidate(server, self._in_flight[name], self._reports.get(name))
+                candidate = Candidate(server, self._in_flight[name], self._reports.get(name))
+                yield Place(candidate, usable=not aside)
 
     def _is_drained(self, name: str) -> bool:
         return name in self._drained_by_configuration or name in self._drained_by_order
--- a/berylquay/decisions/suspects.py
+++ b/berylquay/decisions/suspects.py
@@ -77,15 +77,9 @@
         return max(oldest.lost_s + self._limits.memory_s - now_s, 0.0)
 
     def on_lost(self, backend: str, fingerprints: frozenset[str], now_s: float) -> None:
-        """Counts the loss of a server against the contents in flight on it.
-
-        If some of them ran alone among suspects, the loss is theirs and the others go free.
-        """
-        loss = Loss(backend, now_s)
-        isolated = {f for f in fingerprints if self._ran_isolated(f, loss)}
-        for fingerprint in sorted(isolated or fingerprints):
-            if not self._is_explained(fingerprint, loss):
-                self._count(fingerprint, loss)
+        """Counts the loss of a server against the contents that were in flight on it."""
+        for fingerprint in sorted(fingerprints):
+            self._count(fingerprint, Loss(backend, now_s))
 
     def clear(self, fingerprint: str) -> bool:
         """Forgets the content, which was answered whole; tells whether it was suspected."""
@@ -107,11 +101,6 @@
             return Standing.ISOLATED
         return Standing.SUSPECT if losses else Standing.CLEAR
 
-    def _ran_isolated(self, fingerprint: str, loss: Loss) -> bool:
-        # Another host may have reported the same crash already, so that it doesn't count here.
-        earlier = [known for known in self.losses_of(fingerprint) if not self._same(known, loss)]
-        return self._standing(len(earlier)) >= Standing.ISOLATED
-
     def _count(self, fingerprint: str, loss: Loss) -> None:
         losses = self.losses_of(fingerprint)
         if any(self._same(known, loss) for known in losses):
@@ -120,28 +109,6 @@
         self._contents[fingerprint] = (*losses, loss)
         if len(self._contents) > self._limits.max_contents:
             del self._contents[next(iter(self._contents))]
-        if self.standing_of(fingerprint) is Standing.QUARANTINED:
-            self._excuse_bystanders(fingerprint)
-
-    def _excuse_bystanders(self, culprit: str) -> None:
-        explained = self.losses_of(culprit)
-        for fingerprint, losses in list(self._contents.items()):
-            if self.standing_of(fingerprint) is Standing.QUARANTINED:
-                continue
-            left = [loss for loss in losses if not any(self._same(loss, e) for e in explained)]
-            self._keep(fingerprint, left)
-
-    def _is_explained(self, fingerprint: str, loss: Loss) -> bool:
-        # A report that comes after the culprit was found is not counted against the bystanders,
-        # but for those that ran alone as well: which of the two it was cannot be told.
-        if self._ran_isolated(fingerprint, loss):
-            return False
-        return any(
-            other != fingerprint
-            and self._standing(len(losses)) is Standing.QUARANTINED
-            and any(self._same(known, loss) for known in losses)
-            for other, losses in self._contents.items()
-        )
 
     def _keep(self, fingerprint: str, losses: list[Loss]) -> None:
         if losses:
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -49,4 +49,18 @@
     fingerprint: str
 
 
-PeerPayload = Heartbeat | DrainNotice | DrainAcknowledgement | CrashReport | CrashCleared
+@frozen
+class IsolationClaim:
+    """Says that the sender runs a suspected content on a backend server, or has ceased to."""
+
+    # Name of the backend server.
+    backend: str
+    # Content that runs there.
+    fingerprint: str
+    # Whether the claim is made or renewed, rather than released.
+    held: bool
+
+
+PeerPayload = (
+    Heartbeat | DrainNotice | DrainAcknowledgement | CrashReport | CrashCleared | IsolationClaim
+)
