--- a/berylquay/decisions/placement.py
+++ b/berylquay/decisions/placement.py
@@ -8,7 +8,7 @@
 
 from berylquay.decisions.calls import Call
 from berylquay.decisions.isolation import ClaimState, Isolation
-from berylquay.decisions.routing import Candidate, RoutingPolicy
+from berylquay.decisions.routing import Candidate, Candidates, RoutingPolicy
 from berylquay.decisions.serving import Place, ServingSet
 from berylquay.decisions.suspects import Standing, SuspectLedger
 from berylquay.peers.payloads import IsolationClaim
@@ -96,10 +96,13 @@
 
     def _first_accepted(self, call: Call, avoided: frozenset[str], now_s: float) -> Place | None:
         for place in self._suspect_order(call, avoided, now_s):
-            if not place.usable or self._routing.choose(call, [place.candidate], now_s) is not None:
+            if not place.usable or self._accepts(call, place.candidate, now_s):
                 return place
         return None
 
+    def _accepts(self, call: Call, candidate: Candidate, now_s: float) -> bool:
+        return self._routing.choose(call, Candidates([candidate]), now_s) is not None
+
     def _suspect_order(self, call: Call, avoided: frozenset[str], now_s: float) -> Iterator[Place]:
         lost_at_s = {loss.backend: loss.lost_s for loss in self._ledger.losses_of(call.fingerprint)}
         returned: list[Place] = []
@@ -123,5 +126,4 @@
         ]
         if not allowed:
             return None
-        name = self._routing.choose(call, allowed, now_s)
-        return next((c for c in allowed if c.server.name == name), None)
+        return self._routing.choose(call, Candidates(allowed), now_s)
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -8,9 +8,12 @@
 from attrs import frozen
 
 from berylquay.decisions.calls import Attempt, Call
+from berylquay.decisions.configuration_state import Change, ChangeOutcome, ConfigurationState
 from berylquay.decisions.deployment import Configuration
+from berylquay.decisions.engine_orders import EngineState, SendOutcome
 from berylquay.decisions.fleet import LoadReport, MembershipView
-from berylquay.peers.payloads import PeerPayload
+from berylquay.decisions.roles import RoleChange
+from berylquay.peers.payloads import DrainNotice, PeerPayload
 from berylquay.platform.records import LogRecord, NewRecord
 from berylquay.verdicts import Refusal, Verdict
 
@@ -38,7 +41,7 @@
 
 @frozen
 class TokensForCaller:
-    """dispatch -> callers: the next tokens of an answer, without gap or repetition."""
+    """The next tokens of an answer, without gap or repetition."""
 
     call_id: str
     # Index of the first of the tokens.
@@ -46,6 +49,13 @@
     texts: tuple[str, ...]
 
 
+@frozen
+class TokensForCallers:
+    """dispatch -> callers: the next tokens of several answers."""
+
+    batch: tuple[TokensForCaller, ...]
+
+
 @frozen
 class CallCompleted:
     """dispatch -> callers: the answer is whole."""
@@ -100,13 +110,25 @@
 
 @frozen
 class AttemptTokens:
-    """backends -> dispatch: tokens came back."""
+    """Tokens that came back for one attempt."""
 
     attempt_id: str
     first_index: int
     texts: tuple[str, ...]
 
 
+@frozen
+class TokensCollected:
+    """backends -> backends: tokens wait to be handed over behind all that was read with them."""
+
+
+@frozen
+class TokensArrived:
+    """backends -> dispatch: tokens came back for several attempts."""
+
+    batch: tuple[AttemptTokens, ...]
+
+
 @frozen
 class AttemptCompleted:
     """backends -> dispatch: the attempt delivered everything."""
@@ -147,6 +169,47 @@
     configuration: Configuration
 
 
+@frozen
+class ChangeRequested:
+    """operators -> platform: change the configuration; `ChangeEnded` tells the outcome."""
+
+    change: Change
+    # Whether to judge the change only.
+    dry_run: bool = False
+
+
+@frozen
+class ChangeEnded:
+    """platform -> operators: what became of a change that this host was asked for."""
+
+    outcome: ChangeOutcome
+
+
+@frozen
+class ConfigurationStatus:
+    """platform -> all: what this host knows of the configuration; posted when any of it changes."""
+
+    # State in force, or None before a beginning was found.
+    state: ConfigurationState | None
+    # Whether the host has read the whole stream and the log answers.
+    up_to_date: bool
+    # Whether records are missing between the state and what was read.
+    gap: bool
+    # Whether the log answers.
+    reachable: bool
+
+
+@frozen
+class AuthorityObserved:
+    """authority -> operators: who may give orders to a data centre's engines, as last read."""
+
+    data_centre: str
+    # Name of the host, or empty if no host holds the authority.
+    holder: str
+    # Fencing number of the holder.
+    term: int
+
+
 @frozen
 class LoadReported:
     """backends -> dispatch: an engine reported its load."""
@@ -159,11 +222,17 @@
     """any -> platform: append a record to a stream of the log.
 
     The answer may be lost, so the writer waits for `RecordsRead` to bring the record back; it hears
-    `RecordAppendFailed` only when the record is known not to have been appended.
+    `RecordAppendFailed` only when the record is known not to have been appended, and
+    `RecordAppendUnsettled` when that could not be found out in time. A retry may append the record
+    twice, so folds ignore a record id that they have seen.
     """
 
     stream: str
     record: NewRecord
+    # Whether the record may share its offset with others of this host, to save appends.
+    groupable: bool = False
+    # Time after which no further attempt is started.
+    give_up_after_s: float = 5.0
 
 
 @frozen
@@ -175,9 +244,22 @@
     detail: str
 
 
+@frozen
+class RecordAppendUnsettled:
+    """platform -> any: no further attempt is made; the record may still turn up in the stream."""
+
+    stream: str
+    record_id: str
+    detail: str
+
+
 @frozen
 class StreamFollowRequested:
-    """any -> platform: follow a stream from an offset and post what is read."""
+    """any -> platform: follow a stream from an offset and post what is read.
+
+    If the stream is followed already and the offset lies behind, its reading goes back there, so
+    folds ignore offsets that they have taken in.
+    """
 
     stream: str
     from_offset: int
@@ -185,7 +267,10 @@
 
 @frozen
 class RecordsRead:
-    """platform -> any: records of a followed stream, in offset order."""
+    """platform -> any: records of a followed stream, in offset order.
+
+    It is posted for each read, also when nothing was new.
+    """
 
     stream: str
     records: tuple[LogRecord, ...]
@@ -236,6 +321,23 @@
     draining: bool
 
 
+@frozen
+class StopRequested:
+    """daemon -> all: this host shall stop gracefully; it reports itself as not ready."""
+
+    now_s: float
+
+
+@frozen
+class AdmissionClosed:
+    """lifecycle -> callers: refuse new requests from now on; those in flight go on."""
+
+
+@frozen
+class AnswersDrained:
+    """callers -> lifecycle: every answer has been sent whole after admission was closed."""
+
+
 @frozen
 class CallGranted:
     """tickets -> dispatch: the key of a non-repeatable call is this host's to spend."""
@@ -258,3 +360,46 @@
     alive: bool
     # Changes with each restart of the backend server; empty if it does not say.
     incarnation: str = ""
+
+
+@frozen
+class RoleChangeRequested:
+    """policy -> authority: an engine should take another role, if this host holds the authority."""
+
+    change: RoleChange
+
+
+@frozen
+class AuthorityChanged:
+    """authority -> all: this host began or ceased to hold the authority over its data centre."""
+
+    # Fencing number, or 0 for a host that holds no authority.
+    term: int
+
+
+@frozen
+class EngineStateRead:
+    """backends -> authority: what an engine says of itself, or that it could not be read."""
+
+    backend: str
+    state: EngineState | None
+    # Monotonic time before the question was sent.
+    asked_s: float
+
+
+@frozen
+class OrderOutcomeKnown:
+    """backends -> authority: what the sender of orders says of one."""
+
+    order_id: str
+    outcome: SendOutcome
+    detail: str
+
+
+@frozen
+class DrainApplied:
+    """authority -> itself: every component has heard of the drain that was posted before."""
+
+    notice: DrainNotice
+    # Whether the attempts that were decided on before the drain have been heard of, too.
+    settled: bool
--- a/tests/support/fates_world.py
+++ b/tests/support/fates_world.py
@@ -19,7 +19,7 @@
     Liveness,
     MembershipView,
 )
-from berylquay.decisions.routing import Candidate
+from berylquay.decisions.routing import Candidate, Candidates
 from berylquay.decisions.serving import HostPlace
 from berylquay.messages import (
     AttemptAnswered,
@@ -108,9 +108,15 @@
     def __init__(self, rng: Random) -> None:
         self._rng = rng
 
-    def choose(self, call: Call, candidates: Sequence[Candidate], now_s: float) -> str | None:
-        """Returns the name of one candidate."""
-        return self._rng.choice(candidates).server.name if candidates else None
+    def choose(self, call: Call, candidates: Candidates, now_s: float) -> Candidate | None:
+        """Returns one candidate."""
+        return self._rng.choice(candidates.local) if candidates.local else None
+
+    def choose_decoder(
+        self, call: Call, decoders: Sequence[Candidate], now_s: float
+    ) -> Candidate | None:
+        """Returns None always."""
+        return None
 
 
 class World:
