--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -10,8 +10,10 @@
 from berylquay.decisions.calls import Attempt, Call
 from berylquay.decisions.configuration_state import Change, ChangeOutcome, ConfigurationState
 from berylquay.decisions.deployment import Configuration
+from berylquay.decisions.engine_orders import EngineState, SendOutcome
 from berylquay.decisions.fleet import LoadReport, MembershipView
-from berylquay.peers.payloads import PeerPayload
+from berylquay.decisions.roles import RoleChange
+from berylquay.peers.payloads import DrainNotice, PeerPayload
 from berylquay.platform.records import LogRecord, NewRecord
 from berylquay.verdicts import Refusal, Verdict
 
@@ -49,7 +51,7 @@
 
 @frozen
 class TokensForCaller:
-    """dispatch -> callers: the next tokens of an answer, without gap or repetition."""
+    """The next tokens of an answer, without gap or repetition."""
 
     call_id: str
     # Index of the first of the tokens.
@@ -57,6 +59,13 @@
     texts: tuple[str, ...]
 
 
+@frozen
+class TokensForCallers:
+    """dispatch -> callers: the next tokens of several answers."""
+
+    batch: tuple[TokensForCaller, ...]
+
+
 @frozen
 class CallCompleted:
     """dispatch -> callers: the answer is whole."""
@@ -111,13 +120,25 @@
 
 @frozen
 class AttemptTokens:
-    """backends -> dispatch: tokens came back."""
+    """Tokens that came back for one attempt."""
 
     attempt_id: str
     first_index: int
     texts: tuple[str, ...]
 
 
+@frozen
+class TokensCollected:
+    """backends -> backends: tokens wait to be handed over behind all that was read with them."""
+
+
+@frozen
+class TokensArrived:
+    """backends -> dispatch: tokens came back for several attempts."""
+
+    batch: tuple[AttemptTokens, ...]
+
+
 @frozen
 class AttemptCompleted:
     """backends -> dispatch: the attempt delivered everything."""
@@ -188,6 +209,17 @@
     reachable: bool
 
 
+@frozen
+class AuthorityObserved:
+    """authority -> operators: who may give orders to a data centre's engines, as last read."""
+
+    data_centre: str
+    # Name of the host, or empty if no host holds the authority.
+    holder: str
+    # Fencing number of the holder.
+    term: int
+
+
 @frozen
 class LoadReported:
     """backends -> dispatch: an engine reported its load."""
@@ -331,3 +363,46 @@
     alive: bool
     # Changes with each restart of the backend server; empty if it does not say.
     incarnation: str = ""
+
+
+@frozen
+class RoleChangeRequested:
+    """policy -> authority: an engine should take another role, if this host holds the authority."""
+
+    change: RoleChange
+
+
+@frozen
+class AuthorityChanged:
+    """authority -> all: this host began or ceased to hold the authority over its data centre."""
+
+    # Fencing number, or 0 for a host that holds no authority.
+    term: int
+
+
+@frozen
+class EngineStateRead:
+    """backends -> authority: what an engine says of itself, or that it could not be read."""
+
+    backend: str
+    state: EngineState | None
+    # Monotonic time before the question was sent.
+    asked_s: float
+
+
+@frozen
+class OrderOutcomeKnown:
+    """backends -> authority: what the sender of orders says of one."""
+
+    order_id: str
+    outcome: SendOutcome
+    detail: str
+
+
+@frozen
+class DrainApplied:
+    """authority -> itself: every component has heard of the drain that was posted before."""
+
+    notice: DrainNotice
+    # Whether the attempts that were decided on before the drain have been heard of, too.
+    settled: bool
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -1,6 +1,6 @@
 """Payloads between entry hosts: each is an attrs class with an entry in the codec's table.
 
-Fields are texts, numbers, flags, bytes, or tuples of texts.
+Fields are texts, numbers, flags or bytes.
 """
 
 from attrs import frozen
@@ -34,6 +34,8 @@
     draining: bool
     # Fencing number of the sender's authority.
     term: int
+    # Number of the notice; acknowledgements repeat it.
+    notice: int = 0
 
 
 @frozen
@@ -43,6 +45,8 @@
     backend: str
     term: int
     in_flight: int
+    # Number of the newest notice that the sender has taken.
+    notice: int = 0
 
 
 @frozen
@@ -60,6 +64,23 @@
     snapshot: bytes
 
 
+@frozen
+class CrashReport:
+    """Names the contents that were in flight on a backend server when it was lost."""
+
+    # Name of the backend server.
+    backend: str
+    # Content fingerprints, sorted.
+    fingerprints: tuple[str, ...]
+
+
+@frozen
+class CrashCleared:
+    """Says that a suspected content was answered whole and crashes no server."""
+
+    fingerprint: str
+
+
 @frozen
 class TicketAsked:
     """Asks the issuer of a single-use ticket to hand the right to spend it over to the sender."""
@@ -96,23 +117,6 @@
     ticket: str
 
 
-@frozen
-class CrashReport:
-    """Names the contents that were in flight on a backend server when it was lost."""
-
-    # Name of the backend server.
-    backend: str
-    # Content fingerprints, sorted.
-    fingerprints: tuple[str, ...]
-
-
-@frozen
-class CrashCleared:
-    """Says that a suspected content was answered whole and crashes no server."""
-
-    fingerprint: str
-
-
 PeerPayload = (
     Hello
     | Heartbeat
@@ -120,9 +124,9 @@
     | DrainAcknowledgement
     | ConfigurationRequest
     | ConfigurationOffer
+    | CrashReport
+    | CrashCleared
     | TicketAsked
     | TicketAnswered
     | TicketReturned
-    | CrashReport
-    | CrashCleared
 )
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -174,6 +174,27 @@
     assert first.running == []
 
 
+def test_late_release_does_not_free_a_later_claim() -> None:
+    model = OnceModel(3)
+    first, second, _ = hosts_of(model)
+    model.send(first, "k")
+    settle(model)
+    model.finish(first, Verdict.NOT_RUN)
+    for seconds in (0.03, 6.0):
+        model.tick(seconds)
+    assert len(model.log.under_way) == 2
+    late = model.log.under_way.popleft()
+    settle(model)
+    model.send(first, "k")
+    settle(model)
+    assert len(first.running) == 1
+    model.log.under_way.append(late)
+    settle(model)
+    model.send(second, "k")
+    settle(model)
+    assert second.running == []
+
+
 def test_other_content_under_the_same_key_is_refused() -> None:
     model = OnceModel(3)
     first, second, _ = hosts_of(model)
