--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -59,7 +59,7 @@
 from berylquay.settings.options import AuthorityOptions, CallerLimits, LogOptions, Options
 
 EXIT_BAD_SETTINGS: Final = 2
-TICKET_SECRET_BYTES: Final = 32
+SECRET_BYTES: Final = 32
 _log = logbook.Logger("daemon")
 
 
@@ -106,11 +106,7 @@
     fates = CallFates(LeastInFlight(), incarnation, options=FatesOptions(place=place))
     Dispatch(fates, grants_needed=True).register(loop)
     callers = _serve_http(loop, options.callers_address, options.caller_limits, CALLERS_CHANNEL)
-    once = AtMostOnce(
-        TicketIssuer(options.host, incarnation, secrets.token_bytes(TICKET_SECRET_BYTES))
-    )
-    OnceKeeper(once).register(loop)
-    TicketsPage(once).register(loop)
+    _keep_once(loop, TicketIssuer(options.host, incarnation, secrets.token_bytes(SECRET_BYTES)))
     Gate(callers).register(loop)
     metrics = Metrics().register(loop)
     if options.health_address is not None:
@@ -162,6 +158,12 @@
     Controller(options.host, lease, orders).register(loop)
 
 
+def _keep_once(loop: Loop, issuer: TicketIssuer) -> None:
+    once = AtMostOnce(issuer)
+    OnceKeeper(once).register(loop)
+    TicketsPage(once).register(loop)
+
+
 def _serve_http(loop: Loop, address: Address, limits: CallerLimits, channel: str) -> HttpServer:
     server = HttpServer(address, limits, channel).register(loop)
     RequestLimits(server, limits).register(loop)
--- a/berylquay/decisions/predicted_admission.py
+++ b/berylquay/decisions/predicted_admission.py
@@ -33,7 +33,7 @@
     # Part of the time to the deadline that the predicted answer may take.
     deadline_part: float = 0.9
     # Part of the capacity that is promised to callers who are told to come back.
-    promised_part: float = .35
+    promised_part: float = 0.35
     # Shortest and longest time after which a caller is told to come back.
     min_retry_after_s: float = 1.0
     max_retry_after_s: float = 600.0
