--- a/berylquay/decisions/orders.py
+++ b/berylquay/decisions/orders.py
@@ -57,7 +57,7 @@
     # Time after which a change is put off if the drain has not come to its end.
     drain_timeout_s: float = 300.0
     # Time after which a change that was put off is tried again.
-    put_off_s: float = 30.0
+    put_off_s: float = 10.0
     # Most engines of the data centre that are drained or changed at once.
     max_changes: int = 8
     # Most by which a host's clock runs fast against the controller's, as a share.
--- a/tests/authority/test_sender.py
+++ b/tests/authority/test_sender.py
@@ -16,8 +16,8 @@
 from examples.processes import Process, Processes, free_port
 
 # Time that an order gets, and that a stopped sender is held past it.
-LEFT_S = 0.8
-HELD_S = 0.4
+LEFT_S = 0.6
+HELD_S = 0.3
 
 
 @pytest.fixture
