--- a/tests/authority/pausing_sender.py
+++ b/tests/authority/pausing_sender.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import socket
+import struct
 import time
 from collections.abc import Callable
 from unittest.mock import patch
@@ -17,6 +18,8 @@
 from berylquay.authority.order_exchange import OrderExchange
 from berylquay.authority.sender import Sender, run_sender
 
+NO_LINGER = struct.pack("ii", 0, 0)
+
 
 def stop_here() -> None:
     """Stops this process until it gets SIGCONT."""
@@ -59,9 +62,13 @@
     """Stops the process right before or right after the write."""
 
     point = ""
+    linger = "yes"
 
     def write(self, sock: socket.socket, data: bytes) -> None:
         """Writes the order."""
+        if self.linger == "no":
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
         if self.point == "before-write":
             stop_here()
         super().write(sock, data)
@@ -103,8 +110,10 @@
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--pause-at", default="")
     parser.add_argument("--timer", choices=("yes", "no"), default="yes")
+    parser.add_argument("--linger", choices=("yes", "no"), default="yes")
     arguments = parser.parse_args()
     PausingExchange.point = arguments.pause_at
+    PausingExchange.linger = arguments.linger
     kernel = PausingKernelDeadline() if arguments.pause_at == "amid-arming" else KernelDeadline()
     deadline: Deadline = kernel if arguments.timer == "yes" else CheckedDeadline()
     run_sender(PausingSender(PausingDeadline(deadline, arguments.pause_at)), arguments.port)
