--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -36,6 +36,7 @@
         health_address=reader.optional_address("health", "address"),
         stop_notice_s=reader.number("host", "stop_notice_s", 2.0),
         initial_deployments=reader.words("host", "initial_deployments", ()),
+        operators_address=reader.optional_address("operators", "address"),
         log=_read_log_options(reader),
         caller_limits=_read_caller_limits(reader),
         peers=read_peer_section(reader, parser.has_section("peers")),
