--- /dev/null
+++ b/bench/authority_costs.py
@@ -0,0 +1,188 @@
+"""Cost of authority and load reports: bytes and appends, and processor time per report and plan.
+
+`python -m bench.authority_costs` prints the table; run as `unshare -n python -m
+bench.authority_costs --wire`, as root, it counts the bytes of polls on the wire.
+"""
+
+import argparse
+import random
+import subprocess
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+
+from attrs import frozen
+from circuits import BaseComponent, handler
+
+from berylquay.backends.reports import ReportPoller
+from berylquay.daemon import Loop
+from berylquay.decisions.deployment import Configuration, Deployment, ModelSpec, PoolSpec
+from berylquay.decisions.engine_orders import EngineState
+from berylquay.decisions.fleet import (
+    Address,
+    BackendKind,
+    BackendServer,
+    EntryHost,
+    MembershipView,
+    Role,
+)
+from berylquay.decisions.lease import Authority, LeaseKeeper, LeaseLimits
+from berylquay.decisions.orders import OrderKeeper, OrderLimits
+from berylquay.decisions.polling import PollLimits, PollSchedule
+from berylquay.messages import LoadReported, MembershipRead, RecordsRead, Tick
+from berylquay.net.bus import BUS, post
+from berylquay.net.outbound import OutboundConnections
+from berylquay.net.ticker import Ticker
+from berylquay.platform.records import LogRecord, encode_records
+from examples.processes import Process, Processes
+
+DATA_CENTRES: Final = 29
+ENGINE_COUNTS: Final = (5, 50, 414)
+PLAN_RUNS: Final = 200
+POLLING_S: Final = 8.0
+POLLS_PER_S: Final = 100.0
+STATISTICS: Final = Path("/sys/class/net/lo/statistics/tx_bytes")
+
+
+def members(count: int, address: Address) -> MembershipView:
+    """Returns a list of so many engines of one pool, all at one address."""
+    backends = tuple(
+        BackendServer(f"e{n}", BackendKind.ENGINE, address, "r", "dc", "lm") for n in range(count)
+    )
+    return MembershipView(1, backends, (EntryHost("h", address, "r", "dc"),))
+
+
+def settled_keeper(count: int) -> OrderKeeper:
+    """Returns a keeper that knows every engine idle."""
+    keeper = OrderKeeper("dc", "h", OrderLimits())
+    keeper.on_membership(members(count, Address("127.0.0.1", 1)))
+    pool = PoolSpec("lm", ("m",), 1)
+    deployment = Deployment("d", models=(ModelSpec("m", "1"),), pools=(pool,))
+    keeper.on_configuration(Configuration(1, (deployment,)))
+    keeper.on_authority(Authority(1, 1e9), 0.0)
+    for asked_s in (0.0, 1.0):
+        for number in range(count):
+            state = EngineState(f"e{number}", "i", Role.MIXED, "m@1", frozenset(), 0, "", "")
+            keeper.on_state(state.backend, state, asked_s, asked_s)
+    return keeper
+
+
+def processor_ms(action: Callable[[float], object]) -> float:
+    """Returns the processor time of one action, given a rising time, in milliseconds."""
+    began_s = time.process_time()
+    for number in range(PLAN_RUNS):
+        action(2.0 + 0.25 * number)
+    return (time.process_time() - began_s) / PLAN_RUNS * 1000.0
+
+
+def measure_plans() -> None:
+    """Prints the cost of one look at all engines."""
+    for count in ENGINE_COUNTS:
+        cost_ms = processor_ms(settled_keeper(count).on_tick)
+        print(f"plan over {count} engines: {cost_ms:.3f} ms, {cost_ms * 0.4:.2f}% of a core at 4/s")
+
+
+def measure_lease() -> None:
+    """Prints the appends and bytes of the leases."""
+    limits = LeaseLimits()
+    keeper = LeaseKeeper("dc-29", "host-340-0123abcd", limits, random.Random(1))
+    keeper.on_tick(0.0)
+    (claim,) = keeper.on_tick(100.0)
+    record = claim.record
+    log_record = LogRecord(1, record.record_id, record.kind, record.fields)
+    keeper.on_records(RecordsRead(keeper.stream, (log_record,), 1, 2, 100.0), 100.0)
+    (renewal,) = keeper.on_tick(100.0 + limits.renewal_interval_s)
+    size = len(encode_records([renewal.record]))
+    appends = DATA_CENTRES / limits.renewal_interval_s
+    print(f"renewal: {size} bytes, {appends:.1f} appends/s for {DATA_CENTRES} data centres")
+    print(f"renewals read by each host: {size / limits.renewal_interval_s:.0f} bytes/s of records")
+    cost_ms = processor_ms(keeper.on_tick)
+    print(f"lease tick: {cost_ms:.4f} ms, {cost_ms * 4.0:.2f}% of a core at 40/s")
+
+
+class Stopwatch(BaseComponent):
+    """Counts reports and stops the loop after a while."""
+
+    channel = BUS
+
+    # Reports taken in.
+    reports: int
+    # Monotonic time at which the loop stops.
+    _end_s: float
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reports = 0
+        self._end_s = time.monotonic() + POLLING_S
+
+    @handler("LoadReported")
+    def _on_load_reported(self, _message: LoadReported) -> None:
+        self.reports += 1
+
+    @handler("Tick")
+    def _on_tick(self, message: Tick) -> None:
+        if message.now_s >= self._end_s:
+            self.root.stop()
+
+
+@frozen
+class Run:
+    """What one run of the loop cost."""
+
+    processor_s: float
+    wire_bytes: int
+    reports: int
+
+
+def run_loop(engine: Process, polls_per_s: float) -> Run:
+    """Runs a loop for a while, with a poller if there is a rate."""
+    loop = Loop()
+    Ticker().register(loop)
+    outbound = OutboundConnections(loop).register(loop)
+    if polls_per_s:
+        limits = PollLimits(engines=32, polls_per_s=polls_per_s, min_interval_s=0.01)
+        ReportPoller(outbound, PollSchedule("h", "dc", limits)).register(loop)
+        post(loop, MembershipRead(members(32, Address("127.0.0.1", engine.port))))
+    stopwatch = Stopwatch().register(loop)
+    began_bytes = int(STATISTICS.read_text())
+    began_s = time.process_time()
+    loop.run()
+    used_s = time.process_time() - began_s
+    return Run(used_s, int(STATISTICS.read_text()) - began_bytes, stopwatch.reports)
+
+
+def measure_reports(wire: bool) -> None:
+    """Prints the cost of one load report that was asked for and taken in."""
+    with tempfile.TemporaryDirectory() as directory:
+        processes = Processes(Path(directory))
+        engine = processes.start_standin("e", "engine", "--name", "e", "--model", "m")
+        try:
+            idle = run_loop(engine, 0.0)
+            busy = run_loop(engine, POLLS_PER_S)
+        finally:
+            processes.stop_all()
+    cost_ms = (busy.processor_s - idle.processor_s) / busy.reports * 1000.0
+    rate = PollLimits().polls_per_s
+    print(f"{busy.reports} reports in {POLLING_S:.0f} s")
+    print(f"report: {cost_ms:.3f} ms, {cost_ms * rate / 10:.2f}% of a core at {rate:.0f}/s")
+    if wire:
+        size = busy.wire_bytes / busy.reports
+        print(f"on the wire: {size:.0f} bytes each, {size * rate / 1000:.1f} KB/s at {rate:.0f}/s")
+
+
+def main() -> None:
+    """Prints all figures."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--wire", action="store_true")
+    wire = parser.parse_args().wire
+    if wire:
+        subprocess.run(["ip", "link", "set", "lo", "up"], check=True)
+    measure_lease()
+    measure_plans()
+    measure_reports(wire)
+
+
+if __name__ == "__main__":
+    main()
