Take the configuration from a peer while the platform is away

Cause: a diskless host that started during an outage had nothing in force, though its peers had. A host that lacks the log asks a peer whose heartbeat names a higher revision; the offer is compressed, since links carry at most 256 KiB a message. Scenario: log away, host-1 killed and started, the newest revision in force there within 5 s; passes.

--- a/berylquay/command/queries.py
+++ b/berylquay/command/queries.py
@@ -165,7 +165,10 @@
         if host.name == reply.host:
             continue
         source = f"heard by {reply.host}" if host.heard else f"not heard by {reply.host} lately"
-        rows.setdefault(host.name, _row(host.name, host.data_centre, host.revision, source))
+        row = _row(host.name, host.data_centre, host.revision, source)
+        known = rows.get(host.name)
+        if known is None or int(str(known["revision"])) < host.revision:
+            rows[host.name] = row
 
 
 def _row(host: str, data_centre: str, revision: int, source: str) -> dict[str, object]:
--- a/berylquay/decisions/snapshots.py
+++ b/berylquay/decisions/snapshots.py
@@ -4,6 +4,8 @@
 draws its time by lot and starts over when it reads another's, so that as a rule only one does.
 """
 
+import json
+import zlib
 from collections.abc import Mapping
 from random import Random
 from typing import Any, Final
@@ -26,6 +28,8 @@
 WANTED_SPREAD_S: Final = 1.0
 # Time after which an append that nobody read is tried again.
 RETRY_S: Final = 10.0
+# Largest snapshot that is taken from a peer, unpacked.
+MAX_SNAPSHOT_BYTES: Final = 16 * 1024 * 1024
 
 
 def snapshot_to_json(state: ConfigurationState) -> dict[str, object]:
@@ -58,6 +62,21 @@
         return None
 
 
+def pack_snapshot(state: ConfigurationState) -> bytes:
+    """Returns the state as compressed JSON, for a peer."""
+    return zlib.compress(json.dumps(snapshot_to_json(state)).encode())
+
+
+def unpack_snapshot(data: bytes) -> dict[str, Any] | None:
+    """Returns the values in compressed JSON, or None if they are malformed or too large."""
+    unpacker = zlib.decompressobj()
+    try:
+        value = json.loads(unpacker.decompress(data, MAX_SNAPSHOT_BYTES))
+    except (ValueError, zlib.error):
+        return None
+    return value if isinstance(value, dict) else None
+
+
 @frozen
 class SnapshotSeen:
     """A snapshot that was read from the log."""
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -56,7 +56,7 @@
 class ConfigurationOffer:
     """Carries a snapshot of the configuration, as the log's snapshot records do."""
 
-    # JSON of the snapshot.
+    # Snapshot as compressed JSON.
     snapshot: bytes
 
 
--- a/berylquay/platform/configuration.py
+++ b/berylquay/platform/configuration.py
@@ -5,7 +5,6 @@
 `berylquay.decisions.configuration` and its neighbours.
 """
 
-import json
 import time
 import uuid
 from random import Random
@@ -26,7 +25,12 @@
     change_fields,
 )
 from berylquay.decisions.deployment import Configuration, Deployment
-from berylquay.decisions.snapshots import SnapshotSchedule, snapshot_to_json
+from berylquay.decisions.snapshots import (
+    SnapshotSchedule,
+    pack_snapshot,
+    snapshot_to_json,
+    unpack_snapshot,
+)
 from berylquay.messages import (
     ChangeEnded,
     ChangeRequested,
@@ -154,8 +158,8 @@
             self._ask_peer_if_behind(message.host, payload.revision)
         elif isinstance(payload, ConfigurationRequest):
             if state is not None and state.offset > payload.offset:
-                snapshot = json.dumps(snapshot_to_json(state)).encode()
-                post(self, PeerSendRequested(message.host, ConfigurationOffer(snapshot)))
+                offer = ConfigurationOffer(pack_snapshot(state))
+                post(self, PeerSendRequested(message.host, offer))
         elif isinstance(payload, ConfigurationOffer):
             self._take_offer(message.host, payload)
 
@@ -233,11 +237,8 @@
         post(self, PeerSendRequested(host, ConfigurationRequest(offset)))
 
     def _take_offer(self, host: str, offer: ConfigurationOffer) -> None:
-        try:
-            value = json.loads(offer.snapshot)
-        except ValueError:
-            value = None
-        if not isinstance(value, dict):
+        value = unpack_snapshot(offer.snapshot)
+        if value is None:
             _log.warning("malformed snapshot from a peer", peer=host)
             return
         progress = self._fold.on_snapshot(value)
--- a/test-data/scenarios/configuration.feature
+++ b/test-data/scenarios/configuration.feature
@@ -59,3 +59,14 @@
     Then "host-1" has nothing in force that is older
     When the log is back
     Then every host has the newest accepted revision within 5 seconds
+
+  Scenario: A host starts while the platform is away and takes the configuration from a peer
+    Given 2 linked hosts that follow the log
+    When operator "ana" drains "host-0" through "host-0"
+    And the log is away
+    And host "host-1" is killed and started
+    Then every host has the newest accepted revision within 5 seconds
+    When the log is back
+    And operator "ben" drains "host-1" through "host-1" when it can
+    Then the change of "ben" is accepted
+    And every host has the newest accepted revision within 5 seconds
--- a/tests/scenarios/test_configuration.py
+++ b/tests/scenarios/test_configuration.py
@@ -52,6 +52,12 @@
         operators.fleet.wait_for(name, lambda seen: seen.up_to_date)
 
 
+@given(parsers.parse("{hosts:d} linked hosts that follow the log"))
+def given_linked_hosts(operators: Operators, hosts: int) -> None:
+    operators.fleet.linked = True
+    given_hosts(operators, hosts)
+
+
 @given(
     parsers.parse("{hosts:d} hosts that follow a log which keeps records for {seconds:g} seconds")
 )
@@ -113,7 +119,7 @@
 @when(parsers.parse('host "{name}" is killed and started'))
 def when_host_started_again(operators: Operators, name: str) -> None:
     operators.fleet.hosts[name].kill()
-    operators.fleet.start_host(name, "dc-again")
+    operators.fleet.start_host(name, f"dc-{name[-1]}")
 
 
 @then(parsers.parse('the change of "{operator}" is accepted'))
--- a/tests/support/configuration_fleet.py
+++ b/tests/support/configuration_fleet.py
@@ -40,9 +40,13 @@
 
     directory: Path
     retention_s: float = 3600.0
+    # Whether the hosts find each other in the membership list.
+    linked: bool = False
     processes: Processes = field(init=False)
     log: Process = field(init=False)
     membership: Process = field(init=False)
+    # Ports for peers by host.
+    peers: dict[str, int] = field(factory=dict)
     # Ports of the operators' calls by host.
     operators: dict[str, int] = field(factory=dict)
     hosts: dict[str, Process] = field(factory=dict)
@@ -54,8 +58,13 @@
             "log", "log", "--retention-s", f"{self.retention_s}"
         )
         self.membership = self.processes.start_standin("membership", "membership")
-        for n in range(hosts):
-            self.start_host(f"host-{n}", f"dc-{n}")
+        names = {f"host-{n}": f"dc-{n}" for n in range(hosts)}
+        self.peers = {name: free_port() for name in names}
+        if self.linked:
+            members = [self._member(name, data_centre) for name, data_centre in names.items()]
+            self.membership.post("/v1/members", {"hosts": members, "backends": []}, "PUT")
+        for name, data_centre in names.items():
+            self.start_host(name, data_centre)
 
     def start_host(self, name: str, data_centre: str) -> None:
         """Starts an entry host, or starts it again, without waiting for its configuration."""
@@ -76,6 +85,9 @@
 [operators]
 address = 127.0.0.1:{self.operators[name]}
 
+[peers]
+address = 127.0.0.1:{self.peers[name]}
+
 [platform]
 membership = 127.0.0.1:{self.membership.port}
 log = 127.0.0.1:{self.log.port}
@@ -85,6 +97,15 @@
         )
         self.hosts[name] = self.processes.start(name, "berylquay.daemon", port, str(settings))
 
+    def _member(self, name: str, data_centre: str) -> dict[str, str]:
+        return {
+            "name": name,
+            "address": f"127.0.0.1:{self.peers[name]}",
+            "region": data_centre,
+            "data_centre": data_centre,
+            "state": "live",
+        }
+
     def command(self, host: str, *arguments: str) -> CommandResult:
         """Runs the command-line tool against a host."""
         server = f"127.0.0.1:{self.operators[host]}"
