--- /dev/null
+++ b/tests/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Longer seeded runs on processes, outside CI; docs/proofs names their commands."""
--- a/tests/support/configuration_fleet.py
+++ b/tests/support/configuration_fleet.py
@@ -115,12 +115,12 @@
         )
         return CommandResult(done.returncode, done.stdout, done.stderr)
 
-    def configuration(self, host: str) -> pb.Configuration:
+    def configuration(self, host: str, timeout_s: float = 10.0) -> pb.Configuration:
         """Returns what a host has in force."""
         with grpc.insecure_channel(f"127.0.0.1:{self.operators[host]}") as channel:
             stub = OperatorsStub(channel)
             reply: pb.Configuration = stub.GetConfiguration(
-                pb.GetConfigurationRequest(), timeout=10, wait_for_ready=True
+                pb.GetConfigurationRequest(), timeout=timeout_s, wait_for_ready=True
             )
             return reply
 
