--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -10,8 +10,10 @@
 from berylquay.decisions.calls import Attempt, Call
 from berylquay.decisions.configuration_state import Change, ChangeOutcome, ConfigurationState
 from berylquay.decisions.deployment import Configuration
+from berylquay.decisions.engine_orders import EngineState, SendOutcome
 from berylquay.decisions.fleet import LoadReport, MembershipView
-from berylquay.peers.payloads import PeerPayload
+from berylquay.decisions.roles import RoleChange
+from berylquay.peers.payloads import DrainNotice, PeerPayload
 from berylquay.platform.records import LogRecord, NewRecord
 from berylquay.verdicts import Refusal, Verdict
 
@@ -25,7 +27,17 @@
 
 @frozen
 class CallReceived:
-    """callers -> dispatch: a checked request wants an answer."""
+    """callers -> dispatch, once: a checked request wants an answer.
+
+    Dispatch runs it at once if it may be repeated, and else waits for `CallGranted`.
+    """
+
+    call: Call
+
+
+@frozen
+class CallGranted:
+    """once -> dispatch: a call that may not be repeated may run on this host now."""
 
     call: Call
 
@@ -336,13 +348,6 @@
     """callers -> lifecycle: every answer has been sent whole after admission was closed."""
 
 
-@frozen
-class CallGranted:
-    """tickets -> dispatch: the key of a non-repeatable call is this host's to spend."""
-
-    call: Call
-
-
 @frozen
 class ProbeRequested:
     """dispatch -> backends: try a fresh connection to a backend server."""
@@ -358,3 +363,46 @@
     alive: bool
     # Changes with each restart of the backend server; empty if it does not say.
     incarnation: str = ""
+
+
+@frozen
+class RoleChangeRequested:
+    """policy -> authority: an engine should take another role, if this host holds the authority."""
+
+    change: RoleChange
+
+
+@frozen
+class AuthorityChanged:
+    """authority -> all: this host began or ceased to hold the authority over its data centre."""
+
+    # Fencing number, or 0 for a host that holds no authority.
+    term: int
+
+
+@frozen
+class EngineStateRead:
+    """backends -> authority: what an engine says of itself, or that it could not be read."""
+
+    backend: str
+    state: EngineState | None
+    # Monotonic time before the question was sent.
+    asked_s: float
+
+
+@frozen
+class OrderOutcomeKnown:
+    """backends -> authority: what the sender of orders says of one."""
+
+    order_id: str
+    outcome: SendOutcome
+    detail: str
+
+
+@frozen
+class DrainApplied:
+    """authority -> itself: every component has heard of the drain that was posted before."""
+
+    notice: DrainNotice
+    # Whether the attempts that were decided on before the drain have been heard of, too.
+    settled: bool
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -34,6 +34,8 @@
     draining: bool
     # Fencing number of the sender's authority.
     term: int
+    # Number of the notice; acknowledgements repeat it.
+    notice: int = 0
 
 
 @frozen
@@ -43,6 +45,8 @@
     backend: str
     term: int
     in_flight: int
+    # Number of the newest notice that the sender has taken.
+    notice: int = 0
 
 
 @frozen
@@ -97,13 +101,15 @@
 
     # Id of the question.
     ask_id: str
-    # Outcome, as the name of a `TicketOutcome`.
+    # The ticket.
+    ticket: str
+    # Value of a `TicketOutcome`.
     outcome: str
 
 
 @frozen
 class TicketReturned:
-    """Gives the right to spend a ticket back to its issuer, since the call was not run."""
+    """Tells the issuer of a ticket that the right to spend it was not and will not be used."""
 
     # Id of the question by which the right had passed over.
     ask_id: str
