--- a/bench/sizes.py
+++ b/bench/sizes.py
@@ -57,7 +57,7 @@
     backends = [{"name": f"fes-dc1-e{number:05d}", **entry} for number in range(RUNNERS)]
     body = json.dumps({"version": 1, "hosts": [], "backends": backends}).encode()
     begin_s = time.process_time()
-    parse_membership(body)
+    parse_membership(json.loads(body))
     parse_s = time.process_time() - begin_s
     return [
         Size(f"membership list of {RUNNERS} runners", len(body), "bytes"),
