Correct the predictions of admission by what came out

Cause: admission takes an engine's rates as given; rates that are given three times too slow make it refuse work that would be in time.

Now: first tokens and the following ones are each compared with their prediction, and the smoothed ratio corrects the next ones; without outcomes for 30 s the factor falls, so that a host that refuses everything tries again. The backlog is only ever corrected downwards.

--- a/berylquay/decisions/predicted_admission.py
+++ b/berylquay/decisions/predicted_admission.py
@@ -5,9 +5,10 @@
 these are still admitted while others are refused.
 """
 
-from attrs import frozen
+from attrs import define, frozen
 
 from berylquay.decisions.calls import Call
+from berylquay.decisions.corrections import Correction
 from berylquay.decisions.deployment import Deployment
 from berylquay.decisions.predictions import Predictor
 from berylquay.decisions.routing import Candidate
@@ -39,6 +40,17 @@
     max_retry_after_s: float = 600.0
 
 
+@define
+class _Outlook:
+    """What was predicted for an open call, without corrections."""
+
+    sent_s: float
+    first_token_s: float
+    token_s: float
+    # When its first token came, or None.
+    begun_s: float | None = None
+
+
 class PredictedAdmission:
     """Admits by the predicted time to first token and to the last, by share and promise."""
 
@@ -50,6 +62,12 @@
     _capacity: float
     # Recent work of each tenant.
     _shares: TenantShares
+    # Factors by which first tokens and the others are off their predictions.
+    _first_token: Correction
+    _tokens: Correction
+    # Prediction for the call that was asked about last, and those of the open calls.
+    _predicted: "_Outlook | None"
+    _outlooks: dict[str, "_Outlook"]
     # Time up to which the promised part of the capacity is given away.
     _promised_until_s: float
 
@@ -64,6 +82,10 @@
         self._limits = limits or AdmissionLimits()
         self._capacity = capacity
         self._shares = TenantShares(deployment.tenants)
+        self._first_token = Correction()
+        self._tokens = Correction()
+        self._predicted = None
+        self._outlooks = {}
         self._promised_until_s = 0.0
 
     def refusal_of(
@@ -79,16 +101,22 @@
             return None
         sequences = decoder or chosen
         batch_wait_s = self._predictor.batch_wait_s(sequences, call.spec.expected_output_tokens)
-        backlog_s = self._predictor.prefill_wait_s(chosen, now_s) + batch_wait_s
-        wait_s = self._predictor.prefill_wait_s(chosen, now_s, call.spec.priority) + batch_wait_s
-        answer_s = wait_s + self._predictor.prefill_s(chosen, call.prompt_tokens)
-        answer_s += call.spec.expected_output_tokens * self._predictor.token_s(sequences)
+        # First tokens late by the priority of others must not make every backlog look longer.
+        factor = min(1.0, self._first_token.factor(now_s))
+        prefill_s = self._predictor.prefill_s(chosen, call.prompt_tokens)
+        ahead_s = self._predictor.prefill_wait_s(chosen, now_s, call.spec.priority)
+        token_s = self._predictor.token_s(sequences)
+        backlog_s = self._predictor.prefill_wait_s(chosen, now_s) * factor + batch_wait_s
+        wait_s = ahead_s * factor + batch_wait_s
+        answer_s = wait_s + prefill_s * factor
+        answer_s += call.spec.expected_output_tokens * token_s * self._tokens.factor(now_s)
+        self._predicted = _Outlook(now_s, ahead_s + prefill_s, token_s)
         if answer_s > (call.deadline_s - now_s) * self._limits.deadline_part:
             late = RefusalReason.DEADLINE
             return self._refuse(call, late, "too late to be worth it", now_s, backlog_s)
-        factor = self._patience(call, now_s, returning)
-        too_long = wait_s > factor * self._limits.wait_part * call.spec.deadline_s
-        if too_long or backlog_s > factor * self._limits.backlog_s:
+        patience = self._patience(call, now_s, returning)
+        too_long = wait_s > patience * self._limits.wait_part * call.spec.deadline_s
+        if too_long or backlog_s > patience * self._limits.backlog_s:
             busy = RefusalReason.OVERLOADED
             return self._refuse(call, busy, "engines are busy", now_s, backlog_s)
         return None
@@ -96,12 +124,24 @@
     def on_started(self, call: Call, now_s: float) -> None:
         """Counts the call's work for its tenant."""
         self._shares.add(call.tenant, self._work_s(call), now_s)
+        if self._predicted is not None:
+            self._outlooks[call.call_id] = self._predicted
 
     def on_first_token(self, call: Call, now_s: float) -> None:
-        """Does nothing."""
+        """Learns how far the first token was from what was predicted."""
+        outlook = self._outlooks.get(call.call_id)
+        if outlook is None:
+            return
+        self._first_token.observe(outlook.first_token_s, now_s - outlook.sent_s, now_s)
+        outlook.begun_s = now_s
 
     def on_ended(self, call: Call, output_tokens: int, now_s: float) -> None:
-        """Does nothing."""
+        """Learns how far the following tokens were from what was predicted."""
+        outlook = self._outlooks.pop(call.call_id, None)
+        if outlook is None or outlook.begun_s is None or output_tokens <= 1:
+            return
+        each_s = (now_s - outlook.begun_s) / (output_tokens - 1)
+        self._tokens.observe(outlook.token_s, each_s, now_s)
 
     def _patience(self, call: Call, now_s: float, returning: bool) -> float:
         """Returns the factor on the waits that the call may have."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from berylquay.decisions.corrections import Correction
 from berylquay.decisions.deployment import Deployment, TenantSpec
 from berylquay.decisions.fleet import MembershipView
 from berylquay.decisions.loads import FleetLoads
@@ -96,3 +97,23 @@
     for candidate in loads.candidates("pool").local:
         assert candidate.in_flight == candidate.pending_prompt_tokens == 0
         assert not any(candidate.pending_by_priority.values())
+
+
+def test_predictions_that_are_too_slow_are_corrected_by_what_came_out() -> None:
+    admission = make_admission()
+    call = evolve(make_call(), deadline_s=4.0)
+    assert admission.refusal_of(call, make_server("e"), 0.0) is not None
+    for number in range(400):
+        other = evolve(make_call(), call_id=str(number), deadline_s=600.0)
+        assert admission.refusal_of(other, make_server("e"), 0.0) is None
+        admission.on_started(other, 0.0)
+        admission.on_first_token(other, 0.01)
+        admission.on_ended(other, 128, 0.01 + 127 * 0.002)
+    assert admission.refusal_of(call, make_server("e"), 0.5) is None
+
+
+def test_a_correction_without_outcomes_falls_so_that_calls_are_tried_again() -> None:
+    correction = Correction(8.0)
+    assert correction.factor(10.0) == pytest.approx(8.0)
+    correction.observe(1.0, 8.0, 10.0)
+    assert correction.factor(10.0 + 4 * 30.0) == pytest.approx(1.0)
