Admit by prediction in berylquayd

Cause: the daemon admitted all, so that a flood took every engine and a late refusal came only at the deadline.

Now: ConfiguredAdmission hands each call to the policy of its deployment; configuration and membership reach it through AdmissionFeed. Where no tenant is declared, none is over its share.

--- /dev/null
+++ b/berylquay/backends/admission_feed.py
@@ -0,0 +1,28 @@
+"""Feeds admission with the configuration in force and the membership list."""
+
+from circuits import BaseComponent, handler
+
+from berylquay.decisions.configured_admission import ConfiguredAdmission
+from berylquay.messages import ConfigurationInForce, MembershipRead
+from berylquay.net.bus import BUS
+
+
+class AdmissionFeed(BaseComponent):
+    """Passes on what admission has to know besides the calls."""
+
+    channel = BUS
+
+    # What is fed.
+    _admission: ConfiguredAdmission
+
+    def __init__(self, admission: ConfiguredAdmission) -> None:
+        super().__init__()
+        self._admission = admission
+
+    @handler("ConfigurationInForce")
+    def _on_configuration(self, message: ConfigurationInForce) -> None:
+        self._admission.on_configuration(message.configuration)
+
+    @handler("MembershipRead")
+    def _on_membership(self, message: MembershipRead) -> None:
+        self._admission.on_membership(message.view)
--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -15,6 +15,7 @@
 
 from berylquay.authority.controller import Controller
 from berylquay.authority.drain_holder import DrainHolder
+from berylquay.backends.admission_feed import AdmissionFeed
 from berylquay.backends.attempts import BackendAttempts
 from berylquay.backends.dispatch import Dispatch
 from berylquay.backends.orders import EngineOrders
@@ -25,6 +26,7 @@
 from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
 from berylquay.callers.tickets import TicketsPage
 from berylquay.decisions.appends import AppendLimits
+from berylquay.decisions.configured_admission import ConfiguredAdmission
 from berylquay.decisions.deployment import Configuration, Deployment
 from berylquay.decisions.drains import HeldDrains
 from berylquay.decisions.fates import CallFates, FatesOptions
@@ -36,6 +38,7 @@
 from berylquay.decisions.polling import PollLimits, PollSchedule
 from berylquay.decisions.routing import LeastInFlight
 from berylquay.decisions.serving import HostPlace
+from berylquay.decisions.speeds import EngineSpeed
 from berylquay.decisions.tickets import TicketIssuer
 from berylquay.errors import SettingsError
 from berylquay.health import HEALTH_CHANNEL, HealthPages
@@ -103,7 +106,9 @@
         plan = DialPlan(PeeringLimits(), Random(incarnation))
         PeerLinks(outbound, options.peers, identity, pipes, plan).register(loop)
     place = HostPlace(options.host, options.data_centre)
-    fates = CallFates(LeastInFlight(), incarnation, options=FatesOptions(place=place))
+    admission = ConfiguredAdmission(options.data_centre, EngineSpeed())
+    AdmissionFeed(admission).register(loop)
+    fates = CallFates(LeastInFlight(), incarnation, FatesOptions(place=place), admission)
     Dispatch(fates, grants_needed=True).register(loop)
     callers = _serve_http(loop, options.callers_address, options.caller_limits, CALLERS_CHANNEL)
     _keep_once(loop, TicketIssuer(options.host, incarnation, secrets.token_bytes(SECRET_BYTES)))
--- a/berylquay/decisions/predicted_admission.py
+++ b/berylquay/decisions/predicted_admission.py
@@ -31,6 +31,8 @@
     flood_use: float = 1.75
     # Factor on both waits for a caller who comes back as told.
     returning: float = 15
+    # Factor on predicted times before anything was learned about the engines.
+    first_factor: float = 1.0
     # Part of the time to the deadline that the predicted answer may take.
     deadline_part: float = 0.9
     # Part of the capacity that is promised to callers who are told to come back.
@@ -82,12 +84,16 @@
         self._limits = limits or AdmissionLimits()
         self._capacity = capacity
         self._shares = TenantShares(deployment.tenants)
-        self._first_token = Correction()
-        self._tokens = Correction()
+        self._first_token = Correction(self._limits.first_factor)
+        self._tokens = Correction(self._limits.first_factor)
         self._predicted = None
         self._outlooks = {}
         self._promised_until_s = 0.0
 
+    def set_capacity(self, capacity: float) -> None:
+        """Takes the work per second that this host may ask of the engines from now on."""
+        self._capacity = capacity
+
     def refusal_of(
         self,
         call: Call,
@@ -109,7 +115,8 @@
         backlog_s = self._predictor.prefill_wait_s(chosen, now_s) * factor + batch_wait_s
         wait_s = ahead_s * factor + batch_wait_s
         answer_s = wait_s + prefill_s * factor
-        answer_s += call.spec.expected_output_tokens * token_s * self._tokens.factor(now_s)
+        output_tokens = min(call.spec.expected_output_tokens, call.max_output_tokens)
+        answer_s += output_tokens * token_s * self._tokens.factor(now_s)
         self._predicted = _Outlook(now_s, ahead_s + prefill_s, token_s)
         if answer_s > (call.deadline_s - now_s) * self._limits.deadline_part:
             late = RefusalReason.DEADLINE
--- a/berylquay/decisions/shares.py
+++ b/berylquay/decisions/shares.py
@@ -39,7 +39,10 @@
         """Returns the tenant's part of all recent work against its declared part.
 
         Above 1 the tenant has had more than its share; one that was not declared has no share.
+        Where no tenant was declared, none has too much.
         """
+        if not self._parts:
+            return 1.0
         whole_s = self._decayed_s(_EVERYONE, now_s)
         owned_s = self._parts.get(tenant, 0.0) * whole_s
         if owned_s <= 0.0:
