Keep load by server in the serving set, and lead each content's order by its prefix's home

Cause: the daemon routed by its own in-flight counts only, since the serving set made a new candidate for each call and dropped what the routing policy reads (pending prompt tokens, tokens sent since the last report). The bounded order of a content now starts with the server that its prefix belongs to, and servers elsewhere are taken from each data centre's own order, so that a content reaches no more servers of a data centre from outside than from inside. Rings are kept over membership changes that do not touch them. pytest tests/test_fates_invariants.py: all pass as before.

--- a/berylquay/decisions/fates.py
+++ b/berylquay/decisions/fates.py
@@ -200,6 +200,7 @@
         if state.phase is not Phase.STREAMING:
             state.phase = Phase.STREAMING
             self._judge.health.on_success(state.attempt.backend)
+            self._serving.on_first_token(state.call, state.attempt.backend)
             if not state.tokens_delivered:
                 self._admission.on_first_token(state.call, now_s)
         fresh = message.texts[already:]
@@ -307,7 +308,7 @@
                 return [CallRefused(call.call_id, refusal)]
             self._admission.on_started(call, now_s)
         attempt = self._new_attempt(state, choice.candidate.server.name)
-        self._serving.on_started(attempt.backend)
+        self._serving.on_started(call, attempt.backend)
         self._isolation.on_started(call.fingerprint, call.call_id)
         self._open.start_attempt(state, attempt, now_s)
         return [AttemptRequested(attempt)]
@@ -323,8 +324,10 @@
         attempt = self._open.end_attempt(state)
         if attempt is None:
             return []
-        self._serving.on_ended(attempt.backend)
         call = state.call
+        if state.phase is not Phase.STREAMING:
+            self._serving.on_first_token(call, attempt.backend)
+        self._serving.on_ended(attempt.backend)
         return self._tell_peers(self._isolation.on_ended(call.fingerprint, call.call_id))
 
     def _tell_peers(self, claim: IsolationClaim | None) -> Sequence[Command]:
--- a/berylquay/decisions/loads.py
+++ b/berylquay/decisions/loads.py
@@ -85,7 +85,8 @@
         """Counts an attempt as ended."""
         candidate = self._by_name.get(backend)
         if candidate is not None:
-            candidate.in_flight -= 1
+            # A server that left the list and came back was counted anew.
+            candidate.in_flight = max(candidate.in_flight - 1, 0)
             candidate.started_since_report -= 1
 
     def named(self, backend: str) -> Candidate | None:
--- a/berylquay/decisions/nearby_routing.py
+++ b/berylquay/decisions/nearby_routing.py
@@ -75,7 +75,7 @@
         best = self._best(self._sample(candidates.local, candidates.avoided), call, now_s)
         if best is None or not call.is_generation:
             return best
-        home = candidates.local[home_of(prefix_key(call), len(candidates.local))]
+        home = candidates.home or _home_by_order(call, candidates.local)
         if home.server.name in candidates.avoided:
             return best
         allowance_s = self._limits.affinity * self._predictor.prefill_s(home, call.prompt_tokens)
@@ -110,3 +110,7 @@
         tokens = call.spec.expected_output_tokens
         waits = [self._predictor.batch_wait_s(each, tokens) for each in sampled]
         return min(waits, default=0.0)
+
+
+def _home_by_order(call: Call, servers: Sequence[Candidate]) -> Candidate:
+    return servers[home_of(prefix_key(call), len(servers))]
--- a/berylquay/decisions/routing.py
+++ b/berylquay/decisions/routing.py
@@ -54,6 +54,8 @@
     avoided: frozenset[str] = frozenset()
     # Engines of the own data centre that take over KV cache after a prefill.
     decoders: Sequence[Candidate] = ()
+    # Server that the content's prefix belongs to, or None to take it from the order of the locals.
+    home: Candidate | None = None
 
     def __len__(self) -> int:
         """Returns the number of servers, the avoided ones among them."""
--- a/berylquay/decisions/serving.py
+++ b/berylquay/decisions/serving.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from hashlib import blake2b
+from itertools import zip_longest
 from typing import Final
 
 from attrs import frozen
@@ -15,6 +16,8 @@
 from berylquay.decisions.calls import Call
 from berylquay.decisions.fleet import BackendServer, EntryHost, Liveness, LoadReport, MembershipView
 from berylquay.decisions.health import ServerHealth
+from berylquay.decisions.loads import FleetLoads
+from berylquay.decisions.prefixes import prefix_key
 from berylquay.decisions.routing import Candidate
 
 POINTS_PER_SERVER: Final = 16
@@ -78,8 +81,8 @@
 
     # Servers of this host's data centre.
     near: HashRing
-    # Servers of the other data centres.
-    far: HashRing
+    # Servers of each of the other data centres.
+    far: tuple[HashRing, ...]
 
 
 class ServingSet:
@@ -95,14 +98,16 @@
     _backends: dict[str, BackendServer]
     # Entry hosts on the list.
     _hosts: tuple[EntryHost, ...]
-    # Newest load report by backend server.
-    _reports: dict[str, LoadReport]
+    # Load of the servers.
+    _loads: FleetLoads
     # Servers that the configuration drains.
     _drained_by_configuration: frozenset[str]
     # Servers that an order drains.
     _drained_by_order: set[str]
-    # Attempts in flight by backend server.
+    # Attempts in flight by backend server, whether or not the server is still on the list.
     _in_flight: Counter[str]
+    # Rings in use by the names of their servers; a ring is costly to make at 12,000 servers.
+    _rings: dict[tuple[str, ...], HashRing]
 
     def __init__(self, place: HostPlace, health: ServerHealth) -> None:
         self._place = place
@@ -110,23 +115,23 @@
         self._pools = {}
         self._backends = {}
         self._hosts = ()
-        self._reports = {}
+        self._loads = FleetLoads(place.data_centre)
         self._drained_by_configuration = frozenset()
         self._drained_by_order = set()
         self._in_flight = Counter()
+        self._rings = {}
 
     def on_membership(self, view: MembershipView) -> None:
         """Takes a newer membership list."""
         self._backends = {server.name: server for server in view.backends}
         self._hosts = view.hosts
-        live = [server for server in view.backends if server.liveness is Liveness.LIVE]
-        self._pools = {pool: self._pool_of(pool, live) for pool in {s.pool for s in live}}
-        self._reports = {name: r for name, r in self._reports.items() if name in self._backends}
+        self._loads.on_membership(view)
+        self._pools = self._make_pools(view)
         self._health.forget_all_but(frozenset(self._backends))
 
     def on_load(self, report: LoadReport) -> None:
         """Takes a load report."""
-        self._reports[report.backend] = report
+        self._loads.on_report(report)
 
     def on_configured_drains(self, draining: frozenset[str]) -> None:
         """Takes the servers that the configuration in force drains."""
@@ -139,15 +144,21 @@
         else:
             self._drained_by_order.discard(backend)
 
-    def on_started(self, backend: str) -> None:
+    def on_started(self, call: Call, backend: str) -> None:
         """Counts an attempt."""
         self._in_flight[backend] += 1
+        self._loads.on_sent(backend, call.prompt_tokens, call.spec.priority)
+
+    def on_first_token(self, call: Call, backend: str) -> None:
+        """Counts the attempt's prompt as prefilled."""
+        self._loads.on_first_token(backend, call.prompt_tokens, call.spec.priority)
 
     def on_ended(self, backend: str) -> None:
         """Counts an attempt off."""
         self._in_flight[backend] -= 1
         if not self._in_flight[backend]:
             del self._in_flight[backend]
+        self._loads.on_ended(backend)
 
     def in_flight(self, backend: str) -> int:
         """Returns the number of this host's attempts on the server."""
@@ -166,22 +177,54 @@
         ]
 
     def near_order(self, call: Call, now_s: float) -> Iterator[Place]:
-        """Yields the near servers that are in service, in the order of the call's content."""
+        """Yields the near servers that are in service, in the order of the call's content.
+
+        The first is the home of the content's prefix, which may have it cached.
+        """
         pool = self._pools.get(call.spec.pool)
         if pool is not None:
-            yield from self._places(pool.near.order_of(call.fingerprint), now_s)
+            yield from self._places(_order_of(pool.near, call), now_s)
 
     def far_order(self, call: Call, now_s: float) -> Iterator[Place]:
-        """Yields the servers of other data centres, in the order of the call's content."""
+        """Yields the servers of other data centres, each data centre's in its own order.
+
+        A content thus reaches no more servers of a data centre from outside than from inside.
+        """
         pool = self._pools.get(call.spec.pool)
         if pool is not None:
-            yield from self._places(pool.far.order_of(call.fingerprint), now_s)
+            orders = [_order_of(ring, call) for ring in pool.far]
+            names = (name for rank in zip_longest(*orders) for name in rank if name is not None)
+            yield from self._places(names, now_s)
 
-    def _pool_of(self, pool: str, live: list[BackendServer]) -> _Pool:
-        members = [server for server in live if server.pool == pool]
-        near = [server.name for server in members if self._is_near(server)]
-        far = [server.name for server in members if not self._is_near(server)]
-        return _Pool(HashRing(near), HashRing(far))
+    def home_of(self, call: Call) -> Candidate | None:
+        """Returns the near server that the content's prefix belongs to, in service or not."""
+        pool = self._pools.get(call.spec.pool)
+        if pool is None or not call.is_generation:
+            return None
+        name = next(pool.near.order_of(str(prefix_key(call))), None)
+        return None if name is None else self._loads.named(name)
+
+    def _make_pools(self, view: MembershipView) -> dict[str, _Pool]:
+        names: dict[str, dict[str, list[str]]] = {}
+        for server in view.backends:
+            if server.liveness is Liveness.LIVE:
+                place = "" if self._is_near(server) else server.data_centre
+                names.setdefault(server.pool, {}).setdefault(place, []).append(server.name)
+        known, self._rings = self._rings, {}
+        return {pool: self._pool_of(places, known) for pool, places in names.items()}
+
+    def _pool_of(
+        self, places: dict[str, list[str]], known: dict[tuple[str, ...], HashRing]
+    ) -> _Pool:
+        near = self._ring_of(places.get("", []), known)
+        far = tuple(self._ring_of(names, known) for place, names in sorted(places.items()) if place)
+        return _Pool(near, far)
+
+    def _ring_of(self, names: list[str], known: dict[tuple[str, ...], HashRing]) -> HashRing:
+        key = tuple(sorted(names))
+        ring = known.get(key) or HashRing(list(key))
+        self._rings[key] = ring
+        return ring
 
     def _is_near(self, server: BackendServer) -> bool:
         return self._place.data_centre in {"", server.data_centre}
@@ -191,9 +234,9 @@
             aside = self._health.is_aside(name)
             newly_aside = aside and self._health.is_newly_aside(name, now_s)
             if not self._is_drained(name) and (not aside or newly_aside):
-                server = self._backends[name]
-                candidate = Candidate(server, self._in_flight[name], self._reports.get(name))
-                yield Place(candidate, usable=not aside)
+                candidate = self._loads.named(name)
+                if candidate is not None:
+                    yield Place(candidate, usable=not aside)
 
     def _is_drained(self, name: str) -> bool:
         return name in self._drained_by_configuration or name in self._drained_by_order
@@ -201,3 +244,14 @@
 
 def _hash(text: str) -> int:
     return int.from_bytes(blake2b(text.encode(), digest_size=HASH_BYTES).digest(), "big")
+
+
+def _order_of(ring: HashRing, call: Call) -> Iterator[str]:
+    order = ring.order_of(call.fingerprint)
+    if not call.is_generation:
+        yield from order
+        return
+    home = next(ring.order_of(str(prefix_key(call))), None)
+    if home is not None:
+        yield home
+    yield from (name for name in order if name != home)
