Count the batch among near engines when routing

Cause: where no prompt waits, near engines looked all alike, however many sequences they had, so that a prefix's home filled its batch beside idle engines.

Now: between near engines the delay by the batch counts beside the wait; the step to another region is still decided by the wait alone.

--- a/berylquay/decisions/nearby_routing.py
+++ b/berylquay/decisions/nearby_routing.py
@@ -79,11 +79,11 @@
         if home.server.name in candidates.avoided:
             return best
         allowance_s = self._limits.affinity * self._predictor.prefill_s(home, call.prompt_tokens)
-        behind_s = self._wait_s(home, call, now_s) - self._wait_s(best, call, now_s)
+        behind_s = self._cost_s(home, call, now_s) - self._cost_s(best, call, now_s)
         return home if behind_s <= allowance_s else best
 
     def _best(self, servers: Sequence[Candidate], call: Call, now_s: float) -> Candidate | None:
-        return min(servers, key=lambda each: self._wait_s(each, call, now_s), default=None)
+        return min(servers, key=lambda each: self._cost_s(each, call, now_s), default=None)
 
     def _sample(self, servers: Sequence[Candidate], avoided: frozenset[str]) -> Sequence[Candidate]:
         if not servers:
@@ -105,6 +105,13 @@
             return wait_s
         return wait_s + self._predictor.batch_wait_s(server, call.spec.expected_output_tokens)
 
+    def _cost_s(self, server: Candidate, call: Call, now_s: float) -> float:
+        """Returns the wait and, as a larger batch slows its tokens down, the delay by the batch."""
+        wait_s = self._wait_s(server, call, now_s)
+        if role_of(server) is Role.PREFILL:
+            return wait_s
+        return wait_s + self._predictor.slowdown_s(server, call.spec.expected_output_tokens)
+
     def _decode_wait_s(self, call: Call, decoders: Sequence[Candidate]) -> float:
         sampled = self._sample(decoders, frozenset())
         tokens = call.spec.expected_output_tokens
--- a/berylquay/decisions/predictions.py
+++ b/berylquay/decisions/predictions.py
@@ -52,6 +52,11 @@
             return 0.0
         return excess * output_tokens * self.token_s(candidate) / self.speed.max_batch
 
+    def slowdown_s(self, candidate: Candidate, output_tokens: float) -> float:
+        """Returns by how much the others in the batch delay an answer after its first token."""
+        batch = min(self.batch_size(candidate), self.speed.max_batch)
+        return batch * output_tokens * self.speed.token_per_sequence_s
+
     def token_s(self, candidate: Candidate) -> float:
         """Returns the time between tokens if one more sequence joined the batch."""
         batch = min(self.batch_size(candidate) + 1, self.speed.max_batch)
