Route by prefix home and predicted wait in berylquayd

Cause: the daemon chose by its own attempts in flight alone, without load reports and prefixes.

Now: NearbyChoice chooses among the servers that placement allows, the prefix's home among them.

--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -32,11 +32,12 @@
 from berylquay.decisions.fates import CallFates, FatesOptions
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.lease import LeaseKeeper, LeaseLimits
+from berylquay.decisions.nearby_routing import NearbyChoice
 from berylquay.decisions.once import AtMostOnce
 from berylquay.decisions.orders import OrderKeeper, OrderLimits
 from berylquay.decisions.peering import DialPlan, PeeringLimits
 from berylquay.decisions.polling import PollLimits, PollSchedule
-from berylquay.decisions.routing import LeastInFlight
+from berylquay.decisions.predictions import Predictor
 from berylquay.decisions.serving import HostPlace
 from berylquay.decisions.speeds import EngineSpeed
 from berylquay.decisions.tickets import TicketIssuer
@@ -106,9 +107,11 @@
         plan = DialPlan(PeeringLimits(), Random(incarnation))
         PeerLinks(outbound, options.peers, identity, pipes, plan).register(loop)
     place = HostPlace(options.host, options.data_centre)
-    admission = ConfiguredAdmission(options.data_centre, EngineSpeed())
+    speed = EngineSpeed()
+    routing = NearbyChoice(Predictor(speed), Random(incarnation))
+    admission = ConfiguredAdmission(options.data_centre, speed)
     AdmissionFeed(admission).register(loop)
-    fates = CallFates(LeastInFlight(), incarnation, FatesOptions(place=place), admission)
+    fates = CallFates(routing, incarnation, FatesOptions(place=place), admission)
     Dispatch(fates, grants_needed=True).register(loop)
     callers = _serve_http(loop, options.callers_address, options.caller_limits, CALLERS_CHANNEL)
     _keep_once(loop, TicketIssuer(options.host, incarnation, secrets.token_bytes(SECRET_BYTES)))
