Refuse callers as not configured, not as at fault, before a configuration is in force

Cause: a host that starts during an outage of the platform knows no class, and told callers that their request was invalid, for good. Seen failing first: a new step of the scenario got 400 'unknown class' and no Retry-After; now 503, not-run, come back after 2 s.

--- a/berylquay/callers/parsing.py
+++ b/berylquay/callers/parsing.py
@@ -15,6 +15,8 @@
 CHAT_PATH: Final = "/v1/chat/completions"
 SERVICE_PREFIX: Final = "/v1/services/"
 MILLISECONDS_PER_SECOND: Final = 1000.0
+# Time after which a caller should come back to a host that has no configuration yet.
+UNCONFIGURED_RETRY_AFTER_S: Final = 2.0
 # Characters that one token stands for, in the estimate of a prompt's length.
 CHARACTERS_PER_TOKEN: Final = 4
 
@@ -42,6 +44,11 @@
     raw: RawRequest, configuration: Configuration, now_s: float
 ) -> Result[Call, Refusal]:
     """Returns the checked call, or the refusal that says what is wrong with the request."""
+    if not configuration.deployments:
+        detail = "no deployment is in force on this host yet"
+        return Failure(
+            Refusal(RefusalReason.NO_BACKEND, Verdict.NOT_RUN, detail, UNCONFIGURED_RETRY_AFTER_S)
+        )
     try:
         return Success(_parse(raw, configuration, now_s))
     except _InvalidRequestError as error:
--- a/test-data/scenarios/configuration.feature
+++ b/test-data/scenarios/configuration.feature
@@ -57,6 +57,7 @@
     And the log is away
     And host "host-1" is killed and started
     Then "host-1" has nothing in force that is older
+    And "host-1" refuses a caller as not run and says when to come back
     When the log is back
     Then every host has the newest accepted revision within 5 seconds
 
--- a/tests/scenarios/test_configuration.py
+++ b/tests/scenarios/test_configuration.py
@@ -10,7 +10,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from berylquay.command.exits import ExitCode
-from tests.scenarios.conftest import World
+from tests.scenarios.conftest import World, lookup
 from tests.support.configuration_fleet import CommandResult, ConfigurationFleet
 from tests.support.fleet import EXAMPLES
 
@@ -176,3 +176,11 @@
     seen = operators.fleet.configuration(name)
     newest = seen.revision == operators.accepted_revision()
     assert newest or not seen.deployments
+
+
+@then(parsers.parse('"{name}" refuses a caller as not run and says when to come back'))
+def then_caller_refused(operators: Operators, name: str) -> None:
+    answer = lookup(operators.fleet.hosts[name].port)
+    assert answer.status == 503, answer.body
+    assert answer.headers["x-verdict"] == "not-run"
+    assert float(answer.headers["retry-after"]) > 0
