Let waiting operators go when their host stops

Cause: the threads of the gRPC server wait for an outcome for up to 13 s, and the process waits for its threads. Seen failing first: 'berylquay.daemon ... timed out after 5.0 seconds' after SIGTERM with a change under way and the log silent. Now the bridge answers what waits (a change as unknown), and the scenario ends within its 5 s.

--- a/berylquay/operators/bridge.py
+++ b/berylquay/operators/bridge.py
@@ -13,7 +13,7 @@
 from circuits.core.events import generate_events
 from circuits.core.pollers import BasePoller
 
-from berylquay.decisions.configuration_state import Change, ChangeOutcome
+from berylquay.decisions.configuration_state import Change, ChangeOutcome, ChangeStatus
 from berylquay.messages import (
     AuthorityObserved,
     ChangeEnded,
@@ -101,6 +101,20 @@
                 post(self, question.request)
             self._answer_watchers()
 
+    @handler("stopped", channel="*")
+    def _on_stopped(self, *_: object) -> None:
+        """Lets every waiting thread go, so that the process can end."""
+        for watcher in self._watchers:
+            watcher.answer.cancel()
+        self._watchers.clear()
+        for change_id, questions in self._changes.items():
+            detail = "this host stops; the change may have reached the log"
+            revision = self._view.configuration.revision
+            outcome = ChangeOutcome(change_id, ChangeStatus.UNKNOWN, revision, detail=detail)
+            for question in questions:
+                question.answer.set_result(outcome)
+        self._changes.clear()
+
     @handler("ChangeEnded")
     def _on_change_ended(self, message: ChangeEnded) -> None:
         for question in self._changes.pop(message.outcome.change_id, ()):
--- a/berylquay/operators/servicer.py
+++ b/berylquay/operators/servicer.py
@@ -3,7 +3,7 @@
 import time
 import uuid
 from collections.abc import Iterator
-from concurrent.futures import Future
+from concurrent.futures import CancelledError, Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from threading import BoundedSemaphore
 from typing import Final, NoReturn, TypeVar
@@ -172,6 +172,9 @@
                 return future.result(WATCH_INTERVAL_S)
             except FutureTimeoutError:
                 continue
+            except CancelledError:
+                # This host stops.
+                return None
         future.cancel()
         return None
 
--- a/test-data/scenarios/configuration.feature
+++ b/test-data/scenarios/configuration.feature
@@ -71,3 +71,13 @@
     And operator "ben" drains "host-1" through "host-1" when it can
     Then the change of "ben" is accepted
     And every host has the newest accepted revision within 5 seconds
+
+  Scenario: A host is told to stop while operators wait
+    Given 1 hosts that follow the log
+    When "ana" watches "host-0"
+    And process "log" is paused
+    And operator "ben" drains "host-0" through "host-0" in the background
+    And 1 seconds pass
+    And host "host-0" is told to stop
+    Then host "host-0" ends within 5 seconds
+    And the outcome of the change of "ben" is unknown
--- a/tests/scenarios/test_configuration.py
+++ b/tests/scenarios/test_configuration.py
@@ -1,9 +1,12 @@
 """Scenarios of the configuration: the tool, the hosts and the log as processes."""
 
+import subprocess
+import sys
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from threading import Thread
 
 import pytest
 from attrs import define, field
@@ -11,7 +14,7 @@
 
 from berylquay.command.exits import ExitCode
 from tests.scenarios.conftest import World, lookup
-from tests.support.configuration_fleet import CommandResult, ConfigurationFleet
+from tests.support.configuration_fleet import GIVE_UP_S, CommandResult, ConfigurationFleet
 from tests.support.fleet import EXAMPLES
 
 scenarios("../../test-data/scenarios/configuration.feature")
@@ -24,6 +27,8 @@
     fleet: ConfigurationFleet
     # Last result by operator.
     results: dict[str, CommandResult] = field(factory=dict)
+    # Runs of the tool that go on in the background.
+    background: list[Thread] = field(factory=list)
     # Command line by operator, without the change id.
     lines: dict[str, tuple[str, ...]] = field(factory=dict)
 
@@ -33,6 +38,11 @@
         self.results[operator] = self.fleet.command(host, *line)
         return self.results[operator]
 
+    def run_in_background(self, operator: str, host: str, *arguments: str) -> None:
+        thread = Thread(target=self.run, args=(operator, host, *arguments), daemon=True)
+        self.background.append(thread)
+        thread.start()
+
     def accepted_revision(self) -> int:
         accepted = [r.value()["revision"] for r in self.results.values() if r.code == ExitCode.OK]
         return int(max(accepted))
@@ -184,3 +194,31 @@
     assert answer.status == 503, answer.body
     assert answer.headers["x-verdict"] == "not-run"
     assert float(answer.headers["retry-after"]) > 0
+
+
+@when(parsers.parse('"{operator}" watches "{host}"'))
+def when_watches(operators: Operators, operator: str, host: str) -> None:
+    server = f"127.0.0.1:{operators.fleet.operators[host]}"
+    line = [sys.executable, "-m", "berylquay.command", "--server", server, "watch"]
+    thread = Thread(target=subprocess.run, args=(line,), kwargs={"capture_output": True})
+    thread.daemon = True
+    operators.background.append(thread)
+    thread.start()
+    time.sleep(1.0)
+
+
+@when(parsers.parse('operator "{operator}" drains "{name}" through "{host}" in the background'))
+def when_drains_in_background(operators: Operators, operator: str, name: str, host: str) -> None:
+    operators.run_in_background(operator, host, "drain", name)
+
+
+@when(parsers.parse('host "{name}" is told to stop'))
+def when_host_told_to_stop(operators: Operators, name: str) -> None:
+    operators.fleet.hosts[name].terminate()
+
+
+@then(parsers.parse('host "{name}" ends within {seconds:g} seconds'))
+def then_host_ends(operators: Operators, name: str, seconds: float) -> None:
+    assert operators.fleet.hosts[name].popen.wait(seconds) == 0
+    for thread in operators.background:
+        thread.join(GIVE_UP_S)
