--- a/tests/support/background.py
+++ b/tests/support/background.py
@@ -13,6 +13,8 @@
     """Requests that were sent and whose answers are collected later."""
 
     threads: list[Thread] = field(factory=list)
+    # Name of each thread's request.
+    names: list[str] = field(factory=list)
     answers: dict[str, Answer] = field(factory=dict)
     errors: dict[str, str] = field(factory=dict)
 
@@ -27,6 +29,7 @@
 
         thread = Thread(target=run, daemon=True)
         self.threads.append(thread)
+        self.names.append(name)
         thread.start()
 
     def wait(self, timeout_s: float) -> None:
