Check applied deployments against the weight store, within its rate limit

Cause: a mistyped version or adapter would have been accepted and come to light only on the engines. Ruled out: asking before each load order (too late, and every engine at once). The rate limit is a token bucket that the appends to the log now share. With the store away, changes are accepted unchecked.

--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -54,6 +54,7 @@
 from berylquay.platform.configuration import ConfigurationKeeper
 from berylquay.platform.log_client import LogClient
 from berylquay.platform.membership import MembershipPoller
+from berylquay.platform.weights import WeightStoreClient
 from berylquay.settings.deployment_file import read_deployment_file
 from berylquay.settings.host_file import read_host_file
 from berylquay.settings.options import AuthorityOptions, CallerLimits, LogOptions, Options
@@ -114,6 +115,12 @@
         HealthPages(metrics).register(loop)
     if options.operators_address is not None:
         bridge = OperatorsBridge(loop, options.host, options.data_centre).register(loop)
+        if options.weights is not None:
+            weights = options.weights
+            WeightStoreClient(outbound, weights.address, weights.lookups_per_s, Random()).register(
+                loop
+            )
+            bridge.has_weight_store = True
         OperatorsServer(options.operators_address, bridge).register(loop)
     Lifecycle(options.stop_notice_s).register(loop)
     DrainHolder(options.host, HeldDrains(OrderLimits().host_hold_s)).register(loop)
--- a/berylquay/decisions/appends.py
+++ b/berylquay/decisions/appends.py
@@ -12,6 +12,7 @@
 from attrs import define, field, frozen
 
 from berylquay.decisions.backoff import Backoff
+from berylquay.decisions.rate_limit import RateLimit
 from berylquay.platform.records import NewRecord
 from berylquay.verdicts import Verdict
 
@@ -93,10 +94,8 @@
     _attempts: dict[int, tuple[_Pending, ...]]
     # Number of attempts so far.
     _attempt_count: int
-    # Attempts that may start now under the rate limit.
-    _allowance: float
-    # Time at which the allowance was worked out.
-    _allowance_s: float | None
+    # Bounds the attempts per second.
+    _rate: RateLimit
 
     def __init__(self, limits: AppendLimits, rng: Random) -> None:
         self._limits = limits
@@ -104,8 +103,7 @@
         self._pending = {}
         self._attempts = {}
         self._attempt_count = 0
-        self._allowance = limits.burst
-        self._allowance_s = None
+        self._rate = RateLimit(limits.appends_per_s, limits.burst)
 
     def __len__(self) -> int:
         """Returns the number of records that wait."""
@@ -125,10 +123,9 @@
 
     def start_due(self, now_s: float) -> list[AppendAttempt]:
         """Returns the attempts to send now."""
-        self._refill(now_s)
         started: list[AppendAttempt] = []
         for pending in list(self._pending.values()):
-            if not self._may_start():
+            if not self._may_start(now_s):
                 break
             if not self._is_due(pending, now_s):
                 continue
@@ -183,14 +180,8 @@
             ended.append(AppendEnded(pending.request.stream, record_id, verdict, pending.detail))
         return ended
 
-    def _refill(self, now_s: float) -> None:
-        if self._allowance_s is not None:
-            gained = (now_s - self._allowance_s) * self._limits.appends_per_s
-            self._allowance = min(self._limits.burst, self._allowance + gained)
-        self._allowance_s = now_s
-
-    def _may_start(self) -> bool:
-        return self._allowance >= 1.0 and len(self._attempts) < self._limits.in_flight
+    def _may_start(self, now_s: float) -> bool:
+        return self._rate.allows(now_s) and len(self._attempts) < self._limits.in_flight
 
     def _is_due(self, pending: _Pending, now_s: float) -> bool:
         return not pending.in_flight and pending.not_before_s <= now_s < pending.give_up_s
@@ -218,7 +209,7 @@
         )
 
     def _start(self, group: Sequence[_Pending]) -> AppendAttempt:
-        self._allowance -= 1.0
+        self._rate.take()
         self._attempt_count += 1
         self._attempts[self._attempt_count] = tuple(group)
         for pending in group:
--- a/berylquay/decisions/deployment_checks.py
+++ b/berylquay/decisions/deployment_checks.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 
-from berylquay.decisions.deployment import Deployment, WorkKind
+from berylquay.decisions.deployment import Deployment, ModelSpec, WorkKind
+from berylquay.decisions.weight_lookups import WeightsFacts
 
 
 def deployment_faults(deployment: Deployment) -> list[str]:
@@ -15,6 +16,17 @@
     return faults + _pool_faults(deployment) + _class_faults(deployment)
 
 
+def weights_faults(model: ModelSpec, facts: WeightsFacts) -> list[str]:
+    """Returns what the weight store lacks of a model; nothing if it could not be asked."""
+    if facts.exists is None:
+        return []
+    if not facts.exists:
+        return [f"the weight store has no version {model.version} of model {model.name}"]
+    missing = [name for name in model.adapters if name not in facts.adapters]
+    version = f"{model.name}@{model.version}"
+    return [f"the weight store has no adapter {name} of {version}" for name in missing]
+
+
 def _named(deployment: Deployment) -> list[tuple[str, Iterable[str]]]:
     return [
         ("model", (item.name for item in deployment.models)),
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -13,6 +13,7 @@
 from berylquay.decisions.engine_orders import EngineState, SendOutcome
 from berylquay.decisions.fleet import LoadReport, MembershipView
 from berylquay.decisions.roles import RoleChange
+from berylquay.decisions.weight_lookups import WeightsFacts, WeightsKey
 from berylquay.peers.payloads import DrainNotice, PeerPayload
 from berylquay.platform.records import LogRecord, NewRecord
 from berylquay.verdicts import Refusal, Verdict
@@ -209,6 +210,21 @@
     reachable: bool
 
 
+@frozen
+class WeightsLookupRequested:
+    """any -> platform: ask the weight store for a version of a model."""
+
+    key: WeightsKey
+
+
+@frozen
+class WeightsLookedUp:
+    """platform -> any: what the weight store says, or that it could not be asked in time."""
+
+    key: WeightsKey
+    facts: WeightsFacts
+
+
 @frozen
 class AuthorityObserved:
     """authority -> operators: who may give orders to a data centre's engines, as last read."""
--- a/berylquay/operators/bridge.py
+++ b/berylquay/operators/bridge.py
@@ -14,6 +14,7 @@
 from circuits.core.pollers import BasePoller
 
 from berylquay.decisions.configuration_state import Change, ChangeOutcome, ChangeStatus
+from berylquay.decisions.weight_lookups import WeightsFacts, WeightsKey
 from berylquay.messages import (
     AuthorityObserved,
     ChangeEnded,
@@ -23,6 +24,8 @@
     LoadReported,
     MembershipRead,
     PeerReceived,
+    WeightsLookedUp,
+    WeightsLookupRequested,
 )
 from berylquay.net.bus import BUS, post
 from berylquay.operators.view import AuthorityView, OperatorsView
@@ -45,19 +48,34 @@
     answer: "Future[ChangeOutcome]" = field(factory=Future)
 
 
+@frozen(eq=False)
+class _WeightsQuestion:
+    """A thread waits for what the weight store says."""
+
+    key: WeightsKey
+    answer: "Future[WeightsFacts]" = field(factory=Future)
+
+
+_Question = _ViewQuestion | _ChangeQuestion | _WeightsQuestion
+
+
 class OperatorsBridge(BaseComponent):
     """Answers the threads of the gRPC server."""
 
     channel = BUS
 
+    # Whether there is a weight store to ask.
+    has_weight_store: bool
     # Poller of the process, woken by the threads.
     _poller: BasePoller
     # Questions that the loop has not seen.
-    _questions: "SimpleQueue[_ViewQuestion | _ChangeQuestion]"
+    _questions: "SimpleQueue[_Question]"
     # Threads that wait for a newer configuration.
     _watchers: list[_ViewQuestion]
     # Threads that wait for a change, by its id.
     _changes: dict[str, list[_ChangeQuestion]]
+    # Threads that wait for the weight store, by what they asked.
+    _lookups: dict[WeightsKey, list[_WeightsQuestion]]
     # What there is to see.
     _view: OperatorsView
 
@@ -67,21 +85,31 @@
         self._questions = SimpleQueue()
         self._watchers = []
         self._changes = {}
+        self._lookups = {}
+        self.has_weight_store = False
         self._view = OperatorsView(host, data_centre)
 
     def ask_view(self, newer_than: int = -1) -> "Future[OperatorsView]":
         """Asks, from any thread, for the view once its revision is above the given one."""
         question = _ViewQuestion(newer_than)
-        self._questions.put(question)
-        self._poller.resume()
+        self._put(question)
         return question.answer
 
     def ask_change(self, change: Change, dry_run: bool) -> "Future[ChangeOutcome]":
         """Asks, from any thread, for a change."""
         question = _ChangeQuestion(ChangeRequested(change, dry_run))
+        self._put(question)
+        return question.answer
+
+    def ask_weights(self, key: WeightsKey) -> "Future[WeightsFacts]":
+        """Asks, from any thread, what the weight store says of a version of a model."""
+        question = _WeightsQuestion(key)
+        self._put(question)
+        return question.answer
+
+    def _put(self, question: _Question) -> None:
         self._questions.put(question)
         self._poller.resume()
-        return question.answer
 
     @handler("generate_events", channel="*")
     def _on_generate_events(self, event: generate_events) -> None:
@@ -93,13 +121,19 @@
                 question = self._questions.get_nowait()
             except Empty:
                 return
-            if isinstance(question, _ViewQuestion):
-                self._watchers.append(question)
-            else:
-                change_id = question.request.change.change_id
-                self._changes.setdefault(change_id, []).append(question)
-                post(self, question.request)
+            self._take(question)
+
+    def _take(self, question: _Question) -> None:
+        if isinstance(question, _ViewQuestion):
+            self._watchers.append(question)
             self._answer_watchers()
+        elif isinstance(question, _ChangeQuestion):
+            change_id = question.request.change.change_id
+            self._changes.setdefault(change_id, []).append(question)
+            post(self, question.request)
+        else:
+            self._lookups.setdefault(question.key, []).append(question)
+            post(self, WeightsLookupRequested(question.key))
 
     @handler("stopped", channel="*")
     def _on_stopped(self, *_: object) -> None:
@@ -107,6 +141,10 @@
         for watcher in self._watchers:
             watcher.answer.cancel()
         self._watchers.clear()
+        for lookups in self._lookups.values():
+            for lookup in lookups:
+                lookup.answer.set_result(WeightsFacts(exists=None))
+        self._lookups.clear()
         for change_id, questions in self._changes.items():
             detail = "this host stops; the change may have reached the log"
             revision = self._view.configuration.revision
@@ -120,6 +158,11 @@
         for question in self._changes.pop(message.outcome.change_id, ()):
             question.answer.set_result(message.outcome)
 
+    @handler("WeightsLookedUp")
+    def _on_weights(self, message: WeightsLookedUp) -> None:
+        for question in self._lookups.pop(message.key, ()):
+            question.answer.set_result(message.facts)
+
     @handler("ConfigurationInForce")
     def _on_configuration(self, message: ConfigurationInForce) -> None:
         self._update(lambda view: evolve(view, configuration=message.configuration))
--- a/berylquay/operators/servicer.py
+++ b/berylquay/operators/servicer.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from concurrent.futures import CancelledError, Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
+from contextlib import suppress
 from threading import BoundedSemaphore
 from typing import Final, NoReturn, TypeVar
 
@@ -13,9 +14,10 @@
 from berylquay.decisions.changes import OUTCOME_TIMEOUT_S
 from berylquay.decisions.configuration_state import Change, ChangeKind, ChangeOutcome, ChangeStatus
 from berylquay.decisions.deployment import Deployment
-from berylquay.decisions.deployment_checks import deployment_faults
+from berylquay.decisions.deployment_checks import deployment_faults, weights_faults
 from berylquay.decisions.deployment_diff import diff_deployments
 from berylquay.decisions.fleet import BackendServer, EntryHost
+from berylquay.decisions.weight_lookups import WeightsKey
 from berylquay.operators.bridge import OperatorsBridge
 from berylquay.operators.conversions import (
     deployment_from_schema,
@@ -142,7 +144,7 @@
     ) -> pb.ChangeReply:
         change_id = header.change_id or uuid.uuid4().hex
         change = Change(change_id, kind, name, header.base_revision, header.author, deployment)
-        faults = deployment_faults(deployment) if deployment is not None else []
+        faults = self._faults_of(deployment) if deployment is not None else []
         if faults:
             detail = "; ".join(faults)
             invalid = ChangeOutcome(change_id, ChangeStatus.INVALID, 0, detail=detail)
@@ -155,6 +157,20 @@
             outcome = ChangeOutcome(change_id, ChangeStatus.UNKNOWN, 0, detail=detail)
         return outcome_to_schema(outcome)
 
+    def _faults_of(self, deployment: Deployment) -> list[str]:
+        faults = deployment_faults(deployment)
+        if faults or not self._bridge.has_weight_store:
+            return faults
+        asked = [
+            (model, self._bridge.ask_weights(WeightsKey(model.name, model.version)))
+            for model in deployment.models
+        ]
+        for model, future in asked:
+            # A store that cannot be asked does not stop operators: engines keep what they run.
+            with suppress(FutureTimeoutError):
+                faults += weights_faults(model, future.result(LOOP_TIMEOUT_S))
+        return faults
+
     def _knows(self, name: str, context: grpc.ServicerContext) -> bool:
         view = self._view(context)
         names = {host.name for host in view.membership.hosts}
--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -6,7 +6,13 @@
 
 from berylquay.errors import SettingsError
 from berylquay.settings.ini import IniReader
-from berylquay.settings.options import AuthorityOptions, CallerLimits, LogOptions, Options
+from berylquay.settings.options import (
+    AuthorityOptions,
+    CallerLimits,
+    LogOptions,
+    Options,
+    WeightStoreOptions,
+)
 from berylquay.settings.peer_section import read_peer_section
 
 
@@ -37,6 +43,7 @@
         stop_notice_s=reader.number("host", "stop_notice_s", 2.0),
         initial_deployments=reader.words("host", "initial_deployments", ()),
         operators_address=reader.optional_address("operators", "address"),
+        weights=_read_weight_store_options(reader),
         log=_read_log_options(reader),
         caller_limits=_read_caller_limits(reader),
         peers=read_peer_section(reader, parser.has_section("peers")),
@@ -65,6 +72,13 @@
     return AuthorityOptions(address, lease_s, renewal_interval_s, order_margin_s)
 
 
+def _read_weight_store_options(reader: IniReader) -> WeightStoreOptions | None:
+    section = "platform"
+    address = reader.optional_address(section, "weights")
+    lookups_per_s = reader.number(section, "weights_lookups_per_s", 2.0)
+    return None if address is None else WeightStoreOptions(address, lookups_per_s)
+
+
 def _read_caller_limits(reader: IniReader) -> CallerLimits:
     defaults = CallerLimits()
     section = "callers"
--- a/berylquay/settings/options.py
+++ b/berylquay/settings/options.py
@@ -76,6 +76,16 @@
     order_margin_s: float = 3.0
 
 
+@frozen
+class WeightStoreOptions:
+    """How the platform's weight store is used."""
+
+    # Where the weight store listens.
+    address: Address
+    # Most lookups that this host sends per second.
+    lookups_per_s: float = 2.0
+
+
 @frozen
 class Options:
     """Everything that one entry host is told by its settings file."""
@@ -98,6 +108,8 @@
     initial_deployments: tuple[str, ...] = ()
     # Where operators' gRPC calls are served, or None.
     operators_address: Address | None = None
+    # The platform's weight store, or None if deployments are not checked against it.
+    weights: WeightStoreOptions | None = None
     # The platform's log, or None if the host runs on its deployment files alone.
     log: LogOptions | None = None
     # Bounds on callers.
--- a/tests/scenarios/test_configuration.py
+++ b/tests/scenarios/test_configuration.py
@@ -18,6 +18,7 @@
 from tests.support.fleet import EXAMPLES
 
 scenarios("../../test-data/scenarios/configuration.feature")
+scenarios("../../test-data/scenarios/weight_store.feature")
 
 
 @define
@@ -222,3 +223,33 @@
     assert operators.fleet.hosts[name].popen.wait(seconds) == 0
     for thread in operators.background:
         thread.join(GIVE_UP_S)
+
+
+@given(parsers.parse('a host and a weight store with "{version}" and its adapters "{adapters}"'))
+def given_weight_store(operators: Operators, version: str, adapters: str) -> None:
+    operators.fleet.published = {version: adapters.split(", ")}
+    given_hosts(operators, 1)
+
+
+@when("the weight store is away")
+def when_weight_store_away(operators: Operators) -> None:
+    assert operators.fleet.weights is not None
+    operators.fleet.weights.post("/faults", {"away": True})
+
+
+@when(parsers.parse('operator "{operator}" applies "{name}"'))
+def when_applies(operators: Operators, operator: str, name: str) -> None:
+    operators.run(operator, "host-0", "apply", str(EXAMPLES / f"{name}.ini"))
+
+
+@then(parsers.parse('the change of "{operator}" is refused because of "{text}"'))
+def then_refused_because(operators: Operators, operator: str, text: str) -> None:
+    result = operators.results[operator]
+    assert result.code == ExitCode.REFUSED, (result.out, result.error)
+    assert text in result.value()["detail"]
+
+
+@then(parsers.parse("the weight store was asked {count:d} times and refused none"))
+def then_lookups(operators: Operators, count: int) -> None:
+    assert operators.fleet.weights is not None
+    assert operators.fleet.weights.get("/witness") == {"lookups": count, "refused": 0}
--- a/tests/support/configuration_fleet.py
+++ b/tests/support/configuration_fleet.py
@@ -45,6 +45,10 @@
     processes: Processes = field(init=False)
     log: Process = field(init=False)
     membership: Process = field(init=False)
+    # What the weight store has: adapters by MODEL@VERSION; None for no store.
+    published: dict[str, list[str]] | None = None
+    # Weight store, if there is one.
+    weights: Process | None = None
     # Ports for peers by host.
     peers: dict[str, int] = field(factory=dict)
     # Ports of the operators' calls by host.
@@ -58,6 +62,10 @@
             "log", "log", "--retention-s", f"{self.retention_s}"
         )
         self.membership = self.processes.start_standin("membership", "membership")
+        if self.published is not None:
+            file = self.directory / "published.json"
+            file.write_text(json.dumps(self.published), encoding="utf-8")
+            self.weights = self.processes.start_standin("weights", "weights", "--file", str(file))
         names = {f"host-{n}": f"dc-{n}" for n in range(hosts)}
         self.peers = {name: free_port() for name in names}
         if self.linked:
@@ -92,6 +100,7 @@
 membership = 127.0.0.1:{self.membership.port}
 log = 127.0.0.1:{self.log.port}
 log_retention_s = {self.retention_s}
+{f"weights = 127.0.0.1:{self.weights.port}" if self.weights else ""}
 """,
             encoding="utf-8",
         )
