--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -114,14 +114,7 @@
         _serve_http(loop, options.health_address, options.caller_limits, HEALTH_CHANNEL)
         HealthPages(metrics).register(loop)
     if options.operators_address is not None:
-        bridge = OperatorsBridge(loop, options.host, options.data_centre).register(loop)
-        if options.weights is not None:
-            weights = options.weights
-            WeightStoreClient(outbound, weights.address, weights.lookups_per_s, Random()).register(
-                loop
-            )
-            bridge.has_weight_store = True
-        OperatorsServer(options.operators_address, bridge).register(loop)
+        _serve_operators(loop, outbound, options, options.operators_address)
     Lifecycle(options.stop_notice_s).register(loop)
     DrainHolder(options.host, HeldDrains(OrderLimits().host_hold_s)).register(loop)
     if options.log is not None and options.authority is not None:
@@ -134,6 +127,18 @@
     return loop
 
 
+def _serve_operators(
+    loop: Loop, outbound: OutboundConnections, options: Options, address: Address
+) -> None:
+    weights = options.weights
+    if weights is not None:
+        client = WeightStoreClient(outbound, weights.address, weights.lookups_per_s, Random())
+        client.register(loop)
+    bridge = OperatorsBridge(loop, options.host, options.data_centre, weights is not None)
+    bridge.register(loop)
+    OperatorsServer(address, bridge).register(loop)
+
+
 def _keep_configuration(
     loop: Loop,
     outbound: OutboundConnections,
--- a/berylquay/operators/bridge.py
+++ b/berylquay/operators/bridge.py
@@ -79,14 +79,16 @@
     # What there is to see.
     _view: OperatorsView
 
-    def __init__(self, poller: BasePoller, host: str, data_centre: str) -> None:
+    def __init__(
+        self, poller: BasePoller, host: str, data_centre: str, has_weight_store: bool
+    ) -> None:
         super().__init__()
         self._poller = poller
         self._questions = SimpleQueue()
         self._watchers = []
         self._changes = {}
         self._lookups = {}
-        self.has_weight_store = False
+        self.has_weight_store = has_weight_store
         self._view = OperatorsView(host, data_centre)
 
     def ask_view(self, newer_than: int = -1) -> "Future[OperatorsView]":
--- a/berylquay/operators/servicer.py
+++ b/berylquay/operators/servicer.py
@@ -16,17 +16,15 @@
 from berylquay.decisions.deployment import Deployment
 from berylquay.decisions.deployment_checks import deployment_faults, weights_faults
 from berylquay.decisions.deployment_diff import diff_deployments
-from berylquay.decisions.fleet import BackendServer, EntryHost
 from berylquay.decisions.weight_lookups import WeightsKey
 from berylquay.operators.bridge import OperatorsBridge
 from berylquay.operators.conversions import (
     deployment_from_schema,
-    deployment_to_schema,
-    last_change_to_schema,
     outcome_to_schema,
 )
 from berylquay.operators.generated import berylquay_pb2 as pb
 from berylquay.operators.generated.berylquay_pb2_grpc import OperatorsServicer
+from berylquay.operators.replies import backend_of, configuration_of, host_of, this_host
 from berylquay.operators.view import OperatorsView
 
 T = TypeVar("T")
@@ -36,8 +34,6 @@
 WATCH_INTERVAL_S: Final = 1.0
 # Watching calls at once; each holds a thread.
 MAX_WATCHERS: Final = 8
-# Time after which a peer's revision counts as old.
-HEARD_LATELY_S: Final = 10.0
 
 
 class Servicer(OperatorsServicer):
@@ -78,7 +74,7 @@
         self, request: pb.GetConfigurationRequest, context: grpc.ServicerContext
     ) -> pb.Configuration:
         """Returns the configuration in force."""
-        return _configuration_of(self._view(context))
+        return configuration_of(self._view(context))
 
     def DiffDeployment(  # noqa: N802
         self, request: pb.DiffDeploymentRequest, context: grpc.ServicerContext
@@ -107,7 +103,7 @@
                 if view is None:
                     return
                 newer_than = view.configuration.revision
-                yield _configuration_of(view)
+                yield configuration_of(view)
         finally:
             self._watchers.release()
 
@@ -117,9 +113,9 @@
         """Lists the entry hosts with the revision in force on each, as far as it is known."""
         view = self._view(context)
         now_s = time.monotonic()
-        hosts = [_host_of(host, view, now_s) for host in view.membership.hosts]
+        hosts = [host_of(host, view, now_s) for host in view.membership.hosts]
         if all(host.name != view.host for host in hosts):
-            hosts.insert(0, _this_host(view))
+            hosts.insert(0, this_host(view))
         return pb.ListHostsReply(hosts=hosts)
 
     def ListBackends(  # noqa: N802
@@ -128,7 +124,7 @@
         """Lists the backend servers, and who holds the authority over them."""
         view = self._view(context)
         return pb.ListBackendsReply(
-            backends=[_backend_of(backend, view) for backend in view.membership.backends],
+            backends=[backend_of(backend, view) for backend in view.membership.backends],
             authorities=[
                 pb.Authority(data_centre=name, holder=seen.holder, term=seen.term)
                 for name, seen in sorted(view.authorities.items())
@@ -213,63 +209,3 @@
         return deployment_from_schema(message)
     except ValueError as error:
         _abort(context, str(error))
-
-
-def _configuration_of(view: OperatorsView) -> pb.Configuration:
-    configuration = view.configuration
-    changes = view.state.changes if view.state is not None else {}
-    return pb.Configuration(
-        revision=configuration.revision,
-        deployments=[deployment_to_schema(item) for item in configuration.deployments],
-        draining=sorted(configuration.draining),
-        last_changes={key: last_change_to_schema(last) for key, last in changes.items()},
-        up_to_date=view.up_to_date,
-        gap=view.gap,
-        host=view.host,
-        data_centre=view.data_centre,
-    )
-
-
-def _host_of(host: EntryHost, view: OperatorsView, now_s: float) -> pb.Host:
-    heard = view.heard.get(host.name)
-    here = host.name == view.host
-    revision = view.configuration.revision if here else (heard.revision if heard else 0)
-    lately = heard is not None and now_s - heard.heard_s < HEARD_LATELY_S
-    return pb.Host(
-        name=host.name,
-        address=str(host.address),
-        region=host.region,
-        data_centre=host.data_centre,
-        liveness=host.liveness.value,
-        draining=host.name in view.configuration.draining,
-        revision=revision,
-        heard=here or lately,
-    )
-
-
-def _this_host(view: OperatorsView) -> pb.Host:
-    return pb.Host(
-        name=view.host,
-        data_centre=view.data_centre,
-        draining=view.host in view.configuration.draining,
-        revision=view.configuration.revision,
-        heard=True,
-    )
-
-
-def _backend_of(backend: BackendServer, view: OperatorsView) -> pb.Backend:
-    report = view.loads.get(backend.name)
-    return pb.Backend(
-        name=backend.name,
-        kind=backend.kind.value,
-        address=str(backend.address),
-        region=backend.region,
-        data_centre=backend.data_centre,
-        pool=backend.pool,
-        liveness=backend.liveness.value,
-        draining=backend.name in view.configuration.draining,
-        role=report.role.value if report else "",
-        model=report.model if report else "",
-        running=report.running if report else 0,
-        waiting=report.waiting if report else 0,
-    )
