--- a/berylquay/backends/dispatch.py
+++ b/berylquay/backends/dispatch.py
@@ -5,6 +5,7 @@
 
 from circuits import BaseComponent, handler
 
+from berylquay.decisions.configured_admission import ConfiguredAdmission
 from berylquay.decisions.fates import CallFates, Command
 from berylquay.messages import (
     AttemptAnswered,
@@ -35,12 +36,17 @@
 
     # The decisions.
     _fates: CallFates
+    # Admission, which hears here of the configuration and the fleet.
+    _admission: ConfiguredAdmission
     # Whether non-repeatable calls wait until their key is granted.
     _grants_needed: bool
 
-    def __init__(self, fates: CallFates, grants_needed: bool = False) -> None:
+    def __init__(
+        self, fates: CallFates, admission: ConfiguredAdmission, grants_needed: bool = False
+    ) -> None:
         super().__init__()
         self._fates = fates
+        self._admission = admission
         self._grants_needed = grants_needed
 
     @handler("CallReceived")
@@ -96,10 +102,12 @@
     @handler("MembershipRead")
     def _on_membership(self, message: MembershipRead) -> None:
         self._fates.on_membership(message.view)
+        self._admission.on_membership(message.view)
 
     @handler("ConfigurationInForce")
     def _on_configuration(self, message: ConfigurationInForce) -> None:
         self._fates.on_configured_drains(message.configuration.draining)
+        self._admission.on_configuration(message.configuration)
 
     @handler("BackendDrainChanged")
     def _on_drain_changed(self, message: BackendDrainChanged) -> None:
--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -25,16 +25,18 @@
 from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
 from berylquay.callers.tickets import TicketsPage
 from berylquay.decisions.appends import AppendLimits
+from berylquay.decisions.configured_admission import ConfiguredAdmission
 from berylquay.decisions.deployment import Configuration, Deployment
 from berylquay.decisions.drains import HeldDrains
 from berylquay.decisions.fates import CallFates, FatesOptions
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.lease import LeaseKeeper, LeaseLimits
+from berylquay.decisions.nearby_routing import NearbyChoice
 from berylquay.decisions.once import AtMostOnce
 from berylquay.decisions.orders import OrderKeeper, OrderLimits
 from berylquay.decisions.peering import DialPlan, PeeringLimits
 from berylquay.decisions.polling import PollLimits, PollSchedule
-from berylquay.decisions.routing import LeastInFlight
+from berylquay.decisions.predictions import Predictor
 from berylquay.decisions.serving import HostPlace
 from berylquay.decisions.tickets import TicketIssuer
 from berylquay.errors import SettingsError
@@ -103,8 +105,12 @@
         plan = DialPlan(PeeringLimits(), Random(incarnation))
         PeerLinks(outbound, options.peers, identity, pipes, plan).register(loop)
     place = HostPlace(options.host, options.data_centre)
-    fates = CallFates(LeastInFlight(), incarnation, options=FatesOptions(place=place))
-    Dispatch(fates, grants_needed=True).register(loop)
+    predictor = Predictor(options.engine_speed)
+    admission = ConfiguredAdmission(place, predictor)
+    routing = NearbyChoice(predictor, Random(incarnation))
+    fates_options = FatesOptions(place=place)
+    fates = CallFates(routing, incarnation, options=fates_options, admission=admission)
+    Dispatch(fates, admission, grants_needed=True).register(loop)
     callers = _serve_http(loop, options.callers_address, options.caller_limits, CALLERS_CHANNEL)
     _keep_once(loop, TicketIssuer(options.host, incarnation, secrets.token_bytes(SECRET_BYTES)))
     Gate(callers).register(loop)
--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure, Result, Success
 
+from berylquay.decisions.speeds import EngineSpeed
 from berylquay.errors import SettingsError
 from berylquay.settings.ini import IniReader
 from berylquay.settings.options import AuthorityOptions, CallerLimits, LogOptions, Options
@@ -41,6 +42,7 @@
         caller_limits=_read_caller_limits(reader),
         peers=read_peer_section(reader, parser.has_section("peers")),
         authority=_read_authority_options(reader),
+        engine_speed=_read_engine_speed(reader),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
     )
 
@@ -76,3 +78,18 @@
         idle_timeout_s=reader.number(section, "idle_timeout_s", defaults.idle_timeout_s),
         write_buffer_bytes=reader.count(section, "write_buffer_bytes", defaults.write_buffer_bytes),
     )
+
+
+def _read_engine_speed(reader: IniReader) -> EngineSpeed:
+    defaults = EngineSpeed()
+    section = "engines"
+    return EngineSpeed(
+        prefill_tokens_per_s=reader.number(
+            section, "prefill_tokens_per_s", defaults.prefill_tokens_per_s
+        ),
+        token_base_s=reader.number(section, "token_base_s", defaults.token_base_s),
+        token_per_sequence_s=reader.number(
+            section, "token_per_sequence_s", defaults.token_per_sequence_s
+        ),
+        max_batch=reader.count(section, "max_batch", defaults.max_batch),
+    )
--- a/berylquay/settings/options.py
+++ b/berylquay/settings/options.py
@@ -3,6 +3,7 @@
 from attrs import field, frozen
 
 from berylquay.decisions.fleet import Address
+from berylquay.decisions.speeds import EngineSpeed
 
 
 @frozen
@@ -106,5 +107,7 @@
     peers: PeerOptions | None = None
     # How this host stands for the authority over its engines, or None if it gives no orders.
     authority: AuthorityOptions | None = None
+    # Rates of the engines, from which waits are predicted.
+    engine_speed: EngineSpeed = field(factory=EngineSpeed)
     # Lowest level of logs to write.
     log_level: str = "info"
