--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -15,6 +15,7 @@
 
 from berylquay.authority.controller import Controller
 from berylquay.authority.drain_holder import DrainHolder
+from berylquay.backends.admission_feed import AdmissionFeed
 from berylquay.backends.attempts import BackendAttempts
 from berylquay.backends.dispatch import Dispatch
 from berylquay.backends.orders import EngineOrders
@@ -105,12 +106,11 @@
         plan = DialPlan(PeeringLimits(), Random(incarnation))
         PeerLinks(outbound, options.peers, identity, pipes, plan).register(loop)
     place = HostPlace(options.host, options.data_centre)
-    predictor = Predictor(options.engine_speed)
-    admission = ConfiguredAdmission(place, predictor)
-    routing = NearbyChoice(predictor, Random(incarnation))
-    fates_options = FatesOptions(place=place)
-    fates = CallFates(routing, incarnation, options=fates_options, admission=admission)
-    Dispatch(fates, admission, grants_needed=True).register(loop)
+    admission = ConfiguredAdmission(options.data_centre, options.engine_speed)
+    AdmissionFeed(admission).register(loop)
+    routing = NearbyChoice(Predictor(options.engine_speed), Random(incarnation))
+    fates = CallFates(routing, incarnation, FatesOptions(place=place), admission)
+    Dispatch(fates, grants_needed=True).register(loop)
     callers = _serve_http(loop, options.callers_address, options.caller_limits, CALLERS_CHANNEL)
     _keep_once(loop, TicketIssuer(options.host, incarnation, secrets.token_bytes(SECRET_BYTES)))
     Gate(callers).register(loop)
