--- a/test-data/scenarios/authority.feature
+++ b/test-data/scenarios/authority.feature
@@ -1,6 +1,6 @@
 Feature: One authority over the engines, and planned changes that cut nothing off
 
-  Scenario Outline: A change of version with long answers in flight
+  Scenario Outline: A change of version and one of adapters with long answers in flight
     Given a governed data centre with 2 engines and 2 hosts, fencing checked: <checks>
     When answers of 300 tokens keep running through every host
     Then every engine comes to run version "1"
--- a/tests/support/governed.py
+++ b/tests/support/governed.py
@@ -127,7 +127,9 @@
         def reached() -> bool:
             states = [self.state(name) for name in self.engines]
             return all(
-                state.get("model") == f"{MODEL}@{version}" and not state["order_under_way"]
+                state.get("model") == f"{MODEL}@{version}"
+                and state["adapters"] == sorted(ADAPTERS.split(","))
+                and not state["order_under_way"]
                 for state in states
             )
 
@@ -137,7 +139,10 @@
 def start_governed_centre(
     directory: Path, engines: int, hosts: int, checks_fencing: str, change_ms: int = 600
 ) -> GovernedCentre:
-    """Starts a data centre whose engines run version 0, while version 1 is declared."""
+    """Starts a data centre whose engines run version 0, while version 1 is declared.
+
+    The last engine has the declared version but lacks adapters.
+    """
     processes = Processes(directory)
     log = processes.start_standin("log", "log")
     host_ports = {f"host-{n}": free_port() for n in range(hosts)}
@@ -154,9 +159,10 @@
     file.write_text(json.dumps(members), encoding="utf-8")
     membership = processes.start_standin("membership", "membership", "--file", str(file))
     centre = GovernedCentre(processes, log, membership)
-    for name, port in engine_ports.items():
+    for number, (name, port) in enumerate(engine_ports.items(), start=1):
+        is_last = number == engines
         centre.engine_arguments[name] = (
-            *("--model", f"{MODEL}@0", "--adapters", ADAPTERS),
+            *("--model", f"{MODEL}@{int(is_last)}", "--adapters", "fes" if is_last else ADAPTERS),
             *("--checks-fencing", checks_fencing, "--change-ms", str(change_ms)),
         )
         centre.start_engine(name, port)
