--- a/tests/authority/faults.py
+++ b/tests/authority/faults.py
@@ -39,6 +39,13 @@
     centre.hosts[centre.holder()].kill()
 
 
+def stop_holder(centre: GovernedCentre) -> None:
+    """Tells the holder to stop; it gives its authority up first."""
+    holder = centre.holder()
+    centre.hosts[holder].terminate()
+    centre.wait_until(lambda: centre.holder() != holder, "nobody takes over")
+
+
 def kill_holder_sender(centre: GovernedCentre) -> None:
     """Kills the sender beside the holder."""
     centre.senders[centre.holder()].kill()
@@ -82,6 +89,7 @@
 FAULTS: Final[dict[str, Callable[[GovernedCentre], None]]] = {
     "the holder is paused past its lease": pause_holder,
     "the holder and its sender are paused past the lease": pause_holder_and_sender,
+    "the holder is told to stop": stop_holder,
     "the holder is killed amid an order": kill_holder_amid_order,
     "the holder's sender is killed": kill_holder_sender,
     "the platform is away for longer than the lease": take_platform_away,
