--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -60,7 +60,7 @@
 class ConfigurationOffer:
     """Carries a snapshot of the configuration, as the log's snapshot records do."""
 
-    # JSON of the snapshot.
+    # Snapshot as compressed JSON.
     snapshot: bytes
 
 
@@ -81,6 +81,18 @@
     fingerprint: str
 
 
+@frozen
+class IsolationClaim:
+    """Says that the sender runs a suspected content on a backend server, or has ceased to."""
+
+    # Name of the backend server.
+    backend: str
+    # Content that runs there.
+    fingerprint: str
+    # Whether the claim is made or renewed, rather than released.
+    held: bool
+
+
 @frozen
 class TicketAsked:
     """Asks the issuer of a single-use ticket to hand the right to spend it over to the sender."""
@@ -126,6 +138,7 @@
     | ConfigurationOffer
     | CrashReport
     | CrashCleared
+    | IsolationClaim
     | TicketAsked
     | TicketAnswered
     | TicketReturned
