--- a/berylquay/peers/codec.py
+++ b/berylquay/peers/codec.py
@@ -74,7 +74,8 @@
             return Failure(CodecError(f"field {item.name} is missing", malformed=True))
         if not _fits(item, values[item.name]):
             return Failure(CodecError(f"field {item.name} has a wrong type", malformed=True))
-        arguments[item.name] = values[item.name]
+        value = values[item.name]
+        arguments[item.name] = tuple(value) if isinstance(value, list) else value
     # Fields that this version does not know are left out, so that newer hosts can add some.
     build: Callable[..., PeerPayload] = payload_type
     return Success(build(**arguments))
@@ -84,4 +85,6 @@
     expected = item.type
     if expected is float:
         return type(value) in {float, int}
+    if expected == tuple[str, ...]:
+        return isinstance(value, list) and all(type(text) is str for text in value)
     return type(value) is expected
--- a/standins/engine_generation.py
+++ b/standins/engine_generation.py
@@ -66,6 +66,8 @@
             return "a change is under way"
         if value["model"] != state.model:
             return "model is not loaded"
+        if value.get("model_version", "") not in {"", state.version}:
+            return "another version of the model is loaded"
         adapter = str(value.get("adapter", ""))
         if adapter and adapter not in state.adapters:
             return "adapter is not loaded"
@@ -76,7 +78,8 @@
     async def _stream(self, exchange: Exchange, value: dict[str, object]) -> None:
         attempt_id = str(value["attempt_id"])
         total = int(str(value["max_tokens"]))
-        await exchange.start_stream()
+        version = ("X-Model-Version", self.state.version)
+        await exchange.start_stream((version, ("X-Incarnation", self.state.incarnation)))
         await self._prefill(int(str(value["prompt_tokens"])))
         for index in range(int(str(value.get("first_token", 0))), total):
             await self._maybe_fail(exchange, index)
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -48,9 +48,9 @@
         self._send(h11.Data(data=body))
         await self.end()
 
-    async def start_stream(self) -> None:
+    async def start_stream(self, headers: tuple[tuple[str, str], ...] = ()) -> None:
         """Sends the head of a stream of server-sent events."""
-        head = [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
+        head = [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"), *headers]
         self._send(h11.Response(status_code=200, headers=head))
         await self.writer.drain()
 
