--- a/berylquay/backends/dispatch.py
+++ b/berylquay/backends/dispatch.py
@@ -18,6 +18,7 @@
     ConfigurationInForce,
     LoadReported,
     MembershipRead,
+    PeerLinkChanged,
     PeerReceived,
     ProbeEnded,
     Tick,
@@ -93,6 +94,11 @@
     def _on_peer(self, message: PeerReceived) -> None:
         self._fates.on_peer(message.host, message.payload, time.monotonic())
 
+    @handler("PeerLinkChanged")
+    def _on_peer_link(self, message: PeerLinkChanged) -> None:
+        if message.connected:
+            self._post_all(self._fates.on_peer_linked(message.host, time.monotonic()))
+
     @handler("MembershipRead")
     def _on_membership(self, message: MembershipRead) -> None:
         self._fates.on_membership(message.view)
--- a/berylquay/decisions/fates.py
+++ b/berylquay/decisions/fates.py
@@ -157,6 +157,10 @@
         elif isinstance(payload, IsolationClaim):
             self._isolation.on_peer(host, payload, now_s)
 
+    def on_peer_linked(self, host: str, now_s: float) -> Sequence[Command]:
+        """Tells a host of the data centre what it may have missed while it was out of reach."""
+        return self._judge.reports_for(host, now_s) if host in self._serving.peers() else []
+
     def on_call(self, call: Call, now_s: float) -> Sequence[Command]:
         """Starts the first attempt of a call, or refuses it."""
         self._budget.on_offered()
--- a/berylquay/decisions/judging.py
+++ b/berylquay/decisions/judging.py
@@ -4,6 +4,7 @@
 connections broke off on a server that was then found dead or restarted.
 """
 
+from collections.abc import Iterable
 from random import Random
 from typing import Final
 
@@ -116,12 +117,20 @@
         if not lost:
             return ProbeOutcome([], outage.held, lost=False)
         self.ledger.on_lost(message.backend, frozenset(contents), now_s)
-        report = CrashReport(message.backend, tuple(sorted(contents))[:MAX_REPORTED])
+        report = _report(message.backend, contents, 0.0)
         return ProbeOutcome([PeerSendRequested(p, report) for p in peers], outage.held, lost=True)
 
     def on_crash_report(self, report: CrashReport, now_s: float) -> None:
         """Takes in what a peer has seen."""
-        self.ledger.on_lost(report.backend, frozenset(report.fingerprints), now_s)
+        lost_s = now_s - max(report.age_s, 0.0)
+        self.ledger.on_lost(report.backend, frozenset(report.fingerprints), lost_s)
+
+    def reports_for(self, peer: str, now_s: float) -> list[JudgeCommand]:
+        """Returns what a peer must be told that could not be reached for a while."""
+        return [
+            PeerSendRequested(peer, _report(loss.backend, contents, now_s - loss.lost_s))
+            for loss, contents in self.ledger.all_losses().items()
+        ]
 
     def on_tick(self, now_s: float) -> list[JudgeCommand]:
         """Forgets old suspicions and starts the probes that are due."""
@@ -149,3 +158,7 @@
             return True
         known = self._incarnations.get(message.backend, "")
         return known not in {"", message.incarnation} and message.incarnation != ""
+
+
+def _report(backend: str, contents: Iterable[str], age_s: float) -> CrashReport:
+    return CrashReport(backend, tuple(sorted(contents))[:MAX_REPORTED], age_s)
--- a/berylquay/decisions/suspects.py
+++ b/berylquay/decisions/suspects.py
@@ -81,6 +81,14 @@
         for fingerprint in sorted(fingerprints):
             self._count(fingerprint, Loss(backend, now_s))
 
+    def all_losses(self) -> dict[Loss, list[str]]:
+        """Returns the contents that are remembered, by loss."""
+        contents: dict[Loss, list[str]] = {}
+        for fingerprint, losses in self._contents.items():
+            for loss in losses:
+                contents.setdefault(loss, []).append(fingerprint)
+        return contents
+
     def clear(self, fingerprint: str) -> bool:
         """Forgets the content, which was answered whole; tells whether it was suspected."""
         if self.standing_of(fingerprint) is Standing.QUARANTINED:
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -72,6 +72,8 @@
     backend: str
     # Content fingerprints, sorted.
     fingerprints: tuple[str, ...]
+    # Time since the sender heard of the loss.
+    age_s: float
 
 
 @frozen
--- a/test-data/scenarios/fates.feature
+++ b/test-data/scenarios/fates.feature
@@ -63,6 +63,7 @@
   Scenario: A request that crashes engines is refused before it has crashed four
     Given a data centre with 5 engines, 1 services and 3 hosts
     And every engine crashes on "poison"
+    And the hosts have found each other
     When 12 callers ask every host for 150 tokens each
     And 0.3 seconds pass
     And a request with "poison" is sent 4 times to every host at once
--- a/tests/scenarios/test_fates.py
+++ b/tests/scenarios/test_fates.py
@@ -17,6 +17,7 @@
 
 ALARM_PATH: Final = "/v1/services/cellar-log/alarms/7"
 LIST_TIMEOUT_S: Final = 1.2
+LINK_TIMEOUT_S: Final = 20.0
 
 
 @define
@@ -99,6 +100,15 @@
         engine.post("/faults", {"crash_on": text})
 
 
+@given("the hosts have found each other")
+def given_linked(world: World) -> None:
+    logs = [world.directory / f"{host.name}.log" for host in world.fleet.hosts]
+    give_up_s = time.monotonic() + LINK_TIMEOUT_S
+    while any(log.read_text().count('"peer link up"') < len(logs) - 1 for log in logs):
+        assert time.monotonic() < give_up_s
+        time.sleep(0.05)
+
+
 @when(parsers.parse('an alarm is acknowledged at "{host}" within {seconds:g} seconds'))
 def when_acknowledged(world: World, seen: Seen, host: str, seconds: float) -> None:
     headers = {
--- a/tests/support/fates_world.py
+++ b/tests/support/fates_world.py
@@ -203,6 +203,13 @@
         """Lets the caller of a call go away."""
         self._do(host, host.fates.on_caller_gone(call_id, self.now_s))
 
+    def set_links(self, up: bool) -> None:
+        """Cuts the links between the hosts, or lets them come up again."""
+        self.links_up = up
+        for host in self.hosts if up else ():
+            for peer in self.hosts:
+                self._do(host, host.fates.on_peer_linked(peer.name, self.now_s))
+
     def crash(self, backend: Backend, culprit: str = "") -> None:
         """Crashes a server: every connection to it breaks off."""
         if not backend.alive:
--- a/tests/test_fates_invariants.py
+++ b/tests/test_fates_invariants.py
@@ -232,6 +232,26 @@
     assert impatient or RefusalReason.QUARANTINED in reasons
 
 
+@seeded
+@given(seed=seeds, hosts=st.integers(2, 4))
+def test_reports_that_a_cut_link_lost_are_made_up_for(seed: int, hosts: int) -> None:
+    world = World(seed, hosts=hosts, backends=8)
+    for backend in world.backends.values():
+        backend.poison["poison"] = 0
+    world.set_links(False)
+    world.call(world.hosts[0], make_call(world.now_s, "poison", deadline_s=30.0))
+    world.run(world.rng.uniform(0.0, 20.0))
+    world.set_links(True)
+    world.run(0.5)
+    for host in world.hosts:
+        world.call(host, make_call(world.now_s, "poison", deadline_s=30.0))
+        world.run(world.rng.uniform(0.0, 2.0))
+    world.run(40.0)
+    world.check()
+    lost = [backend for backend in world.backends.values() for _ in backend.crashes]
+    assert len(lost) <= SuspectLimits().losses_to_quarantine
+
+
 @seeded
 @given(seed=seeds, servers=st.integers(1, 300))
 def test_probes_make_no_storm_when_servers_come_back(seed: int, servers: int) -> None:
