--- a/berylquay/backends/dispatch.py
+++ b/berylquay/backends/dispatch.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Sequence
 
+import logbook
 from circuits import BaseComponent, handler
 
 from berylquay.decisions.fates import CallFates, Command
@@ -15,6 +16,7 @@
     CallerGone,
     CallGranted,
     CallReceived,
+    CallRefused,
     ConfigurationInForce,
     LoadReported,
     MembershipRead,
@@ -27,6 +29,9 @@
     TokensForCallers,
 )
 from berylquay.net.bus import BUS, post
+from berylquay.peers.payloads import CrashReport
+
+_log = logbook.Logger("dispatch")
 
 
 class Dispatch(BaseComponent):
@@ -88,10 +93,21 @@
 
     @handler("ProbeEnded")
     def _on_probe_ended(self, message: ProbeEnded) -> None:
+        if not message.alive:
+            _log.warning("backend server does not answer", backend=message.backend)
         self._post_all(self._fates.on_probe_ended(message, time.monotonic()))
 
     @handler("PeerReceived")
     def _on_peer(self, message: PeerReceived) -> None:
+        if isinstance(message.payload, CrashReport):
+            report = message.payload
+            contents = len(report.fingerprints)
+            _log.warning(
+                "peer lost a backend server",
+                peer=message.host,
+                backend=report.backend,
+                contents=contents,
+            )
         self._fates.on_peer(message.host, message.payload, time.monotonic())
 
     @handler("PeerLinkChanged")
@@ -121,9 +137,22 @@
 
     def _post_all(self, commands: Sequence[Command]) -> None:
         for command in commands:
+            if isinstance(command, CallRefused):
+                _log_refusal(command)
             post(self, command)
 
     def _post_tokens(self, ready: list[TokensForCaller]) -> None:
         if ready:
             post(self, TokensForCallers(tuple(ready)))
             ready.clear()
+
+
+def _log_refusal(message: CallRefused) -> None:
+    refusal = message.refusal
+    _log.info(
+        "call refused",
+        call=message.call_id,
+        reason=refusal.reason.value,
+        verdict=refusal.verdict.value,
+        detail=refusal.detail,
+    )
