--- a/berylquay/decisions/orders.py
+++ b/berylquay/decisions/orders.py
@@ -49,7 +49,7 @@
     # Shortest interval between readings of an idle engine.
     idle_read_interval_s: float = 5.0
     # Most readings of idle engines in a second.
-    idle_reads_per_s: float = 20.0
+    idle_reads_per_s: float = 6.0
     # Interval between notices of one drain.
     notice_interval_s: float = 1.0
     # Time for which a host keeps the promise that it gave on a notice.
@@ -57,7 +57,7 @@
     # Time after which a change is put off if the drain has not come to its end.
     drain_timeout_s: float = 300.0
     # Time after which a change that was put off is tried again.
-    put_off_s: float = 30.0
+    put_off_s: float = 10.0
     # Most engines of the data centre that are drained or changed at once.
     max_changes: int = 8
     # Most by which a host's clock runs fast against the controller's, as a share.
--- a/berylquay/peers/codec.py
+++ b/berylquay/peers/codec.py
@@ -72,9 +72,9 @@
     for item in fields(payload_type):
         if item.name not in values:
             return Failure(CodecError(f"field {item.name} is missing", malformed=True))
-        if not _fits(item, values[item.name]):
-            return Failure(CodecError(f"field {item.name} has a wrong type", malformed=True))
         value = values[item.name]
+        if not _fits(item, value):
+            return Failure(CodecError(f"field {item.name} has a wrong type", malformed=True))
         arguments[item.name] = tuple(value) if isinstance(value, list) else value
     # Fields that this version does not know are left out, so that newer hosts can add some.
     build: Callable[..., PeerPayload] = payload_type
@@ -86,5 +86,5 @@
     if expected is float:
         return type(value) in {float, int}
     if expected == tuple[str, ...]:
-        return isinstance(value, list) and all(type(text) is str for text in value)
+        return isinstance(value, list) and all(type(inner) is str for inner in value)
     return type(value) is expected
--- a/berylquay/peers/payloads.py
+++ b/berylquay/peers/payloads.py
@@ -60,7 +60,7 @@
 class ConfigurationOffer:
     """Carries a snapshot of the configuration, as the log's snapshot records do."""
 
-    # JSON of the snapshot.
+    # Snapshot as compressed JSON.
     snapshot: bytes
 
 
@@ -115,13 +115,15 @@
 
     # Id of the question.
     ask_id: str
-    # Outcome, as the name of a `TicketOutcome`.
+    # The ticket.
+    ticket: str
+    # Value of a `TicketOutcome`.
     outcome: str
 
 
 @frozen
 class TicketReturned:
-    """Gives the right to spend a ticket back to its issuer, since the call was not run."""
+    """Tells the issuer of a ticket that the right to spend it was not and will not be used."""
 
     # Id of the question by which the right had passed over.
     ask_id: str
