--- a/test-data/scenarios/fates.feature
+++ b/test-data/scenarios/fates.feature
@@ -68,3 +68,8 @@
     And 10 callers ask every host for 5 tokens each
     Then every answer is whole and its own
     And "engine-0" started nothing more than 3 seconds after it was listed as leaving
+
+  Scenario: A caller that goes away has its attempt ended
+    Given a data centre with 1 engines, 1 services and 1 hosts
+    When a caller of "host-0" that asks for 800 tokens goes away after 0.5 seconds
+    Then "engine-0" ends the attempt before it has finished
--- a/tests/scenarios/test_fates.py
+++ b/tests/scenarios/test_fates.py
@@ -1,5 +1,6 @@
 """Scenarios of what befalls calls when backend servers fail, go silent, crash or leave."""
 
+import json
 import time
 from collections.abc import Iterator
 from typing import Final
@@ -157,6 +158,18 @@
             )
 
 
+@when(
+    parsers.parse(
+        'a caller of "{host}" that asks for {count:d} tokens goes away after {s:g} seconds'
+    )
+)
+def when_caller_goes(world: World, host: str, count: int, s: float) -> None:
+    body = {"model": MODEL, "messages": [{"role": "user", "content": "x"}], "max_tokens": count}
+    headers = {"X-Tenant": "fes", "X-Class": "cellar-summary"}
+    with pytest.raises(TimeoutError):
+        ask(world.process(host).port, "/v1/chat/completions", json.dumps(body).encode(), headers, s)
+
+
 @when(parsers.parse('engine "{name}" is listed as leaving'))
 def when_leaving(world: World, name: str) -> None:
     _change_members(world, {name: {"state": "leaving"}})
@@ -173,6 +186,18 @@
     assert world.fleet.hosts[0].popen.poll() is None
 
 
+@then(parsers.parse('"{name}" ends the attempt before it has finished'))
+def then_attempt_ended(world: World, name: str) -> None:
+    engine = world.process(name)
+    give_up_s = time.monotonic() + 3.0
+    while engine.get("/v1/load")["running"]:
+        assert time.monotonic() < give_up_s
+        time.sleep(0.05)
+    entries = engine.get("/witness")["entries"]
+    assert isinstance(entries, list)
+    assert [entry[0] for entry in entries] == ["started"]
+
+
 @then(parsers.parse("every answer took less than {seconds:g} seconds"))
 def then_took(seen: Seen, seconds: float) -> None:
     assert max(seen.seconds.values()) < seconds
