--- a/berylquay/backends/exchanges.py
+++ b/berylquay/backends/exchanges.py
@@ -29,6 +29,7 @@
 # Header by which a backend server names its incarnation, which changes with each restart.
 INCARNATION_HEADER: Final = "x-incarnation"
 STATUS_OK: Final = 200
+STATUS_CLIENT_ERROR: Final = 400
 STATUS_SERVER_ERROR: Final = 500
 # Most bytes of a service's answer.
 MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
@@ -100,7 +101,7 @@
         """Reports the outcome of a service call or a refusal, or a stream without its end."""
         if self._ended:
             return
-        refused = self._status >= STATUS_SERVER_ERROR
+        refused = self._status >= STATUS_SERVER_ERROR or self._not_started
         if self._attempt.call.is_generation and self._status == STATUS_OK:
             self._fail(Verdict.MAY_HAVE_RUN, "the stream ended early")
         elif refused or self._attempt.call.is_generation:
@@ -124,11 +125,13 @@
     def _on_sending(self) -> None:
         self._report(AttemptSent(self._attempt.attempt_id))
 
+    @property
+    def _not_started(self) -> bool:
+        headers = self._head.headers if self._head is not None else {}
+        return self._status >= STATUS_CLIENT_ERROR and NOT_STARTED_HEADER in headers
+
     def _verdict(self, otherwise: Verdict) -> Verdict:
-        refused = self._head is not None and self._status >= STATUS_SERVER_ERROR
-        if refused and self._head is not None and NOT_STARTED_HEADER in self._head.headers:
-            return Verdict.NOT_RUN
-        return otherwise
+        return Verdict.NOT_RUN if self._not_started else otherwise
 
     def _take_stream(self, data: bytes) -> None:
         try:
--- a/test-data/scenarios/more_fates.feature
+++ b/test-data/scenarios/more_fates.feature
@@ -9,6 +9,7 @@
     Examples:
       | behaviour                    | deadline | verdict      | calls |
       | lets connections hang        | 5        | not-run      | 0     |
+      | refuses with 429             | 5        | not-run      | 1     |
       | breaks off in the head       | 5        | may-have-run | 1     |
       | cuts the answer              | 5        | may-have-run | 1     |
       | fails with a date to retry   | 5        | may-have-run | 1     |
--- a/tests/support/raw_backend.py
+++ b/tests/support/raw_backend.py
@@ -129,6 +129,7 @@
     "refuses before it starts": _answer(
         "503 Busy", "X-Not-Started: yes\r\nRetry-After: 3\r\n", "busy"
     ),
+    "refuses with 429": _answer("429 Slow Down", "X-Not-Started: yes\r\n", "later"),
     "fails with 500": _answer("500 Error", "", "oops"),
     "fails with a date to retry": _answer(
         "503 Busy", "Retry-After: Fri, 04 Dec 2026 00:00:00 GMT\r\n", "busy"
--- a/tests/test_fates_invariants.py
+++ b/tests/test_fates_invariants.py
@@ -232,6 +232,30 @@
     assert impatient or RefusalReason.QUARANTINED in reasons
 
 
+@seeded
+@given(seed=seeds, hosts=st.integers(1, 4), backends=st.integers(4, 8), drain=st.booleans())
+def test_poison_loses_at_most_three_servers_amid_other_faults(
+    seed: int, hosts: int, backends: int, drain: bool
+) -> None:
+    faults = _faults(("cut", "refused", "connect-refused", "server-error", "silent"), 0.1)
+    world = World(seed, hosts=hosts, backends=backends, draw_fault=faults)
+    crash_token = world.rng.randrange(4)
+    for backend in world.backends.values():
+        backend.poison["poison"] = crash_token
+        backend.restart_after_s = world.rng.choice((None, 1.0, 5.0))
+    for n in range(40):
+        sender = world.rng.choice(world.hosts)
+        content = world.rng.choice(("poison", f"f{n}"))
+        world.call(sender, make_call(world.now_s, content, tokens=8, deadline_s=20.0))
+        if drain and n == world.rng.randrange(40):
+            sender.fates.on_drain_changed("b0", True)
+        world.run(world.rng.uniform(0.0, 0.3))
+    world.run(40.0)
+    world.check()
+    lost = [backend for backend in world.backends.values() for _ in backend.crashes]
+    assert len(lost) <= SuspectLimits().losses_to_quarantine
+
+
 @seeded
 @given(seed=seeds, hosts=st.integers(2, 4))
 def test_reports_that_a_cut_link_lost_are_made_up_for(seed: int, hosts: int) -> None:
