--- a/bench/sizes.py
+++ b/bench/sizes.py
@@ -40,7 +40,7 @@
         Heartbeat("fes-dc1-h03-1a2b3c4d", 123456789),
         DrainNotice("fes-dc1-e0123", True, 123456789, 42),
         DrainAcknowledgement("fes-dc1-e0123", 123456789, 3, 42),
-        CrashReport("fes-dc1-e0123", (FINGERPRINT,) * IN_FLIGHT),
+        CrashReport("fes-dc1-e0123", (FINGERPRINT,) * IN_FLIGHT, 1.25),
     )
     return [Size(type(each).__name__, len(encode_payload(each)), "bytes") for each in payloads]
 
