--- a/examples/processes.py
+++ b/examples/processes.py
@@ -9,19 +9,39 @@
 import urllib.error
 import urllib.request
 from pathlib import Path
+from random import Random
 from typing import Final
 
 from attrs import define, field
 
 START_TIMEOUT_S: Final = 20.0
 POLL_S: Final = 0.02
+FIRST_PORT: Final = 12000
+LAST_PORT: Final = 32000
+
+_rng: Final = Random()
+_taken: Final[set[int]] = set()
 
 
 def free_port() -> int:
-    """Returns a port that nothing listens on now."""
+    """Returns a port that nothing listens on now and that was not returned before.
+
+    Ports below the range for outgoing connections, so that none of those takes it meanwhile.
+    """
+    while True:
+        port = _rng.randrange(FIRST_PORT, LAST_PORT)
+        if port not in _taken and _is_free(port):
+            _taken.add(port)
+            return port
+
+
+def _is_free(port: int) -> bool:
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 @define
