--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -15,6 +15,7 @@
 
 from berylquay.authority.controller import Controller
 from berylquay.authority.drain_holder import DrainHolder
+from berylquay.backends.admission_feed import AdmissionFeed
 from berylquay.backends.attempts import BackendAttempts
 from berylquay.backends.dispatch import Dispatch
 from berylquay.backends.orders import EngineOrders
@@ -25,16 +26,18 @@
 from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
 from berylquay.callers.tickets import TicketsPage
 from berylquay.decisions.appends import AppendLimits
+from berylquay.decisions.configured_admission import ConfiguredAdmission
 from berylquay.decisions.deployment import Configuration, Deployment
 from berylquay.decisions.drains import HeldDrains
 from berylquay.decisions.fates import CallFates, FatesOptions
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.lease import LeaseKeeper, LeaseLimits
+from berylquay.decisions.nearby_routing import NearbyChoice
 from berylquay.decisions.once import AtMostOnce
 from berylquay.decisions.orders import OrderKeeper, OrderLimits
 from berylquay.decisions.peering import DialPlan, PeeringLimits
 from berylquay.decisions.polling import PollLimits, PollSchedule
-from berylquay.decisions.routing import LeastInFlight
+from berylquay.decisions.predictions import Predictor
 from berylquay.decisions.serving import HostPlace
 from berylquay.decisions.tickets import TicketIssuer
 from berylquay.errors import SettingsError
@@ -104,7 +107,10 @@
         plan = DialPlan(PeeringLimits(), Random(incarnation))
         PeerLinks(outbound, options.peers, identity, pipes, plan).register(loop)
     place = HostPlace(options.host, options.data_centre)
-    fates = CallFates(LeastInFlight(), incarnation, options=FatesOptions(place=place))
+    admission = ConfiguredAdmission(options.data_centre, options.engine_speed)
+    AdmissionFeed(admission).register(loop)
+    routing = NearbyChoice(Predictor(options.engine_speed), Random(incarnation))
+    fates = CallFates(routing, incarnation, FatesOptions(place=place), admission)
     Dispatch(fates, grants_needed=True).register(loop)
     callers = _serve_http(loop, options.callers_address, options.caller_limits, CALLERS_CHANNEL)
     _keep_once(loop, TicketIssuer(options.host, incarnation, secrets.token_bytes(SECRET_BYTES)))
--- a/tests/support/governed.py
+++ b/tests/support/governed.py
@@ -59,13 +59,16 @@
             return {}
 
     def restart_dead(self) -> None:
-        """Starts dead engines and senders again, as the operator's supervisor does."""
+        """Starts dead processes again, as the operator's supervisor does."""
         for name, process in list(self.engines.items()):
             if process.popen.poll() is not None:
                 self.start_engine(name, process.port)
         for name, process in list(self.senders.items()):
             if process.popen.poll() is not None:
                 self._start_sender(name, process.port)
+        for name, process in list(self.hosts.items()):
+            if process.popen.poll() is not None:
+                self._start_daemon(name, process.port)
 
     def start_engine(self, name: str, port: int) -> None:
         """Starts an engine with the arguments that belong to it."""
@@ -103,7 +106,11 @@
 """,
             encoding="utf-8",
         )
-        self.hosts[name] = self.processes.start(name, "berylquay.daemon", port, str(settings))
+        self._start_daemon(name, port)
+
+    def _start_daemon(self, name: str, port: int) -> None:
+        settings = str(self.processes.directory / f"{name}.ini")
+        self.hosts[name] = self.processes.start(name, "berylquay.daemon", port, settings)
 
     def wait_until(self, condition: Callable[[], bool], what: str) -> None:
         """Waits until the condition holds, restarting what has died meanwhile."""
@@ -120,7 +127,9 @@
         def reached() -> bool:
             states = [self.state(name) for name in self.engines]
             return all(
-                state.get("model") == f"{MODEL}@{version}" and not state["order_under_way"]
+                state.get("model") == f"{MODEL}@{version}"
+                and state["adapters"] == sorted(ADAPTERS.split(","))
+                and not state["order_under_way"]
                 for state in states
             )
 
@@ -128,9 +137,12 @@
 
 
 def start_governed_centre(
-    directory: Path, engines: int, hosts: int, checks_fencing: str, change_ms: int = 600
+    directory: Path, engines: int, hosts: int, checks_fencing: str, change_ms: int = 300
 ) -> GovernedCentre:
-    """Starts a data centre whose engines run version 0, while version 1 is declared."""
+    """Starts a data centre whose engines run version 0, while version 1 is declared.
+
+    The last engine has the declared version but lacks adapters.
+    """
     processes = Processes(directory)
     log = processes.start_standin("log", "log")
     host_ports = {f"host-{n}": free_port() for n in range(hosts)}
@@ -147,9 +159,10 @@
     file.write_text(json.dumps(members), encoding="utf-8")
     membership = processes.start_standin("membership", "membership", "--file", str(file))
     centre = GovernedCentre(processes, log, membership)
-    for name, port in engine_ports.items():
+    for number, (name, port) in enumerate(engine_ports.items(), start=1):
+        is_last = number == engines
         centre.engine_arguments[name] = (
-            *("--model", f"{MODEL}@0", "--adapters", ADAPTERS),
+            *("--model", f"{MODEL}@{int(is_last)}", "--adapters", "fes" if is_last else ADAPTERS),
             *("--checks-fencing", checks_fencing, "--change-ms", str(change_ms)),
         )
         centre.start_engine(name, port)
