--- a/berylquay/callers/server.py
+++ b/berylquay/callers/server.py
@@ -1,6 +1,15 @@
 """HTTP servers of an entry host: circuits.web over a TCP server whose buffers are bounded."""
 
-from socket import socket
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_USER_TIMEOUT,
+    socket,
+)
 from typing import Final
 
 from circuits import BaseComponent, handler
@@ -12,6 +21,16 @@
 
 CALLERS_CHANNEL: Final = "callers"
 CLOSED_FILENO: Final = -1
+# A caller that is gone without a word is noticed within 5 s: by probes while nothing is under way,
+# by the missing acknowledgement otherwise. Accepted sockets inherit these from the listening one.
+SILENCE_TIMEOUT_MS: Final = 5000
+_SILENCE_OPTIONS: Final = [
+    (SOL_SOCKET, SO_KEEPALIVE, 1),
+    (IPPROTO_TCP, TCP_KEEPIDLE, 2),
+    (IPPROTO_TCP, TCP_KEEPINTVL, 1),
+    (IPPROTO_TCP, TCP_KEEPCNT, 3),
+    (IPPROTO_TCP, TCP_USER_TIMEOUT, SILENCE_TIMEOUT_MS),
+]
 
 
 class BoundedTCPServer(TCPServer):
@@ -21,7 +40,7 @@
     _limits: CallerLimits
 
     def __init__(self, bind: tuple[str, int], channel: str, limits: CallerLimits) -> None:
-        super().__init__(bind, channel=channel)
+        super().__init__(bind, channel=channel, socket_options=_SILENCE_OPTIONS)
         self._limits = limits
 
     @handler("write", override=True)
