--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -1,6 +1,8 @@
 """The settings file of one entry host: INI text to checked `Options`."""
 
 from configparser import ConfigParser, Error
+from ipaddress import IPv4Address
+from typing import Final
 
 from returns.result import Failure, Result, Success
 
@@ -9,6 +11,9 @@
 from berylquay.settings.options import AuthorityOptions, CallerLimits, LogOptions, Options
 from berylquay.settings.peer_section import read_peer_section
 
+MIN_LEASE_S: Final = 2.0
+MIN_RENEWALS_PER_LEASE: Final = 2
+
 
 def read_host_file(path: str) -> Result[Options, tuple[SettingsError, ...]]:
     """Returns the options in the file, or every fault in it."""
@@ -62,7 +67,30 @@
     order_margin_s = reader.number(section, "order_margin_s", 3.0)
     if address is None:
         return None
-    return AuthorityOptions(address, lease_s, renewal_interval_s, order_margin_s)
+    options = AuthorityOptions(address, lease_s, renewal_interval_s, order_margin_s)
+    _check_authority_options(reader, options)
+    return options
+
+
+def _check_authority_options(reader: IniReader, options: AuthorityOptions) -> None:
+    if not IPv4Address(options.sender_address.ip).is_loopback:
+        # The sender takes the time of an order from the clock that it shares with the daemon.
+        _add_authority_fault(reader, "sender", str(options.sender_address), "a loopback address")
+    if options.lease_s < MIN_LEASE_S:
+        allowed = f"a number of at least {MIN_LEASE_S:g}"
+        _add_authority_fault(reader, "lease_s", f"{options.lease_s:g}", allowed)
+    if not 0.0 < options.renewal_interval_s <= options.lease_s / MIN_RENEWALS_PER_LEASE:
+        allowed = f"above 0 and at most lease_s / {MIN_RENEWALS_PER_LEASE}"
+        _add_authority_fault(
+            reader, "renewal_interval_s", f"{options.renewal_interval_s:g}", allowed
+        )
+    if options.order_margin_s <= 0.0:
+        found = f"{options.order_margin_s:g}"
+        _add_authority_fault(reader, "order_margin_s", found, "a number above 0")
+
+
+def _add_authority_fault(reader: IniReader, key: str, found: str, allowed: str) -> None:
+    reader.errors.append(SettingsError(reader.file, "authority", key, found, allowed))
 
 
 def _read_caller_limits(reader: IniReader) -> CallerLimits:
