--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -6,9 +6,16 @@
 
 from returns.result import Failure, Result, Success
 
+from berylquay.decisions.speeds import EngineSpeed
 from berylquay.errors import SettingsError
 from berylquay.settings.ini import IniReader
-from berylquay.settings.options import AuthorityOptions, CallerLimits, LogOptions, Options
+from berylquay.settings.options import (
+    AuthorityOptions,
+    CallerLimits,
+    LogOptions,
+    Options,
+    WeightStoreOptions,
+)
 from berylquay.settings.peer_section import read_peer_section
 
 MIN_LEASE_S: Final = 2.0
@@ -42,10 +49,12 @@
         stop_notice_s=reader.number("host", "stop_notice_s", 2.0),
         initial_deployments=reader.words("host", "initial_deployments", ()),
         operators_address=reader.optional_address("operators", "address"),
+        weights=_read_weight_store_options(reader),
         log=_read_log_options(reader),
         caller_limits=_read_caller_limits(reader),
         peers=read_peer_section(reader, parser.has_section("peers")),
         authority=_read_authority_options(reader),
+        engine_speed=_read_engine_speed(reader),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
     )
 
@@ -93,6 +102,13 @@
     reader.errors.append(SettingsError(reader.file, "authority", key, found, allowed))
 
 
+def _read_weight_store_options(reader: IniReader) -> WeightStoreOptions | None:
+    section = "platform"
+    address = reader.optional_address(section, "weights")
+    lookups_per_s = reader.number(section, "weights_lookups_per_s", 2.0)
+    return None if address is None else WeightStoreOptions(address, lookups_per_s)
+
+
 def _read_caller_limits(reader: IniReader) -> CallerLimits:
     defaults = CallerLimits()
     section = "callers"
@@ -104,3 +120,18 @@
         idle_timeout_s=reader.number(section, "idle_timeout_s", defaults.idle_timeout_s),
         write_buffer_bytes=reader.count(section, "write_buffer_bytes", defaults.write_buffer_bytes),
     )
+
+
+def _read_engine_speed(reader: IniReader) -> EngineSpeed:
+    defaults = EngineSpeed()
+    section = "engines"
+    return EngineSpeed(
+        prefill_tokens_per_s=reader.number(
+            section, "prefill_tokens_per_s", defaults.prefill_tokens_per_s
+        ),
+        token_base_s=reader.number(section, "token_base_s", defaults.token_base_s),
+        token_per_sequence_s=reader.number(
+            section, "token_per_sequence_s", defaults.token_per_sequence_s
+        ),
+        max_batch=reader.count(section, "max_batch", defaults.max_batch),
+    )
--- a/tests/scenarios/test_configuration.py
+++ b/tests/scenarios/test_configuration.py
@@ -1,20 +1,24 @@
 """Scenarios of the configuration: the tool, the hosts and the log as processes."""
 
+import subprocess
+import sys
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from threading import Thread
 
 import pytest
 from attrs import define, field
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from berylquay.command.exits import ExitCode
-from tests.scenarios.conftest import World
-from tests.support.configuration_fleet import CommandResult, ConfigurationFleet
+from tests.scenarios.conftest import World, lookup
+from tests.support.configuration_fleet import GIVE_UP_S, CommandResult, ConfigurationFleet
 from tests.support.fleet import EXAMPLES
 
 scenarios("../../test-data/scenarios/configuration.feature")
+scenarios("../../test-data/scenarios/weight_store.feature")
 
 
 @define
@@ -24,6 +28,8 @@
     fleet: ConfigurationFleet
     # Last result by operator.
     results: dict[str, CommandResult] = field(factory=dict)
+    # Runs of the tool that go on in the background.
+    background: list[Thread] = field(factory=list)
     # Command line by operator, without the change id.
     lines: dict[str, tuple[str, ...]] = field(factory=dict)
 
@@ -33,6 +39,11 @@
         self.results[operator] = self.fleet.command(host, *line)
         return self.results[operator]
 
+    def run_in_background(self, operator: str, host: str, *arguments: str) -> None:
+        thread = Thread(target=self.run, args=(operator, host, *arguments), daemon=True)
+        self.background.append(thread)
+        thread.start()
+
     def accepted_revision(self) -> int:
         accepted = [r.value()["revision"] for r in self.results.values() if r.code == ExitCode.OK]
         return int(max(accepted))
@@ -176,3 +187,69 @@
     seen = operators.fleet.configuration(name)
     newest = seen.revision == operators.accepted_revision()
     assert newest or not seen.deployments
+
+
+@then(parsers.parse('"{name}" refuses a caller as not run and says when to come back'))
+def then_caller_refused(operators: Operators, name: str) -> None:
+    answer = lookup(operators.fleet.hosts[name].port)
+    assert answer.status == 503, answer.body
+    assert answer.headers["x-verdict"] == "not-run"
+    assert float(answer.headers["retry-after"]) > 0
+
+
+@when(parsers.parse('"{operator}" watches "{host}"'))
+def when_watches(operators: Operators, operator: str, host: str) -> None:
+    server = f"127.0.0.1:{operators.fleet.operators[host]}"
+    line = [sys.executable, "-m", "berylquay.command", "--server", server, "watch"]
+    thread = Thread(target=subprocess.run, args=(line,), kwargs={"capture_output": True})
+    thread.daemon = True
+    operators.background.append(thread)
+    thread.start()
+    time.sleep(1.0)
+
+
+@when(parsers.parse('operator "{operator}" drains "{name}" through "{host}" in the background'))
+def when_drains_in_background(operators: Operators, operator: str, name: str, host: str) -> None:
+    operators.run_in_background(operator, host, "drain", name)
+
+
+@when(parsers.parse('host "{name}" is told to stop'))
+def when_host_told_to_stop(operators: Operators, name: str) -> None:
+    operators.fleet.hosts[name].terminate()
+
+
+@then(parsers.parse('host "{name}" ends within {seconds:g} seconds'))
+def then_host_ends(operators: Operators, name: str, seconds: float) -> None:
+    assert operators.fleet.hosts[name].popen.wait(seconds) == 0
+    for thread in operators.background:
+        thread.join(GIVE_UP_S)
+
+
+@given(parsers.parse('a host and a weight store with "{version}" and its adapters "{adapters}"'))
+def given_weight_store(operators: Operators, version: str, adapters: str) -> None:
+    operators.fleet.published = {version: adapters.split(", ")}
+    given_hosts(operators, 1)
+
+
+@when("the weight store is away")
+def when_weight_store_away(operators: Operators) -> None:
+    assert operators.fleet.weights is not None
+    operators.fleet.weights.post("/faults", {"away": True})
+
+
+@when(parsers.parse('operator "{operator}" applies "{name}"'))
+def when_applies(operators: Operators, operator: str, name: str) -> None:
+    operators.run(operator, "host-0", "apply", str(EXAMPLES / f"{name}.ini"))
+
+
+@then(parsers.parse('the change of "{operator}" is refused because of "{text}"'))
+def then_refused_because(operators: Operators, operator: str, text: str) -> None:
+    result = operators.results[operator]
+    assert result.code == ExitCode.REFUSED, (result.out, result.error)
+    assert text in result.value()["detail"]
+
+
+@then(parsers.parse("the weight store was asked {count:d} times and refused none"))
+def then_lookups(operators: Operators, count: int) -> None:
+    assert operators.fleet.weights is not None
+    assert operators.fleet.weights.get("/witness") == {"lookups": count, "refused": 0}
