--- a/tests/proofs/once_runs.py
+++ b/tests/proofs/once_runs.py
@@ -26,6 +26,7 @@
 KEYS: Final = 8
 SENDINGS: Final = 3
 START_S: Final = 4.0
+STATUS_CREATED: Final = 201
 PATH: Final = "/alarms/acknowledge"
 
 
@@ -112,7 +113,7 @@
         host = self.random.choice(self.fleet.hosts)
         if self.random.random() < 0.5:  # noqa: PLR2004
             answer = _try(lambda: ask(host.port, "/v1/tickets", b"", {"X-Tenant": "fes"}, 2.0))
-            if answer is not None:
+            if answer is not None and answer.status == STATUS_CREATED:
                 return str(answer.value()["ticket"])
         return f"alarm-{number}"
 
