--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -70,6 +70,16 @@
     assert moved <= 15
 
 
+def test_silent_link_is_noticed_and_dialled_anew_within_five_seconds() -> None:
+    plan = DialPlan(LIMITS, Random(1))
+    plan.set_targets(["host-1"], 0.0)
+    assert plan.due(LIMITS.first_wait_s, ()) == ["host-1"]
+    plan.on_linked("host-1")
+    noticed_s = 100.0 + LIMITS.silence_timeout_s + TICK_S
+    plan.on_ended("host-1", True, noticed_s)
+    assert plan.due(105.0 - LIMITS.handshake_timeout_s / 2, ()) == ["host-1"]
+
+
 def test_leaving_hosts_are_not_dialled() -> None:
     hosts = fleet(3, 1)
     hosts[2] = EntryHost("host-002", Address("127.0.0.1", 1), "r", "dc-0", Liveness.LEAVING)
