Wait out a stream that makes no progress if no other server is left

Cause: a time-out cancelled the attempt although no other server could go on with it, so that a pause of 4 s on a pool's only server ended the answer (assert ['1:f.0 '] == ['1:f.0 ', ..., '1:f.4 ']). Refusals move to a module of their own.

--- a/berylquay/decisions/fates.py
+++ b/berylquay/decisions/fates.py
@@ -20,6 +20,13 @@
 from berylquay.decisions.open_calls import OpenCall, OpenCalls, Stage
 from berylquay.decisions.placement import Placement
 from berylquay.decisions.progress import Phase, ProgressLimits
+from berylquay.decisions.refusals import (
+    CALLER_GONE_DETAIL,
+    DEADLINE_DETAIL,
+    QUARANTINE_DETAIL,
+    refusal_for_lack_of_servers,
+    refusal_of,
+)
 from berylquay.decisions.retries import RetryBudget, RetryLimits, backoff_s
 from berylquay.decisions.routing import RoutingPolicy
 from berylquay.decisions.serving import HostPlace, ServingSet
@@ -57,7 +64,6 @@
 ISOLATION_POLL_S: Final = 0.05
 # Time after which a message that this process owes itself counts as lost.
 INTERNAL_TIMEOUT_S: Final = 3.0
-CALLER_GONE: Final = "the caller went away"
 
 
 @frozen
@@ -166,7 +172,7 @@
         self._budget.on_offered()
         state = self._open.add(call)
         if now_s >= call.deadline_s:
-            return [self._give_up(state, RefusalReason.DEADLINE, "the deadline has passed", now_s)]
+            return [self._give_up(state, RefusalReason.DEADLINE, DEADLINE_DETAIL, now_s)]
         return self._start_attempt(state, now_s)
 
     def on_sent(self, message: AttemptSent, now_s: float) -> None:
@@ -276,14 +282,13 @@
         if state is None:
             return []
         state.caller_gone = True
-        return self._abandon(state, RefusalReason.DEADLINE, CALLER_GONE, now_s)
+        return self._abandon(state, RefusalReason.DEADLINE, CALLER_GONE_DETAIL, now_s)
 
     def on_tick(self, now_s: float) -> Sequence[Command]:
         """Gives up on calls whose deadline has passed and starts attempts that are due."""
         commands: list[Command] = list(self._judge.on_tick(now_s))
         for state in self._open.pop_late(now_s):
-            detail = "the deadline has passed"
-            commands.extend(self._abandon(state, RefusalReason.DEADLINE, detail, now_s))
+            commands.extend(self._abandon(state, RefusalReason.DEADLINE, DEADLINE_DETAIL, now_s))
         while self._resumptions and self._resumptions[0][0] <= now_s:
             resumed = self._open.get(heappop(self._resumptions)[1])
             if resumed is not None and resumed.stage is Stage.BACKING_OFF:
@@ -376,7 +381,7 @@
         if state.may_have_run and not state.call.repeatable:
             return "the call may not be repeated"
         if now_s >= state.call.deadline_s:
-            return "the deadline has passed"
+            return DEADLINE_DETAIL
         if state.attempts_made >= self._options.retries.max_attempts:
             return f"{state.attempts_made} attempts were made"
         if not self._budget.has_retry:
@@ -440,13 +445,20 @@
             return []
         commands: list[Command] = list(self._judge.on_unreachable(attempt.backend, now_s))
         # Without a retry to be had, waiting on can only be better.
-        will_retry = state.phase is Phase.CONNECTING or state.call.repeatable
-        if will_retry and self._retry_obstacle(state, now_s) is None:
+        if self._can_go_on_elsewhere(state, attempt, now_s):
             detail = f"no progress for {timeout_s:.1f} s ({state.phase.value})"
             return [*commands, *self._cancel(state, None, detail, now_s)]
         state.progress_s = now_s
         return commands
 
+    def _can_go_on_elsewhere(self, state: OpenCall, attempt: Attempt, now_s: float) -> bool:
+        if self._retry_obstacle(state, now_s) is not None:
+            return False
+        if state.phase is Phase.CONNECTING:
+            return True
+        failed = frozenset(state.avoided | {attempt.backend})
+        return state.call.repeatable and self._serving.has_other(state.call, failed, now_s)
+
     def _check_for_lost_message(self, state: OpenCall, now_s: float) -> Sequence[Command]:
         if now_s < state.progress_s + INTERNAL_TIMEOUT_S:
             return []
@@ -462,28 +474,20 @@
     def _give_up(
         self, state: OpenCall, reason: RefusalReason, detail: str, now_s: float
     ) -> CallRefused:
-        self._close(state, now_s)
-        retry_after_s = state.retry_after_s
-        if retry_after_s is None:
-            retry_after_s = self._options.retries.default_retry_after_s
-        if not state.call.repeatable and state.may_have_run:
-            retry_after_s = None
-        refusal = Refusal(reason, state.verdict, detail, retry_after_s)
-        return CallRefused(state.call.call_id, refusal)
+        retry_after_s = self._options.retries.default_retry_after_s
+        return self._refuse(state, refusal_of(state, reason, detail, retry_after_s), now_s)
 
     def _give_up_for_lack_of_servers(self, state: OpenCall, now_s: float) -> CallRefused:
-        pool = state.call.spec.pool
-        if state.attempts_made:
-            detail = f"{state.last_failure}; no other backend server of pool {pool} is in reach"
-            return self._give_up(state, RefusalReason.BACKEND_FAILED, detail, now_s)
-        soonest_s = self._judge.health.soonest_probe_s(now_s)
-        if soonest_s is not None:
-            state.retry_after_s = max(soonest_s, self._options.retries.default_retry_after_s)
-        detail = f"no backend server of pool {pool} is in reach"
-        return self._give_up(state, RefusalReason.NO_BACKEND, detail, now_s)
+        probe_s = self._judge.health.soonest_probe_s(now_s)
+        retry_after_s = self._options.retries.default_retry_after_s
+        refusal = refusal_for_lack_of_servers(state, probe_s, retry_after_s)
+        return self._refuse(state, refusal, now_s)
 
     def _quarantine(self, state: OpenCall, now_s: float) -> CallRefused:
         fingerprint = state.call.fingerprint
         state.retry_after_s = self._judge.ledger.quarantine_left_s(fingerprint, now_s)
-        detail = "backend servers were lost under requests with the same content"
-        return self._give_up(state, RefusalReason.QUARANTINED, detail, now_s)
+        return self._give_up(state, RefusalReason.QUARANTINED, QUARANTINE_DETAIL, now_s)
+
+    def _refuse(self, state: OpenCall, refusal: Refusal, now_s: float) -> CallRefused:
+        self._close(state, now_s)
+        return CallRefused(state.call.call_id, refusal)
--- a/berylquay/decisions/serving.py
+++ b/berylquay/decisions/serving.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from collections.abc import Iterator
 from hashlib import blake2b
-from itertools import zip_longest
+from itertools import chain, zip_longest
 from typing import Final
 
 from attrs import frozen
@@ -196,6 +196,11 @@
             names = (name for rank in zip_longest(*orders) for name in rank if name is not None)
             yield from self._places(names, now_s)
 
+    def has_other(self, call: Call, failed: frozenset[str], now_s: float) -> bool:
+        """Tells whether a server may take the call that has not failed it."""
+        places = chain(self.near_order(call, now_s), self.far_order(call, now_s))
+        return any(p.usable and p.candidate.server.name not in failed for p in places)
+
     def home_of(self, call: Call) -> Candidate | None:
         """Returns the near server that the content's prefix belongs to, in service or not."""
         pool = self._pools.get(call.spec.pool)
--- a/tests/support/fates_world.py
+++ b/tests/support/fates_world.py
@@ -40,6 +40,7 @@
 
 TICK_S = 0.05
 LATENCY_S = 0.001
+PAUSE_S = 4.0
 PLACE = ("fes", "fes-1")
 ADDRESS = Address("127.0.0.1", 1)
 
@@ -49,7 +50,7 @@
     """What goes wrong with one attempt."""
 
     # One of: none, connect-refused, connect-hang, broken-unsent, cut-in-head, cut-after-request,
-    # refused, server-error, cut, lost-answer, silent, duplicated, reordered, gap.
+    # refused, server-error, cut, lost-answer, silent, paused, duplicated, reordered, gap.
     kind: str = "none"
     # Token at which a fault amid the stream strikes.
     at_token: int = 0
@@ -348,7 +349,7 @@
         if index >= call.max_output_tokens:
             self._complete(flight)
             return
-        first, step = index, 1
+        first = index
         if index == fault.at_token and fault.kind in {"cut", "lost-answer"}:
             self._end(flight, _failure(flight, "reset", lost=True))
             return
@@ -362,8 +363,10 @@
             first = index + 1
         for token in range(first, index + 1):
             self._send_token(flight, version, token)
-        next_index = index + step
-        self.after(backend.token_s, lambda: self._stream(flight, backend, version, next_index))
+        next_index = index + 1
+        paused = index == fault.at_token and fault.kind == "paused"
+        delay_s = PAUSE_S if paused else backend.token_s
+        self.after(delay_s, lambda: self._stream(flight, backend, version, next_index))
 
     def _send_token(self, flight: Flight, version: str, index: int) -> None:
         if index < flight.attempt.call.max_output_tokens:
--- a/tests/test_fates_invariants.py
+++ b/tests/test_fates_invariants.py
@@ -187,6 +187,18 @@
             assert world.started_count(call.call_id) <= 1
 
 
+@seeded
+@given(seed=seeds, at_token=st.integers(0, 4))
+def test_pause_is_waited_out_if_no_other_server_is_left(seed: int, at_token: int) -> None:
+    world = World(seed, hosts=1, backends=1, draw_fault=lambda rng, a: Fault("paused", at_token))
+    host = world.hosts[0]
+    call = make_call(world.now_s, "f", deadline_s=20.0)
+    world.call(host, call)
+    world.run(20.0)
+    world.check()
+    assert host.tokens[call.call_id] == whole_text(call)
+
+
 @seeded
 @given(
     seed=seeds,
