--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -4,9 +4,16 @@
 
 from returns.result import Failure, Result, Success
 
+from berylquay.decisions.speeds import EngineSpeed
 from berylquay.errors import SettingsError
 from berylquay.settings.ini import IniReader
-from berylquay.settings.options import AuthorityOptions, CallerLimits, LogOptions, Options
+from berylquay.settings.options import (
+    AuthorityOptions,
+    CallerLimits,
+    LogOptions,
+    Options,
+    WeightStoreOptions,
+)
 from berylquay.settings.peer_section import read_peer_section
 
 
@@ -37,10 +44,12 @@
         stop_notice_s=reader.number("host", "stop_notice_s", 2.0),
         initial_deployments=reader.words("host", "initial_deployments", ()),
         operators_address=reader.optional_address("operators", "address"),
+        weights=_read_weight_store_options(reader),
         log=_read_log_options(reader),
         caller_limits=_read_caller_limits(reader),
         peers=read_peer_section(reader, parser.has_section("peers")),
         authority=_read_authority_options(reader),
+        engine_speed=_read_engine_speed(reader),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
     )
 
@@ -65,6 +74,13 @@
     return AuthorityOptions(address, lease_s, renewal_interval_s, order_margin_s)
 
 
+def _read_weight_store_options(reader: IniReader) -> WeightStoreOptions | None:
+    section = "platform"
+    address = reader.optional_address(section, "weights")
+    lookups_per_s = reader.number(section, "weights_lookups_per_s", 2.0)
+    return None if address is None else WeightStoreOptions(address, lookups_per_s)
+
+
 def _read_caller_limits(reader: IniReader) -> CallerLimits:
     defaults = CallerLimits()
     section = "callers"
@@ -76,3 +92,18 @@
         idle_timeout_s=reader.number(section, "idle_timeout_s", defaults.idle_timeout_s),
         write_buffer_bytes=reader.count(section, "write_buffer_bytes", defaults.write_buffer_bytes),
     )
+
+
+def _read_engine_speed(reader: IniReader) -> EngineSpeed:
+    defaults = EngineSpeed()
+    section = "engines"
+    return EngineSpeed(
+        prefill_tokens_per_s=reader.number(
+            section, "prefill_tokens_per_s", defaults.prefill_tokens_per_s
+        ),
+        token_base_s=reader.number(section, "token_base_s", defaults.token_base_s),
+        token_per_sequence_s=reader.number(
+            section, "token_per_sequence_s", defaults.token_per_sequence_s
+        ),
+        max_batch=reader.count(section, "max_batch", defaults.max_batch),
+    )
