Try the order that is stuck in a socket without a network namespace

A receiver whose window is closed keeps the order's end with the sender just the same. Two tests: with the reset at the end of the order's time nothing whole arrives; without it the order arrives late and whole.

--- /dev/null
+++ b/tests/authority/test_stuck_order.py
@@ -0,0 +1,72 @@
+"""An order that is stuck in a socket when its time ends must never arrive whole."""
+
+import socket
+import struct
+import time
+from collections.abc import Iterator
+from contextlib import suppress
+
+import pytest
+
+from berylquay.authority import order_exchange
+from berylquay.authority.order_exchange import OrderExchange
+from berylquay.decisions.engine_orders import SendOutcome
+from berylquay.decisions.fleet import Address
+
+ORDER_TIME_S = 0.6
+READ_TIMEOUT_S = 2.0
+# More than the receiver's window, so that the end of the order stays with the sender.
+FILLER = ["adapter-" + "x" * 100] * 20000
+NO_LINGER = struct.pack("ii", 0, 0)
+
+
+@pytest.fixture
+def listener() -> Iterator[socket.socket]:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.bind(("127.0.0.1", 0))
+        sock.listen()
+        yield sock
+
+
+def _send_into_closed_window(listener: socket.socket) -> SendOutcome:
+    address = Address(*listener.getsockname())
+    exchange = OrderExchange(address, time.monotonic() + ORDER_TIME_S)
+    return exchange.run({"order_id": "stuck", "adapters": FILLER}).outcome
+
+
+def _read_late(listener: socket.socket) -> bytes:
+    connection, _ = listener.accept()
+    connection.settimeout(READ_TIMEOUT_S)
+    parts: list[bytes] = []
+    with connection, suppress(OSError):
+        while part := connection.recv(1 << 20):
+            parts.append(part)
+    return b"".join(parts)
+
+
+def _is_whole(data: bytes) -> bool:
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = next((line for line in head.lower().split(b"\r\n") if b"content-length" in line), b"")
+    return bool(length) and len(body) == int(length.split(b":")[1])
+
+
+def test_order_stuck_past_its_time_is_dropped(listener: socket.socket) -> None:
+    assert _send_into_closed_window(listener) is SendOutcome.UNKNOWN
+    assert not _is_whole(_read_late(listener))
+
+
+def test_without_the_reset_it_would_arrive_late(
+    listener: socket.socket, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(order_exchange, "LINGER_RESET", NO_LINGER)
+    monkeypatch.setattr(
+        OrderExchange, "write", lambda _self, sock, data: _write_and_close(sock, data)
+    )
+    _send_into_closed_window(listener)
+    assert _is_whole(_read_late(listener))
+
+
+def _write_and_close(sock: socket.socket, data: bytes) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * len(data))
+    sock.sendall(data)
