--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -39,7 +39,6 @@
 from berylquay.decisions.polling import PollLimits, PollSchedule
 from berylquay.decisions.predictions import Predictor
 from berylquay.decisions.serving import HostPlace
-from berylquay.decisions.speeds import EngineSpeed
 from berylquay.decisions.tickets import TicketIssuer
 from berylquay.errors import SettingsError
 from berylquay.health import HEALTH_CHANNEL, HealthPages
@@ -58,6 +57,7 @@
 from berylquay.platform.configuration import ConfigurationKeeper
 from berylquay.platform.log_client import LogClient
 from berylquay.platform.membership import MembershipPoller
+from berylquay.platform.weights import WeightStoreClient
 from berylquay.settings.deployment_file import read_deployment_file
 from berylquay.settings.host_file import read_host_file
 from berylquay.settings.options import AuthorityOptions, CallerLimits, LogOptions, Options
@@ -107,10 +107,9 @@
         plan = DialPlan(PeeringLimits(), Random(incarnation))
         PeerLinks(outbound, options.peers, identity, pipes, plan).register(loop)
     place = HostPlace(options.host, options.data_centre)
-    speed = EngineSpeed()
-    routing = NearbyChoice(Predictor(speed), Random(incarnation))
-    admission = ConfiguredAdmission(options.data_centre, speed)
+    admission = ConfiguredAdmission(options.data_centre, options.engine_speed)
     AdmissionFeed(admission).register(loop)
+    routing = NearbyChoice(Predictor(options.engine_speed), Random(incarnation))
     fates = CallFates(routing, incarnation, FatesOptions(place=place), admission)
     Dispatch(fates, grants_needed=True).register(loop)
     callers = _serve_http(loop, options.callers_address, options.caller_limits, CALLERS_CHANNEL)
@@ -121,8 +120,7 @@
         _serve_http(loop, options.health_address, options.caller_limits, HEALTH_CHANNEL)
         HealthPages(metrics).register(loop)
     if options.operators_address is not None:
-        bridge = OperatorsBridge(loop, options.host, options.data_centre).register(loop)
-        OperatorsServer(options.operators_address, bridge).register(loop)
+        _serve_operators(loop, outbound, options, options.operators_address)
     Lifecycle(options.stop_notice_s).register(loop)
     DrainHolder(options.host, HeldDrains(OrderLimits().host_hold_s)).register(loop)
     if options.log is not None and options.authority is not None:
@@ -135,6 +133,18 @@
     return loop
 
 
+def _serve_operators(
+    loop: Loop, outbound: OutboundConnections, options: Options, address: Address
+) -> None:
+    weights = options.weights
+    if weights is not None:
+        client = WeightStoreClient(outbound, weights.address, weights.lookups_per_s, Random())
+        client.register(loop)
+    bridge = OperatorsBridge(loop, options.host, options.data_centre, weights is not None)
+    bridge.register(loop)
+    OperatorsServer(address, bridge).register(loop)
+
+
 def _keep_configuration(
     loop: Loop,
     outbound: OutboundConnections,
