--- a/berylquay/authority/controller.py
+++ b/berylquay/authority/controller.py
@@ -11,6 +11,7 @@
 from berylquay.decisions.orders import ChangeEnded, Command, DrainAnnounced, OrderKeeper
 from berylquay.messages import (
     AuthorityChanged,
+    AuthorityObserved,
     ConfigurationInForce,
     EngineStateRead,
     MembershipRead,
@@ -45,6 +46,10 @@
     _lease: LeaseKeeper
     # Decides on the orders.
     _orders: OrderKeeper
+    # Data centre whose engines the orders go to.
+    _data_centre: str
+    # What the operators' calls were told last.
+    _told_operators: AuthorityObserved | None
     # Term that was told last.
     _told_term: int
     # Monotonic time of the next look at the engines.
@@ -54,9 +59,13 @@
     # Whether this host is stopping.
     _stopping: bool
 
-    def __init__(self, host: str, lease: LeaseKeeper, orders: OrderKeeper) -> None:
+    def __init__(
+        self, host: str, data_centre: str, lease: LeaseKeeper, orders: OrderKeeper
+    ) -> None:
         super().__init__()
         self._host = host
+        self._data_centre = data_centre
+        self._told_operators = None
         self._lease = lease
         self._orders = orders
         self._told_term = 0
@@ -134,6 +143,13 @@
             self._told_term = term
             _log.info("authority changed", host=self._host, term=term)
             post(self, AuthorityChanged(term))
+        self._tell_operators()
+
+    def _tell_operators(self) -> None:
+        observed = AuthorityObserved(self._data_centre, self._lease.term_holder, self._lease.term)
+        if observed != self._told_operators:
+            self._told_operators = observed
+            post(self, observed)
 
     def _obey(self, commands: Sequence[Command]) -> None:
         for command in commands:
--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -173,7 +173,7 @@
     order_limits = OrderLimits(order_margin_s=authority.order_margin_s)
     orders = OrderKeeper(options.data_centre, options.host, order_limits)
     EngineOrders(outbound, authority.sender_address).register(loop)
-    Controller(options.host, lease, orders).register(loop)
+    Controller(options.host, options.data_centre, lease, orders).register(loop)
 
 
 def _keep_once(loop: Loop, issuer: TicketIssuer) -> None:
--- a/berylquay/decisions/lease.py
+++ b/berylquay/decisions/lease.py
@@ -118,6 +118,11 @@
         """Returns the highest valid term that was read, whoever holds it; 0 before the first."""
         return self._term
 
+    @property
+    def term_holder(self) -> str:
+        """Returns the incarnation that holds the term, or empty if that is unknown or nobody."""
+        return self._term_holder
+
     def authority(self, now_s: float) -> Authority | None:
         """Returns the authority that this process holds now, or None."""
         if self._released or not self._holds_term() or now_s >= self._until_s:
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -181,8 +181,8 @@
 
 
 @frozen
-class ChangeRequested:
-    """operators -> platform: change the configuration; `ChangeEnded` tells the outcome."""
+class ConfigurationChangeRequested:
+    """operators -> platform: change the configuration; `ConfigurationChangeEnded` answers."""
 
     change: Change
     # Whether to judge the change only.
@@ -190,7 +190,7 @@
 
 
 @frozen
-class ChangeEnded:
+class ConfigurationChangeEnded:
     """platform -> operators: what became of a change that this host was asked for."""
 
     outcome: ChangeOutcome
--- a/berylquay/operators/bridge.py
+++ b/berylquay/operators/bridge.py
@@ -17,8 +17,8 @@
 from berylquay.decisions.weight_lookups import WeightsFacts, WeightsKey
 from berylquay.messages import (
     AuthorityObserved,
-    ChangeEnded,
-    ChangeRequested,
+    ConfigurationChangeEnded,
+    ConfigurationChangeRequested,
     ConfigurationInForce,
     ConfigurationStatus,
     LoadReported,
@@ -44,7 +44,7 @@
 class _ChangeQuestion:
     """A thread waits for the outcome of a change."""
 
-    request: ChangeRequested
+    request: ConfigurationChangeRequested
     answer: "Future[ChangeOutcome]" = field(factory=Future)
 
 
@@ -99,7 +99,7 @@
 
     def ask_change(self, change: Change, dry_run: bool) -> "Future[ChangeOutcome]":
         """Asks, from any thread, for a change."""
-        question = _ChangeQuestion(ChangeRequested(change, dry_run))
+        question = _ChangeQuestion(ConfigurationChangeRequested(change, dry_run))
         self._put(question)
         return question.answer
 
@@ -155,8 +155,8 @@
                 question.answer.set_result(outcome)
         self._changes.clear()
 
-    @handler("ChangeEnded")
-    def _on_change_ended(self, message: ChangeEnded) -> None:
+    @handler("ConfigurationChangeEnded")
+    def _on_change_ended(self, message: ConfigurationChangeEnded) -> None:
         for question in self._changes.pop(message.outcome.change_id, ()):
             question.answer.set_result(message.outcome)
 
--- a/berylquay/platform/configuration.py
+++ b/berylquay/platform/configuration.py
@@ -32,8 +32,8 @@
     unpack_snapshot,
 )
 from berylquay.messages import (
-    ChangeEnded,
-    ChangeRequested,
+    ConfigurationChangeEnded,
+    ConfigurationChangeRequested,
     ConfigurationInForce,
     ConfigurationStatus,
     LogReachabilityChanged,
@@ -123,8 +123,8 @@
         if self._fold.caught_up and self._fold.gap:
             self._ask_for_snapshot(now_s)
 
-    @handler("ChangeRequested")
-    def _on_change_requested(self, message: ChangeRequested) -> None:
+    @handler("ConfigurationChangeRequested")
+    def _on_change_requested(self, message: ConfigurationChangeRequested) -> None:
         change = message.change
         outcome = decide_at_once(self._fold.state, self._up_to_date, change)
         if outcome is None and message.dry_run:
@@ -133,7 +133,7 @@
                 change.change_id, ChangeStatus.ACCEPTED, revision, detail="dry run"
             )
         if outcome is not None:
-            post(self, ChangeEnded(outcome))
+            post(self, ConfigurationChangeEnded(outcome))
             return
         self._changes.add(change, time.monotonic())
         self._append_change(change)
@@ -144,7 +144,7 @@
             message.record_id, message.detail, self._fold.state
         )
         if outcome is not None:
-            post(self, ChangeEnded(outcome))
+            post(self, ConfigurationChangeEnded(outcome))
 
     @handler("RecordAppendUnsettled")
     def _on_append_unsettled(self, message: RecordAppendUnsettled) -> None:
@@ -166,14 +166,14 @@
     @handler("Tick")
     def _on_tick(self, message: Tick) -> None:
         for outcome in self._changes.give_up_overdue(self._fold.state, message.now_s):
-            post(self, ChangeEnded(outcome))
+            post(self, ConfigurationChangeEnded(outcome))
         if self._up_to_date and self._schedule.take_due(message.now_s):
             self._append_snapshot()
 
     def _end_if_waiting(self, outcome: ChangeOutcome) -> None:
         if self._changes.on_read(outcome):
             _log.info("change decided", change=outcome.change_id, status=outcome.status.value)
-            post(self, ChangeEnded(outcome))
+            post(self, ConfigurationChangeEnded(outcome))
 
     def _note_for_schedule(self, progress: Progress, now_s: float) -> None:
         for seen in progress.snapshots:
