--- a/bench/authority_costs.py
+++ b/bench/authority_costs.py
@@ -1,7 +1,7 @@
 """Cost of authority and load reports: bytes and appends, and processor time per report and plan.
 
-`python -m bench.authority_costs` prints the table; with `--wire` it counts the bytes of polls on the
-loopback device too, which is true only while nothing else uses that device.
+`python -m bench.authority_costs` prints the table; with `--wire` it counts the bytes of polls on
+the loopback device too, which is true only while nothing else uses that device.
 """
 
 import argparse
--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -21,6 +21,7 @@
 from berylquay.backends.orders import EngineOrders
 from berylquay.backends.probes import BackendProbes
 from berylquay.backends.reports import ReportPoller
+from berylquay.call_log import CallLog
 from berylquay.callers.gate import Gate
 from berylquay.callers.limits import RequestLimits
 from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
@@ -116,6 +117,7 @@
     _keep_once(loop, TicketIssuer(options.host, incarnation, secrets.token_bytes(SECRET_BYTES)))
     Gate(callers).register(loop)
     metrics = Metrics().register(loop)
+    CallLog().register(loop)
     if options.health_address is not None:
         _serve_http(loop, options.health_address, options.caller_limits, HEALTH_CHANNEL)
         HealthPages(metrics).register(loop)
