--- a/bench/authority_costs.py
+++ b/bench/authority_costs.py
@@ -29,7 +29,10 @@
     Role,
 )
 from berylquay.decisions.lease import Authority, LeaseKeeper, LeaseLimits
-from berylquay.decisions.orders import OrderKeeper, OrderLimits
+from berylquay.decisions.order_commands import (
+    OrderLimits,
+)
+from berylquay.decisions.orders import OrderKeeper
 from berylquay.decisions.polling import PollLimits, PollSchedule
 from berylquay.messages import LoadReported, MembershipRead, RecordsRead, Tick
 from berylquay.net.bus import BUS, post
--- a/berylquay/authority/controller.py
+++ b/berylquay/authority/controller.py
@@ -8,7 +8,12 @@
 from circuits import BaseComponent, handler
 
 from berylquay.decisions.lease import LeaseKeeper
-from berylquay.decisions.orders import ChangeEnded, Command, DrainAnnounced, OrderKeeper
+from berylquay.decisions.order_commands import (
+    ChangeEnded,
+    Command,
+    DrainAnnounced,
+)
+from berylquay.decisions.orders import OrderKeeper
 from berylquay.messages import (
     AuthorityChanged,
     ConfigurationInForce,
--- a/berylquay/backends/orders.py
+++ b/berylquay/backends/orders.py
@@ -12,7 +12,10 @@
 from berylquay.authority.handover import ORDERS_PATH, SendRequest, encode_send_request
 from berylquay.decisions.engine_orders import EngineState, Order, SendOutcome, order_body
 from berylquay.decisions.fleet import Address, Role
-from berylquay.decisions.orders import OrderSendWanted, StateReadWanted
+from berylquay.decisions.order_commands import (
+    OrderSendWanted,
+    StateReadWanted,
+)
 from berylquay.messages import EngineStateRead, OrderOutcomeKnown, Tick
 from berylquay.net.bus import BUS, post
 from berylquay.net.http_client import HttpRequest, json_request
--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -34,7 +34,10 @@
 from berylquay.decisions.lease import LeaseKeeper, LeaseLimits
 from berylquay.decisions.nearby_routing import NearbyChoice
 from berylquay.decisions.once import AtMostOnce
-from berylquay.decisions.orders import OrderKeeper, OrderLimits
+from berylquay.decisions.order_commands import (
+    OrderLimits,
+)
+from berylquay.decisions.orders import OrderKeeper
 from berylquay.decisions.peering import DialPlan, PeeringLimits
 from berylquay.decisions.polling import PollLimits, PollSchedule
 from berylquay.decisions.predictions import Predictor
--- a/berylquay/decisions/orders.py
+++ b/berylquay/decisions/orders.py
@@ -8,10 +8,9 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Sequence
-from enum import Enum
 from typing import Final
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from berylquay.decisions.deployment import Configuration
 from berylquay.decisions.engine_changes import (
@@ -26,97 +25,21 @@
     Order,
     SendOutcome,
 )
-from berylquay.decisions.fleet import Address, BackendKind, BackendServer, MembershipView
+from berylquay.decisions.fleet import BackendKind, BackendServer, MembershipView
 from berylquay.decisions.lease import Authority
+from berylquay.decisions.order_commands import (
+    ChangeEnded,
+    Command,
+    DrainAnnounced,
+    OrderLimits,
+    OrderSendWanted,
+    Phase,
+    StateReadWanted,
+)
 from berylquay.decisions.roles import RoleChange
 from berylquay.peers.payloads import DrainAcknowledgement, DrainNotice
 
 
-@frozen
-class OrderLimits:
-    """Times and bounds of orders and drains."""
-
-    # Longest time that an order has to leave this host.
-    order_lifetime_s: float = 2.0
-    # Shortest rest of a lease in which an order is still begun.
-    min_lease_left_s: float = 1.0
-    # Longest time between the expiry of an order and its last effect.
-    order_margin_s: float = 3.0
-    # Time between two equal readings of an engine that make its state known.
-    settle_s: float = 0.5
-    # Interval between readings of an engine that is unknown or amid a change.
-    busy_read_interval_s: float = 0.25
-    # Shortest interval between readings of an idle engine.
-    idle_read_interval_s: float = 5.0
-    # Most readings of idle engines in a second.
-    idle_reads_per_s: float = 6.0
-    # Interval between notices of one drain.
-    notice_interval_s: float = 1.0
-    # Time for which a host keeps the promise that it gave on a notice.
-    drain_hold_s: float = 10.0
-    # Time after which a change is put off if the drain has not come to its end.
-    drain_timeout_s: float = 300.0
-    # Time after which a change that was put off is tried again.
-    put_off_s: float = 10.0
-    # Most engines of the data centre that are drained or changed at once.
-    max_changes: int = 8
-    # Most by which a host's clock runs fast against the controller's, as a share.
-    clock_skew: float = 0.02
-
-    @property
-    def host_hold_s(self) -> float:
-        """Returns how long a host holds a drain on its own clock."""
-        return self.drain_hold_s * (1.0 + self.clock_skew)
-
-
-@frozen
-class StateReadWanted:
-    """Command: read an engine's state."""
-
-    backend: str
-    address: Address
-
-
-@frozen
-class OrderSendWanted:
-    """Command: hand an order to the sender."""
-
-    order: Order
-
-
-@frozen
-class DrainAnnounced:
-    """Command: tell hosts about a drain."""
-
-    notice: DrainNotice
-    hosts: tuple[str, ...]
-
-
-@frozen
-class ChangeEnded:
-    """Command: tell that a change was made or put off."""
-
-    change: Change
-    made: bool
-    detail: str
-
-
-Command = StateReadWanted | OrderSendWanted | DrainAnnounced | ChangeEnded
-
-
-class Phase(Enum):
-    """Where an engine stands with its controller."""
-
-    # Its state is not known well enough for an order.
-    UNKNOWN = "unknown"
-    # It serves and nothing is planned.
-    IDLE = "idle"
-    # New work is kept away from it.
-    DRAINING = "draining"
-    # An order was handed to the sender and its end was not seen.
-    ORDERED = "ordered"
-
-
 @define
 class _Drain:
     began_s: float
--- a/tests/authority/order_world.py
+++ b/tests/authority/order_world.py
@@ -23,15 +23,15 @@
     Role,
 )
 from berylquay.decisions.lease import Authority
-from berylquay.decisions.orders import (
+from berylquay.decisions.order_commands import (
     ChangeEnded,
     Command,
     DrainAnnounced,
-    OrderKeeper,
     OrderLimits,
     OrderSendWanted,
     StateReadWanted,
 )
+from berylquay.decisions.orders import OrderKeeper
 from berylquay.decisions.roles import RoleChange
 from berylquay.peers.payloads import DrainAcknowledgement, DrainNotice
 
--- a/tests/authority/test_order_steps.py
+++ b/tests/authority/test_order_steps.py
@@ -8,16 +8,16 @@
 from berylquay.decisions.engine_orders import EngineState, SendOutcome
 from berylquay.decisions.fleet import Role
 from berylquay.decisions.lease import Authority
-from berylquay.decisions.orders import (
+from berylquay.decisions.order_commands import (
     ChangeEnded,
     Command,
     DrainAnnounced,
-    OrderKeeper,
     OrderLimits,
     OrderSendWanted,
     Phase,
     StateReadWanted,
 )
+from berylquay.decisions.orders import OrderKeeper
 from berylquay.decisions.roles import RoleChange
 from berylquay.peers.payloads import DrainAcknowledgement
 from tests.authority.order_world import HOSTS, configuration, membership
