--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -21,6 +21,7 @@
 from berylquay.backends.orders import EngineOrders
 from berylquay.backends.probes import BackendProbes
 from berylquay.backends.reports import ReportPoller
+from berylquay.call_log import CallLog
 from berylquay.callers.gate import Gate
 from berylquay.callers.limits import RequestLimits
 from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
@@ -119,18 +120,12 @@
     _keep_once(loop, TicketIssuer(options.host, incarnation, secrets.token_bytes(SECRET_BYTES)))
     Gate(callers).register(loop)
     metrics = Metrics().register(loop)
+    CallLog().register(loop)
     if options.health_address is not None:
         _serve_http(loop, options.health_address, options.caller_limits, HEALTH_CHANNEL)
         HealthPages(metrics).register(loop)
     if options.operators_address is not None:
-        bridge = OperatorsBridge(loop, options.host, options.data_centre).register(loop)
-        if options.weights is not None:
-            weights = options.weights
-            WeightStoreClient(outbound, weights.address, weights.lookups_per_s, Random()).register(
-                loop
-            )
-            bridge.has_weight_store = True
-        OperatorsServer(options.operators_address, bridge).register(loop)
+        _serve_operators(loop, outbound, options, options.operators_address)
     Lifecycle(options.stop_notice_s).register(loop)
     DrainHolder(options.host, HeldDrains(OrderLimits().host_hold_s)).register(loop)
     if options.log is not None and options.authority is not None:
@@ -143,6 +138,18 @@
     return loop
 
 
+def _serve_operators(
+    loop: Loop, outbound: OutboundConnections, options: Options, address: Address
+) -> None:
+    weights = options.weights
+    if weights is not None:
+        client = WeightStoreClient(outbound, weights.address, weights.lookups_per_s, Random())
+        client.register(loop)
+    bridge = OperatorsBridge(loop, options.host, options.data_centre, weights is not None)
+    bridge.register(loop)
+    OperatorsServer(address, bridge).register(loop)
+
+
 def _keep_configuration(
     loop: Loop,
     outbound: OutboundConnections,
