--- a/berylquay/callers/tickets.py
+++ b/berylquay/callers/tickets.py
@@ -11,7 +11,7 @@
 from berylquay.callers.answers import refusal_body
 from berylquay.callers.server import CALLERS_CHANNEL
 from berylquay.decisions.deployment import Configuration
-from berylquay.messages import ConfigurationInForce
+from berylquay.messages import AdmissionClosed, ConfigurationInForce
 from berylquay.net.bus import BUS
 from berylquay.verdicts import Refusal, RefusalReason, Verdict
 
@@ -36,19 +36,27 @@
     _source: TicketSource
     # Configuration that names the tenants.
     _configuration: Configuration
+    # Whether new requests are refused.
+    _closed: bool
 
     def __init__(self, source: TicketSource) -> None:
         super().__init__()
         self._source = source
         self._configuration = Configuration()
+        self._closed = False
 
     @handler("ConfigurationInForce", channel=BUS)
     def _on_configuration(self, message: ConfigurationInForce) -> None:
         self._configuration = message.configuration
 
+    @handler("AdmissionClosed", channel=BUS)
+    def _on_admission_closed(self, _message: AdmissionClosed) -> None:
+        self._closed = True
+
     @handler("request", priority=2.0)
     def _on_request(self, event: Event, request: Request, answer: Response) -> bool | None:
-        if request.path != TICKETS_PATH or request.method != "POST":
+        if request.path != TICKETS_PATH or request.method != "POST" or self._closed:
+            # The gate refuses what comes to a stopping host, and what names no known page.
             return None
         event.stop()
         tenant = request.headers.get("X-Tenant", "")
