--- a/berylquay/daemon.py
+++ b/berylquay/daemon.py
@@ -15,26 +15,30 @@
 
 from berylquay.authority.controller import Controller
 from berylquay.authority.drain_holder import DrainHolder
+from berylquay.backends.admission_feed import AdmissionFeed
 from berylquay.backends.attempts import BackendAttempts
 from berylquay.backends.dispatch import Dispatch
 from berylquay.backends.orders import EngineOrders
 from berylquay.backends.probes import BackendProbes
 from berylquay.backends.reports import ReportPoller
+from berylquay.call_log import CallLog
 from berylquay.callers.gate import Gate
 from berylquay.callers.limits import RequestLimits
 from berylquay.callers.server import CALLERS_CHANNEL, HttpServer
 from berylquay.callers.tickets import TicketsPage
 from berylquay.decisions.appends import AppendLimits
+from berylquay.decisions.configured_admission import ConfiguredAdmission
 from berylquay.decisions.deployment import Configuration, Deployment
 from berylquay.decisions.drains import HeldDrains
 from berylquay.decisions.fates import CallFates, FatesOptions
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.lease import LeaseKeeper, LeaseLimits
+from berylquay.decisions.nearby_routing import NearbyChoice
 from berylquay.decisions.once import AtMostOnce
 from berylquay.decisions.orders import OrderKeeper, OrderLimits
 from berylquay.decisions.peering import DialPlan, PeeringLimits
 from berylquay.decisions.polling import PollLimits, PollSchedule
-from berylquay.decisions.routing import LeastInFlight
+from berylquay.decisions.predictions import Predictor
 from berylquay.decisions.serving import HostPlace
 from berylquay.decisions.tickets import TicketIssuer
 from berylquay.errors import SettingsError
@@ -54,6 +58,7 @@
 from berylquay.platform.configuration import ConfigurationKeeper
 from berylquay.platform.log_client import LogClient
 from berylquay.platform.membership import MembershipPoller
+from berylquay.platform.weights import WeightStoreClient
 from berylquay.settings.deployment_file import read_deployment_file
 from berylquay.settings.host_file import read_host_file
 from berylquay.settings.options import AuthorityOptions, CallerLimits, LogOptions, Options
@@ -103,18 +108,21 @@
         plan = DialPlan(PeeringLimits(), Random(incarnation))
         PeerLinks(outbound, options.peers, identity, pipes, plan).register(loop)
     place = HostPlace(options.host, options.data_centre)
-    fates = CallFates(LeastInFlight(), incarnation, options=FatesOptions(place=place))
+    admission = ConfiguredAdmission(options.data_centre, options.engine_speed)
+    AdmissionFeed(admission).register(loop)
+    routing = NearbyChoice(Predictor(options.engine_speed), Random(incarnation))
+    fates = CallFates(routing, incarnation, FatesOptions(place=place), admission)
     Dispatch(fates, grants_needed=True).register(loop)
     callers = _serve_http(loop, options.callers_address, options.caller_limits, CALLERS_CHANNEL)
     _keep_once(loop, TicketIssuer(options.host, incarnation, secrets.token_bytes(SECRET_BYTES)))
     Gate(callers).register(loop)
     metrics = Metrics().register(loop)
+    CallLog().register(loop)
     if options.health_address is not None:
         _serve_http(loop, options.health_address, options.caller_limits, HEALTH_CHANNEL)
         HealthPages(metrics).register(loop)
     if options.operators_address is not None:
-        bridge = OperatorsBridge(loop, options.host, options.data_centre).register(loop)
-        OperatorsServer(options.operators_address, bridge).register(loop)
+        _serve_operators(loop, outbound, options, options.operators_address)
     Lifecycle(options.stop_notice_s).register(loop)
     DrainHolder(options.host, HeldDrains(OrderLimits().host_hold_s)).register(loop)
     if options.log is not None and options.authority is not None:
@@ -127,6 +135,18 @@
     return loop
 
 
+def _serve_operators(
+    loop: Loop, outbound: OutboundConnections, options: Options, address: Address
+) -> None:
+    weights = options.weights
+    if weights is not None:
+        client = WeightStoreClient(outbound, weights.address, weights.lookups_per_s, Random())
+        client.register(loop)
+    bridge = OperatorsBridge(loop, options.host, options.data_centre, weights is not None)
+    bridge.register(loop)
+    OperatorsServer(address, bridge).register(loop)
+
+
 def _keep_configuration(
     loop: Loop,
     outbound: OutboundConnections,
--- a/berylquay/settings/options.py
+++ b/berylquay/settings/options.py
@@ -3,6 +3,7 @@
 from attrs import field, frozen
 
 from berylquay.decisions.fleet import Address
+from berylquay.decisions.speeds import EngineSpeed
 
 
 @frozen
@@ -76,6 +77,16 @@
     order_margin_s: float = 3.0
 
 
+@frozen
+class WeightStoreOptions:
+    """How the platform's weight store is used."""
+
+    # Where the weight store listens.
+    address: Address
+    # Most lookups that this host sends per second.
+    lookups_per_s: float = 2.0
+
+
 @frozen
 class Options:
     """Everything that one entry host is told by its settings file."""
@@ -98,6 +109,8 @@
     initial_deployments: tuple[str, ...] = ()
     # Where operators' gRPC calls are served, or None.
     operators_address: Address | None = None
+    # The platform's weight store, or None if deployments are not checked against it.
+    weights: WeightStoreOptions | None = None
     # The platform's log, or None if the host runs on its deployment files alone.
     log: LogOptions | None = None
     # Bounds on callers.
@@ -106,5 +119,7 @@
     peers: PeerOptions | None = None
     # How this host stands for the authority over its engines, or None if it gives no orders.
     authority: AuthorityOptions | None = None
+    # Rates of the engines, from which waits are predicted.
+    engine_speed: EngineSpeed = field(factory=EngineSpeed)
     # Lowest level of logs to write.
     log_level: str = "info"
