--- a/berylquay/callers/gate.py
+++ b/berylquay/callers/gate.py
@@ -99,13 +99,13 @@
     def _on_request(self, event: Event, request: Request, answer: Response) -> bool:
         event.stop()
         request_id = request.headers.get(REQUEST_ID_HEADER, "")
-        if request.path != CHAT_PATH and not request.path.startswith(SERVICE_PREFIX):
-            self._send_refusal(answer, _UNKNOWN_PATH, request_id, STATUS_NOT_FOUND)
-            return True
         if self._closed:
             answer.close = True
             self._send_refusal(answer, _at_the_gate(request, _STOPPING), request_id)
             return True
+        if request.path != CHAT_PATH and not request.path.startswith(SERVICE_PREFIX):
+            self._send_refusal(answer, _UNKNOWN_PATH, request_id, STATUS_NOT_FOUND)
+            return True
         parsed = parse_call(_raw_of(request), self._configuration, time.monotonic())
         if not isinstance(parsed, Success):
             self._send_refusal(answer, _at_the_gate(request, parsed.failure()), request_id)
--- a/test-data/scenarios/at_most_once.feature
+++ b/test-data/scenarios/at_most_once.feature
@@ -104,4 +104,5 @@
     And 2.5 seconds pass
     And "second" acknowledges under key "alarm-7" on "host-1"
     Then "second" is refused as shutting-down with verdict "may-have-run"
+    And "host-1" gives no ticket
     And the call under key "alarm-7" ran once
--- a/tests/scenarios/test_at_most_once.py
+++ b/tests/scenarios/test_at_most_once.py
@@ -116,6 +116,12 @@
     when_acknowledges(world, name, tickets.by_name[ticket], host)
 
 
+@then(parsers.parse('"{host}" gives no ticket'))
+def then_no_ticket(world: World, host: str) -> None:
+    answer = ask(world.process(host).port, "/v1/tickets", b"", {"X-Tenant": "fes"})
+    assert answer.status == 503
+
+
 @then(parsers.parse('"{name}" is answered'))
 def then_answered(world: World, name: str) -> None:
     assert _wait_for(world, name).status == 200
