--- a/bench/authority_costs.py
+++ b/bench/authority_costs.py
@@ -16,7 +16,6 @@
 from circuits import BaseComponent, handler
 
 from berylquay.backends.reports import ReportPoller
-from berylquay.daemon import Loop
 from berylquay.decisions.deployment import Configuration, Deployment, ModelSpec, PoolSpec
 from berylquay.decisions.engine_orders import EngineState
 from berylquay.decisions.fleet import (
@@ -35,6 +34,7 @@
 from berylquay.decisions.polling import PollLimits, PollSchedule
 from berylquay.messages import LoadReported, MembershipRead, RecordsRead, Tick
 from berylquay.net.bus import BUS, post
+from berylquay.net.loop import Loop
 from berylquay.net.outbound import OutboundConnections
 from berylquay.net.ticker import Ticker
 from berylquay.platform.records import LogRecord, encode_records
--- /dev/null
+++ b/berylquay/net/loop.py
@@ -0,0 +1,20 @@
+"""The loop: root of the component tree, which polls the sockets and hears the signals."""
+
+import signal
+import time
+
+import logbook
+from circuits.core.pollers import EPoll
+
+from berylquay.messages import StopRequested
+from berylquay.net.bus import post
+
+_log = logbook.Logger("loop")
+
+
+class Loop(EPoll):
+    """The poller that every component of the process is registered under."""
+
+    def _signal_handler(self, signo: int, stack: object) -> None:
+        _log.info("signal received", signal=signal.Signals(signo).name)
+        post(self, StopRequested(time.monotonic()))
