--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,11 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
+
+# The same cases on every run, judged by their outcome and never by the time that they take.
+settings.register_profile("same-on-every-run", deadline=None, derandomize=True, database=None)
+settings.load_profile("same-on-every-run")
 
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
