Say that no membership list was read, instead of that a name does not exist

Cause: a drain through a host that had no list in hand was refused as 'there is no host', and the scenario of a silent log failed once so when its first append was dropped: its hosts were in no list.

--- a/berylquay/operators/servicer.py
+++ b/berylquay/operators/servicer.py
@@ -65,8 +65,7 @@
         self, request: pb.SetDrainingRequest, context: grpc.ServicerContext
     ) -> pb.ChangeReply:
         """Drains a host or backend server, or ceases to."""
-        if not self._knows(request.name, context):
-            _abort(context, f"there is no host or backend server {request.name!r}")
+        self._check_known(request.name, context)
         kind = ChangeKind.DRAIN if request.draining else ChangeKind.UNDRAIN
         return self._change(request.header, kind, request.name)
 
@@ -167,11 +166,15 @@
                 faults += weights_faults(model, future.result(LOOP_TIMEOUT_S))
         return faults
 
-    def _knows(self, name: str, context: grpc.ServicerContext) -> bool:
+    def _check_known(self, name: str, context: grpc.ServicerContext) -> None:
         view = self._view(context)
         names = {host.name for host in view.membership.hosts}
         names.update(backend.name for backend in view.membership.backends)
-        return name in names or name in view.configuration.draining or name == view.host
+        if name in names or name in view.configuration.draining or name == view.host:
+            return
+        if not view.membership.version:
+            _abort(context, f"no membership list was read yet, so {name!r} is not known")
+        _abort(context, f"there is no host or backend server {name!r}")
 
     def _view(self, context: grpc.ServicerContext) -> OperatorsView:
         return _result_of(self._bridge.ask_view(), context)
--- a/tests/support/configuration_fleet.py
+++ b/tests/support/configuration_fleet.py
@@ -40,7 +40,7 @@
 
     directory: Path
     retention_s: float = 3600.0
-    # Whether the hosts find each other in the membership list.
+    # Whether the hosts link to each other; they are in the membership list in any case.
     linked: bool = False
     processes: Processes = field(init=False)
     log: Process = field(init=False)
@@ -68,9 +68,8 @@
             self.weights = self.processes.start_standin("weights", "weights", "--file", str(file))
         names = {f"host-{n}": f"dc-{n}" for n in range(hosts)}
         self.peers = {name: free_port() for name in names}
-        if self.linked:
-            members = [self._member(name, data_centre) for name, data_centre in names.items()]
-            self.membership.post("/v1/members", {"hosts": members, "backends": []}, "PUT")
+        members = [self._member(name, data_centre) for name, data_centre in names.items()]
+        self.membership.post("/v1/members", {"hosts": members, "backends": []}, "PUT")
         for name, data_centre in names.items():
             self.start_host(name, data_centre)
 
@@ -79,6 +78,7 @@
         port = free_port()
         self.operators[name] = free_port()
         settings = self.directory / f"{name}.ini"
+        peers = f"[peers]\naddress = 127.0.0.1:{self.peers[name]}" if self.linked else ""
         settings.write_text(
             f"""
 [host]
@@ -93,8 +93,7 @@
 [operators]
 address = 127.0.0.1:{self.operators[name]}
 
-[peers]
-address = 127.0.0.1:{self.peers[name]}
+{peers}
 
 [platform]
 membership = 127.0.0.1:{self.membership.port}
