Refuse deeply nested JSON as malformed, and parse what all calls share once

Cause: json.loads raises RecursionError for 200,000 open brackets, which is no ValueError; the caller got an HTML page with 500 and no verdict. The two kinds of calls were built by the same eight lines each.

--- a/berylquay/callers/parsing.py
+++ b/berylquay/callers/parsing.py
@@ -5,7 +5,7 @@
 import uuid
 from typing import Final
 
-from attrs import frozen
+from attrs import evolve, frozen
 from returns.result import Failure, Result, Success
 
 from berylquay.decisions.calls import Call
@@ -82,15 +82,8 @@
     if not isinstance(model, str) or deployment.model_named(model) is None:
         raise _InvalidRequestError(f"unknown model {model!r}")
     prompt = _prompt_of(value)
-    return Call(
-        call_id=uuid.uuid4().hex,
-        request_id=raw.request_id or uuid.uuid4().hex,
-        tenant=raw.tenant,
-        spec=spec,
-        received_s=now_s,
-        deadline_s=now_s + _budget_s(raw, spec),
-        repeatable=_repeatable(raw, spec),
-        idempotency_key=raw.idempotency_key,
+    return evolve(
+        _parse_common(raw, spec, now_s),
         fingerprint=_fingerprint(model.encode(), prompt.encode()),
         streamed=value.get("stream") is True,
         model=model,
@@ -105,6 +98,16 @@
     service, _, rest = raw.path.removeprefix(SERVICE_PREFIX).partition("/")
     if service != spec.pool:
         raise _InvalidRequestError(f"class {spec.name} is served by {spec.pool}, not {service}")
+    return evolve(
+        _parse_common(raw, spec, now_s),
+        fingerprint=_fingerprint(raw.path.encode(), raw.body),
+        method=raw.method,
+        path="/" + rest,
+        body=raw.body,
+    )
+
+
+def _parse_common(raw: RawRequest, spec: ClassSpec, now_s: float) -> Call:
     return Call(
         call_id=uuid.uuid4().hex,
         request_id=raw.request_id or uuid.uuid4().hex,
@@ -114,23 +117,20 @@
         deadline_s=now_s + _budget_s(raw, spec),
         repeatable=_repeatable(raw, spec),
         idempotency_key=raw.idempotency_key,
-        fingerprint=_fingerprint(raw.path.encode(), raw.body),
+        fingerprint="",
         streamed=False,
         model="",
         adapter="",
         prompt="",
         prompt_tokens=0,
         max_output_tokens=0,
-        method=raw.method,
-        path="/" + rest,
-        body=raw.body,
     )
 
 
 def _parse_json_object(body: bytes) -> dict[str, object]:
     try:
         value = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise _InvalidRequestError(f"the body is not JSON: {error}") from error
     if not isinstance(value, dict):
         raise _InvalidRequestError("the body is not a JSON object")
