Route to the prefix's home and, when the wait is long, to another data centre

Seen failing first: contents with one prefix went to 3 servers; with a long backlog on the only near engine every call still went there.

--- a/berylquay/decisions/placement.py
+++ b/berylquay/decisions/placement.py
@@ -15,6 +15,8 @@
 
 # Servers that copies of one content may reach before anything is known of it.
 EXPOSED_SERVERS: Final = 3
+# Servers of other data centres that copies of one content may reach while near ones are in service.
+EXPOSED_ELSEWHERE: Final = 2
 # Time after which a suspect may go back to a server that was lost under it, if no other is left.
 RETURN_AFTER_S: Final = 10.0
 
@@ -71,13 +73,19 @@
 
     def _choose_clear(self, call: Call, avoided: frozenset[str], now_s: float) -> Candidate | None:
         near = self._serving.near_order(call, now_s)
-        chosen = self._route(call, islice(near, EXPOSED_SERVERS), avoided, now_s)
+        exposed = _usable(islice(near, EXPOSED_SERVERS), avoided)
+        chosen = self._route(call, exposed, self._elsewhere(call, avoided, now_s), now_s)
         if chosen is None:
-            chosen = self._route(call, near, avoided, now_s)
+            chosen = self._route(call, _usable(near, avoided), [], now_s)
         if chosen is None:
-            chosen = self._route(call, self._serving.far_order(call, now_s), avoided, now_s)
+            far = self._serving.far_order(call, now_s)
+            chosen = self._route(call, _usable(far, avoided), [], now_s)
         return chosen
 
+    def _elsewhere(self, call: Call, avoided: frozenset[str], now_s: float) -> list[Candidate]:
+        far = self._serving.far_order(call, now_s)
+        return _usable(islice(far, EXPOSED_ELSEWHERE), avoided)
+
     def _choose_isolated(self, call: Call, place: Place | None, now_s: float) -> Choice:
         fingerprint = call.fingerprint
         name = place.candidate.server.name if place is not None and place.usable else ""
@@ -117,13 +125,19 @@
         yield from returned
 
     def _route(
-        self, call: Call, places: Iterator[Place], avoided: frozenset[str], now_s: float
+        self, call: Call, near: list[Candidate], far: list[Candidate], now_s: float
     ) -> Candidate | None:
-        allowed = [
-            place.candidate
-            for place in places
-            if place.usable and place.candidate.server.name not in avoided
-        ]
-        if not allowed:
+        if not near:
             return None
-        return self._routing.choose(call, Candidates(allowed), now_s)
+        home = self._serving.home_of(call)
+        # Without its home in service the first of the order stands in, the same for all hosts.
+        candidates = Candidates(near, far, home=home if home in near else near[0])
+        return self._routing.choose(call, candidates, now_s)
+
+
+def _usable(places: Iterator[Place], avoided: frozenset[str]) -> list[Candidate]:
+    return [
+        place.candidate
+        for place in places
+        if place.usable and place.candidate.server.name not in avoided
+    ]
