Let the last answer reach the buffer before a stopping host ends

Cause, found by reading and not seen failing: a call leaves the table of waiting callers as its answer is handed to circuits.web, whose event has yet to write it; the end of the process could be asked for in between, and a body that the socket does not take whole would have been cut. The host now ends after three quiet ticks in a row. tests/scenarios/test_graceful_stop.py: 3 passed.

--- a/berylquay/callers/gate.py
+++ b/berylquay/callers/gate.py
@@ -42,8 +42,9 @@
 
 # When a caller should come back to another host while this one stops.
 STOPPING_RETRY_AFTER_S: Final = 1.0
-
-
+# Ticks in a row without a waiting caller or unsent data after which every answer has been sent: an
+# answer that was just handed to circuits.web reaches the server's buffer within one.
+QUIET_TICKS: Final = 3
 IDEMPOTENCY_KEY_HEADER: Final = "Idempotency-Key"
 STATUS_NOT_FOUND: Final = 404
 _UNKNOWN_PATH: Final = Refusal(
@@ -79,14 +80,16 @@
     _pending: dict[str, _Pending]
     # Call id by the caller's socket.
     _call_of_sock: dict[socket, str]
-
     # Whether new requests are refused.
     _closed: bool
+    # Ticks in a row without a waiting caller or unsent data, counted while closed.
+    _quiet_ticks: int
 
     def __init__(self, server: HttpServer) -> None:
         super().__init__()
         self._server = server
         self._closed = False
+        self._quiet_ticks = 0
         self._configuration = Configuration()
         self._pending = {}
         self._call_of_sock = {}
@@ -122,7 +125,11 @@
 
     @handler("Tick", channel=BUS)
     def _on_tick(self, _message: Tick) -> None:
-        if self._closed and not self._pending and not self._server.has_unsent_data:
+        if not self._closed:
+            return
+        quiet = not self._pending and not self._server.has_unsent_data
+        self._quiet_ticks = self._quiet_ticks + 1 if quiet else 0
+        if self._quiet_ticks == QUIET_TICKS:
             post(self, AnswersDrained())
 
     @handler("disconnect")
