--- a/loadgen/__main__.py
+++ b/loadgen/__main__.py
@@ -30,6 +30,8 @@
 
 CONNECTIONS: Final = 16
 CALLS_PER_CONNECTION: Final = 60
+# Engines as roomy as the stand-ins are started here, so that admission refuses nothing.
+ROOMY_ENGINES: Final = "[engines]\nmax_batch = 1000\ntoken_per_sequence_s = 0"
 PAGE_BYTES: Final = resource.getpagesize()
 
 
@@ -95,6 +97,7 @@
                 "--max-batch",
                 "1000",
             ),
+            more_settings=ROOMY_ENGINES,
         )
         try:
             wait_until_served(fleet.hosts[0])
--- a/loadgen/clients.py
+++ b/loadgen/clients.py
@@ -62,7 +62,10 @@
     started_s = time.perf_counter()
     writer.write(target.request)
     head = await reader.readuntil(HEAD_END)
-    sample.failures += b" 200 " not in head[:20]
+    if b" 200 " not in head[:20]:
+        sample.failures += 1
+        writer.close()
+        return
     tail = b""
     seen = 0
     while not tail.endswith(STREAM_END):
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -31,6 +31,7 @@
     engine_arguments: tuple[str, ...] = (),
     *,
     with_log: bool = False,
+    more_settings: str = "",
 ) -> Fleet:
     """Starts stand-ins and entry hosts for the Jamiat example and returns them running."""
     processes = Processes(directory)
@@ -62,7 +63,14 @@
     membership = processes.start_standin("membership", "membership", "--file", str(file))
     log = processes.start_standin("log", "log") if with_log else None
     host_processes = [
-        start_host(processes, name, membership.port, peer_port=port, log=log)
+        start_host(
+            processes,
+            name,
+            membership.port,
+            peer_port=port,
+            log=log,
+            more_settings=more_settings,
+        )
         for name, port in peer_ports.items()
     ]
     return Fleet(processes, membership, engine_processes, service_processes, host_processes, log)
@@ -76,6 +84,7 @@
     *,
     peer_port: int | None = None,
     log: Process | None = None,
+    more_settings: str = "",
 ) -> Process:
     """Starts one entry host."""
     port = free_port()
@@ -98,6 +107,8 @@
 
 [peers]
 address = 127.0.0.1:{peer_port or free_port()}
+
+{more_settings}
 """,
         encoding="utf-8",
     )
