End what was started when a process of a test does not come up

With a membership stand-in up and a host that can't start, the stand-in now ends (-9) before the error is raised.

--- a/examples/processes.py
+++ b/examples/processes.py
@@ -127,4 +127,6 @@
                     return
             time.sleep(POLL_S)
         text = (self.directory / f"{process.name}.log").read_text(encoding="utf-8")
+        # Whoever started the others may never get hold of them.
+        self.stop_all()
         raise RuntimeError(f"{process.name} does not listen: {text}")
