Hash into two data centres for a call, not into all, and take the home from the order

Cause: asking for two servers elsewhere took the first of every data centre's order, with a hash of the prefix for each, on every call; and the prefix's home was looked up beside an order that leads with it. One order after the other is now asked only when needed, and the home is the order's first. Ruled out: another order; the 1,120 names of a far order are the same before and after.

--- a/berylquay/decisions/placement.py
+++ b/berylquay/decisions/placement.py
@@ -129,10 +129,8 @@
     ) -> Candidate | None:
         if not near:
             return None
-        home = self._serving.home_of(call)
-        # Without its home in service the first of the order stands in, the same for all hosts.
-        candidates = Candidates(near, far, home=home if home in near else near[0])
-        return self._routing.choose(call, candidates, now_s)
+        # An order leads with the prefix's home; if that is out of service, the next stands in.
+        return self._routing.choose(call, Candidates(near, far, home=near[0]), now_s)
 
 
 def _usable(places: Iterator[Place], avoided: frozenset[str]) -> list[Candidate]:
--- a/berylquay/decisions/serving.py
+++ b/berylquay/decisions/serving.py
@@ -5,10 +5,10 @@
 """
 
 from bisect import bisect
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterator
 from hashlib import blake2b
-from itertools import chain, zip_longest
+from itertools import chain
 from typing import Final
 
 from attrs import frozen
@@ -193,22 +193,13 @@
         pool = self._pools.get(call.spec.pool)
         if pool is not None:
             orders = [_order_of(ring, call) for ring in pool.far]
-            names = (name for rank in zip_longest(*orders) for name in rank if name is not None)
-            yield from self._places(names, now_s)
+            yield from self._places(_in_turn(orders), now_s)
 
     def has_other(self, call: Call, failed: frozenset[str], now_s: float) -> bool:
         """Tells whether a server may take the call that has not failed it."""
         places = chain(self.near_order(call, now_s), self.far_order(call, now_s))
         return any(p.usable and p.candidate.server.name not in failed for p in places)
 
-    def home_of(self, call: Call) -> Candidate | None:
-        """Returns the near server that the content's prefix belongs to, in service or not."""
-        pool = self._pools.get(call.spec.pool)
-        if pool is None or not call.is_generation:
-            return None
-        name = next(pool.near.order_of(str(prefix_key(call))), None)
-        return None if name is None else self._loads.named(name)
-
     def _make_pools(self, view: MembershipView) -> dict[str, _Pool]:
         names: dict[str, dict[str, list[str]]] = {}
         for server in view.backends:
@@ -260,3 +251,14 @@
     if home is not None:
         yield home
     yield from (name for name in order if name != home)
+
+
+def _in_turn(orders: list[Iterator[str]]) -> Iterator[str]:
+    # One at a time, since a call that needs two names must not hash its way into every data centre.
+    left = deque(orders)
+    while left:
+        order = left.popleft()
+        name = next(order, None)
+        if name is not None:
+            left.append(order)
+            yield name
