--- a/berylquay/backends/exchanges.py
+++ b/berylquay/backends/exchanges.py
@@ -18,7 +18,7 @@
     AttemptSent,
     AttemptTokens,
 )
-from berylquay.net.http_client import HttpExchange, HttpHead
+from berylquay.net.http_client import STATUS_OK, HttpExchange, HttpHead
 from berylquay.net.outbound import OutboundConnections
 from berylquay.verdicts import Verdict
 
@@ -28,7 +28,6 @@
 MODEL_VERSION_HEADER: Final = "x-model-version"
 # Header by which a backend server names its incarnation, which changes with each restart.
 INCARNATION_HEADER: Final = "x-incarnation"
-STATUS_OK: Final = 200
 STATUS_CLIENT_ERROR: Final = 400
 STATUS_SERVER_ERROR: Final = 500
 # Most bytes of a service's answer.
--- a/berylquay/backends/orders.py
+++ b/berylquay/backends/orders.py
@@ -18,7 +18,7 @@
 )
 from berylquay.messages import EngineStateRead, OrderOutcomeKnown, Tick
 from berylquay.net.bus import BUS, post
-from berylquay.net.http_client import HttpRequest, json_request
+from berylquay.net.http_client import STATUS_OK, HttpRequest, json_request
 from berylquay.net.outbound import OutboundConnections
 from berylquay.platform.json_exchange import JsonExchange, Outcome
 from berylquay.verdicts import Verdict
@@ -26,7 +26,6 @@
 STATE_TIMEOUT_S: Final = 2.0
 # Time after an order's expiry for which the sender's answer is awaited.
 SENDER_TIMEOUT_S: Final = 1.0
-STATUS_OK: Final = 200
 _log = logbook.Logger("orders")
 
 
--- a/berylquay/backends/reports.py
+++ b/berylquay/backends/reports.py
@@ -11,12 +11,11 @@
 from berylquay.decisions.polling import PollSchedule
 from berylquay.messages import LoadReported, MembershipRead, Tick
 from berylquay.net.bus import BUS, post
-from berylquay.net.http_client import HttpRequest
+from berylquay.net.http_client import STATUS_OK, HttpRequest
 from berylquay.net.outbound import OutboundConnections
 from berylquay.platform.json_exchange import JsonExchange, Outcome
 
 POLL_TIMEOUT_S: Final = 2.0
-STATUS_OK: Final = 200
 
 
 class ReportPoller(BaseComponent):
--- a/berylquay/net/http_client.py
+++ b/berylquay/net/http_client.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Callable
-from typing import Protocol
+from typing import Final, Protocol
 
 import h11
 from attrs import field, frozen
@@ -12,6 +12,8 @@
 from berylquay.net.outbound import Connection, OutboundConnections
 from berylquay.verdicts import Verdict
 
+STATUS_OK: Final = 200
+
 
 @frozen
 class HttpRequest:
--- a/berylquay/platform/log_client.py
+++ b/berylquay/platform/log_client.py
@@ -33,7 +33,7 @@
     Tick,
 )
 from berylquay.net.bus import BUS, post
-from berylquay.net.http_client import HttpRequest
+from berylquay.net.http_client import STATUS_OK, HttpRequest
 from berylquay.net.outbound import OutboundConnections
 from berylquay.platform.json_exchange import JsonAnswer, JsonExchange, Outcome
 from berylquay.platform.records import LogRecord, decode_records, encode_records
@@ -42,7 +42,6 @@
 APPEND_TIMEOUT_S: Final = 1.0
 READ_TIMEOUT_S: Final = 1.5
 PAGE_RECORDS: Final = 100
-STATUS_OK: Final = 200
 CLIENT_ERRORS: Final = range(400, 500)
 _log = logbook.Logger("log")
 
--- a/berylquay/platform/membership.py
+++ b/berylquay/platform/membership.py
@@ -17,13 +17,12 @@
 )
 from berylquay.messages import MembershipRead, Tick
 from berylquay.net.bus import BUS, post
-from berylquay.net.http_client import HttpRequest
+from berylquay.net.http_client import STATUS_OK, HttpRequest
 from berylquay.net.outbound import OutboundConnections
 from berylquay.platform.json_exchange import JsonExchange, Outcome
 
 POLL_INTERVAL_S: Final = 0.5
 POLL_TIMEOUT_S: Final = 2.0
-STATUS_OK: Final = 200
 _log = logbook.Logger("membership")
 
 
--- a/berylquay/platform/weights.py
+++ b/berylquay/platform/weights.py
@@ -13,12 +13,11 @@
 from berylquay.decisions.weight_lookups import WeightLookups, WeightsFacts, WeightsKey
 from berylquay.messages import Tick, WeightsLookedUp, WeightsLookupRequested
 from berylquay.net.bus import BUS, post
-from berylquay.net.http_client import HttpRequest
+from berylquay.net.http_client import STATUS_OK, HttpRequest
 from berylquay.net.outbound import OutboundConnections
 from berylquay.platform.json_exchange import JsonAnswer, JsonExchange, Outcome
 
 EXCHANGE_TIMEOUT_S: Final = 1.0
-STATUS_OK: Final = 200
 STATUS_NOT_FOUND: Final = 404
 
 
