--- a/bench/authority_costs.py
+++ b/bench/authority_costs.py
@@ -34,10 +34,10 @@
 from berylquay.decisions.polling import PollLimits, PollSchedule
 from berylquay.messages import LoadReported, MembershipRead, RecordsRead, Tick
 from berylquay.net.bus import BUS, post
+from berylquay.net.connections import Connections
 from berylquay.net.loop import Loop
-from berylquay.net.outbound import OutboundConnections
 from berylquay.net.ticker import Ticker
-from berylquay.platform.records import LogRecord, encode_records
+from berylquay.standalone.records import LogRecord, encode_records
 from examples.processes import Process, Processes
 
 DATA_CENTRES: Final = 29
@@ -151,7 +151,7 @@
     """Runs a loop for a while, with a poller if there is a rate."""
     loop = Loop()
     Ticker().register(loop)
-    outbound = OutboundConnections(loop).register(loop)
+    outbound = Connections(loop).register(loop)
     if polls_per_s:
         limits = PollLimits(engines=32, polls_per_s=polls_per_s, min_interval_s=0.01)
         ReportPoller(outbound, PollSchedule("h", "dc", limits)).register(loop)
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -23,8 +23,8 @@
 )
 from berylquay.decisions.deployment import Deployment, TenantSpec
 from berylquay.decisions.snapshots import pack_snapshot, snapshot_to_json
-from berylquay.platform.records import LogRecord, NewRecord, encode_records
 from berylquay.settings.deployment_file import read_deployment_file
+from berylquay.standalone.records import LogRecord, NewRecord, encode_records
 from tests.support.configuration_fleet import ConfigurationFleet
 from tests.support.fleet import EXAMPLES
 
--- a/bench/links.py
+++ b/bench/links.py
@@ -25,7 +25,7 @@
 from berylquay.decisions.peering import DialPlan, PeeringLimits
 from berylquay.messages import MembershipRead, Tick
 from berylquay.net.bus import BUS, post
-from berylquay.net.outbound import OutboundConnections
+from berylquay.net.connections import Connections
 from berylquay.net.ticker import Ticker
 from berylquay.peers.codec import encode_payload
 from berylquay.peers.links import LinkIdentity, PeerLinks
@@ -171,7 +171,7 @@
     """Runs the measured host until its time is up."""
     loop = EPoll()
     Ticker().register(loop)
-    outbound = OutboundConnections(loop).register(loop)
+    outbound = Connections(loop).register(loop)
     plan = DialPlan(PeeringLimits(connections=4096), Random(1))
     options = PeerOptions(Address("127.0.0.1", ports[0]))
     identity = LinkIdentity(MEASURED, "fes-1", f"{MEASURED}-12345678")
--- a/berylquay/assembly.py
+++ b/berylquay/assembly.py
@@ -47,19 +47,19 @@
 from berylquay.messages import ConfigurationInForce
 from berylquay.metrics import Metrics
 from berylquay.net.bus import post
+from berylquay.net.connections import Connections
 from berylquay.net.loop import Loop
-from berylquay.net.outbound import OutboundConnections
 from berylquay.net.ticker import Ticker
 from berylquay.once.keeper import OnceKeeper
 from berylquay.operators.bridge import OperatorsBridge
 from berylquay.operators.server import OperatorsServer
 from berylquay.peers.links import LinkIdentity, PeerLinks
 from berylquay.peers.pipes import PipeFactory
-from berylquay.platform.configuration import ConfigurationKeeper
-from berylquay.platform.log_client import LogClient
-from berylquay.platform.membership import MembershipPoller
-from berylquay.platform.weights import WeightStoreClient
 from berylquay.settings.options import Options
+from berylquay.standalone.configuration import ConfigurationKeeper
+from berylquay.standalone.log_client import LogClient
+from berylquay.standalone.membership import MembershipPoller
+from berylquay.standalone.weights import WeightStoreClient
 
 SECRET_BYTES: Final = 32
 _log = logbook.Logger("assembly")
@@ -73,7 +73,7 @@
     # What the settings file says.
     _options: Options
     # Opens every connection that goes out.
-    _outbound: OutboundConnections
+    _outbound: Connections
     # Name of this run of the process; differs from those of all other runs and hosts.
     _incarnation: str
 
@@ -81,7 +81,7 @@
         self._loop = Loop()
         self._options = options
         self._incarnation = f"{options.host}-{uuid.uuid4().hex[:8]}"
-        self._outbound = OutboundConnections(self._loop).register(self._loop)
+        self._outbound = Connections(self._loop).register(self._loop)
 
     def build(self, deployments: tuple[Deployment, ...], pipes: PipeFactory) -> Loop:
         """Returns the tree, ready to run.
--- a/berylquay/backends/attempts.py
+++ b/berylquay/backends/attempts.py
@@ -15,7 +15,7 @@
     TokensCollected,
 )
 from berylquay.net.bus import BUS, post
-from berylquay.net.outbound import OutboundConnections
+from berylquay.net.connections import Connections
 from berylquay.verdicts import Verdict
 
 
@@ -25,7 +25,7 @@
     channel = BUS
 
     # Opens the connections.
-    _outbound: OutboundConnections
+    _outbound: Connections
     # Address by backend server.
     _addresses: dict[str, Address]
     # Running exchange by attempt id.
@@ -33,7 +33,7 @@
     # Tokens that were read since the last hand-over.
     _collected: list[AttemptTokens]
 
-    def __init__(self, outbound: OutboundConnections) -> None:
+    def __init__(self, outbound: Connections) -> None:
         super().__init__()
         self._outbound = outbound
         self._addresses = {}
--- a/berylquay/backends/exchanges.py
+++ b/berylquay/backends/exchanges.py
@@ -18,8 +18,8 @@
     AttemptSent,
     AttemptTokens,
 )
+from berylquay.net.connections import Connections
 from berylquay.net.http_client import STATUS_OK, HttpExchange, HttpHead
-from berylquay.net.outbound import OutboundConnections
 from berylquay.verdicts import Verdict
 
 # Header by which a backend server says that a refused request was not started.
@@ -60,7 +60,7 @@
     _exchange: HttpExchange
 
     def __init__(
-        self, outbound: OutboundConnections, address: Address, attempt: Attempt, report: Report
+        self, outbound: Connections, address: Address, attempt: Attempt, report: Report
     ) -> None:
         self._attempt = attempt
         self._report = report
--- a/berylquay/backends/orders.py
+++ b/berylquay/backends/orders.py
@@ -18,9 +18,9 @@
 )
 from berylquay.messages import EngineStateRead, OrderOutcomeKnown, Tick
 from berylquay.net.bus import BUS, post
+from berylquay.net.connections import Connections
 from berylquay.net.http_client import STATUS_OK, HttpRequest, json_request
-from berylquay.net.outbound import OutboundConnections
-from berylquay.platform.json_exchange import JsonExchange, Outcome
+from berylquay.standalone.json_exchange import JsonExchange, Outcome
 from berylquay.verdicts import Verdict
 
 STATE_TIMEOUT_S: Final = 2.0
@@ -35,13 +35,13 @@
     channel = BUS
 
     # Opens the connections.
-    _outbound: OutboundConnections
+    _outbound: Connections
     # Where this host's sender listens.
     _sender: Address
     # Exchanges that are under way.
     _exchanges: set[JsonExchange]
 
-    def __init__(self, outbound: OutboundConnections, sender: Address) -> None:
+    def __init__(self, outbound: Connections, sender: Address) -> None:
         super().__init__()
         self._outbound = outbound
         self._sender = sender
--- a/berylquay/backends/probes.py
+++ b/berylquay/backends/probes.py
@@ -9,8 +9,8 @@
 from berylquay.errors import TransportError
 from berylquay.messages import MembershipRead, ProbeEnded, ProbeRequested, Tick
 from berylquay.net.bus import BUS, post
+from berylquay.net.connections import Connections
 from berylquay.net.http_client import HttpExchange, HttpHead, HttpRequest
-from berylquay.net.outbound import OutboundConnections
 
 # Time within which a probe must have been answered.
 PROBE_TIMEOUT_S: Final = 1.0
@@ -25,7 +25,7 @@
     channel = BUS
 
     # Opens the connections.
-    _outbound: OutboundConnections
+    _outbound: Connections
     # Address by backend server.
     _addresses: dict[str, Address]
     # Probe under way by backend server.
@@ -33,7 +33,7 @@
     # Monotonic time of the last tick.
     _now_s: float
 
-    def __init__(self, outbound: OutboundConnections) -> None:
+    def __init__(self, outbound: Connections) -> None:
         super().__init__()
         self._outbound = outbound
         self._addresses = {}
--- a/berylquay/backends/reports.py
+++ b/berylquay/backends/reports.py
@@ -11,9 +11,9 @@
 from berylquay.decisions.polling import PollSchedule
 from berylquay.messages import LoadReported, MembershipRead, Tick
 from berylquay.net.bus import BUS, post
+from berylquay.net.connections import Connections
 from berylquay.net.http_client import STATUS_OK, HttpRequest
-from berylquay.net.outbound import OutboundConnections
-from berylquay.platform.json_exchange import JsonExchange, Outcome
+from berylquay.standalone.json_exchange import JsonExchange, Outcome
 
 POLL_TIMEOUT_S: Final = 2.0
 
@@ -24,13 +24,13 @@
     channel = BUS
 
     # Opens the connections.
-    _outbound: OutboundConnections
+    _outbound: Connections
     # Decides which engine is asked when.
     _schedule: PollSchedule
     # Polls that are under way.
     _exchanges: set[JsonExchange]
 
-    def __init__(self, outbound: OutboundConnections, schedule: PollSchedule) -> None:
+    def __init__(self, outbound: Connections, schedule: PollSchedule) -> None:
         super().__init__()
         self._outbound = outbound
         self._schedule = schedule
--- a/berylquay/decisions/appends.py
+++ b/berylquay/decisions/appends.py
@@ -13,7 +13,7 @@
 
 from berylquay.decisions.backoff import Backoff
 from berylquay.decisions.rate_limit import RateLimit
-from berylquay.platform.records import NewRecord
+from berylquay.standalone.records import NewRecord
 from berylquay.verdicts import Verdict
 
 APPEND_BACKOFF: Final = Backoff(floor_s=0.05, ceiling_s=2.0)
--- a/berylquay/decisions/claims.py
+++ b/berylquay/decisions/claims.py
@@ -13,7 +13,7 @@
 
 from attrs import define, field, frozen
 
-from berylquay.platform.records import LogRecord, NewRecord
+from berylquay.standalone.records import LogRecord, NewRecord
 
 # Stream of the platform's log that carries the claims of all data centres.
 CLAIMS_STREAM: Final = "once"
--- a/berylquay/decisions/configuration.py
+++ b/berylquay/decisions/configuration.py
@@ -18,7 +18,7 @@
     apply_record,
 )
 from berylquay.decisions.snapshots import SnapshotSeen, snapshot_from_json
-from berylquay.platform.records import LogRecord
+from berylquay.standalone.records import LogRecord
 
 # Most records that are kept while there is no snapshot to start from.
 MAX_TAIL: Final = 20000
--- a/berylquay/decisions/configuration_state.py
+++ b/berylquay/decisions/configuration_state.py
@@ -14,7 +14,7 @@
 
 from berylquay.decisions.deployment import Configuration, Deployment
 from berylquay.decisions.deployment_json import deployment_from_json, deployment_to_json
-from berylquay.platform.records import LogRecord
+from berylquay.standalone.records import LogRecord
 
 # Refused record ids that are remembered, so that a late copy of a refused change has no effect.
 REFUSED_IDS: Final = 256
--- /dev/null
+++ b/berylquay/decisions/engine_placement.py
@@ -0,0 +1,301 @@
+"""Placement: where the prompt of a request is read and where its tokens are made.
+
+Pattern answered: long prompts and short ones share few engines, and reading prompts binds. A
+prefill engine reads two to three times as fast as a decode engine, which reads between the tokens
+of its streams, but a prompt read there must be handed over. Each request goes where its first token
+is predicted to come first, with what it costs others (shared parts read again, KV cache moved far)
+counted as time.
+"""
+
+from collections.abc import Sequence
+from hashlib import blake2b
+from typing import Final, Protocol
+
+from attrs import define, field, frozen
+
+from berylquay.decisions.backend_registry import BackendEntry
+from berylquay.decisions.engine_backlog import EngineBacklog
+from berylquay.decisions.fleet import Role
+from berylquay.decisions.part_locations import PartLocations
+from berylquay.decisions.relay_call import Generation
+from berylquay.decisions.route_table import EnginePool
+
+MS_PER_S: Final = 1000.0
+BITS_PER_BYTE: Final = 8
+BITS_PER_MS_PER_MBPS: Final = 1000.0
+
+
+@frozen
+class PlacementOptions:
+    """Speeds until they are learned, and what other costs weigh against time."""
+
+    # Prompt tokens that a prefill engine reads in a millisecond.
+    prefill_tokens_per_ms: float = 60.0
+    # The same for a decode engine, which reads in smaller pieces between the tokens of streams.
+    decode_tokens_per_ms: float = 20.0
+    # Time from the request to the first token besides reading.
+    first_token_ms: float = 12.0
+    # Fixed time of a hand-over between engines.
+    hand_over_ms: float = 10.0
+    # Round trips within a data centre, within a region and between regions.
+    near_round_trip_ms: float = 0.5
+    region_round_trip_ms: float = 2.5
+    far_round_trip_ms: float = 41.0
+    # Factors on the time of a move of KV cache between data centres and between regions.
+    region_move_factor: float = 2.0
+    far_move_factor: float = 10.0
+    # Time that reading one token of a shared part again counts for, as it displaces others.
+    reread_ms_per_token: float = 0.05
+    # Time that a move of KV cache between regions counts for besides, for each gigabyte.
+    far_move_ms_per_gb: float = 40.0
+    # Time by which a prompt's home is preferred while no engine is known to keep its parts.
+    home_bonus_ms: float = 40.0
+    # Shortest shared part that has a home.
+    home_min_tokens: int = 1000
+
+
+@frozen
+class Place:
+    """Where a host or an engine stands."""
+
+    data_centre: str
+    region: str
+
+
+@frozen
+class Placement:
+    """Where a request should run."""
+
+    # Engine that reads the prompt, or None if the decode engine reads it too.
+    prefill: BackendEntry | None
+    # Engine that makes the tokens.
+    decode: BackendEntry
+    # Predicted time from now to the first token.
+    first_token_s: float
+    # Prompt tokens that are expected to be read.
+    tokens_to_read: int
+
+
+class PlacementPolicy(Protocol):
+    """Chooses the engines for a request."""
+
+    def place(
+        self, generation: Generation, rank: int, engines: Sequence[BackendEntry], now_s: float
+    ) -> Placement | None:
+        """Returns the best placement, or None if no engine can make tokens."""
+
+
+@define
+class PredictedPlacement:
+    """Chooses the placement whose first token is predicted to come first."""
+
+    _options: PlacementOptions
+    # Where this host stands.
+    _place: Place
+    # Region of each data centre.
+    _regions: dict[str, str]
+    _backlog: EngineBacklog
+    _locations: PartLocations
+    _speeds: "EngineSpeeds"
+    # What the engines of the pool have in common; set with each configuration.
+    _pool: EnginePool | None = field(default=None, init=False)
+
+    def on_pool(self, pool: EnginePool | None) -> None:
+        """Takes what the engines of the pool have in common."""
+        self._pool = pool
+
+    def place(
+        self, generation: Generation, rank: int, engines: Sequence[BackendEntry], now_s: float
+    ) -> Placement | None:
+        """Returns the best placement, or None if no engine can make tokens."""
+        decoders = [engine for engine in engines if engine.role is not Role.PREFILL]
+        best: tuple[float, Placement] | None = None
+        for engine in decoders:
+            best = _cheaper(best, self._whole(generation, rank, engine, now_s))
+        readers = [engine for engine in engines if engine.role is Role.PREFILL]
+        for engine in readers:
+            decoder = self.decoder_for(engine, generation, decoders, now_s)
+            if decoder is not None:
+                best = _cheaper(best, self._split(generation, rank, engine, decoder, now_s))
+        return None if best is None else best[1]
+
+    def decoder_for(
+        self,
+        reader: BackendEntry,
+        generation: Generation,
+        decoders: Sequence[BackendEntry],
+        now_s: float,
+    ) -> BackendEntry | None:
+        """Returns the engine to which a prompt's KV cache is handed over at the least cost."""
+        if not decoders:
+            return None
+        return min(
+            decoders,
+            key=lambda engine: (
+                self._hand_over_cost_ms(generation, reader, engine, now_s),
+                engine.name,
+            ),
+        )
+
+    def _whole(
+        self, generation: Generation, rank: int, engine: BackendEntry, now_s: float
+    ) -> tuple[float, Placement]:
+        rate = self._options.decode_tokens_per_ms
+        read_ms, tokens = self._read_ms(generation, rank, engine, rate, now_s)
+        first_ms = self._round_trip_ms(engine) + read_ms + self._batch_ms(engine, now_s)
+        cost_ms = first_ms + self._reread_cost_ms(generation, engine, now_s)
+        return cost_ms, Placement(None, engine, first_ms / MS_PER_S, tokens)
+
+    def _split(
+        self,
+        generation: Generation,
+        rank: int,
+        reader: BackendEntry,
+        decoder: BackendEntry,
+        now_s: float,
+    ) -> tuple[float, Placement]:
+        rate = self._options.prefill_tokens_per_ms
+        read_ms, tokens = self._read_ms(generation, rank, reader, rate, now_s)
+        first_ms = (
+            self._round_trip_ms(reader)
+            + read_ms
+            + self._move_ms(generation, reader, decoder)
+            + self._round_trip_ms(decoder)
+            + self._batch_ms(decoder, now_s)
+        )
+        cost_ms = (
+            first_ms
+            + self._reread_cost_ms(generation, reader, now_s)
+            + self._move_price_ms(generation, reader, decoder)
+        )
+        return cost_ms, Placement(reader, decoder, first_ms / MS_PER_S, tokens)
+
+    def _read_ms(
+        self, generation: Generation, rank: int, engine: BackendEntry, rate: float, now_s: float
+    ) -> tuple[float, int]:
+        cached = self._locations.cached_tokens(engine.name, generation.parts, now_s)
+        tokens = max(1, generation.prompt_tokens - cached)
+        waiting = self._backlog.waiting_tokens(engine.name, rank, now_s)
+        slowdown = self._speeds.slowdown(engine.name)
+        return (waiting + tokens) / rate * slowdown, tokens
+
+    def _hand_over_cost_ms(
+        self, generation: Generation, reader: BackendEntry, decoder: BackendEntry, now_s: float
+    ) -> float:
+        return (
+            self._move_ms(generation, reader, decoder)
+            + self._move_price_ms(generation, reader, decoder)
+            + self._round_trip_ms(decoder)
+            + self._batch_ms(decoder, now_s)
+        )
+
+    def _batch_ms(self, engine: BackendEntry, now_s: float) -> float:
+        """Returns the time to a first token in the engine's batch; a full batch makes it wait."""
+        slots = max(1, engine.slots)
+        fullness = self._backlog.streams(engine.name, now_s) / slots
+        return self._options.first_token_ms * (1.0 + fullness) + max(0.0, fullness - 1.0) * MS_PER_S
+
+    def _reread_cost_ms(self, generation: Generation, engine: BackendEntry, now_s: float) -> float:
+        """Returns what reading shared parts counts for at an engine that does not keep them."""
+        shared = generation.parts[:-1]
+        tokens = sum(part.tokens for part in shared)
+        missing = tokens - self._locations.cached_tokens(engine.name, shared, now_s)
+        cost_ms = missing * self._options.reread_ms_per_token
+        if missing and self._is_home(engine, generation):
+            cost_ms -= self._options.home_bonus_ms
+        return cost_ms
+
+    def _is_home(self, engine: BackendEntry, generation: Generation) -> bool:
+        long_parts = [p for p in generation.parts[:-1] if p.tokens >= self._options.home_min_tokens]
+        if not long_parts or engine.role is not Role.PREFILL:
+            return False
+        return home_weight(long_parts[-1].part_id, engine.name) >= self._best_weight(
+            long_parts[-1].part_id
+        )
+
+    def _best_weight(self, part_id: str) -> int:
+        return max((home_weight(part_id, name) for name in self._speeds.readers), default=0)
+
+    def _move_ms(
+        self, generation: Generation, reader: BackendEntry, decoder: BackendEntry
+    ) -> float:
+        options = self._options
+        pool = self._pool
+        if pool is None or pool.link_mbps <= 0.0:
+            return options.hand_over_ms
+        bits = generation.prompt_tokens * pool.token_bytes * BITS_PER_BYTE
+        move_ms = bits / (pool.link_mbps * BITS_PER_MS_PER_MBPS)
+        return options.hand_over_ms + move_ms * self._move_factor(reader, decoder)
+
+    def _move_factor(self, reader: BackendEntry, decoder: BackendEntry) -> float:
+        if reader.data_centre == decoder.data_centre:
+            return 1.0
+        if self._region(reader.data_centre) == self._region(decoder.data_centre):
+            return self._options.region_move_factor
+        return self._options.far_move_factor
+
+    def _move_price_ms(
+        self, generation: Generation, reader: BackendEntry, decoder: BackendEntry
+    ) -> float:
+        pool = self._pool
+        if pool is None or self._region(reader.data_centre) == self._region(decoder.data_centre):
+            return 0.0
+        gigabytes = generation.prompt_tokens * pool.token_bytes / 1e9
+        return gigabytes * self._options.far_move_ms_per_gb
+
+    def _round_trip_ms(self, engine: BackendEntry) -> float:
+        if engine.data_centre == self._place.data_centre:
+            return self._options.near_round_trip_ms
+        if self._region(engine.data_centre) == self._place.region:
+            return self._options.region_round_trip_ms
+        return self._options.far_round_trip_ms
+
+    def _region(self, data_centre: str) -> str:
+        return self._regions.get(data_centre, data_centre)
+
+
+def home_weight(part_id: str, engine: str) -> int:
+    """Returns the weight of an engine for a part; the engine with the highest is its home."""
+    return int.from_bytes(blake2b(f"{part_id}|{engine}".encode(), digest_size=6).digest(), "big")
+
+
+def _cheaper(
+    best: tuple[float, Placement] | None, other: tuple[float, Placement]
+) -> tuple[float, Placement]:
+    return other if best is None or other[0] < best[0] else best
+
+
+class EngineSpeeds:
+    """How much slower than expected each engine reads, learned from how long prompts took."""
+
+    # Weight of the newest time.
+    NEWEST_WEIGHT: Final = 0.2
+    # Range of what is believed of an engine.
+    FASTEST: Final = 0.4
+    SLOWEST: Final = 8.0
+
+    # Factor on the expected time by engine.
+    _slowdowns: dict[str, float]
+    # Engines that read prompts for others.
+    readers: frozenset[str]
+
+    def __init__(self) -> None:
+        self._slowdowns = {}
+        self.readers = frozenset()
+
+    def slowdown(self, engine: str) -> float:
+        """Returns the factor on the expected time."""
+        return self._slowdowns.get(engine, 1.0)
+
+    def on_read(self, engine: str, expected_s: float, taken_s: float) -> None:
+        """Takes how long a prompt took against the prediction made when it was sent."""
+        if expected_s <= 0.0:
+            return
+        before = self.slowdown(engine)
+        seen = before * taken_s / expected_s
+        mixed = before + self.NEWEST_WEIGHT * (seen - before)
+        self._slowdowns[engine] = min(self.SLOWEST, max(self.FASTEST, mixed))
+
+    def forget(self, engine: str) -> None:
+        """Drops what is known of an engine that has ended."""
+        self._slowdowns.pop(engine, None)
--- a/berylquay/messages.py
+++ b/berylquay/messages.py
@@ -15,7 +15,7 @@
 from berylquay.decisions.roles import RoleChange
 from berylquay.decisions.weight_lookups import WeightsFacts, WeightsKey
 from berylquay.peers.payloads import DrainNotice, PeerPayload
-from berylquay.platform.records import LogRecord, NewRecord
+from berylquay.standalone.records import LogRecord, NewRecord
 from berylquay.verdicts import Refusal, Verdict
 
 
--- a/berylquay/net/outbound.py
+++ b/berylquay/net/connections.py
@@ -1,4 +1,4 @@
-"""Outbound TCP connections: one circuits component that owns every socket it opens.
+"""TCP connections: one circuits component that owns every socket it opens or adopts.
 
 One component for all sockets keeps the component tree fixed, so that circuits need not rebuild its
 handler cache for each connection.
@@ -43,7 +43,7 @@
 
 @define(eq=False)
 class Connection:
-    """Handle of one outbound connection."""
+    """Handle of one connection."""
 
     address: Address
     user: ConnectionUser
@@ -53,9 +53,20 @@
     # Bytes handed to the operating system so far.
     bytes_sent: int = 0
     unsent: deque[bytes] = field(factory=deque)
+    # Whether the other end has ended its side in good order rather than reset the connection.
+    ended_in_order: bool = False
+    # Whether nothing is read for now, so that the other end is held back.
+    paused: bool = False
+    # Whether this end sends no more; what still arrives is thrown away.
+    finishing: bool = False
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Returns how much the operating system has not taken yet."""
+        return sum(map(len, self.unsent))
 
-class OutboundConnections(BaseComponent):
+
+class Connections(BaseComponent):
     """Opens connections, writes to them and hands what they receive to their users."""
 
     channel = "outbound"
@@ -85,9 +96,41 @@
         self._poller.addWriter(self, sock)
         return connection
 
+    def adopt(self, sock: socket.socket, address: Address, user: ConnectionUser) -> Connection:
+        """Takes over an accepted socket."""
+        sock.setblocking(False)
+        _set_options(sock)
+        connection = Connection(address, user, sock, established=True)
+        self._by_sock[sock] = connection
+        self._poller.addReader(self, sock)
+        return connection
+
+    def pause(self, connection: Connection) -> None:
+        """Stops reading until `resume`, so that the other end is held back."""
+        if not connection.paused and not connection.closed and connection.established:
+            connection.paused = True
+            self._poller.removeReader(connection.sock)
+
+    def resume(self, connection: Connection) -> None:
+        """Reads on after `pause`."""
+        if connection.paused and not connection.closed:
+            connection.paused = False
+            self._poller.addReader(self, connection.sock)
+
+    def finish(self, connection: Connection) -> None:
+        """Ends this side once all is sent; the user closes when the other end has ended too.
+
+        A close with unread data would reset the connection and could take the last answer along.
+        """
+        if connection.closed or connection.finishing:
+            return
+        connection.finishing = True
+        if not connection.unsent:
+            self._shut_down_sending(connection)
+
     def send(self, connection: Connection, data: bytes) -> None:
         """Sends the data, at once if the socket takes it."""
-        if connection.closed:
+        if connection.closed or connection.finishing:
             return
         if connection.established and not connection.unsent:
             data = self._send_now(connection, data)
@@ -106,6 +149,12 @@
         self._poller.discard(connection.sock)
         connection.sock.close()
 
+    def _shut_down_sending(self, connection: Connection) -> None:
+        try:
+            connection.sock.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            self._end(connection, error.strerror or str(error))
+
     def _end(self, connection: Connection, detail: str) -> None:
         if connection.closed:
             return
@@ -141,6 +190,8 @@
                 return
         if not connection.closed:
             self._poller.removeWriter(sock)
+            if connection.finishing:
+                self._shut_down_sending(connection)
 
     def _finish_connecting(self, connection: Connection) -> bool:
         code = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -165,8 +216,10 @@
             self._end(connection, error.strerror or str(error))
             return
         if data:
-            connection.user.on_received(data)
+            if not connection.finishing:
+                connection.user.on_received(data)
         else:
+            connection.ended_in_order = True
             self._end(connection, "closed by the other end")
 
     @handler("_disconnect")
--- a/berylquay/net/http_client.py
+++ b/berylquay/net/http_client.py
@@ -9,7 +9,7 @@
 
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
-from berylquay.net.outbound import Connection, OutboundConnections
+from berylquay.net.connections import Connection, Connections
 from berylquay.verdicts import Verdict
 
 STATUS_OK: Final = 200
@@ -54,7 +54,7 @@
     """One request and its answer on a connection of its own."""
 
     # Opens and owns the socket.
-    _outbound: OutboundConnections
+    _outbound: Connections
     # What is asked.
     _request: HttpRequest
     # Who is told.
@@ -70,7 +70,7 @@
 
     def __init__(
         self,
-        outbound: OutboundConnections,
+        outbound: Connections,
         address: Address,
         request: HttpRequest,
         user: ExchangeUser,
--- /dev/null
+++ b/berylquay/net/kept_http.py
@@ -0,0 +1,265 @@
+"""HTTP/1.1 client connections that are kept for further requests.
+
+An answer is handed over piece by piece as it comes. An answer to another request than the one that
+waits is thrown away, and bytes after an answer end the connection.
+"""
+
+from collections.abc import Callable
+from typing import Final, Protocol
+
+import h11
+from attrs import define, field, frozen
+
+from berylquay.decisions.fleet import Address
+from berylquay.errors import TransportError
+from berylquay.net.connections import Connection, Connections
+from berylquay.verdicts import Verdict
+
+Headers = list[tuple[bytes, bytes]]
+# Largest head of an answer.
+MAX_HEAD_BYTES: Final = 65536
+
+
+@frozen
+class RawRequest:
+    """A request whose parts pass unchanged."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+
+@frozen
+class RawHead:
+    """Status line and headers of an answer; header names are in lower case."""
+
+    status: int
+    reason: bytes
+    headers: Headers
+
+    def get(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header."""
+        return next((value for known, value in self.headers if known == name), None)
+
+
+class AnswerUser(Protocol):
+    """What the owner of a request is told about its answer."""
+
+    def on_answer_head(self, head: RawHead) -> None:
+        """Called once with the status line and headers."""
+
+    def on_answer_data(self, data: bytes) -> None:
+        """Called with each piece of the body."""
+
+    def on_answer_end(self) -> None:
+        """Called once when the answer is whole."""
+
+    def on_answer_broken(self, error: TransportError) -> None:
+        """Called once if the answer ended early or none came."""
+
+
+@define
+class _Exchange:
+    """The request that waits for its answer."""
+
+    request: RawRequest
+    user: AnswerUser
+    # Header that echoes the id of the request, and its value; empty if answers bear none.
+    id_header: bytes
+    request_id: bytes
+    # Bytes that the connection had sent before the request.
+    sent_before: int
+    # Whether the request was handed over to the connection.
+    sent: bool = False
+    # Whether the answer that is being read belongs to another request.
+    foreign: bool = False
+
+
+@define(eq=False)
+class KeptConnection:
+    """One connection, which serves one request after the other."""
+
+    address: Address
+    # Told when the connection waits for another request.
+    _on_idle: "Callable[[KeptConnection], None]"
+    # Told when the connection has ended.
+    _on_ended: "Callable[[KeptConnection], None]"
+    _connections: Connections
+    # Requests that the connection has carried before this one.
+    served: int = 0
+    # Monotonic time at which it last became idle, for its owner.
+    idle_since_s: float = 0.0
+    # Time for which the other end keeps it idle, or None if it did not say.
+    keep_alive_s: float | None = None
+    _protocol: h11.Connection = field(init=False)
+    _connection: Connection = field(init=False)
+    _exchange: _Exchange | None = field(default=None, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Starts to connect."""
+        self._protocol = _new_protocol()
+        self._connection = self._connections.open(self.address, self)
+
+    @property
+    def closed(self) -> bool:
+        """Tells whether the connection has ended."""
+        return self._connection.closed
+
+    @property
+    def connected(self) -> bool:
+        """Tells whether the connection is established."""
+        return self._connection.established
+
+    @property
+    def verdict(self) -> Verdict:
+        """Returns whether the other end may have acted on the request that waits."""
+        exchange = self._exchange
+        if exchange is None or self._connection.bytes_sent == exchange.sent_before:
+            return Verdict.NOT_RUN
+        return Verdict.MAY_HAVE_RUN
+
+    def start(
+        self, request: RawRequest, user: AnswerUser, id_header: bytes = b"", request_id: bytes = b""
+    ) -> None:
+        """Sends a request on a connection that is idle or new."""
+        sent_before = self._connection.bytes_sent
+        self._exchange = _Exchange(request, user, id_header, request_id, sent_before)
+        if self._connection.established:
+            self._send_request()
+
+    def hold_back(self, held: bool) -> None:
+        """Stops reading the answer, or reads on."""
+        if held:
+            self._connections.pause(self._connection)
+        else:
+            self._connections.resume(self._connection)
+
+    def close(self) -> None:
+        """Closes the connection; the user of a waiting request hears no more."""
+        self._exchange = None
+        if not self._connection.closed:
+            self._connections.close(self._connection)
+            self._on_ended(self)
+
+    def on_connected(self) -> None:
+        """Sends the request that waits for the connection."""
+        if self._exchange is not None and not self._exchange.sent:
+            self._send_request()
+
+    def on_received(self, data: bytes) -> None:
+        """Takes data from the other end."""
+        if self._exchange is None:
+            # Nothing was asked: the bytes belong to no request.
+            self.close()
+            return
+        self._take(data)
+
+    def on_disconnected(self, detail: str) -> None:
+        """Takes the end of the connection, which may end an answer without a length."""
+        if self._exchange is not None and self._connection.ended_in_order:
+            self._take(b"")
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            verdict = Verdict.MAY_HAVE_RUN if self._has_sent(exchange) else Verdict.NOT_RUN
+            exchange.user.on_answer_broken(TransportError(detail, verdict, disconnected=True))
+        self._on_ended(self)
+
+    def _has_sent(self, exchange: _Exchange) -> bool:
+        return self._connection.bytes_sent > exchange.sent_before
+
+    def _send_request(self) -> None:
+        exchange = self._exchange
+        if exchange is None:
+            return
+        try:
+            data = _encode(self._protocol, exchange.request)
+        except (h11.LocalProtocolError, ValueError) as error:
+            self._break(f"the request can't be sent: {error}")
+            return
+        exchange.sent = True
+        self._connections.send(self._connection, data)
+
+    def _take(self, data: bytes) -> None:
+        try:
+            self._protocol.receive_data(data)
+            while self._exchange is not None and self._take_event(self._protocol.next_event()):
+                pass
+        except h11.RemoteProtocolError as error:
+            self._break(f"bad HTTP answer: {error}")
+
+    def _take_event(self, event: object) -> bool:
+        exchange = self._exchange
+        if exchange is None or event is h11.NEED_DATA or event is h11.PAUSED:
+            return False
+        if isinstance(event, h11.Response):
+            head = RawHead(event.status_code, event.reason, list(event.headers))
+            echoed = head.get(exchange.id_header) if exchange.id_header else None
+            exchange.foreign = echoed is not None and echoed != exchange.request_id
+            if not exchange.foreign:
+                self._note_keep_alive(head)
+                exchange.user.on_answer_head(head)
+        elif isinstance(event, h11.Data):
+            if not exchange.foreign:
+                exchange.user.on_answer_data(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            if exchange.foreign:
+                return self._skip_foreign_answer(exchange)
+            self._complete(exchange)
+            return False
+        elif isinstance(event, h11.ConnectionClosed):
+            return False
+        return True
+
+    def _skip_foreign_answer(self, exchange: _Exchange) -> bool:
+        """Expects the answer to the waiting request behind one that belongs to none."""
+        following, _ = self._protocol.trailing_data
+        exchange.foreign = False
+        self._protocol = _new_protocol()
+        _encode(self._protocol, exchange.request)
+        self._protocol.receive_data(following)
+        return True
+
+    def _note_keep_alive(self, head: RawHead) -> None:
+        for item in (head.get(b"keep-alive") or b"").split(b","):
+            name, _, value = item.strip().partition(b"=")
+            if name == b"timeout" and value.isdigit():
+                self.keep_alive_s = float(value)
+
+    def _complete(self, exchange: _Exchange) -> None:
+        self._exchange = None
+        reusable = (
+            self._protocol.our_state is h11.DONE
+            and self._protocol.their_state is h11.DONE
+            and not self._protocol.trailing_data[0]
+            and not self._connection.unsent
+            and not self._connection.closed
+        )
+        if reusable:
+            self._protocol.start_next_cycle()
+            self.served += 1
+            self._connections.resume(self._connection)
+            self._on_idle(self)
+        else:
+            self.close()
+        exchange.user.on_answer_end()
+
+    def _break(self, detail: str) -> None:
+        exchange = self._exchange
+        error = TransportError(detail, self.verdict, disconnected=self._connection.closed)
+        self.close()
+        if exchange is not None:
+            exchange.user.on_answer_broken(error)
+
+
+def _new_protocol() -> h11.Connection:
+    return h11.Connection(our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+
+def _encode(protocol: h11.Connection, request: RawRequest) -> bytes:
+    head = h11.Request(method=request.method, target=request.target, headers=request.headers)
+    parts = [protocol.send(head)]
+    if request.body:
+        parts.append(protocol.send(h11.Data(data=request.body)))
+    parts.append(protocol.send(h11.EndOfMessage()))
+    return b"".join(part for part in parts if part)
--- /dev/null
+++ b/berylquay/net/listener.py
@@ -0,0 +1,84 @@
+"""A listening TCP socket: accepts connections and hands them to `Connections`."""
+
+import socket
+from collections.abc import Callable
+from typing import Final, Protocol
+
+import logbook
+from circuits import BaseComponent, handler
+from circuits.core.pollers import BasePoller
+
+from berylquay.decisions.fleet import Address
+from berylquay.net.connections import Connection, Connections, ConnectionUser
+
+BACKLOG: Final = 1024
+# Connections accepted in one turn, so that open ones are served in between.
+ACCEPTS_PER_TURN: Final = 32
+_log = logbook.Logger("listener")
+
+
+class ListenerUser(ConnectionUser, Protocol):
+    """The user of an accepted connection, which learns its handle once it is adopted."""
+
+    connection: Connection
+
+
+class Listener(BaseComponent):
+    """Accepts connections on one address as long as the process may hold more."""
+
+    # Poller of the process.
+    _poller: BasePoller
+    _connections: Connections
+    _sock: socket.socket
+    # Makes the user of a new connection, or returns None if there are too many.
+    _make_user: Callable[[], ListenerUser | None]
+    # Whether connections are accepted.
+    _open: bool
+
+    def __init__(
+        self,
+        poller: BasePoller,
+        connections: Connections,
+        address: Address,
+        make_user: Callable[[], ListenerUser | None],
+    ) -> None:
+        super().__init__(channel=f"listener-{address}")
+        self._poller = poller
+        self._connections = connections
+        self._make_user = make_user
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setblocking(False)
+        self._sock.bind((address.ip, address.port))
+        self._sock.listen(BACKLOG)
+        self._open = True
+        poller.addReader(self, self._sock)
+
+    def close(self) -> None:
+        """Accepts no more."""
+        if self._open:
+            self._open = False
+            self._poller.discard(self._sock)
+            self._sock.close()
+
+    @handler("_read")
+    def _on_readable(self, sock: socket.socket) -> None:
+        if not self._open or sock is not self._sock:
+            return
+        for _ in range(ACCEPTS_PER_TURN):
+            try:
+                accepted, peer = self._sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                _log.warning("can't accept", error=error.strerror or str(error))
+                return
+            self._adopt(accepted, Address(peer[0], peer[1]))
+
+    def _adopt(self, accepted: socket.socket, peer: Address) -> None:
+        user = self._make_user()
+        if user is None:
+            _log.warning("too many connections, closing a new one", peer=str(peer))
+            accepted.close()
+            return
+        user.connection = self._connections.adopt(accepted, peer, user)
--- a/berylquay/peers/links.py
+++ b/berylquay/peers/links.py
@@ -22,7 +22,7 @@
     Tick,
 )
 from berylquay.net.bus import BUS, post
-from berylquay.net.outbound import Connection, OutboundConnections
+from berylquay.net.connections import Connection, Connections
 from berylquay.peers.codec import CodecError, decode_payload
 from berylquay.peers.payloads import Heartbeat, Hello, PeerPayload
 from berylquay.peers.pipes import PipeFactory
@@ -57,7 +57,7 @@
     # This host.
     _me: LinkIdentity
     # Opens outbound connections.
-    _outbound: OutboundConnections
+    _outbound: Connections
     # Makes the pipe of each connection.
     _pipes: PipeFactory
     # Bounds.
@@ -81,7 +81,7 @@
 
     def __init__(
         self,
-        outbound: OutboundConnections,
+        outbound: Connections,
         options: PeerOptions,
         identity: LinkIdentity,
         pipes: PipeFactory,
@@ -320,13 +320,13 @@
     # Component that is told.
     _links: PeerLinks
     # Owns the socket.
-    _outbound: OutboundConnections
+    _outbound: Connections
     # Connection, once it was opened.
     _connection: Connection
     # Session over the connection.
     _session: Session
 
-    def __init__(self, links: PeerLinks, outbound: OutboundConnections) -> None:
+    def __init__(self, links: PeerLinks, outbound: Connections) -> None:
         self._links = links
         self._outbound = outbound
 
--- a/berylquay/platform/__init__.py
+++ b/berylquay/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's side: the log, the membership list and the weight store."""
+"""The users' platform: its names, formats and calls, decoded once into the project's own types."""
--- /dev/null
+++ b/berylquay/platform/backend_entries.py
@@ -0,0 +1,61 @@
+"""Entries that backend servers write of themselves into the platform's store."""
+
+import json
+from typing import Final
+
+from returns.result import Failure, Result, Success
+
+from berylquay.decisions.backend_registry import BackendEntry, EntryState
+from berylquay.decisions.fleet import Address, Role
+
+MAX_PORT: Final = 65535
+_STATES: Final = {"ready": EntryState.READY, "draining": EntryState.LEAVING}
+_ROLES: Final = {"prefill": Role.PREFILL, "decode": Role.DECODE}
+
+
+def decode_backend_entry(name: str, data: bytes) -> Result[BackendEntry, str]:
+    """Returns the entry of the named backend server, or why the bytes are no entry."""
+    try:
+        fields = json.loads(data)
+        if not isinstance(fields, dict):
+            return Failure("no object")
+        return Success(_decode(name, fields))
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        return Failure(f"{type(error).__name__}: {error}")
+
+
+def _decode(name: str, fields: dict[str, object]) -> BackendEntry:
+    # The field "phase" is the role of an engine; plain services have none.
+    role = fields.get("phase")
+    born = fields.get("born", 0)
+    return BackendEntry(
+        name=name,
+        pool=_text(fields["service"]),
+        address=_address(_text(fields["address"])),
+        data_centre=_text(fields["zone"]),
+        slots=_count(fields["slots"]),
+        state=_STATES[_text(fields["state"])],
+        role=None if role is None else _ROLES[_text(role)],
+        born_unix_ms=_count(born),
+        # Here "seq" numbers the heartbeats; in a load report it counts accepted orders.
+        beat=_count(fields.get("seq", 0)),
+    )
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is no text")
+    return value
+
+
+def _count(value: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise TypeError(f"{value!r} is no count")
+    return value
+
+
+def _address(text: str) -> Address:
+    ip, _, port = text.rpartition(":")
+    if not ip or not port.isdigit() or int(port) > MAX_PORT:
+        raise ValueError(f"{text!r} is no address")
+    return Address(ip, int(port))
--- a/berylquay/platform/configuration.py
+++ b/berylquay/platform/configuration.py
@@ -1,248 +1,135 @@
-"""The configuration keeper: puts the newest accepted configuration in force on this host.
+"""The operator's configuration: JSON of the platform to a route table."""
 
-It follows the configuration stream of the platform's log, carries operators' changes there, appends
-snapshots, and exchanges snapshots with peers while the log is away. The decisions are in
-`berylquay.decisions.configuration` and its neighbours.
-"""
-
-import time
-import uuid
-from random import Random
+import json
+from collections.abc import Mapping
 from typing import Final
 
-import logbook
-from circuits import BaseComponent, handler
-from circuits.core.events import started
-
-from berylquay.decisions.changes import APPEND_TIMEOUT_S, PendingChanges, decide_at_once
-from berylquay.decisions.configuration import ConfigurationFold, Page, Progress
-from berylquay.decisions.configuration_state import (
-    SNAPSHOT_KIND,
-    SNAPSHOT_WANTED_KIND,
-    Change,
-    ChangeOutcome,
-    ChangeStatus,
-    change_fields,
-)
-from berylquay.decisions.deployment import Configuration, Deployment
-from berylquay.decisions.snapshots import (
-    SnapshotSchedule,
-    pack_snapshot,
-    snapshot_to_json,
-    unpack_snapshot,
-)
-from berylquay.messages import (
-    ConfigurationChangeEnded,
-    ConfigurationChangeRequested,
-    ConfigurationInForce,
-    ConfigurationStatus,
-    LogReachabilityChanged,
-    PeerReceived,
-    PeerSendRequested,
-    RecordAppendFailed,
-    RecordAppendRequested,
-    RecordAppendUnsettled,
-    RecordsRead,
-    StreamFollowRequested,
-    Tick,
+from returns.result import Failure, Result, Success
+
+from berylquay.decisions.route_table import (
+    LOWEST_RANK,
+    CallerBounds,
+    EnginePool,
+    Pool,
+    PoolShare,
+    RepeatRule,
+    Route,
+    RouteTable,
+    make_route_table,
 )
-from berylquay.net.bus import BUS, post
-from berylquay.peers.payloads import ConfigurationOffer, ConfigurationRequest, Heartbeat
-from berylquay.platform.records import NewRecord
-
-# Shortest time between two requests of this host for a snapshot.
-ASK_INTERVAL_S: Final = 5.0
-_log = logbook.Logger("configuration")
-
-
-class ConfigurationKeeper(BaseComponent):
-    """Keeps the configuration of this host."""
-
-    channel = BUS
-
-    # Stream of the log that carries the configuration.
-    _stream: str
-    # Deployments that are in force if the log never had a configuration.
-    _initial: tuple[Deployment, ...]
-    # The state.
-    _fold: ConfigurationFold
-    # Changes that operators wait for.
-    _changes: PendingChanges
-    # When to append a snapshot.
-    _schedule: SnapshotSchedule
-    # Whether the log answers.
-    _reachable: bool
-    # Revision that was posted last, or None before the first.
-    _posted_revision: int | None
-    # Status that was posted last.
-    _posted_status: ConfigurationStatus | None
-    # When a snapshot may be asked for again in the log, and of a peer.
-    _ask_log_s: float
-    _ask_peer_s: float
-
-    def __init__(
-        self, stream: str, retention_s: float, initial: tuple[Deployment, ...], rng: Random
-    ) -> None:
-        super().__init__()
-        self._stream = stream
-        self._initial = initial
-        self._fold = ConfigurationFold()
-        self._changes = PendingChanges()
-        self._schedule = SnapshotSchedule(retention_s, rng)
-        self._reachable = False
-        self._posted_revision = None
-        self._posted_status = None
-        self._ask_log_s = 0.0
-        self._ask_peer_s = 0.0
-
-    @property
-    def _up_to_date(self) -> bool:
-        return self._reachable and self._fold.up_to_date
-
-    @handler("started", channel="*")
-    def _on_started(self, event: started, *_: object) -> None:
-        post(self, StreamFollowRequested(self._stream, 1))
-
-    @handler("LogReachabilityChanged")
-    def _on_reachability(self, message: LogReachabilityChanged) -> None:
-        self._reachable = message.reachable
-        self._post_status()
-
-    @handler("RecordsRead")
-    def _on_records(self, message: RecordsRead) -> None:
-        if message.stream != self._stream:
-            return
-        page = Page(message.records, message.first_offset, message.next_offset)
-        progress = self._fold.on_page(page)
-        now_s = time.monotonic()
-        for outcome in progress.outcomes:
-            self._end_if_waiting(outcome)
-        self._note_for_schedule(progress, now_s)
-        self._put_in_force()
-        self._post_status()
-        if self._fold.caught_up and self._fold.gap:
-            self._ask_for_snapshot(now_s)
-
-    @handler("ConfigurationChangeRequested")
-    def _on_change_requested(self, message: ConfigurationChangeRequested) -> None:
-        change = message.change
-        outcome = decide_at_once(self._fold.state, self._up_to_date, change)
-        if outcome is None and message.dry_run:
-            revision = self._posted_revision or 0
-            outcome = ChangeOutcome(
-                change.change_id, ChangeStatus.ACCEPTED, revision, detail="dry run"
+
+STREAMING: Final = "streaming"
+IDEMPOTENT: Final = "idempotent"
+
+Fields = Mapping[str, object]
+
+
+class FieldError(ValueError):
+    """A field that is missing or of another type."""
+
+
+def decode_configuration(data: bytes) -> Result[RouteTable, str]:
+    """Returns the route table, or why the bytes are no configuration."""
+    try:
+        fields = _mapping(json.loads(data), "the configuration")
+        return Success(
+            make_route_table(
+                _integer(fields, "version"),
+                [_decode_route(_mapping(item, "a route")) for item in _items(fields, "routes")],
+                [_decode_pool(_mapping(item, "a service")) for item in _items(fields, "services")],
+                _decode_bounds(_mapping(fields.get("limits", {}), "limits")),
             )
-        if outcome is not None:
-            post(self, ConfigurationChangeEnded(outcome))
-            return
-        self._changes.add(change, time.monotonic())
-        self._append_change(change)
-
-    @handler("RecordAppendFailed")
-    def _on_append_failed(self, message: RecordAppendFailed) -> None:
-        outcome = self._changes.on_append_failed(
-            message.record_id, message.detail, self._fold.state
-        )
-        if outcome is not None:
-            post(self, ConfigurationChangeEnded(outcome))
-
-    @handler("RecordAppendUnsettled")
-    def _on_append_unsettled(self, message: RecordAppendUnsettled) -> None:
-        self._changes.on_append_unsettled(message.record_id, message.detail, time.monotonic())
-
-    @handler("PeerReceived")
-    def _on_peer(self, message: PeerReceived) -> None:
-        payload = message.payload
-        state = self._fold.state
-        if isinstance(payload, Heartbeat):
-            self._ask_peer_if_behind(message.host, payload.revision)
-        elif isinstance(payload, ConfigurationRequest):
-            if state is not None and state.offset > payload.offset:
-                offer = ConfigurationOffer(pack_snapshot(state))
-                post(self, PeerSendRequested(message.host, offer))
-        elif isinstance(payload, ConfigurationOffer):
-            self._take_offer(message.host, payload)
-
-    @handler("Tick")
-    def _on_tick(self, message: Tick) -> None:
-        for outcome in self._changes.give_up_overdue(self._fold.state, message.now_s):
-            post(self, ConfigurationChangeEnded(outcome))
-        if self._up_to_date and self._schedule.take_due(message.now_s):
-            self._append_snapshot()
-
-    def _end_if_waiting(self, outcome: ChangeOutcome) -> None:
-        if self._changes.on_read(outcome):
-            _log.info("change decided", change=outcome.change_id, status=outcome.status.value)
-            post(self, ConfigurationChangeEnded(outcome))
-
-    def _note_for_schedule(self, progress: Progress, now_s: float) -> None:
-        for seen in progress.snapshots:
-            self._schedule.on_snapshot(seen, now_s)
-        if self._fold.state is not None:
-            self._schedule.on_progress(self._fold.state, now_s)
-        if progress.wanted_offset and not self._fold.gap:
-            self._schedule.on_wanted(progress.wanted_offset, now_s)
-
-    def _put_in_force(self) -> None:
-        state = self._fold.state
-        if state is None or not self._fold.settled:
-            return
-        if state.revision > (self._posted_revision or 0):
-            self._posted_revision = state.revision
-            _log.info("configuration in force", revision=state.revision)
-            post(self, ConfigurationInForce(state.configuration()))
-        elif self._posted_revision is None and self._fold.up_to_date:
-            # The log was read to its end and never had a configuration.
-            self._posted_revision = 0
-            post(self, ConfigurationInForce(Configuration(deployments=self._initial)))
-
-    def _post_status(self) -> None:
-        status = ConfigurationStatus(
-            self._fold.state, self._up_to_date, self._fold.gap, self._reachable
         )
-        before = self._posted_status
-        if before == status:
-            return
-        self._posted_status = status
-        if status.gap and (before is None or not before.gap):
-            _log.warning("configuration records are missing; waiting for a snapshot")
-        post(self, status)
-
-    def _append(self, kind: str, record_id: str, fields: dict[str, object]) -> None:
-        record = NewRecord(record_id, kind, fields)
-        request = RecordAppendRequested(self._stream, record, give_up_after_s=APPEND_TIMEOUT_S)
-        post(self, request)
-
-    def _append_change(self, change: Change) -> None:
-        self._append(change.kind.value, change.change_id, change_fields(change))
-
-    def _append_snapshot(self) -> None:
-        state = self._fold.state
-        if state is not None:
-            self._append(SNAPSHOT_KIND, uuid.uuid4().hex, snapshot_to_json(state))
-
-    def _ask_for_snapshot(self, now_s: float) -> None:
-        if now_s >= self._ask_log_s:
-            self._ask_log_s = now_s + ASK_INTERVAL_S
-            self._append(SNAPSHOT_WANTED_KIND, uuid.uuid4().hex, {})
-
-    def _ask_peer_if_behind(self, host: str, revision: int) -> None:
-        state = self._fold.state
-        behind = state is None or state.revision < revision
-        now_s = time.monotonic()
-        if not behind or self._up_to_date or now_s < self._ask_peer_s:
-            return
-        self._ask_peer_s = now_s + ASK_INTERVAL_S
-        offset = state.offset if state is not None else 0
-        post(self, PeerSendRequested(host, ConfigurationRequest(offset)))
-
-    def _take_offer(self, host: str, offer: ConfigurationOffer) -> None:
-        value = unpack_snapshot(offer.snapshot)
-        if value is None:
-            _log.warning("malformed snapshot from a peer", peer=host)
-            return
-        progress = self._fold.on_snapshot(value)
-        for outcome in progress.outcomes:
-            self._end_if_waiting(outcome)
-        self._put_in_force()
-        self._post_status()
+    except (ValueError, RecursionError) as error:
+        return Failure(str(error))
+
+
+def _decode_route(fields: Fields) -> Route:
+    kind = _text(fields, "kind")
+    resumable = fields.get("resumable") is True
+    repeatable = kind == IDEMPOTENT or (kind == STREAMING and resumable)
+    objective_ms = _number(fields, "goalMs", 0.0)
+    timeout_ms = _number(fields, "timeoutMs")
+    return Route(
+        name=_text(fields, "name"),
+        host=_text(fields, "host").lower(),
+        path_prefix=_text(fields, "pathPrefix"),
+        shares=_decode_shares(fields),
+        repeat=RepeatRule.REPEATABLE if repeatable else RepeatRule.ONCE,
+        streaming=kind == STREAMING,
+        resumable=resumable,
+        max_attempts=max(1, _integer(fields, "maxAttempts", 1)),
+        timeout_s=timeout_ms / 1000.0,
+        objective_s=(objective_ms or timeout_ms) / 1000.0,
+        rank=min(LOWEST_RANK, max(0, _integer(fields, "priority", LOWEST_RANK))),
+    )
+
+
+def _decode_shares(fields: Fields) -> tuple[PoolShare, ...]:
+    # A route names one service, or a list of what it calls back ends: services with weights.
+    weighted = fields.get("backends")
+    if not weighted:
+        return (PoolShare(_text(fields, "service"), 1.0),)
+    shares = [_mapping(item, "a weighted service") for item in _items(fields, "backends")]
+    return tuple(PoolShare(_text(item, "service"), _number(item, "weight")) for item in shares)
+
+
+def _decode_pool(fields: Fields) -> Pool:
+    engine = fields.get("engine")
+    return Pool(
+        name=_text(fields, "name"),
+        max_connections=_integer(fields, "maxConns", 0),
+        engines=None if not engine else _decode_engines(_mapping(engine, "engine")),
+    )
+
+
+def _decode_engines(fields: Fields) -> EnginePool:
+    return EnginePool(
+        slots=_integer(fields, "slots"),
+        cache_tokens=_integer(fields, "kvCapTokens"),
+        token_bytes=_integer(fields, "kvTokenBytes", 0),
+        link_mbps=_number(fields, "linkMbps", 0.0),
+        handle_ttl_s=_number(fields, "handleTtlS", 0.0),
+        role_change_s=_number(fields, "roleSwitchS", 0.0),
+    )
+
+
+def _decode_bounds(fields: Fields) -> CallerBounds:
+    usual = CallerBounds()
+    return CallerBounds(
+        max_header_bytes=_integer(fields, "maxHeaderBytes", usual.max_header_bytes),
+        max_body_bytes=_integer(fields, "maxBodyBytes", usual.max_body_bytes),
+        header_timeout_s=_number(fields, "headerTimeoutMs", usual.header_timeout_s * 1e3) / 1e3,
+        idle_timeout_s=_number(fields, "idleTimeoutMs", usual.idle_timeout_s * 1e3) / 1e3,
+    )
+
+
+def _mapping(value: object, what: str) -> Fields:
+    if not isinstance(value, dict):
+        raise FieldError(f"{what} is no object")
+    return value
+
+
+def _items(fields: Fields, name: str) -> list[object]:
+    value = fields.get(name)
+    if not isinstance(value, list):
+        raise FieldError(f"{name} is no list")
+    return value
+
+
+def _text(fields: Fields, name: str) -> str:
+    value = fields.get(name)
+    if not isinstance(value, str):
+        raise FieldError(f"{name} is no text")
+    return value
+
+
+def _number(fields: Fields, name: str, default: float | None = None) -> float:
+    value = fields.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise FieldError(f"{name} is no number")
+    return float(value)
+
+
+def _integer(fields: Fields, name: str, default: int | None = None) -> int:
+    return int(_number(fields, name, default))
--- /dev/null
+++ b/berylquay/platform/names.py
@@ -0,0 +1,57 @@
+"""Names on the wire of the platform, each written once."""
+
+from typing import Final
+
+# Headers of a request that the caller sets and the backend server reads.
+ATTEMPT_ID: Final = b"attempt-id"
+DEADLINE_MS: Final = b"deadline-ms"
+MODEL: Final = b"model"
+# Prompt tokens and the most tokens to generate, not counts of tokens used.
+TOKEN_COUNTS: Final = b"token-counts"
+# The whole prompt as a list of its parts, not only its beginning.
+PROMPT_PARTS: Final = b"prompt-prefix"
+LAST_EVENT_ID: Final = b"last-event-id"
+
+# Headers of a request that only the system may set.
+EXPECT_INSTANCE: Final = b"expect-instance"
+EXPECT_VERSION: Final = b"expect-version"
+URGENCY: Final = b"urgency-level"
+STAGE: Final = b"stage"
+STAGE_PREFILL: Final = b"prefill"
+# Address of the engine that holds the KV cache, and the handle there.
+CACHE_SOURCE: Final = b"kv-source"
+SYSTEM_HEADERS: Final = frozenset(
+    {
+        EXPECT_INSTANCE,
+        EXPECT_VERSION,
+        URGENCY,
+        STAGE,
+        CACHE_SOURCE,
+        b"kv-hold",
+        b"kv-fetch",
+        b"kv-backup",
+        b"pin-ms",
+    }
+)
+
+# Headers of an answer.
+NOT_EXECUTED: Final = b"not-executed"
+# Signature of the backend server that ran the request.
+SIGNATURE: Final = b"server-seal"
+RETRY_AFTER: Final = b"retry-after"
+
+# Calls to engines.
+HANDLE_PATH: Final = "/kv-handle/"
+ORDER_PATH: Final = "/order"
+REPORT_PATH: Final = "/report"
+
+# Topics and keys of the store.
+TOPIC_CONFIGURATION: Final = "keyed.op"
+KEY_CONFIGURATION: Final = "config"
+TOPIC_BACKENDS: Final = "keyed.servers"
+# Topics of the project's own.
+TOPIC_HOSTS: Final = "keyed.hosts"
+TOPIC_AUTHORITY: Final = "authority"
+
+# Page that the balancer asks for.
+READY_PATH: Final = "/ready"
--- /dev/null
+++ b/berylquay/platform/requests.py
@@ -0,0 +1,235 @@
+"""Requests as callers send them and as backend servers get them, in the platform's headers."""
+
+import json
+from typing import Final
+
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from berylquay.decisions.fleet import Address, Role
+from berylquay.decisions.relay_call import Generation, PromptPart
+from berylquay.net.kept_http import Headers, RawHead, RawRequest
+from berylquay.platform import names
+
+MS_PER_S: Final = 1000.0
+STATUS_OTHER_SERVER: Final = 421
+# Headers that concern one connection only, and the length, which is set anew.
+_CONNECTION_HEADERS: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+_REPLACED: Final = frozenset({names.DEADLINE_MS}) | names.SYSTEM_HEADERS
+JSON_HEADER: Final = (b"content-type", b"application/json")
+
+
+@frozen
+class RequestFacts:
+    """What the headers of a caller's request say."""
+
+    # Id of this attempt of the caller; empty if it sent none.
+    call_id: str
+    # Time that the caller will wait, or None if it did not say.
+    deadline_s: float | None
+    # What is asked of a model, or None.
+    generation: Generation | None
+    # Newest event that the caller already has of a stream, or None.
+    resume_after: int | None
+
+
+@frozen
+class KeptPrompt:
+    """A prompt that an engine has read and keeps for another engine."""
+
+    engine: str
+    address: Address
+    # Name of the KV cache at that engine; good for one use.
+    handle: str
+    # Length of the prompt.
+    tokens: int
+
+
+@frozen
+class EngineOrder:
+    """An order to an engine to change its role."""
+
+    role: Role
+    # Name and fencing number of the holder of the authority.
+    holder: str
+    term: int
+    # Number of orders that the engine must have accepted so far.
+    expected_orders: int
+
+
+def decode_facts(headers: Headers) -> RequestFacts:
+    """Returns what the headers say; what can't be read counts as absent."""
+    values = dict(headers)
+    deadline_ms = _whole_number(values.get(names.DEADLINE_MS))
+    return RequestFacts(
+        call_id=values.get(names.ATTEMPT_ID, b"").decode("latin-1"),
+        deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
+        generation=_decode_generation(values),
+        resume_after=_whole_number(values.get(names.LAST_EVENT_ID)),
+    )
+
+
+def _decode_generation(values: dict[bytes, bytes]) -> Generation | None:
+    counts = values.get(names.TOKEN_COUNTS)
+    if counts is None:
+        return None
+    prompt, _, output = counts.partition(b",")
+    prompt_tokens = _whole_number(prompt)
+    if prompt_tokens is None:
+        return None
+    parts = _decode_parts(values.get(names.PROMPT_PARTS, b""))
+    model = values.get(names.MODEL, b"").decode("latin-1")
+    return Generation(model, prompt_tokens, _whole_number(output) or 0, parts)
+
+
+def _decode_parts(text: bytes) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in text.split(b","):
+        part_id, _, tokens = item.strip().partition(b":")
+        count = _whole_number(tokens)
+        if not part_id or count is None:
+            # Parts behind one that can't be read are not known to be shared.
+            break
+        parts.append(PromptPart(part_id.decode("latin-1"), count))
+    return tuple(parts)
+
+
+def _whole_number(text: bytes | None) -> int | None:
+    text = (text or b"").strip()
+    return int(text) if text.isdigit() else None
+
+
+@frozen
+class RunDetails:
+    """What the system adds to a request for one backend server."""
+
+    # Backend server that must run it.
+    backend: str
+    # Time that the backend server has.
+    left_s: float
+    # Rank of the request in an engine's queue, or None for a plain service.
+    urgency: int | None = None
+    # KV cache from which the run goes on, or None.
+    kept_prompt: KeptPrompt | None = None
+    # Newest event that the caller has, if another run's stream is continued.
+    resume_after: int | None = None
+
+
+def encode_run(
+    method: bytes, target: bytes, headers: Headers, body: bytes, details: RunDetails
+) -> RawRequest:
+    """Returns the request as a backend server gets it."""
+    return RawRequest(method, target, _run_headers(headers, body, details), body)
+
+
+def encode_prefill(
+    method: bytes, target: bytes, headers: Headers, body: bytes, details: RunDetails
+) -> RawRequest:
+    """Returns the request by which an engine reads the prompt and keeps its KV cache."""
+    run = _run_headers(headers, body, details)
+    return RawRequest(method, target, [*run, (names.STAGE, names.STAGE_PREFILL)], body)
+
+
+def encode_release(kept: KeptPrompt) -> RawRequest:
+    """Returns the call that frees a KV cache that nobody will fetch."""
+    target = f"{names.HANDLE_PATH}{kept.handle}".encode("latin-1")
+    headers = [(b"host", str(kept.address).encode()), (b"content-length", b"0")]
+    return RawRequest(b"DELETE", target, [*headers, _expect(kept.engine)])
+
+
+def encode_order(address: Address, engine: str, order: EngineOrder) -> RawRequest:
+    """Returns the call that gives an order to an engine."""
+    body = json.dumps(
+        {
+            "op": "phase",
+            "phase": order.role.value,
+            "holder": order.holder,
+            "fence": order.term,
+            "expected": order.expected_orders,
+        }
+    ).encode()
+    headers = [
+        (b"host", str(address).encode()),
+        (b"content-length", str(len(body)).encode()),
+        JSON_HEADER,
+        _expect(engine),
+    ]
+    return RawRequest(b"POST", names.ORDER_PATH.encode(), headers, body)
+
+
+def encode_report_request(address: Address, engine: str) -> RawRequest:
+    """Returns the call that asks an engine for its state."""
+    headers = [(b"host", str(address).encode()), _expect(engine)]
+    return RawRequest(b"GET", names.REPORT_PATH.encode(), headers)
+
+
+def _expect(backend: str) -> tuple[bytes, bytes]:
+    return names.EXPECT_INSTANCE, backend.encode("latin-1")
+
+
+def _run_headers(headers: Headers, body: bytes, details: RunDetails) -> Headers:
+    dropped = _CONNECTION_HEADERS | _REPLACED | _named_by_connection(headers)
+    if details.resume_after is not None:
+        dropped |= {names.LAST_EVENT_ID}
+    kept = [(name, value) for name, value in headers if name not in dropped]
+    left_ms = max(1, int(details.left_s * MS_PER_S))
+    kept += [(names.DEADLINE_MS, str(left_ms).encode()), _expect(details.backend)]
+    if body or any(name == b"content-length" for name, _ in headers):
+        kept.append((b"content-length", str(len(body)).encode()))
+    if details.urgency is not None:
+        kept.append((names.URGENCY, str(details.urgency).encode()))
+    if details.kept_prompt is not None:
+        source = f"{details.kept_prompt.address}/{details.kept_prompt.handle}"
+        kept.append((names.CACHE_SOURCE, source.encode("latin-1")))
+    if details.resume_after is not None:
+        kept.append((names.LAST_EVENT_ID, str(details.resume_after).encode()))
+    return kept
+
+
+def _named_by_connection(headers: Headers) -> frozenset[bytes]:
+    named = [value for name, value in headers if name == b"connection"]
+    tokens = frozenset(token.strip().lower() for value in named for token in value.split(b","))
+    # A caller can't take away what says which request it is.
+    return tokens - {names.ATTEMPT_ID, names.MODEL, names.TOKEN_COUNTS, names.PROMPT_PARTS, b"host"}
+
+
+def passed_headers(head: RawHead) -> Headers:
+    """Returns the headers of a backend server's answer that go on to the caller."""
+    dropped = (_CONNECTION_HEADERS - {b"content-length"}) | _named_by_connection(head.headers)
+    return [(name, value) for name, value in head.headers if name not in dropped]
+
+
+def says_not_run(head: RawHead) -> bool:
+    """Tells whether the backend server states that it did not run the request."""
+    return head.get(names.NOT_EXECUTED) is not None
+
+
+def is_other_server(head: RawHead) -> bool:
+    """Tells whether the address belongs to another backend server, or the stage is wrong."""
+    return head.status == STATUS_OTHER_SERVER
+
+
+def decode_kept_prompt(engine: str, address: Address, body: bytes) -> Result[KeptPrompt, str]:
+    """Returns what an engine says of the prompt that it has read."""
+    try:
+        fields = json.loads(body)
+        handle = fields["kvHandle"]
+        if not isinstance(handle, str) or not handle.isalnum():
+            return Failure(f"handle {handle!r}")
+        return Success(KeptPrompt(engine, address, handle, int(fields.get("tokens", 0))))
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        return Failure(f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/berylquay/platform/store.py
@@ -0,0 +1,285 @@
+"""Client of the platform's store: newest records of a topic, records from an offset, appends.
+
+Each lane is one kept connection that carries one call at a time, so that a call that waits at the
+store for new records holds up no other.
+"""
+
+import base64
+import binascii
+import json
+import struct
+import time
+from collections.abc import Callable, Sequence
+from typing import Final, Protocol
+from urllib.parse import quote
+
+from attrs import define, field, frozen
+
+from berylquay.decisions.fleet import Address
+from berylquay.errors import TransportError
+from berylquay.net.connections import Connections
+from berylquay.net.http_client import STATUS_OK
+from berylquay.net.kept_http import Headers, KeptConnection, RawHead, RawRequest
+from berylquay.verdicts import Verdict
+
+# Time in which the store answers a call that does not wait; several times its usual time, and more
+# than that of a store that answers fifty times as slowly.
+CALL_TIMEOUT_S: Final = 1.2
+# Largest answer that is taken: a page of newest records, or of records from an offset.
+MAX_ANSWER_BYTES: Final = 8_000_000
+READ_KB: Final = 1024
+STATUS_GONE: Final = 410
+STATUS_CONDITION_FAILED: Final = 412
+_OFFSETS: Final = struct.Struct(">QQ")
+_LENGTH: Final = struct.Struct(">I")
+
+
+@frozen
+class KeyedRecord:
+    """A record of a topic that keeps the newest value of each key."""
+
+    key: str
+    # Value, or None if the key was dropped.
+    value: bytes | None
+
+
+@frozen
+class NewestPage:
+    """A page of the newest record of each key."""
+
+    records: tuple[KeyedRecord, ...]
+    # Whether further pages follow behind the last key.
+    has_more: bool
+    # Offset behind the newest record of the topic.
+    end_offset: int
+
+
+@frozen
+class RecordPage:
+    """Records from an offset on."""
+
+    contents: tuple[bytes, ...]
+    # Offset of the first record of the page.
+    first_offset: int
+
+    @property
+    def next_offset(self) -> int:
+        """Returns the offset behind the last record of the page."""
+        return self.first_offset + len(self.contents)
+
+
+@frozen
+class Appended:
+    """An append that was carried out."""
+
+    # Offset of the first record.
+    offset: int
+
+
+@frozen
+class StoreFailure:
+    """A call that did not succeed."""
+
+    detail: str
+    # HTTP status, or 0 if there was no answer.
+    status: int
+    # Whether an append may have been carried out, or may yet be.
+    may_have_happened: bool
+
+    @property
+    def records_gone(self) -> bool:
+        """Tells whether the records that were asked for have been deleted."""
+        return self.status == STATUS_GONE
+
+    @property
+    def condition_failed(self) -> bool:
+        """Tells whether the topic had gone on past the required end."""
+        return self.status == STATUS_CONDITION_FAILED
+
+
+class _Decoder(Protocol):
+    def __call__(self, body: bytes) -> object: ...
+
+
+@define(eq=False)
+class _Call:
+    """The call that a lane carries."""
+
+    decode: _Decoder
+    on_result: Callable[[object], None]
+    give_up_s: float
+    status: int = 0
+    body: bytearray = field(factory=bytearray)
+
+
+class StoreLane:
+    """One connection to the store."""
+
+    _connections: Connections
+    _address: Address
+    _connection: KeptConnection | None
+    _call: _Call | None
+
+    def __init__(self, connections: Connections, address: Address) -> None:
+        self._connections = connections
+        self._address = address
+        self._connection = None
+        self._call = None
+
+    @property
+    def busy(self) -> bool:
+        """Tells whether a call is under way."""
+        return self._call is not None
+
+    def newest(
+        self, topic: str, after: str, on_result: Callable[[NewestPage | StoreFailure], None]
+    ) -> None:
+        """Asks for the newest record of each key behind a key."""
+        query = f"topic={topic}&part=0" + (f"&after={quote(after)}" if after else "")
+        self._send(b"GET", f"/log-newest?{query}", b"", decode=_decode_newest, on_result=on_result)
+
+    def read(
+        self,
+        topic: str,
+        offset: int,
+        wait_s: float,
+        on_result: Callable[[RecordPage | StoreFailure], None],
+    ) -> None:
+        """Asks for records from an offset on; waits for the first one for a limited time."""
+        target = f"/log-read?topic={topic}&part=0&source={offset}&maxKb={READ_KB}"
+        if wait_s > 0.0:
+            target += f"&waitMs={int(wait_s * 1000.0)}"
+
+        def decode(body: bytes) -> RecordPage:
+            return _decode_page(body, offset)
+
+        self._send(b"GET", target, b"", decode=decode, on_result=on_result, wait_s=wait_s)
+
+    def append(
+        self,
+        topic: str,
+        contents: Sequence[bytes],
+        on_result: Callable[[Appended | StoreFailure], None],
+        at_offset: int | None = None,
+    ) -> None:
+        """Appends records, if the topic ends at the offset where one is given."""
+        target = f"/log-append?topic={topic}&part=0"
+        if at_offset is not None:
+            target += f"&at={at_offset}"
+        body = b"".join(_LENGTH.pack(len(content)) + content for content in contents)
+        self._send(b"POST", target, body, decode=_decode_appended, on_result=on_result)
+
+    def on_tick(self, now_s: float) -> None:
+        """Gives up a call that takes too long."""
+        if self._call is not None and now_s >= self._call.give_up_s:
+            self._fail("no answer in time", self._may_have_happened())
+
+    def on_answer_head(self, head: RawHead) -> None:
+        """Takes the status."""
+        if self._call is not None:
+            self._call.status = head.status
+
+    def on_answer_data(self, data: bytes) -> None:
+        """Collects the body."""
+        if self._call is None:
+            return
+        self._call.body += data
+        if len(self._call.body) > MAX_ANSWER_BYTES:
+            self._fail("the answer is too large", may_have_happened=True)
+
+    def on_answer_end(self) -> None:
+        """Hands over the whole answer."""
+        call, self._call = self._call, None
+        if call is None:
+            return
+        if call.status != STATUS_OK:
+            detail = bytes(call.body[:200]).decode("utf-8", "replace")
+            call.on_result(StoreFailure(detail, call.status, may_have_happened=False))
+            return
+        try:
+            result = call.decode(bytes(call.body))
+        except (ValueError, KeyError, TypeError, struct.error, binascii.Error) as error:
+            result = StoreFailure(f"unreadable answer: {error!r}", 0, may_have_happened=True)
+        call.on_result(result)
+
+    def on_answer_broken(self, error: TransportError) -> None:
+        """Takes the loss of the connection."""
+        call, self._call = self._call, None
+        if call is not None:
+            sent = error.verdict is Verdict.MAY_HAVE_RUN
+            call.on_result(StoreFailure(error.detail, 0, may_have_happened=sent))
+
+    def _may_have_happened(self) -> bool:
+        return self._connection is not None and self._connection.verdict is Verdict.MAY_HAVE_RUN
+
+    def _send(
+        self,
+        method: bytes,
+        target: str,
+        body: bytes,
+        *,
+        decode: _Decoder,
+        on_result: Callable[..., None],
+        wait_s: float = 0.0,
+    ) -> None:
+        headers: Headers = [(b"host", str(self._address).encode())]
+        if method == b"POST":
+            headers.append((b"content-length", str(len(body)).encode()))
+        give_up_s = time.monotonic() + wait_s + CALL_TIMEOUT_S
+        self._call = _Call(decode, on_result, give_up_s)
+        if self._connection is None or self._connection.closed:
+            self._connection = KeptConnection(self._address, _ignore, _ignore, self._connections)
+        self._connection.start(RawRequest(method, target.encode(), headers, body), self)
+
+    def _fail(self, detail: str, may_have_happened: bool) -> None:
+        call, self._call = self._call, None
+        if self._connection is not None:
+            # A connection on which an answer was lost brings nothing more.
+            self._connection.close()
+        if call is not None:
+            call.on_result(StoreFailure(detail, 0, may_have_happened))
+
+
+def _ignore(_connection: KeptConnection) -> None:
+    """The lane keeps its connection itself."""
+
+
+def encode_keyed(key: str, value: bytes) -> bytes:
+    """Returns the content of a record with a key; an empty value drops the key."""
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
+def decode_keyed(content: bytes) -> KeyedRecord | None:
+    """Returns the record, or None if the content has no key."""
+    if not content or len(content) < 1 + content[0]:
+        return None
+    end = 1 + content[0]
+    key = content[1:end].decode("utf-8", "replace")
+    return KeyedRecord(key, content[end:] or None)
+
+
+def _decode_newest(body: bytes) -> NewestPage:
+    fields = json.loads(body)
+    records = tuple(
+        KeyedRecord(item["key"], base64.b64decode(item["value"])) for item in fields["items"]
+    )
+    return NewestPage(records, fields["hasMore"] is True, int(fields["endOffset"]))
+
+
+def _decode_page(body: bytes, asked_offset: int) -> RecordPage:
+    _end, first_kept = _OFFSETS.unpack_from(body)
+    contents = []
+    position = _OFFSETS.size
+    while position < len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        if position + length > len(body):
+            raise ValueError("a record is cut off")
+        contents.append(body[position : position + length])
+        position += length
+    return RecordPage(tuple(contents), max(asked_offset, first_kept))
+
+
+def _decode_appended(body: bytes) -> Appended:
+    return Appended(int(json.loads(body)["offset"]))
--- /dev/null
+++ b/berylquay/relay/beliefs.py
@@ -0,0 +1,113 @@
+"""Beliefs of a relay host from the store: the configuration in force and the backend servers."""
+
+from collections.abc import Callable
+
+import logbook
+from returns.result import Failure
+
+from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry, RegistryChange
+from berylquay.decisions.route_table import RouteTable
+from berylquay.platform.backend_entries import decode_backend_entry
+from berylquay.platform.configuration import decode_configuration
+from berylquay.platform.names import KEY_CONFIGURATION
+from berylquay.platform.store import KeyedRecord
+from berylquay.relay.follower import TopicUser
+
+_log = logbook.Logger("beliefs")
+
+
+class ConfigurationBelief(TopicUser):
+    """The newest configuration that this process has read; it never goes back."""
+
+    # What is in force, or None before the first.
+    table: RouteTable | None
+    # Told of each version that comes into force.
+    _on_change: Callable[[RouteTable], None]
+
+    def __init__(self, on_change: Callable[[RouteTable], None]) -> None:
+        self.table = None
+        self._on_change = on_change
+
+    def on_snapshot(self, records: dict[str, bytes], now_s: float) -> None:
+        """Takes the newest configuration."""
+        data = records.get(KEY_CONFIGURATION)
+        if data is not None:
+            self._take(data)
+
+    def on_record(self, record: KeyedRecord, now_s: float) -> None:
+        """Takes a newer configuration."""
+        if record.key == KEY_CONFIGURATION and record.value is not None:
+            self._take(record.value)
+
+    def _take(self, data: bytes) -> None:
+        decoded = decode_configuration(data)
+        before = None if self.table is None else self.table.version
+        if isinstance(decoded, Failure):
+            _log.error("unreadable configuration", detail=decoded.failure(), in_force=before)
+            return
+        table = decoded.unwrap()
+        if before is not None and table.version <= before:
+            if table.version < before:
+                _log.warning("outdated configuration", version=table.version, in_force=before)
+            return
+        self.table = table
+        _log.info("configuration in force", version=table.version, before=before)
+        self._on_change(table)
+
+
+class BackendsBelief(TopicUser):
+    """The backend servers that registered in the store."""
+
+    _registry: BackendRegistry
+    # Told of each change that matters.
+    _on_change: Callable[[RegistryChange], None]
+
+    def __init__(
+        self, registry: BackendRegistry, on_change: Callable[[RegistryChange], None]
+    ) -> None:
+        self._registry = registry
+        self._on_change = on_change
+
+    def on_snapshot(self, records: dict[str, bytes], now_s: float) -> None:
+        """Takes the newest entries of all backend servers."""
+        decoded = [self._decode(name, data) for name, data in records.items()]
+        entries = [entry for entry in decoded if entry is not None]
+        for change in self._registry.on_snapshot(entries, now_s):
+            self._tell(change)
+
+    def on_record(self, record: KeyedRecord, now_s: float) -> None:
+        """Takes a newer entry, or the removal of one."""
+        if record.value is None:
+            change = self._registry.on_removed(record.key, now_s)
+        else:
+            entry = self._decode(record.key, record.value)
+            change = None if entry is None else self._registry.on_entry(entry)
+        if change is not None:
+            self._tell(change)
+
+    def expire(self, now_s: float) -> None:
+        """Drops backend servers that did not register again after trouble of the store."""
+        for change in self._registry.expire(now_s):
+            self._tell(change)
+
+    def _decode(self, name: str, data: bytes) -> BackendEntry | None:
+        decoded = decode_backend_entry(name, data)
+        if isinstance(decoded, Failure):
+            _log.warning("unreadable entry", backend=name, detail=decoded.failure())
+            return None
+        return decoded.unwrap()
+
+    def _tell(self, change: RegistryChange) -> None:
+        after = change.after
+        _log.info(
+            "backend server gone" if after is None else "backend server",
+            backend=change.name,
+            pool=None if after is None else after.pool,
+            state=None if after is None else after.state.value,
+            role=None if after is None or after.role is None else after.role.value,
+            address=None if after is None else str(after.address),
+            data_centre=None if after is None else after.data_centre,
+            beat=None if after is None else after.beat,
+            restarted=change.restarted,
+        )
+        self._on_change(change)
--- /dev/null
+++ b/berylquay/relay/exchange.py
@@ -0,0 +1,671 @@
+"""An exchange: one request of a caller on its way to backend servers and back."""
+
+import time
+from collections.abc import Callable
+from typing import Final
+
+import logbook
+
+from berylquay.decisions.backend_registry import BackendEntry, EntryState
+from berylquay.decisions.engine_placement import Placement
+from berylquay.decisions.fleet import Role
+from berylquay.decisions.relay_admission import retry_after_s
+from berylquay.decisions.relay_call import RelayCall
+from berylquay.decisions.relay_fates import (
+    SURELY_NOT_RUN,
+    AttemptEnd,
+    may_try_again,
+    note_attempt_end,
+    refuse,
+)
+from berylquay.decisions.server_choice import choose_server
+from berylquay.net.kept_http import RawHead
+from berylquay.platform.names import RETRY_AFTER
+from berylquay.platform.requests import (
+    KeptPrompt,
+    RunDetails,
+    decode_kept_prompt,
+    encode_prefill,
+    encode_release,
+    encode_run,
+    passed_headers,
+)
+from berylquay.relay.caller_connection import CallerConnection, CallerRequest
+from berylquay.relay.event_stream import EventTracker, OversizedEventError
+from berylquay.relay.legs import FIRST_SERVER_ERROR, Leg
+from berylquay.relay.services import RelayServices
+from berylquay.verdicts import Refusal, RefusalReason, Verdict
+
+STATUS_OK: Final = 200
+STATUS_BAD_GATEWAY: Final = 502
+STATUS_UNAVAILABLE: Final = 503
+STATUS_GATEWAY_TIMEOUT: Final = 504
+# Largest answer of a plain service that is collected before it is passed on, so that one that
+# breaks off can still be asked for elsewhere.
+COLLECTED_BYTES: Final = 131072
+CONNECT_TIMED_OUT: Final = "the connection was not established in time"
+# Time beyond the deadline in which the backend server's own answer to it is awaited.
+DEADLINE_SLACK_S: Final = 0.1
+# A prompt that takes longer than this many times its prediction, and the time besides, is read
+# elsewhere.
+PREFILL_PATIENCE: Final = 3.0
+PREFILL_PATIENCE_S: Final = 0.5
+# Part of the time left that the backend server is given, so that its own last answer arrives.
+RANK_STEP: Final = 2
+HIGHEST_URGENCY: Final = 1
+LOWEST_URGENCY: Final = 9
+# Shared parts from this size on are told to the other hosts.
+TOLD_PART_TOKENS: Final = 1000
+_log = logbook.Logger("exchange")
+
+
+class _PrefillLegUser:
+    """Passes what a prefill leg hears on to its exchange."""
+
+    def __init__(self, exchange: "RelayExchange") -> None:
+        self._exchange = exchange
+        self._body = b""
+
+    def on_leg_head(self, leg: Leg, head: RawHead) -> None:
+        """Waits for the body."""
+
+    def on_leg_data(self, leg: Leg, data: bytes) -> None:
+        """Collects the body."""
+        self._body += data[: COLLECTED_BYTES - len(self._body)]
+
+    def on_leg_whole(self, leg: Leg) -> None:
+        """Passes on the whole answer."""
+        self._exchange.on_prefill_answer(leg, self._body)
+
+    def on_leg_failed(self, leg: Leg, end: AttemptEnd, detail: str) -> None:
+        """Passes on the failure."""
+        self._exchange.on_prefill_failed(leg, end, detail)
+
+
+class RelayExchange:
+    """Drives one call: places it, sends it, passes its answer on, and ends it once."""
+
+    call: RelayCall
+    caller: CallerConnection
+    # Whether the final answer was given, or the caller has left.
+    ended: bool
+    _services: RelayServices
+    _request: CallerRequest
+    # Told once when the exchange has ended.
+    _on_ended: Callable[["RelayExchange"], None]
+    # Leg that reads the prompt at another engine, while it is open.
+    _prefill_leg: Leg | None
+    # Leg on which the request runs, while it is open.
+    _run_leg: Leg | None
+    _placement: Placement | None
+    # Prompt that an engine keeps for this call and that was not handed over.
+    _kept_prompt: KeptPrompt | None
+    # Whether a prefill leg was sent.
+    _prefilled: bool
+    # Events passed on, for a stream that may be continued.
+    _tracker: EventTracker | None
+    # Answer that is collected before it is passed on, or None once it is passed on as it comes.
+    _collected: bytearray | None
+    # Monotonic time of the first byte of the body, or None before it.
+    _first_byte_s: float | None
+    # Engine whose backlog counts the prompt of the run.
+    _reading_at: str | None
+
+    def __init__(
+        self,
+        services: RelayServices,
+        caller: CallerConnection,
+        request: CallerRequest,
+        call: RelayCall,
+        *,
+        resume_after: int | None,
+        on_ended: Callable[["RelayExchange"], None],
+    ) -> None:
+        self.call = call
+        self.ended = False
+        self._services = services
+        self.caller = caller
+        self._request = request
+        self._on_ended = on_ended
+        self._prefill_leg = None
+        self._run_leg = None
+        self._placement = None
+        self._kept_prompt = None
+        self._prefilled = False
+        self._tracker = EventTracker(resume_after) if call.route.resumable else None
+        self._collected = None
+        self._first_byte_s = None
+        self._reading_at = None
+
+    def begin(self, now_s: float) -> None:
+        """Places the call, or refuses it at once."""
+        self._services.retries.on_offered(self.call.pool.name, now_s)
+        if self.call.pool.engines is not None and self.call.generation is not None:
+            self._place_generation(now_s, first=True)
+        else:
+            self._send_to_server(now_s)
+
+    def cancel(self, now_s: float) -> None:
+        """Stops all work for a caller that has left."""
+        if not self.ended:
+            self._end(now_s, "caller-gone")
+
+    def on_tick(self, now_s: float) -> None:
+        """Ends what takes too long."""
+        call = self.call
+        if now_s >= call.deadline_s + DEADLINE_SLACK_S:
+            self._give_up_at_deadline(now_s)
+            return
+        for leg in (self._run_leg, self._prefill_leg):
+            if leg is not None and leg.is_stuck_connecting(now_s):
+                leg.cancel()
+                self._fail_leg(leg, AttemptEnd.NOT_SENT, CONNECT_TIMED_OUT, now_s)
+                return
+        leg, placement = self._prefill_leg, self._placement
+        if leg is not None and placement is not None:
+            patience_s = placement.first_token_s * PREFILL_PATIENCE + PREFILL_PATIENCE_S
+            if now_s - leg.started_s > patience_s:
+                leg.cancel()
+                self._fail_leg(leg, AttemptEnd.BROKEN, "the prompt was not read in time", now_s)
+
+    def on_caller_ready(self) -> None:
+        """Reads on from the backend server."""
+        if self._run_leg is not None:
+            self._run_leg.hold_back(held=False)
+
+    # Placing.
+
+    def _place_generation(self, now_s: float, first: bool) -> None:
+        call, services = self.call, self._services
+        generation = call.generation
+        if generation is None:
+            return
+        engines = self._usable_engines(now_s)
+        placement = services.placement.place(generation, call.route.rank, engines, now_s)
+        if placement is None:
+            self._refuse(RefusalReason.NO_BACKEND, "no engine makes tokens", now_s)
+            return
+        come_back_s = retry_after_s(call, placement.first_token_s, services.admission, now_s)
+        if first and come_back_s is not None:
+            self._log_placement(placement, "refused", now_s)
+            self._refuse(
+                RefusalReason.OVERLOADED, "the first token would be too late", now_s, come_back_s
+            )
+            return
+        self._placement = placement
+        self._log_placement(placement, "placed", now_s)
+        has_room = services.retries.has_room(call.pool.name, now_s)
+        if placement.prefill is not None and not self._prefilled and has_room:
+            self._send_prefill(placement.prefill, placement, now_s)
+        else:
+            self._send_run(placement.decode, None, now_s)
+
+    def _usable_engines(self, now_s: float) -> list[BackendEntry]:
+        """Returns the engines that may be sent this call."""
+        services, call = self._services, self.call
+        attempts_left = call.route.max_attempts - len(set(call.sent_to))
+        engines = [
+            engine
+            for engine in services.registry.in_pool(call.pool.name)
+            if not services.health.is_paused(engine.name, now_s)
+        ]
+        return [
+            engine
+            for engine in engines
+            if engine.role is Role.PREFILL
+            or (engine.name not in call.sent_to if attempts_left else engine.name in call.sent_to)
+        ]
+
+    def _send_to_server(self, now_s: float) -> None:
+        call, services = self.call, self._services
+        server = choose_server(
+            services.registry.in_pool(call.pool.name),
+            call.sent_to,
+            under_way=services.under_way,
+            health=services.health,
+            distances=services.distances,
+            rng=services.rng,
+            now_s=now_s,
+        )
+        if server is None:
+            self._refuse(RefusalReason.NO_BACKEND, "no backend server is left to try", now_s)
+            return
+        self._send_run(server, None, now_s)
+
+    # Sending.
+
+    def _send_prefill(self, engine: BackendEntry, placement: Placement, now_s: float) -> None:
+        call, services = self.call, self._services
+        self._prefilled = True
+        details = self._details(engine, now_s)
+        request = self._request
+        raw = encode_prefill(request.method, request.target, request.headers, request.body, details)
+        services.backlog.add_prompt(
+            engine.name, call.call_id, placement.tokens_to_read, call.route.rank
+        )
+        connection = services.connections.take(engine, False, now_s)
+        self._prefill_leg = Leg(
+            _PrefillLegUser(self), engine, connection, raw, call_id=call.call_id, now_s=now_s
+        )
+
+    def _send_run(self, backend: BackendEntry, kept: KeptPrompt | None, now_s: float) -> None:
+        call, services = self.call, self._services
+        if call.sent_to:
+            services.retries.spend(call.pool.name, now_s)
+        call.sent_to.append(backend.name)
+        resume_after = None
+        if self._tracker is not None and self.caller.head_sent:
+            resume_after = self._tracker.newest_id
+        details = self._details(backend, now_s, kept, resume_after)
+        request = self._request
+        raw = encode_run(request.method, request.target, request.headers, request.body, details)
+        self._kept_prompt = None
+        if call.generation is not None and call.pool.engines is not None:
+            services.backlog.add_stream(backend.name, call.call_id)
+            if kept is None:
+                tokens = self._tokens_to_read(backend, now_s)
+                self._reading_at = backend.name
+                services.backlog.add_prompt(backend.name, call.call_id, tokens, call.route.rank)
+        else:
+            services.under_way[backend.name] += 1
+        connection = services.connections.take(backend, not call.route.repeatable, now_s)
+        self._run_leg = Leg(self, backend, connection, raw, call_id=call.call_id, now_s=now_s)
+
+    def _tokens_to_read(self, engine: BackendEntry, now_s: float) -> int:
+        generation = self.call.generation
+        if generation is None:
+            return 0
+        cached = self._services.locations.cached_tokens(engine.name, generation.parts, now_s)
+        return max(1, generation.prompt_tokens - cached)
+
+    def _details(
+        self,
+        backend: BackendEntry,
+        now_s: float,
+        kept: KeptPrompt | None = None,
+        resume_after: int | None = None,
+    ) -> RunDetails:
+        call = self.call
+        urgency = None
+        if call.generation is not None:
+            urgency = min(LOWEST_URGENCY, HIGHEST_URGENCY + RANK_STEP * call.route.rank)
+        return RunDetails(backend.name, call.left_s(now_s), urgency, kept, resume_after)
+
+    # Prompts read at another engine.
+
+    def on_prefill_answer(self, leg: Leg, body: bytes) -> None:
+        """Hands the prompt over to an engine that makes tokens."""
+        now_s = time.monotonic()
+        if self.ended:
+            return
+        head = leg.head
+        decoded = decode_kept_prompt(leg.backend.name, leg.backend.address, body)
+        kept = decoded.value_or(None)
+        if head is None or head.status != STATUS_OK or kept is None:
+            self._fail_leg(leg, AttemptEnd.FAILED, "no handle for the prompt", now_s)
+            return
+        self._prefill_leg = None
+        self._note_prompt_read(leg, now_s)
+        self._kept_prompt = kept
+        decoder = self._decoder_for(leg.backend, now_s)
+        if decoder is None:
+            self._refuse(RefusalReason.NO_BACKEND, "no engine makes tokens", now_s)
+            return
+        self._send_run(decoder, kept, now_s)
+
+    def on_prefill_failed(self, leg: Leg, end: AttemptEnd, detail: str) -> None:
+        """Lets an engine that makes tokens read the prompt itself."""
+        if not self.ended:
+            self._fail_leg(leg, end, detail, time.monotonic())
+
+    def _decoder_for(self, reader: BackendEntry, now_s: float) -> BackendEntry | None:
+        generation = self.call.generation
+        decoders = [e for e in self._usable_engines(now_s) if e.role is not Role.PREFILL]
+        if generation is None:
+            return None
+        return self._services.placement.decoder_for(reader, generation, decoders, now_s)
+
+    def _note_prompt_read(self, leg: Leg, now_s: float) -> None:
+        services, call = self._services, self.call
+        services.backlog.remove_prompt(leg.backend.name, call.call_id)
+        services.health.on_answered(leg.backend.name)
+        services.measures.on_attempt_ended(call.pool.name, "prompt-read")
+        self._note_parts(leg.backend.name, now_s)
+        if self._placement is not None:
+            expected_s = self._placement.first_token_s
+            services.speeds.on_read(leg.backend.name, expected_s, now_s - leg.started_s)
+
+    def _note_parts(self, engine: str, now_s: float) -> None:
+        """Takes note of what an engine keeps from now on."""
+        generation = self.call.generation
+        if generation is None:
+            return
+        for part in generation.parts:
+            self._services.locations.on_used(part.part_id, engine, now_s)
+        for part in generation.parts[:-1]:
+            if part.tokens >= TOLD_PART_TOKENS:
+                self._services.new_parts.append((part.part_id, engine))
+
+    # The answer.
+
+    def on_leg_head(self, leg: Leg, head: RawHead) -> None:
+        """Begins to collect the answer, or to pass it on."""
+        streams = self.call.route.streaming and head.status < FIRST_SERVER_ERROR
+        if not streams:
+            self._collected = bytearray()
+
+    def on_leg_data(self, leg: Leg, data: bytes) -> None:
+        """Passes on a piece of the answer."""
+        if self.ended:
+            return
+        if self._first_byte_s is None:
+            self._note_first_byte(leg)
+        if self._collected is not None:
+            self._collected += data
+            if len(self._collected) <= COLLECTED_BYTES:
+                return
+            data, self._collected = bytes(self._collected), None
+        if self._tracker is not None:
+            try:
+                data = self._tracker.feed(data)
+            except OversizedEventError:
+                leg.cancel()
+                self._fail_leg(leg, AttemptEnd.BROKEN, "oversized event", time.monotonic())
+                return
+        self._pass_on(leg, data)
+
+    def _pass_on(self, leg: Leg, data: bytes) -> None:
+        if not data:
+            return
+        self._start_answer(leg)
+        if not self.caller.send(data):
+            leg.hold_back(held=True)
+
+    def _start_answer(self, leg: Leg) -> None:
+        head = leg.head
+        if head is not None and not self.caller.head_sent:
+            headers = passed_headers(head)
+            if self._tracker is not None and self.call.route.streaming:
+                # A length would not hold for a stream that another run continues.
+                headers = [item for item in headers if item[0] != b"content-length"]
+            self.caller.start_answer(head.status, head.reason, headers)
+
+    def on_leg_whole(self, leg: Leg) -> None:
+        """Ends the answer, or asks elsewhere after a failure."""
+        now_s = time.monotonic()
+        head = leg.head
+        if self.ended or head is None:
+            return
+        failed = head.status >= FIRST_SERVER_ERROR
+        self._release_leg(leg)
+        if failed and self._ask_elsewhere(leg, AttemptEnd.FAILED, f"status {head.status}", now_s):
+            return
+        if self._tracker is not None and self._tracker.has_partial_event:
+            self._fail_run(leg, AttemptEnd.BROKEN, "the stream ended within an event", now_s)
+            return
+        if not failed:
+            self._services.health.on_answered(leg.backend.name)
+            self._services.suspects.clear(self.call.fingerprint)
+        self._services.measures.on_attempt_ended(self.call.pool.name, "answered")
+        body, self._collected = self._collected, None
+        self._start_answer(leg)
+        if body:
+            self.caller.send(bytes(body))
+        # The exchange ends first: ending the answer may bring the caller's next request.
+        self._end(now_s, "failed-at-backend" if failed else "answered", leg.backend.name)
+        self.caller.end_answer()
+
+    def on_leg_failed(self, leg: Leg, end: AttemptEnd, detail: str) -> None:
+        """Asks elsewhere, or gives up."""
+        if not self.ended:
+            self._fail_leg(leg, end, detail, time.monotonic())
+
+    def _note_first_byte(self, leg: Leg) -> None:
+        now_s = self._first_byte_s = time.monotonic()
+        predicted_s = None
+        if self._placement is not None:
+            predicted_s = self._placement.first_token_s
+        elapsed_s = now_s - self.call.received_s
+        self._services.measures.on_first_byte(self.call.route.name, elapsed_s, predicted_s)
+        if self._reading_at is not None:
+            self._services.backlog.remove_prompt(self._reading_at, self.call.call_id)
+            self._note_parts(self._reading_at, now_s)
+            if predicted_s is not None:
+                self._services.speeds.on_read(self._reading_at, predicted_s, now_s - leg.started_s)
+            self._reading_at = None
+
+    # Failures.
+
+    def _fail_leg(self, leg: Leg, end: AttemptEnd, detail: str, now_s: float) -> None:
+        if leg is self._prefill_leg:
+            self._fail_prefill(leg, end, detail, now_s)
+        else:
+            self._release_leg(leg)
+            self._fail_run(leg, end, detail, now_s)
+
+    def _fail_prefill(self, leg: Leg, end: AttemptEnd, detail: str, now_s: float) -> None:
+        self._prefill_leg = None
+        services, call = self._services, self.call
+        services.backlog.remove_prompt(leg.backend.name, call.call_id)
+        self._note_failure(leg, end, detail, "prefill", now_s)
+        if end is not AttemptEnd.NOT_SENT:
+            # A call that failed counts as an extra arrival.
+            services.retries.spend(call.pool.name, now_s)
+        self._place_generation(now_s, first=False)
+
+    def _fail_run(self, leg: Leg, end: AttemptEnd, detail: str, now_s: float) -> None:
+        if not self._ask_elsewhere(leg, end, detail, now_s):
+            self._give_up_after(end, detail, now_s)
+
+    def _ask_elsewhere(self, leg: Leg, end: AttemptEnd, detail: str, now_s: float) -> bool:
+        """Sends the call to another backend server, if that is allowed."""
+        call, services = self.call, self._services
+        self._note_failure(leg, end, detail, "run", now_s)
+        if end is AttemptEnd.NOT_SENT and call.sent_to:
+            call.sent_to.pop()
+        note_attempt_end(call, end)
+        has_budget = services.retries.has_room(call.pool.name, now_s)
+        if self.caller.head_sent and not self._may_continue():
+            return False
+        if not may_try_again(call, end, has_budget, now_s, services.attempts):
+            return False
+        self._collected = None
+        if self._tracker is not None:
+            self._tracker.drop_partial_event()
+        if call.generation is not None and call.pool.engines is not None:
+            if not any(e.role is not Role.PREFILL for e in self._usable_engines(now_s)):
+                return False
+            self._place_generation(now_s, first=False)
+        else:
+            if not self._has_untried_server():
+                return False
+            self._send_to_server(now_s)
+        return True
+
+    def _may_continue(self) -> bool:
+        tracker = self._tracker
+        return tracker is not None and tracker.newest_id is not None
+
+    def _has_untried_server(self) -> bool:
+        servers = self._services.registry.in_pool(self.call.pool.name)
+        return any(server.name not in self.call.sent_to for server in servers)
+
+    def _note_failure(
+        self, leg: Leg, end: AttemptEnd, detail: str, stage: str, now_s: float
+    ) -> None:
+        services, call = self._services, self.call
+        name = leg.backend.name
+        pause_s = 0.0
+        if end is AttemptEnd.NOT_SENT:
+            pause_s = services.health.on_unreachable(name, now_s)
+        elif end in (AttemptEnd.BROKEN, AttemptEnd.FAILED):
+            services.health.on_failed(name)
+        if end is AttemptEnd.BROKEN:
+            services.suspects.on_lost(name, frozenset({call.fingerprint}), now_s)
+            services.new_losses.append((call.fingerprint, name))
+        services.measures.on_attempt_ended(call.pool.name, end.value)
+        entry = services.registry.get(name)
+        _log.info(
+            "attempt failed",
+            id=call.call_id,
+            stage=stage,
+            backend=name,
+            end=end.value,
+            detail=detail,
+            after_ms=_ms(now_s - leg.started_s),
+            failure_rate=round(services.health.failure_rate(name), 3),
+            paused_ms=_ms(pause_s),
+            leaving=entry is None or entry.state is EntryState.LEAVING,
+        )
+
+    def _give_up_after(self, end: AttemptEnd, detail: str, now_s: float) -> None:
+        reason = RefusalReason.OVERLOADED if end in SURELY_NOT_RUN else RefusalReason.BACKEND_FAILED
+        self._refuse(reason, detail, now_s)
+
+    def _give_up_at_deadline(self, now_s: float) -> None:
+        leg = self._run_leg
+        if leg is not None and leg.may_have_run:
+            self.call.may_have_run = True
+        self._refuse(RefusalReason.DEADLINE, "the time is over", now_s)
+
+    def _refuse(
+        self,
+        reason: RefusalReason,
+        detail: str,
+        now_s: float,
+        come_back_s: float | None = None,
+    ) -> None:
+        """Gives the final answer to a call that is given up."""
+        default_s = self._services.attempts.retry_after_s
+        refusal = refuse(self.call, reason, detail, come_back_s or default_s)
+        head_sent = self.caller.head_sent
+        self._end(now_s, f"refused-{reason.value}", verdict=refusal.verdict, detail=detail)
+        if head_sent:
+            # The answer has begun; it must not look complete.
+            self.caller.abort()
+        else:
+            send_refusal(self.caller, refusal)
+
+    # The end.
+
+    def _release_leg(self, leg: Leg) -> None:
+        """Takes the leg's work off the books."""
+        services, call = self._services, self.call
+        if leg is self._run_leg:
+            self._run_leg = None
+        if call.generation is not None and call.pool.engines is not None:
+            services.backlog.remove_stream(leg.backend.name, call.call_id)
+            services.backlog.remove_prompt(leg.backend.name, call.call_id)
+            self._reading_at = None
+        else:
+            services.under_way[leg.backend.name] -= 1
+
+    def _end(
+        self,
+        now_s: float,
+        outcome: str,
+        backend: str = "",
+        verdict: Verdict | None = None,
+        detail: str = "",
+    ) -> None:
+        call = self.call
+        self.ended = True
+        self._stop_legs(now_s)
+        total_s = now_s - call.received_s
+        self._services.measures.on_call_ended(call.route.name, outcome, total_s)
+        first_s = None if self._first_byte_s is None else self._first_byte_s - call.received_s
+        _log.info(
+            "call ended",
+            id=call.call_id,
+            route=call.route.name,
+            outcome=outcome,
+            verdict="" if verdict is None else verdict.value,
+            detail=detail,
+            backend=backend,
+            sent_to=call.sent_to,
+            first_ms=None if first_s is None else _ms(first_s),
+            total_ms=_ms(total_s),
+            left_ms=_ms(call.left_s(now_s)),
+            returning=call.returning,
+        )
+        self._on_ended(self)
+
+    def _stop_legs(self, now_s: float) -> None:
+        prefill, run = self._prefill_leg, self._run_leg
+        if prefill is not None:
+            prefill.cancel()
+            self._services.backlog.remove_prompt(prefill.backend.name, self.call.call_id)
+            self._prefill_leg = None
+        if run is not None:
+            run.cancel()
+            self._release_leg(run)
+        if self._kept_prompt is not None:
+            release_prompt(self._services, self._kept_prompt, now_s)
+            self._kept_prompt = None
+
+    def _log_placement(self, placement: Placement, outcome: str, now_s: float) -> None:
+        call = self.call
+        generation = call.generation
+        _log.info(
+            "generation " + outcome,
+            id=call.call_id,
+            route=call.route.name,
+            reader=None if placement.prefill is None else placement.prefill.name,
+            decoder=placement.decode.name,
+            predicted_ms=_ms(placement.first_token_s),
+            objective_ms=_ms(call.route.objective_s),
+            to_read=placement.tokens_to_read,
+            prompt=0 if generation is None else generation.prompt_tokens,
+            waiting=self._services.backlog.waiting_tokens(
+                (placement.prefill or placement.decode).name, call.route.rank, now_s
+            ),
+            returning=call.returning,
+        )
+
+
+class _ReleaseUser:
+    """Hears whether a KV cache was freed."""
+
+    def __init__(self, engine: str) -> None:
+        self._engine = engine
+
+    def on_leg_head(self, leg: Leg, head: RawHead) -> None:
+        """Waits for the end."""
+
+    def on_leg_data(self, leg: Leg, data: bytes) -> None:
+        """Ignores the body."""
+
+    def on_leg_whole(self, leg: Leg) -> None:
+        """Does nothing: the cache is free."""
+
+    def on_leg_failed(self, leg: Leg, end: AttemptEnd, detail: str) -> None:
+        """Leaves the cache to its expiry."""
+        _log.info("prompt not freed", engine=self._engine, end=end.value, detail=detail)
+
+
+def release_prompt(services: RelayServices, kept: KeptPrompt, now_s: float) -> None:
+    """Frees a KV cache that nobody will fetch."""
+    entry = services.registry.get(kept.engine)
+    if entry is None:
+        return
+    connection = services.connections.take(entry, False, now_s)
+    Leg(_ReleaseUser(kept.engine), entry, connection, encode_release(kept), call_id="", now_s=now_s)
+
+
+def send_refusal(caller: CallerConnection, refusal: Refusal) -> None:
+    """Answers a call that was given up, with what is known of whether it ran."""
+    headers = [(b"content-type", b"text/plain; charset=utf-8")]
+    if refusal.verdict is Verdict.NOT_RUN:
+        status = STATUS_UNAVAILABLE
+        if refusal.retry_after_s is not None:
+            headers.append((RETRY_AFTER, f"{refusal.retry_after_s:.2f}".encode()))
+    elif refusal.reason is RefusalReason.DEADLINE:
+        status = STATUS_GATEWAY_TIMEOUT
+    else:
+        status = STATUS_BAD_GATEWAY
+    body = f"{refusal.reason.value}: {refusal.detail}\n".encode("latin-1", "replace")
+    caller.answer(status, b"", headers, body)
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * 1000.0)
--- /dev/null
+++ b/berylquay/relay/host.py
@@ -0,0 +1,322 @@
+"""A relay host: puts the components together and runs it from start to graceful stop."""
+
+import signal
+import time
+from random import Random
+from typing import Final
+
+import logbook
+from circuits import BaseComponent, handler
+
+from berylquay.decisions.backend_health import BackendHealth, HealthLimits
+from berylquay.decisions.backend_registry import BackendRegistry, RegistryChange
+from berylquay.decisions.engine_backlog import EngineBacklog
+from berylquay.decisions.engine_placement import (
+    EngineSpeeds,
+    Place,
+    PlacementOptions,
+    PredictedPlacement,
+)
+from berylquay.decisions.fleet import Address, Role
+from berylquay.decisions.part_locations import PartLocations
+from berylquay.decisions.route_table import RouteTable
+from berylquay.decisions.server_choice import Distances
+from berylquay.decisions.shared_retries import RetryBounds, SharedRetries
+from berylquay.decisions.suspects import SuspectLedger, SuspectLimits
+from berylquay.messages import StopRequested, Tick
+from berylquay.net.bus import BUS
+from berylquay.net.connections import Connections
+from berylquay.net.listener import Listener
+from berylquay.net.loop import Loop
+from berylquay.net.ticker import Ticker
+from berylquay.platform.names import (
+    READY_PATH,
+    TOPIC_BACKENDS,
+    TOPIC_CONFIGURATION,
+)
+from berylquay.platform.store import (
+    StoreLane,
+)
+from berylquay.relay.backend_pool import BackendPool
+from berylquay.relay.beliefs import BackendsBelief, ConfigurationBelief
+from berylquay.relay.desk import Desk, DeskOptions
+from berylquay.relay.follower import FollowTimes, TopicFollower
+from berylquay.relay.host_list import HostList
+from berylquay.relay.load_reports import LoadReport, LoadReports
+from berylquay.relay.log_lines import LogLines
+from berylquay.relay.measures import RelayMeasures
+from berylquay.relay.pages import STATUS_OK, Page, PageConnection
+from berylquay.relay.services import RelayServices
+from berylquay.settings.relay_file import RelayOptions
+
+METRICS_PATH: Final = b"/metrics"
+TEXT: Final = b"text/plain; charset=utf-8"
+STATUS_UNAVAILABLE: Final = 503
+# The configuration changes rarely: a read waits at the store until it does. The wait and the time
+# that a silent connection takes to be found out stay within the time to apply a change.
+CONFIGURATION_TIMES: Final = FollowTimes(wait_s=1.2, interval_s=0.05)
+# Backend servers renew their entries all the time: waiting would return at once.
+BACKENDS_TIMES: Final = FollowTimes(wait_s=0.8, interval_s=0.9)
+# Descriptors that are kept for files and for connections to backend servers.
+RESERVED_SOCKETS: Final = 700
+# Time from the stop signal until new requests are refused: the balancer has taken the host out
+# after two misses, a second apart, and its last connections have come.
+ACCEPT_SHARE: Final = 0.55
+# Time from the stop signal until the process ends at the latest.
+END_SHARE: Final = 0.94
+# Shortest time that a stopping host goes on, so that the balancer's last connections are served.
+LEAST_STOP_S: Final = 3.2
+# Memory of contents under which servers were lost: some attempts of a caller.
+LOSS_MEMORY_S: Final = 20.0
+# Interval at which the limits of time of connections and exchanges are checked.
+CHECK_INTERVAL_S: Final = 0.025
+_log = logbook.Logger("host")
+
+
+class RelayHost(BaseComponent):
+    """The process: ticks its parts, hears signals, says whether it is ready."""
+
+    channel = BUS
+
+    _options: RelayOptions
+    _loop: Loop
+    _log_lines: LogLines
+    _desk: Desk
+    _services: RelayServices
+    _configuration: ConfigurationBelief
+    _configuration_follower: TopicFollower
+    _backends: BackendsBelief
+    _backends_follower: TopicFollower
+    _reports: LoadReports
+    _hosts: HostList
+    # Monotonic time of the stop signal, or None.
+    _stop_s: float | None
+    _closed: bool
+
+    def __init__(self, options: RelayOptions, log_lines: LogLines) -> None:
+        super().__init__()
+        self._options = options
+        self._log_lines = log_lines
+        self._loop = Loop()
+        self._stop_s = None
+        self._closed = False
+        connections = Connections(self._loop).register(self._loop)
+        rng = Random()
+        self._services = self._make_services(connections, rng)
+        self._configuration = ConfigurationBelief(self._on_configuration)
+        self._backends = BackendsBelief(self._services.registry, self._on_backend)
+        self._make_store_readers(connections, rng)
+        self._make_reports()
+        self._desk = Desk(
+            connections, self._services, self._configuration, self._make_desk_options()
+        )
+        self._listen(connections)
+        Ticker().register(self._loop)
+        self.register(self._loop)
+
+    def run(self) -> None:
+        """Runs until the process was told to stop and has ended its work."""
+        signal.signal(signal.SIGHUP, self._on_hangup)
+        options = self._options
+        _log.info("start", host=options.host, callers=str(options.callers_address))
+        self._loop.run()
+        self._log_lines.flush()
+
+    # Assembly.
+
+    def _make_services(self, connections: Connections, rng: Random) -> RelayServices:
+        options = self._options
+        bounds = options.bounds
+        place = Place(options.data_centre, options.region)
+        backlog, locations, speeds = EngineBacklog(), PartLocations(), EngineSpeeds()
+        return RelayServices(
+            registry=BackendRegistry(),
+            health=BackendHealth(HealthLimits()),
+            retries=SharedRetries(
+                RetryBounds(bounds.retry_ratio, bounds.retry_window_s, bounds.retry_extra)
+            ),
+            backlog=backlog,
+            locations=locations,
+            speeds=speeds,
+            placement=PredictedPlacement(
+                PlacementOptions(), place, options.regions, backlog, locations, speeds
+            ),
+            distances=Distances(place, options.regions),
+            suspects=SuspectLedger(SuspectLimits(memory_s=LOSS_MEMORY_S)),
+            connections=BackendPool(connections),
+            measures=RelayMeasures(),
+            rng=rng,
+        )
+
+    def _make_store_readers(self, connections: Connections, rng: Random) -> None:
+        address = self._options.store_address
+        self._configuration_follower = TopicFollower(
+            TOPIC_CONFIGURATION,
+            CONFIGURATION_TIMES,
+            StoreLane(connections, address),
+            self._configuration,
+            rng,
+            time.monotonic,
+        )
+        self._backends_follower = TopicFollower(
+            TOPIC_BACKENDS,
+            BACKENDS_TIMES,
+            StoreLane(connections, address),
+            self._backends,
+            rng,
+            time.monotonic,
+        )
+        self._hosts = HostList(
+            StoreLane(connections, address), self._options, rng, self._on_known_host
+        )
+
+    def _make_reports(self) -> None:
+        options = self._options
+        self._reports = LoadReports(
+            self._loop,
+            host=options.host,
+            data_centre=options.data_centre,
+            address=options.peers_address,
+            make_loads=self._services.backlog.own_loads,
+            on_report=self._on_report,
+            clock=time.monotonic,
+        ).register(self._loop)
+
+    def _make_desk_options(self) -> DeskOptions:
+        options = self._options
+        return DeskOptions(
+            max_connections=max(64, options.max_sockets - RESERVED_SOCKETS),
+            body_memory_bytes=options.body_memory_bytes,
+            fresh_configuration_s=options.bounds.configuration_apply_s,
+        )
+
+    def _listen(self, connections: Connections) -> None:
+        options = self._options
+        ready_pages = {READY_PATH.encode(): self._ready_page}
+        metrics_pages = {METRICS_PATH: self._metrics_page}
+        Listener(
+            self._loop, connections, options.callers_address, self._desk.make_connection
+        ).register(self._loop)
+        Listener(
+            self._loop,
+            connections,
+            options.readiness_address,
+            lambda: PageConnection(connections, ready_pages),
+        ).register(self._loop)
+        Listener(
+            self._loop,
+            connections,
+            options.metrics_address,
+            lambda: PageConnection(connections, metrics_pages),
+        ).register(self._loop)
+
+    # What others say.
+
+    def _on_configuration(self, table: RouteTable) -> None:
+        pools = [pool.engines for pool in table.pools.values() if pool.engines is not None]
+        self._services.placement.on_pool(pools[0] if pools else None)
+
+    def _on_backend(self, change: RegistryChange) -> None:
+        services = self._services
+        if change.after is None or change.restarted:
+            services.connections.forget(change.name)
+            services.health.forget(change.name)
+            services.speeds.forget(change.name)
+            services.locations.forget_engine(change.name)
+        services.speeds.readers = frozenset(
+            entry.name for entry in services.registry.all() if entry.role is Role.PREFILL
+        )
+
+    def _on_known_host(self, host: str, address: Address, data_centre: str) -> None:
+        self._reports.add_peer(host, address, data_centre, time.monotonic())
+
+    def _on_report(self, report: LoadReport) -> None:
+        now_s = time.monotonic()
+        self._services.backlog.on_peer(report.host, report.loads, now_s)
+        for part_id, engine in report.parts:
+            self._services.locations.on_used(part_id, engine, now_s)
+        for fingerprint, backend in report.losses:
+            self._services.suspects.on_lost(backend, frozenset({fingerprint}), now_s)
+
+    # Time and signals.
+
+    @handler("Tick")
+    def _on_tick(self, message: Tick) -> None:
+        now_s = message.now_s
+        self._configuration_follower.on_tick(now_s)
+        self._backends_follower.on_tick(now_s)
+        self._hosts.on_tick(now_s)
+        self._note_store(now_s)
+        self._services.retries.on_hosts(max(self._reports.live_hosts, self._hosts.count))
+        self._services.connections.on_tick(now_s)
+        self._services.suspects.expire(now_s)
+        self._desk.confirmed_s = self._configuration_follower.confirmed_s
+        self._desk.on_tick(now_s)
+        self._tell_others(now_s)
+        self._log_lines.on_tick(now_s)
+        if self._stop_s is not None:
+            self._go_on_stopping(now_s, self._stop_s)
+
+    def _note_store(self, now_s: float) -> None:
+        registry = self._services.registry
+        if self._backends_follower.failures:
+            registry.on_store_away()
+        elif self._backends_follower.complete:
+            registry.on_store_answered(now_s)
+        self._backends.expire(now_s)
+
+    def _tell_others(self, now_s: float) -> None:
+        services = self._services
+        for part_id, engine in services.new_parts:
+            self._reports.tell_part(part_id, engine)
+        for fingerprint, backend in services.new_losses:
+            self._reports.tell_loss(fingerprint, backend)
+        services.new_parts.clear()
+        services.new_losses.clear()
+        self._reports.on_tick(now_s)
+
+    @handler("StopRequested")
+    def _on_stop_requested(self, message: StopRequested) -> None:
+        if self._stop_s is None:
+            self._stop_s = message.now_s
+            _log.info("stop", open_calls=self._desk.open_calls)
+            self._desk.stop_keeping()
+            self._hosts.remove()
+
+    def _go_on_stopping(self, now_s: float, stop_s: float) -> None:
+        grace_s = self._options.bounds.grace_s
+        elapsed_s = now_s - stop_s
+        if not self._closed and elapsed_s >= grace_s * ACCEPT_SHARE:
+            self._closed = True
+            self._desk.close()
+        quiet = not self._desk.open_calls and not self._desk.open_connections
+        if (quiet and elapsed_s >= LEAST_STOP_S) or elapsed_s >= grace_s * END_SHARE:
+            _log.info("stopped", open_calls=self._desk.open_calls, after_s=round(elapsed_s, 3))
+            self._loop.stop()
+
+    def _on_hangup(self, _signal: int, _frame: object) -> None:
+        # Addresses and names can't change under a running process; what may change is read from
+        # the store. The line shows that the signal was heard.
+        _log.info("reload", changed="nothing that applies without a restart")
+
+    # Pages.
+
+    def _ready_page(self) -> Page:
+        obstacle = self._obstacle()
+        return (STATUS_UNAVAILABLE if obstacle else STATUS_OK), TEXT, f"{obstacle}\n".encode()
+
+    def _obstacle(self) -> str:
+        if self._stop_s is not None:
+            return "stopping"
+        if self._configuration.table is None:
+            return "no configuration is known"
+        if not self._backends_follower.complete:
+            return "no backend server is known"
+        return ""
+
+    def _metrics_page(self) -> Page:
+        table = self._configuration.table
+        body = self._services.measures.render(
+            self._desk.open_calls, 0 if table is None else table.version, self._log_lines.dropped
+        )
+        return STATUS_OK, TEXT, body
--- /dev/null
+++ b/berylquay/relay/load_reports.py
@@ -0,0 +1,229 @@
+"""Load reports between hosts: what each has under way at engines, as CBOR in UDP datagrams.
+
+A report replaces the one before, so a lost datagram costs only age; websockets would resend what is
+outdated by then. The interval grows with the number of hosts, so that what a host sends and
+receives stays bounded.
+"""
+
+import socket
+from collections.abc import Callable
+from typing import Final
+
+import cbor2
+import logbook
+from attrs import define, frozen
+from circuits import BaseComponent, handler
+from circuits.core.pollers import BasePoller
+
+from berylquay.decisions.engine_backlog import EngineLoad
+from berylquay.decisions.fleet import Address
+
+FORMAT: Final = 1
+MAX_DATAGRAM_BYTES: Final = 8192
+# Datagrams read in one turn.
+READS_PER_TURN: Final = 64
+# Shortest interval between reports for each other host that gets them.
+INTERVAL_PER_HOST_S: Final = 0.008
+SHORTEST_INTERVAL_S: Final = 0.05
+# Interval of reports when nothing has changed, so that the others know that the host lives.
+IDLE_INTERVAL_S: Final = 1.0
+# Time without a report after which a host is taken to be gone.
+HOST_TTL_S: Final = 12.0
+# Parts told in one report.
+PARTS_PER_REPORT: Final = 24
+_log = logbook.Logger("load-reports")
+
+
+@frozen
+class LoadReport:
+    """What one host tells the others."""
+
+    host: str
+    data_centre: str
+    # Where it takes reports.
+    address: Address
+    # What it has under way, by engine.
+    loads: dict[str, EngineLoad]
+    # Parts that engines have newly read: part id and engine.
+    parts: tuple[tuple[str, str], ...]
+    # Contents under which a backend server was lost: fingerprint and backend server.
+    losses: tuple[tuple[str, str], ...] = ()
+
+
+def encode_report(report: LoadReport) -> bytes:
+    """Returns the report as a datagram."""
+    loads = {
+        engine: [load.streams, dict(load.tokens_by_rank)] for engine, load in report.loads.items()
+    }
+    address = report.address
+    fields = [
+        FORMAT,
+        report.host,
+        report.data_centre,
+        address.ip,
+        address.port,
+        loads,
+        [list(part) for part in report.parts],
+        [list(loss) for loss in report.losses],
+    ]
+    return cbor2.dumps(fields)
+
+
+def decode_report(data: bytes) -> LoadReport | None:
+    """Returns the report, or None if the datagram is not one of this format."""
+    try:
+        form, host, data_centre, ip, port, loads, parts, losses = cbor2.loads(data)
+        if form != FORMAT:
+            return None
+        return LoadReport(
+            str(host),
+            str(data_centre),
+            Address(str(ip), int(port)),
+            {
+                str(engine): EngineLoad(
+                    int(streams), {int(rank): int(tokens) for rank, tokens in by_rank.items()}
+                )
+                for engine, (streams, by_rank) in loads.items()
+            },
+            tuple((str(part), str(engine)) for part, engine in parts),
+            tuple((str(content), str(backend)) for content, backend in losses),
+        )
+    except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError, RecursionError):
+        return None
+
+
+@define
+class _Peer:
+    """Another host."""
+
+    address: Address
+    data_centre: str
+    heard_s: float
+
+
+class LoadReports(BaseComponent):
+    """Sends this host's reports and takes those of the others."""
+
+    channel = "load-reports"
+
+    _poller: BasePoller
+    _sock: socket.socket
+    # This host's name and data centre, and where it listens.
+    _host: str
+    _data_centre: str
+    _address: Address
+    # Makes what is to be told; called only when a report is due.
+    _make_loads: Callable[[], dict[str, EngineLoad]]
+    _on_report: Callable[[LoadReport], None]
+    _clock: Callable[[], float]
+    # Other hosts by name.
+    _peers: dict[str, _Peer]
+    # Parts and losses that wait to be told.
+    _parts: list[tuple[str, str]]
+    _losses: list[tuple[str, str]]
+    _last_loads: dict[str, EngineLoad]
+    _sent_s: float
+
+    def __init__(
+        self,
+        poller: BasePoller,
+        *,
+        host: str,
+        data_centre: str,
+        address: Address,
+        make_loads: Callable[[], dict[str, EngineLoad]],
+        on_report: Callable[[LoadReport], None],
+        clock: Callable[[], float],
+    ) -> None:
+        super().__init__()
+        self._poller = poller
+        self._host = host
+        self._data_centre = data_centre
+        self._address = address
+        self._make_loads = make_loads
+        self._on_report = on_report
+        self._clock = clock
+        self._peers = {}
+        self._parts = []
+        self._losses = []
+        self._last_loads = {}
+        self._sent_s = float("-inf")
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.bind((address.ip, address.port))
+        poller.addReader(self, self._sock)
+
+    @property
+    def live_hosts(self) -> int:
+        """Returns how many hosts live, this one included, as far as is known."""
+        return 1 + len(self._peers)
+
+    def add_peer(self, host: str, address: Address, data_centre: str, now_s: float) -> None:
+        """Takes another host from the store's list; a report keeps it known."""
+        if host != self._host and host not in self._peers:
+            self._peers[host] = _Peer(address, data_centre, now_s)
+
+    def tell_part(self, part_id: str, engine: str) -> None:
+        """Tells the others that an engine keeps a part."""
+        self._parts.append((part_id, engine))
+
+    def tell_loss(self, fingerprint: str, backend: str) -> None:
+        """Tells the others under which content a backend server was lost."""
+        self._losses.append((fingerprint, backend))
+
+    def on_tick(self, now_s: float) -> None:
+        """Sends a report if one is due."""
+        interval_s = max(SHORTEST_INTERVAL_S, INTERVAL_PER_HOST_S * len(self._peers))
+        if now_s - self._sent_s < interval_s:
+            return
+        for name in [n for n, peer in self._peers.items() if now_s - peer.heard_s > HOST_TTL_S]:
+            _log.info("host not heard of", host=name, after_s=HOST_TTL_S)
+            del self._peers[name]
+        loads = self._make_loads()
+        unchanged = loads == self._last_loads and not self._parts and not self._losses
+        if unchanged and now_s - self._sent_s < IDLE_INTERVAL_S:
+            return
+        self._send(loads, now_s)
+
+    def _send(self, loads: dict[str, EngineLoad], now_s: float) -> None:
+        self._sent_s = now_s
+        self._last_loads = loads
+        parts, self._parts = self._parts[:PARTS_PER_REPORT], self._parts[PARTS_PER_REPORT:]
+        losses, self._losses = self._losses, []
+        report = LoadReport(
+            self._host, self._data_centre, self._address, loads, tuple(parts), tuple(losses)
+        )
+        data = encode_report(report)
+        for peer in self._peers.values():
+            try:
+                self._sock.sendto(data, (peer.address.ip, peer.address.port))
+            except OSError as error:
+                # The next report replaces this one.
+                _log.debug("report not sent", peer=str(peer.address), detail=str(error))
+
+    @handler("_read")
+    def _on_readable(self, sock: socket.socket) -> None:
+        if sock is not self._sock:
+            return
+        for _ in range(READS_PER_TURN):
+            try:
+                data, _sender = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                _log.debug("no report read", detail=str(error))
+                return
+            self._take(data)
+
+    def _take(self, data: bytes) -> None:
+        report = decode_report(data)
+        if report is None:
+            _log.warning("unreadable report", size_bytes=len(data))
+            return
+        if report.host == self._host:
+            return
+        peer = self._peers.get(report.host)
+        if peer is None:
+            _log.info("host heard of", host=report.host, address=str(report.address))
+        self._peers[report.host] = _Peer(report.address, report.data_centre, self._clock())
+        self._on_report(report)
--- /dev/null
+++ b/berylquay/relay/measures.py
@@ -0,0 +1,73 @@
+"""Counters and latency histograms of a relay host, for Prometheus."""
+
+from typing import Final
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+BUCKETS_S: Final = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0)
+
+
+class RelayMeasures:
+    """All metrics of one process."""
+
+    _registry: Registry
+    # Final answers by route and outcome.
+    _calls: Counter
+    # Attempts at backend servers by how they ended.
+    _attempts: Counter
+    _first_byte: Histogram
+    _total: Histogram
+    # Difference between the predicted and the actual time to the first token.
+    _late_tokens: Histogram
+    _open_calls: Gauge
+    _version: Gauge
+    # Log lines that were dropped to bound the volume.
+    _dropped_lines: Gauge
+
+    def __init__(self) -> None:
+        self._registry = registry = Registry()
+        self._calls = Counter("berylquay_relay_calls_total", "Final answers", registry=registry)
+        self._attempts = Counter(
+            "berylquay_relay_attempts_total", "Attempts at backend servers", registry=registry
+        )
+        self._first_byte = self._histogram("first_byte_seconds", "From receipt to first byte")
+        self._total = self._histogram("call_seconds", "From receipt to the end of the answer")
+        self._late_tokens = self._histogram(
+            "prediction_excess_seconds", "First token later than predicted"
+        )
+        self._open_calls = Gauge("berylquay_relay_open_calls", "Open calls", registry=registry)
+        self._version = Gauge(
+            "berylquay_relay_configuration_version", "Version in force", registry=registry
+        )
+        self._dropped_lines = Gauge(
+            "berylquay_relay_dropped_log_lines", "Log lines dropped", registry=registry
+        )
+
+    def on_call_ended(self, route: str, outcome: str, total_s: float) -> None:
+        """Counts a final answer."""
+        self._calls.inc({"route": route, "outcome": outcome})
+        self._total.add({"route": route}, total_s)
+
+    def on_attempt_ended(self, pool: str, end: str) -> None:
+        """Counts an attempt at a backend server."""
+        self._attempts.inc({"pool": pool, "end": end})
+
+    def on_first_byte(self, route: str, elapsed_s: float, predicted_s: float | None) -> None:
+        """Times the first byte of an answer's body."""
+        self._first_byte.add({"route": route}, elapsed_s)
+        if predicted_s is not None:
+            self._late_tokens.add({"route": route}, max(0.0, elapsed_s - predicted_s))
+
+    def render(self, open_calls: int, version: int, dropped_lines: int) -> bytes:
+        """Returns all metrics in Prometheus' text format."""
+        self._open_calls.set({}, open_calls)
+        self._version.set({}, version)
+        self._dropped_lines.set({}, dropped_lines)
+        content, _headers = render(self._registry, ["text/plain"])
+        return content
+
+    def _histogram(self, name: str, doc: str) -> Histogram:
+        return Histogram(
+            f"berylquay_relay_{name}", doc, registry=self._registry, buckets=list(BUCKETS_S)
+        )
--- /dev/null
+++ b/berylquay/relay/pages.py
@@ -0,0 +1,68 @@
+"""Pages for the balancer and the metrics collector: small answers on connections of their own."""
+
+from collections.abc import Callable
+from typing import Final
+
+import h11
+from attrs import define, field
+
+from berylquay.net.connections import Connection, Connections
+
+STATUS_OK: Final = 200
+STATUS_NOT_FOUND: Final = 404
+# A page: status, content type and body.
+Page = tuple[int, bytes, bytes]
+
+
+@define(eq=False)
+class PageConnection:
+    """Serves GET requests from functions that make pages."""
+
+    _connections: Connections
+    # Page by path.
+    _pages: dict[bytes, Callable[[], Page]]
+    connection: Connection = field(init=False)
+    _protocol: h11.Connection = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Begins between requests."""
+        self._protocol = h11.Connection(our_role=h11.SERVER)
+
+    def on_connected(self) -> None:
+        """Does nothing: an accepted connection is established."""
+
+    def on_received(self, data: bytes) -> None:
+        """Answers the requests in the data."""
+        try:
+            self._protocol.receive_data(data)
+            self._answer_requests()
+        except h11.ProtocolError:
+            self._connections.close(self.connection)
+
+    def on_disconnected(self, detail: str) -> None:
+        """Does nothing: the connection has no state."""
+
+    def _answer_requests(self) -> None:
+        while True:
+            event = self._protocol.next_event()
+            if isinstance(event, h11.Request):
+                self._answer(event.target.partition(b"?")[0])
+            elif isinstance(event, h11.EndOfMessage):
+                if self._protocol.our_state is not h11.DONE:
+                    self._connections.finish(self.connection)
+                    return
+                self._protocol.start_next_cycle()
+            elif not isinstance(event, h11.Data):
+                return
+
+    def _answer(self, path: bytes) -> None:
+        make = self._pages.get(path)
+        status, kind, body = (STATUS_NOT_FOUND, b"text/plain", b"") if make is None else make()
+        headers = [(b"content-type", kind), (b"content-length", str(len(body)).encode())]
+        events = [
+            h11.Response(status_code=status, headers=headers),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        ]
+        sent = b"".join(self._protocol.send(event) or b"" for event in events)
+        self._connections.send(self.connection, sent)
--- /dev/null
+++ b/berylquay/relay/services.py
@@ -0,0 +1,46 @@
+"""What the exchanges of a relay host share: beliefs, decisions and connections."""
+
+from collections import Counter
+from random import Random
+
+from attrs import define, field
+
+from berylquay.decisions.backend_health import BackendHealth
+from berylquay.decisions.backend_registry import BackendRegistry
+from berylquay.decisions.engine_backlog import EngineBacklog
+from berylquay.decisions.engine_placement import EngineSpeeds, PredictedPlacement
+from berylquay.decisions.part_locations import PartLocations
+from berylquay.decisions.relay_admission import AdmissionOptions
+from berylquay.decisions.relay_fates import AttemptLimits
+from berylquay.decisions.server_choice import Distances
+from berylquay.decisions.shared_retries import SharedRetries
+from berylquay.decisions.suspects import SuspectLedger
+from berylquay.relay.backend_pool import BackendPool
+from berylquay.relay.measures import RelayMeasures
+
+
+@define
+class RelayServices:
+    """Shared by all exchanges of one process."""
+
+    registry: BackendRegistry
+    health: BackendHealth
+    retries: SharedRetries
+    backlog: EngineBacklog
+    locations: PartLocations
+    speeds: EngineSpeeds
+    placement: PredictedPlacement
+    distances: Distances
+    # Contents under which backend servers were lost.
+    suspects: SuspectLedger
+    connections: BackendPool
+    measures: RelayMeasures
+    rng: Random
+    admission: AdmissionOptions = field(factory=AdmissionOptions)
+    attempts: AttemptLimits = field(factory=AttemptLimits)
+    # Requests of this host under way at each plain backend server.
+    under_way: Counter[str] = field(factory=Counter)
+    # Parts that engines have newly read, for the other hosts: part id and engine.
+    new_parts: list[tuple[str, str]] = field(factory=list)
+    # Losses that this host has seen, for the other hosts: fingerprint and backend server.
+    new_losses: list[tuple[str, str]] = field(factory=list)
--- /dev/null
+++ b/berylquay/settings/relay_file.py
@@ -0,0 +1,113 @@
+"""The settings file of a relay host: INI text to checked `RelayOptions`."""
+
+from configparser import ConfigParser, Error
+from typing import Final
+
+from attrs import frozen
+from returns.result import Failure, Result, Success
+
+from berylquay.decisions.fleet import Address
+from berylquay.errors import SettingsError
+from berylquay.settings.ini import IniReader
+
+BYTES_PER_MB: Final = 1_000_000
+# Share of the process's memory that bodies of open requests may take together.
+BODY_MEMORY_SHARE: Final = 0.2
+
+
+@frozen
+class RelayBounds:
+    """Times and ratios that the operator of the platform promises or demands."""
+
+    # Time that a stopping process has until it is killed.
+    grace_s: float
+    # Time after which a change of the configuration must be in force.
+    configuration_apply_s: float
+    # Extra sends that each request for a pool allows, over all hosts.
+    retry_ratio: float
+    # Length of the window in which extra sends are counted.
+    retry_window_s: float
+    # Extra sends allowed in each window besides, over all hosts.
+    retry_extra: float
+    # Time for which nobody else may order engines about after the last holder did.
+    lease_s: float
+    # Time after a frozen sender has woken in which its orders may still arrive.
+    thaw_slack_s: float
+
+
+@frozen
+class RelayOptions:
+    """All settings of a relay host."""
+
+    # Name of this host.
+    host: str
+    data_centre: str
+    region: str
+    # Region of each data centre.
+    regions: dict[str, str]
+    callers_address: Address
+    readiness_address: Address
+    # Where other hosts send what they know, over UDP.
+    peers_address: Address
+    metrics_address: Address
+    store_address: Address
+    # Most bytes that one append to the store may carry in one record.
+    store_record_bytes: int
+    # Most bytes of bodies that are held at once.
+    body_memory_bytes: int
+    # Most descriptors that sockets may take.
+    max_sockets: int
+    bounds: RelayBounds
+    log_level: str
+
+
+def read_relay_file(path: str) -> Result[RelayOptions, tuple[SettingsError, ...]]:
+    """Returns the options in the file, or every fault in it."""
+    parser = ConfigParser(interpolation=None)
+    # Names of data centres keep their case.
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
+    try:
+        with open(path, encoding="utf-8") as file:  # noqa: PTH123
+            parser.read_file(file)
+    except (OSError, UnicodeDecodeError, Error) as error:
+        return Failure((SettingsError(path, "", "", str(error), "a readable INI file"),))
+    reader = IniReader(path, parser)
+    options = _read_options(reader, parser)
+    reader.check_for_unknown_keys()
+    if reader.errors:
+        return Failure(tuple(reader.errors))
+    return Success(options)
+
+
+def _read_options(reader: IniReader, parser: ConfigParser) -> RelayOptions:
+    data_centres = parser["regions"] if parser.has_section("regions") else {}
+    memory_bytes = reader.number("limits", "memory_mb") * BYTES_PER_MB
+    return RelayOptions(
+        host=reader.text("host", "name"),
+        data_centre=reader.text("host", "data_centre"),
+        region=reader.text("host", "region"),
+        regions={name: reader.text("regions", name) for name in data_centres},
+        callers_address=reader.address("listen", "callers"),
+        readiness_address=reader.address("listen", "readiness"),
+        peers_address=reader.address("listen", "peers"),
+        metrics_address=reader.address("listen", "metrics"),
+        store_address=reader.address("store", "address"),
+        store_record_bytes=reader.count("store", "record_bytes"),
+        body_memory_bytes=int(memory_bytes * BODY_MEMORY_SHARE),
+        max_sockets=reader.count("limits", "max_sockets"),
+        bounds=_read_bounds(reader),
+        log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
+    )
+
+
+def _read_bounds(reader: IniReader) -> RelayBounds:
+    section = "bounds"
+    return RelayBounds(
+        grace_s=reader.number(section, "grace_s"),
+        configuration_apply_s=reader.number(section, "configuration_apply_ms") / 1000.0,
+        retry_ratio=reader.number(section, "retry_ratio"),
+        retry_window_s=reader.number(section, "retry_window_s"),
+        retry_extra=reader.number(section, "retry_extra"),
+        lease_s=reader.number(section, "lease_ms") / 1000.0,
+        thaw_slack_s=reader.number(section, "thaw_slack_ms") / 1000.0,
+    )
--- a/berylquay/platform/json_exchange.py
+++ b/berylquay/standalone/json_exchange.py
@@ -9,8 +9,8 @@
 
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
+from berylquay.net.connections import Connections
 from berylquay.net.http_client import HttpExchange, HttpHead, HttpRequest
-from berylquay.net.outbound import OutboundConnections
 from berylquay.verdicts import Verdict
 
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
@@ -51,7 +51,7 @@
 
     def __init__(
         self,
-        outbound: OutboundConnections,
+        outbound: Connections,
         address: Address,
         request: HttpRequest,
         deadline_s: float,
--- a/berylquay/platform/log_client.py
+++ b/berylquay/standalone/log_client.py
@@ -33,10 +33,10 @@
     Tick,
 )
 from berylquay.net.bus import BUS, post
+from berylquay.net.connections import Connections
 from berylquay.net.http_client import STATUS_OK, HttpRequest
-from berylquay.net.outbound import OutboundConnections
-from berylquay.platform.json_exchange import JsonAnswer, JsonExchange, Outcome
-from berylquay.platform.records import LogRecord, decode_records, encode_records
+from berylquay.standalone.json_exchange import JsonAnswer, JsonExchange, Outcome
+from berylquay.standalone.records import LogRecord, decode_records, encode_records
 from berylquay.verdicts import Verdict
 
 APPEND_TIMEOUT_S: Final = 1.0
@@ -52,7 +52,7 @@
     channel = BUS
 
     # Opens the connections.
-    _outbound: OutboundConnections
+    _outbound: Connections
     # Where the log service listens.
     _address: Address
     # What is still to be appended.
@@ -65,7 +65,7 @@
     _exchanges: set[JsonExchange]
 
     def __init__(
-        self, outbound: OutboundConnections, address: Address, limits: AppendLimits, rng: Random
+        self, outbound: Connections, address: Address, limits: AppendLimits, rng: Random
     ) -> None:
         super().__init__()
         self._outbound = outbound
--- a/berylquay/platform/membership.py
+++ b/berylquay/standalone/membership.py
@@ -17,9 +17,9 @@
 )
 from berylquay.messages import MembershipRead, Tick
 from berylquay.net.bus import BUS, post
+from berylquay.net.connections import Connections
 from berylquay.net.http_client import STATUS_OK, HttpRequest
-from berylquay.net.outbound import OutboundConnections
-from berylquay.platform.json_exchange import JsonExchange, Outcome
+from berylquay.standalone.json_exchange import JsonExchange, Outcome
 
 POLL_INTERVAL_S: Final = 0.5
 POLL_TIMEOUT_S: Final = 2.0
@@ -32,7 +32,7 @@
     channel = BUS
 
     # Opens the connections.
-    _outbound: OutboundConnections
+    _outbound: Connections
     # Where the membership list is served.
     _address: Address
     # Poll that is under way, if any.
@@ -44,7 +44,7 @@
     # Entity tag of the newest list, by which the platform sees that it has not changed.
     _tag: str
 
-    def __init__(self, outbound: OutboundConnections, address: Address) -> None:
+    def __init__(self, outbound: Connections, address: Address) -> None:
         super().__init__()
         self._outbound = outbound
         self._address = address
--- a/berylquay/platform/weights.py
+++ b/berylquay/standalone/weights.py
@@ -13,9 +13,9 @@
 from berylquay.decisions.weight_lookups import WeightLookups, WeightsFacts, WeightsKey
 from berylquay.messages import Tick, WeightsLookedUp, WeightsLookupRequested
 from berylquay.net.bus import BUS, post
+from berylquay.net.connections import Connections
 from berylquay.net.http_client import STATUS_OK, HttpRequest
-from berylquay.net.outbound import OutboundConnections
-from berylquay.platform.json_exchange import JsonAnswer, JsonExchange, Outcome
+from berylquay.standalone.json_exchange import JsonAnswer, JsonExchange, Outcome
 
 EXCHANGE_TIMEOUT_S: Final = 1.0
 STATUS_NOT_FOUND: Final = 404
@@ -27,7 +27,7 @@
     channel = BUS
 
     # Opens the connections.
-    _outbound: OutboundConnections
+    _outbound: Connections
     # Where the weight store listens.
     _address: Address
     # What is to be looked up when.
@@ -36,7 +36,7 @@
     _exchanges: set[JsonExchange]
 
     def __init__(
-        self, outbound: OutboundConnections, address: Address, lookups_per_s: float, rng: Random
+        self, outbound: Connections, address: Address, lookups_per_s: float, rng: Random
     ) -> None:
         super().__init__()
         self._outbound = outbound
--- a/tests/authority/lease_world.py
+++ b/tests/authority/lease_world.py
@@ -10,7 +10,7 @@
 
 from berylquay.decisions.lease import LeaseKeeper, LeaseLimits
 from berylquay.messages import RecordAppendRequested, RecordsRead
-from berylquay.platform.records import LogRecord
+from berylquay.standalone.records import LogRecord
 
 # Clocks drift more than in truth, so that a missing allowance for it is seen.
 LIMITS: Final = LeaseLimits(clock_drift=0.1)
--- a/tests/authority/test_lease.py
+++ b/tests/authority/test_lease.py
@@ -8,7 +8,7 @@
 
 from berylquay.decisions.lease import CLAIM, RENEWAL, LeaseKeeper, LeaseLimits
 from berylquay.messages import RecordAppendRequested, RecordsRead
-from berylquay.platform.records import LogRecord
+from berylquay.standalone.records import LogRecord
 from tests.authority.lease_world import World
 from tests.support.cases import seeded_cases
 
--- a/tests/support/configuration_model.py
+++ b/tests/support/configuration_model.py
@@ -16,7 +16,7 @@
 )
 from berylquay.decisions.deployment import ClassSpec, Deployment, WorkKind
 from berylquay.decisions.snapshots import snapshot_to_json
-from berylquay.platform.records import LogRecord
+from berylquay.standalone.records import LogRecord
 
 PAGE_RECORDS = 3
 
--- a/tests/support/log_bench.py
+++ b/tests/support/log_bench.py
@@ -21,10 +21,10 @@
     StreamFollowRequested,
 )
 from berylquay.net.bus import BUS, post
-from berylquay.net.outbound import OutboundConnections
+from berylquay.net.connections import Connections
 from berylquay.net.ticker import Ticker
-from berylquay.platform.log_client import LogClient
-from berylquay.platform.records import LogRecord, NewRecord
+from berylquay.standalone.log_client import LogClient
+from berylquay.standalone.records import LogRecord, NewRecord
 
 GIVE_UP_S: Final = 20.0
 MAX_WAIT_S: Final = 0.05
@@ -39,7 +39,7 @@
         super().__init__()
         self.loop = EPoll()
         Ticker().register(self.loop)
-        outbound = OutboundConnections(self.loop).register(self.loop)
+        outbound = Connections(self.loop).register(self.loop)
         LogClient(outbound, Address("127.0.0.1", port), AppendLimits(), Random(1)).register(
             self.loop
         )
--- a/tests/support/once_model.py
+++ b/tests/support/once_model.py
@@ -22,7 +22,7 @@
     RecordsRead,
 )
 from berylquay.peers.payloads import PeerPayload
-from berylquay.platform.records import LogRecord, NewRecord
+from berylquay.standalone.records import LogRecord, NewRecord
 from berylquay.verdicts import Refusal, RefusalReason, Verdict
 
 TENANT = "fes"
--- a/tests/test_appends_core.py
+++ b/tests/test_appends_core.py
@@ -11,7 +11,7 @@
     AppendRequest,
     PendingAppends,
 )
-from berylquay.platform.records import NewRecord
+from berylquay.standalone.records import NewRecord
 from berylquay.verdicts import Verdict
 
 LIMITS = AppendLimits(appends_per_s=10.0, burst=4.0, in_flight=3, pending=30, group_records=5)
--- a/tests/test_membership_poller.py
+++ b/tests/test_membership_poller.py
@@ -13,9 +13,9 @@
 from berylquay.decisions.fleet import Address
 from berylquay.messages import MembershipRead
 from berylquay.net.bus import BUS
-from berylquay.net.outbound import OutboundConnections
+from berylquay.net.connections import Connections
 from berylquay.net.ticker import Ticker
-from berylquay.platform.membership import MembershipPoller
+from berylquay.standalone.membership import MembershipPoller
 from examples.processes import Process, Processes
 
 BACKEND = {
@@ -38,7 +38,7 @@
         super().__init__()
         self.loop = EPoll()
         Ticker().register(self.loop)
-        outbound = OutboundConnections(self.loop).register(self.loop)
+        outbound = Connections(self.loop).register(self.loop)
         MembershipPoller(outbound, Address("127.0.0.1", port)).register(self.loop)
         self.register(self.loop)
         self.lists: list[MembershipRead] = []
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -24,7 +24,7 @@
     Tick,
 )
 from berylquay.net.bus import BUS, post
-from berylquay.net.outbound import OutboundConnections
+from berylquay.net.connections import Connections
 from berylquay.peers.codec import MAX_MESSAGE_BYTES, encode_payload
 from berylquay.peers.links import LinkIdentity, PeerLinks
 from berylquay.peers.payloads import DrainNotice, Heartbeat, Hello
@@ -75,7 +75,7 @@
         self.loop = EPoll()
         self.recorder = Recorder().register(self.loop)
         self.address = Address("127.0.0.1", port)
-        outbound = OutboundConnections(self.loop).register(self.loop)
+        outbound = Connections(self.loop).register(self.loop)
         identity = LinkIdentity(name, "fes-1", f"{name}-1")
         options = PeerOptions(self.address)
         self.links = PeerLinks(outbound, options, identity, pipes, DialPlan(LIMITS, Random(name)))
--- a/typings/logbook/__init__.pyi
+++ b/typings/logbook/__init__.pyi
@@ -1,6 +1,9 @@
 from datetime import datetime
 
+WARNING: int
+
 class LogRecord:
+    level: int
     time: datetime
     level_name: str
     channel: str
@@ -18,11 +21,12 @@
     def exception(self, message: str, **kwargs: object) -> None: ...
 
 class Handler:
+    formatter: object
+    def __init__(self, level: int | str = ..., bubble: bool = ...) -> None: ...
     def push_application(self) -> None: ...
     def format(self, record: LogRecord) -> str: ...
 
 class StreamHandler(Handler):
-    formatter: object
     def __init__(self, stream: object, level: int | str = ..., bubble: bool = ...) -> None: ...
 
 def set_datetime_format(datetime_format: str) -> None: ...
