--- a/berylquay/decisions/engine_placement.py
+++ b/berylquay/decisions/engine_placement.py
@@ -18,7 +18,7 @@
 from berylquay.decisions.fleet import Role
 from berylquay.decisions.part_locations import PartLocations
 from berylquay.decisions.relay_call import Generation
-from berylquay.decisions.route_table import EnginePool
+from berylquay.decisions.route_table import LOWEST_RANK, EnginePool
 
 MS_PER_S: Final = 1000.0
 BITS_PER_BYTE: Final = 8
@@ -45,11 +45,16 @@
     region_move_factor: float = 2.0
     far_move_factor: float = 10.0
     # Time that reading one token of a shared part again counts for, as it displaces others.
-    reread_ms_per_token: float = 0.05
+    reread_ms_per_token: float = 0.1
     # Time that a move of KV cache between regions counts for besides, for each gigabyte.
     far_move_ms_per_gb: float = 40.0
     # Time by which a prompt's home is preferred while no engine is known to keep its parts.
     home_bonus_ms: float = 40.0
+    # Prompt tokens that may wait at a decode engine before its streams pause for too long: about
+    # ten steps' worth, the steps between two events of a stream.
+    decode_read_bound_tokens: int = 2500
+    # Time that each token beyond the bound counts for.
+    beyond_bound_ms_per_token: float = 1.0
     # Shortest shared part that has a home.
     home_min_tokens: int = 1000
 
@@ -143,7 +148,13 @@
         rate = self._options.decode_tokens_per_ms
         read_ms, tokens = self._read_ms(generation, rank, engine, rate, now_s)
         first_ms = self._round_trip_ms(engine) + read_ms + self._batch_ms(engine, now_s)
-        cost_ms = first_ms + self._reread_cost_ms(generation, engine, now_s)
+        waiting = self._backlog.waiting_tokens(engine.name, LOWEST_RANK, now_s) + tokens
+        beyond = max(0, waiting - self._options.decode_read_bound_tokens)
+        cost_ms = (
+            first_ms
+            + self._reread_cost_ms(generation, engine, now_s)
+            + beyond * self._options.beyond_bound_ms_per_token
+        )
         return cost_ms, Placement(None, engine, first_ms / MS_PER_S, tokens)
 
     def _split(
--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -110,6 +110,8 @@
     _first_byte_s: float | None
     # Engine whose backlog counts the prompt of the run.
     _reading_at: str | None
+    # Bytes of the body that were passed on as they came.
+    _passed_bytes: int
 
     def __init__(
         self,
@@ -136,6 +138,7 @@
         self._collected = None
         self._first_byte_s = None
         self._reading_at = None
+        self._passed_bytes = 0
 
     def begin(self, now_s: float) -> None:
         """Places the call, or refuses it at once."""
@@ -378,6 +381,7 @@
         if not data:
             return
         self._start_answer(leg)
+        self._passed_bytes += len(data)
         if not self.caller.send(data):
             leg.hold_back(held=True)
 
@@ -585,6 +589,8 @@
             sent_to=call.sent_to,
             first_ms=None if first_s is None else _ms(first_s),
             total_ms=_ms(total_s),
+            passed_bytes=self._passed_bytes,
+            newest_event=None if self._tracker is None else self._tracker.newest_id,
             left_ms=_ms(call.left_s(now_s)),
             returning=call.returning,
         )
