Hold back late prompts, order roles, count the work of long prompts and the crowd at decode engines

Callers abandon a stream after 3.2 s without its first event (45 of 57 who left); what can't come by then is refused at once.

--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -47,6 +47,10 @@
     # Number of this heartbeat, counted from the start; it alone makes no entry differ.
     beat: int = field(default=0, eq=False)
 
+    def with_role(self, role: Role) -> "BackendEntry":
+        """Returns the entry as it would be in another role."""
+        return evolve(self, role=role)
+
     @property
     def age_order(self) -> tuple[int, int]:
         """Returns a value that is higher for a later entry of the same name."""
--- a/berylquay/decisions/engine_placement.py
+++ b/berylquay/decisions/engine_placement.py
@@ -29,10 +29,12 @@
 class PlacementOptions:
     """Speeds until they are learned, and what other costs weigh against time."""
 
-    # Prompt tokens that a prefill engine reads in a millisecond.
-    prefill_tokens_per_ms: float = 60.0
+    # Prompt tokens that a prefill engine reads in a millisecond, its steps counted.
+    prefill_tokens_per_ms: float = 52.0
     # The same for a decode engine, which reads in smaller pieces between the tokens of streams.
     decode_tokens_per_ms: float = 20.0
+    # Part of a token's reading time that each token before it adds: attention looks back.
+    look_back_per_token: float = 1.6e-5
     # Time from the request to the first token besides reading.
     first_token_ms: float = 12.0
     # Fixed time of a hand-over between engines.
@@ -51,10 +53,12 @@
     # Time by which a prompt's home is preferred while no engine is known to keep its parts.
     home_bonus_ms: float = 40.0
     # Prompt tokens that may wait at a decode engine before its streams pause for too long: about
-    # ten steps' worth, the steps between two events of a stream.
-    decode_read_bound_tokens: int = 2500
+    # five steps between two events of a stream.
+    decode_read_bound_tokens: int = 1300
     # Time that each token beyond the bound counts for.
     beyond_bound_ms_per_token: float = 1.0
+    # Time that a full batch counts for besides, in proportion: each stream slows the others.
+    full_batch_ms: float = 100.0
     # Shortest shared part that has a home.
     home_min_tokens: int = 1000
 
@@ -77,7 +81,9 @@
     decode: BackendEntry
     # Predicted time from now to the first token.
     first_token_s: float
-    # Prompt tokens that are expected to be read.
+    # Part of that time for which the prompt waits behind others.
+    wait_s: float
+    # Work of reading the prompt, in tokens at the beginning of a prompt.
     tokens_to_read: int
 
 
@@ -85,7 +91,7 @@
     """Chooses the engines for a request."""
 
     def place(
-        self, generation: Generation, rank: int, engines: Sequence[BackendEntry], now_s: float
+        self, generation: Generation, engines: Sequence[BackendEntry], now_s: float
     ) -> Placement | None:
         """Returns the best placement, or None if no engine can make tokens."""
 
@@ -110,18 +116,18 @@
         self._pool = pool
 
     def place(
-        self, generation: Generation, rank: int, engines: Sequence[BackendEntry], now_s: float
+        self, generation: Generation, engines: Sequence[BackendEntry], now_s: float
     ) -> Placement | None:
         """Returns the best placement, or None if no engine can make tokens."""
         decoders = [engine for engine in engines if engine.role is not Role.PREFILL]
         best: tuple[float, Placement] | None = None
         for engine in decoders:
-            best = _cheaper(best, self._whole(generation, rank, engine, now_s))
+            best = _cheaper(best, self._whole(generation, engine, now_s))
         readers = [engine for engine in engines if engine.role is Role.PREFILL]
         for engine in readers:
             decoder = self.decoder_for(engine, generation, decoders, now_s)
             if decoder is not None:
-                best = _cheaper(best, self._split(generation, rank, engine, decoder, now_s))
+                best = _cheaper(best, self._split(generation, engine, decoder, now_s))
         return None if best is None else best[1]
 
     def decoder_for(
@@ -143,32 +149,33 @@
         )
 
     def _whole(
-        self, generation: Generation, rank: int, engine: BackendEntry, now_s: float
+        self, generation: Generation, engine: BackendEntry, now_s: float
     ) -> tuple[float, Placement]:
         rate = self._options.decode_tokens_per_ms
-        read_ms, tokens = self._read_ms(generation, rank, engine, rate, now_s)
-        first_ms = self._round_trip_ms(engine) + read_ms + self._batch_ms(engine, now_s)
+        wait_ms, read_ms, tokens = self._read_ms(generation, engine, rate, now_s)
+        first_ms = self._round_trip_ms(engine) + wait_ms + read_ms + self._batch_ms(engine, now_s)
         waiting = self._backlog.waiting_tokens(engine.name, LOWEST_RANK, now_s) + tokens
         beyond = max(0, waiting - self._options.decode_read_bound_tokens)
         cost_ms = (
             first_ms
             + self._reread_cost_ms(generation, engine, now_s)
             + beyond * self._options.beyond_bound_ms_per_token
+            + self._crowding_ms(engine, now_s)
         )
-        return cost_ms, Placement(None, engine, first_ms / MS_PER_S, tokens)
+        return cost_ms, Placement(None, engine, first_ms / MS_PER_S, wait_ms / MS_PER_S, tokens)
 
     def _split(
         self,
         generation: Generation,
-        rank: int,
         reader: BackendEntry,
         decoder: BackendEntry,
         now_s: float,
     ) -> tuple[float, Placement]:
         rate = self._options.prefill_tokens_per_ms
-        read_ms, tokens = self._read_ms(generation, rank, reader, rate, now_s)
+        wait_ms, read_ms, tokens = self._read_ms(generation, reader, rate, now_s)
         first_ms = (
             self._round_trip_ms(reader)
+            + wait_ms
             + read_ms
             + self._move_ms(generation, reader, decoder)
             + self._round_trip_ms(decoder)
@@ -178,17 +185,26 @@
             first_ms
             + self._reread_cost_ms(generation, reader, now_s)
             + self._move_price_ms(generation, reader, decoder)
+            + self._crowding_ms(decoder, now_s)
         )
-        return cost_ms, Placement(reader, decoder, first_ms / MS_PER_S, tokens)
+        return cost_ms, Placement(
+            reader, decoder, first_ms / MS_PER_S, wait_ms / MS_PER_S, tokens)
 
     def _read_ms(
-        self, generation: Generation, rank: int, engine: BackendEntry, rate: float, now_s: float
-    ) -> tuple[float, int]:
+        self, generation: Generation, engine: BackendEntry, rate: float, now_s: float
+    ) -> tuple[float, float, int]:
+        tokens = self.reading_work(generation, engine, now_s)
+        # An engine admits as many requests as it has slots and reads their prompts in turn.
+        waiting = self._backlog.waiting_tokens(engine.name, LOWEST_RANK, now_s)
+        ms_per_token = self._speeds.slowdown(engine.name) / rate
+        return waiting * ms_per_token, tokens * ms_per_token, tokens
+
+    def reading_work(self, generation: Generation, engine: BackendEntry, now_s: float) -> int:
+        """Returns the work of reading a prompt, in tokens at the beginning of a prompt."""
         cached = self._locations.cached_tokens(engine.name, generation.parts, now_s)
         tokens = max(1, generation.prompt_tokens - cached)
-        waiting = self._backlog.waiting_tokens(engine.name, rank, now_s)
-        slowdown = self._speeds.slowdown(engine.name)
-        return (waiting + tokens) / rate * slowdown, tokens
+        look_back = (cached + tokens / 2.0) * self._options.look_back_per_token
+        return round(tokens * (1.0 + look_back))
 
     def _hand_over_cost_ms(
         self, generation: Generation, reader: BackendEntry, decoder: BackendEntry, now_s: float
@@ -198,8 +214,14 @@
             + self._move_price_ms(generation, reader, decoder)
             + self._round_trip_ms(decoder)
             + self._batch_ms(decoder, now_s)
+            + self._crowding_ms(decoder, now_s)
         )
 
+    def _crowding_ms(self, engine: BackendEntry, now_s: float) -> float:
+        """Returns what one more stream counts for at an engine, by how full its batch is."""
+        streams = self._backlog.streams(engine.name, now_s)
+        return streams / max(1, engine.slots) * self._options.full_batch_ms
+
     def _batch_ms(self, engine: BackendEntry, now_s: float) -> float:
         """Returns the time to a first token in the engine's batch; a full batch makes it wait."""
         slots = max(1, engine.slots)
--- a/berylquay/decisions/route_table.py
+++ b/berylquay/decisions/route_table.py
@@ -7,6 +7,8 @@
 from attrs import field, frozen
 
 LOWEST_RANK: Final = 9
+# Shortest time without an event after which callers abandon a stream, as the platform says.
+LEAST_PATIENCE_S: Final = 2.0
 
 
 class RepeatRule(Enum):
@@ -84,12 +86,19 @@
     objective_s: float
     # Rank among routes; 0 is served first.
     rank: int
+    # Longest pause between events for which a stream is still on time; 0 for other answers.
+    pause_s: float = 0.0
 
     @property
     def repeatable(self) -> bool:
         """Tells whether a further run of a request does no harm."""
         return self.repeat is RepeatRule.REPEATABLE
 
+    @property
+    def patience_s(self) -> float:
+        """Returns the time without an event after which a caller abandons a stream."""
+        return max(LEAST_PATIENCE_S, 4.0 * self.objective_s, 8.0 * self.pause_s)
+
     def pick_pool(self, rng: Random) -> str:
         """Returns the pool for one request, by weight."""
         if len(self.shares) == 1:
--- a/berylquay/platform/configuration.py
+++ b/berylquay/platform/configuration.py
@@ -61,6 +61,7 @@
         max_attempts=max(1, _integer(fields, "maxAttempts", 1)),
         timeout_s=timeout_ms / 1000.0,
         objective_s=(objective_ms or timeout_ms) / 1000.0,
+        pause_s=_number(fields, "gapTargetMs", 0.0) / 1000.0,
         rank=min(LOWEST_RANK, max(0, _integer(fields, "priority", LOWEST_RANK))),
     )
 
--- a/berylquay/platform/requests.py
+++ b/berylquay/platform/requests.py
@@ -177,6 +177,16 @@
     return RawRequest(b"GET", names.REPORT_PATH.encode(), headers)
 
 
+def decode_accepted_orders(body: bytes) -> int | None:
+    """Returns how many orders an engine says to have accepted, or None if it can't be read."""
+    try:
+        # In a report "seq" counts accepted orders; in a registration it numbers heartbeats.
+        accepted = json.loads(body)["seq"]
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
+    return accepted if isinstance(accepted, int) else None
+
+
 def _expect(backend: str) -> tuple[bytes, bytes]:
     return names.EXPECT_INSTANCE, backend.encode("latin-1")
 
--- a/berylquay/platform/store.py
+++ b/berylquay/platform/store.py
@@ -28,6 +28,9 @@
 # Largest answer that is taken: a page of newest records, or of records from an offset.
 MAX_ANSWER_BYTES: Final = 8_000_000
 READ_KB: Final = 1024
+# Part of a failure's text that is kept for the log.
+DETAIL_BYTES: Final = 200
+STATUS_NOT_FOUND: Final = 404
 STATUS_GONE: Final = 410
 STATUS_CONDITION_FAILED: Final = 412
 _OFFSETS: Final = struct.Struct(">QQ")
@@ -61,6 +64,8 @@
     contents: tuple[bytes, ...]
     # Offset of the first record of the page.
     first_offset: int
+    # Offset behind the newest record of the topic.
+    end_offset: int
 
     @property
     def next_offset(self) -> int:
@@ -85,12 +90,19 @@
     status: int
     # Whether an append may have been carried out, or may yet be.
     may_have_happened: bool
+    # Offset of the oldest record that is kept, where older ones were asked for.
+    first_offset: int = 0
 
     @property
     def records_gone(self) -> bool:
         """Tells whether the records that were asked for have been deleted."""
         return self.status == STATUS_GONE
 
+    @property
+    def is_missing(self) -> bool:
+        """Tells whether the topic does not exist yet."""
+        return self.status == STATUS_NOT_FOUND
+
     @property
     def condition_failed(self) -> bool:
         """Tells whether the topic had gone on past the required end."""
@@ -193,8 +205,7 @@
         if call is None:
             return
         if call.status != STATUS_OK:
-            detail = bytes(call.body[:200]).decode("utf-8", "replace")
-            call.on_result(StoreFailure(detail, call.status, may_have_happened=False))
+            call.on_result(_decode_failure(call.status, bytes(call.body)))
             return
         try:
             result = call.decode(bytes(call.body))
@@ -268,7 +279,7 @@
 
 
 def _decode_page(body: bytes, asked_offset: int) -> RecordPage:
-    _end, first_kept = _OFFSETS.unpack_from(body)
+    end, first_kept = _OFFSETS.unpack_from(body)
     contents = []
     position = _OFFSETS.size
     while position < len(body):
@@ -278,7 +289,18 @@
             raise ValueError("a record is cut off")
         contents.append(body[position : position + length])
         position += length
-    return RecordPage(tuple(contents), max(asked_offset, first_kept))
+    return RecordPage(tuple(contents), max(asked_offset, first_kept), end)
+
+
+def _decode_failure(status: int, body: bytes) -> StoreFailure:
+    detail = body[:DETAIL_BYTES].decode("utf-8", "replace")
+    first_offset = 0
+    if status == STATUS_GONE:
+        try:
+            first_offset = int(json.loads(body)["firstOffset"])
+        except (ValueError, KeyError, TypeError, RecursionError):
+            detail = f"no first offset: {detail}"
+    return StoreFailure(detail, status, may_have_happened=False, first_offset=first_offset)
 
 
 def _decode_appended(body: bytes) -> Appended:
--- a/berylquay/relay/desk.py
+++ b/berylquay/relay/desk.py
@@ -67,6 +67,8 @@
     # Whether answers ask callers to leave, and whether new requests are refused.
     _stopping: bool
     _closed: bool
+    # Whether a request was begun in this process.
+    has_served: bool
 
     def __init__(
         self,
@@ -86,6 +88,7 @@
         self.confirmed_s = float("-inf")
         self._stopping = False
         self._closed = False
+        self.has_served = False
 
     @property
     def open_calls(self) -> int:
@@ -227,6 +230,7 @@
             on_ended=self._on_ended,
         )
         self._exchanges[caller] = exchange
+        self.has_served = True
         exchange.begin(now_s)
 
     def _is_returning(self, route_name: str, deadline_s: float) -> bool:
--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -9,7 +9,7 @@
 from berylquay.decisions.backend_registry import BackendEntry, EntryState
 from berylquay.decisions.engine_placement import Placement
 from berylquay.decisions.fleet import Role
-from berylquay.decisions.relay_admission import retry_after_s
+from berylquay.decisions.relay_admission import AdmissionStep, admit
 from berylquay.decisions.relay_call import RelayCall
 from berylquay.decisions.relay_fates import (
     SURELY_NOT_RUN,
@@ -98,6 +98,8 @@
     # Leg on which the request runs, while it is open.
     _run_leg: Leg | None
     _placement: Placement | None
+    # Whether the call waits at this host until an engine has little to do.
+    _held: bool
     # Prompt that an engine keeps for this call and that was not handed over.
     _kept_prompt: KeptPrompt | None
     # Whether a prefill leg was sent.
@@ -132,6 +134,7 @@
         self._prefill_leg = None
         self._run_leg = None
         self._placement = None
+        self._held = False
         self._kept_prompt = None
         self._prefilled = False
         self._tracker = EventTracker(resume_after) if call.route.resumable else None
@@ -164,6 +167,9 @@
                 leg.cancel()
                 self._fail_leg(leg, AttemptEnd.NOT_SENT, CONNECT_TIMED_OUT, now_s)
                 return
+        if self._held:
+            self._place_generation(now_s, first=True)
+            return
         leg, placement = self._prefill_leg, self._placement
         if leg is not None and placement is not None:
             patience_s = placement.first_token_s * PREFILL_PATIENCE + PREFILL_PATIENCE_S
@@ -184,17 +190,13 @@
         if generation is None:
             return
         engines = self._usable_engines(now_s)
-        placement = services.placement.place(generation, call.route.rank, engines, now_s)
+        placement = services.placement.place(generation, engines, now_s)
         if placement is None:
             self._refuse(RefusalReason.NO_BACKEND, "no engine makes tokens", now_s)
             return
-        come_back_s = retry_after_s(call, placement.first_token_s, services.admission, now_s)
-        if first and come_back_s is not None:
-            self._log_placement(placement, "refused", now_s)
-            self._refuse(
-                RefusalReason.OVERLOADED, "the first token would be too late", now_s, come_back_s
-            )
+        if first and not self._is_admitted(placement, now_s):
             return
+        self._held = False
         self._placement = placement
         self._log_placement(placement, "placed", now_s)
         has_room = services.retries.has_room(call.pool.name, now_s)
@@ -203,6 +205,29 @@
         else:
             self._send_run(placement.decode, None, now_s)
 
+    def _is_admitted(self, placement: Placement, now_s: float) -> bool:
+        """Tells whether the call goes out now; otherwise it is held, or was refused."""
+        services = self._services
+        admission = admit(
+            self.call,
+            placement,
+            services.admission,
+            hosts=services.live_hosts,
+            rng=services.rng,
+            now_s=now_s,
+        )
+        if admission.step is AdmissionStep.SEND:
+            return True
+        if admission.step is AdmissionStep.HOLD:
+            if not self._held:
+                self._held = True
+                self._log_placement(placement, "held", now_s)
+            return False
+        self._log_placement(placement, "refused", now_s)
+        detail = "the first token would be too late"
+        self._refuse(RefusalReason.OVERLOADED, detail, now_s, admission.retry_after_s)
+        return False
+
     def _usable_engines(self, now_s: float) -> list[BackendEntry]:
         """Returns the engines that may be sent this call."""
         services, call = self._services, self.call
@@ -278,8 +303,7 @@
         generation = self.call.generation
         if generation is None:
             return 0
-        cached = self._services.locations.cached_tokens(engine.name, generation.parts, now_s)
-        return max(1, generation.prompt_tokens - cached)
+        return self._services.placement.reading_work(generation, engine, now_s)
 
     def _details(
         self,
@@ -314,6 +338,14 @@
         if decoder is None:
             self._refuse(RefusalReason.NO_BACKEND, "no engine makes tokens", now_s)
             return
+        _log.info(
+            "prompt handed over",
+            id=self.call.call_id,
+            reader=leg.backend.name,
+            decoder=decoder.name,
+            read_ms=_ms(now_s - leg.started_s),
+            tokens=kept.tokens,
+        )
         self._send_run(decoder, kept, now_s)
 
     def on_prefill_failed(self, leg: Leg, end: AttemptEnd, detail: str) -> None:
@@ -574,6 +606,7 @@
     ) -> None:
         call = self.call
         self.ended = True
+        self._held = False
         self._stop_legs(now_s)
         total_s = now_s - call.received_s
         self._services.measures.on_call_ended(call.route.name, outcome, total_s)
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+import uuid
 from random import Random
 from typing import Final
 
@@ -46,6 +47,7 @@
 from berylquay.relay.log_lines import LogLines
 from berylquay.relay.measures import RelayMeasures
 from berylquay.relay.pages import STATUS_OK, Page, PageConnection
+from berylquay.relay.role_orders import RoleOrders
 from berylquay.relay.services import RelayServices
 from berylquay.settings.relay_file import RelayOptions
 
@@ -88,6 +90,7 @@
     _backends: BackendsBelief
     _backends_follower: TopicFollower
     _reports: LoadReports
+    _role_orders: RoleOrders
     _hosts: HostList
     # Monotonic time of the stop signal, or None.
     _stop_s: float | None
@@ -110,6 +113,7 @@
         self._desk = Desk(
             connections, self._services, self._configuration, self._make_desk_options()
         )
+        self._role_orders = self._make_role_orders(connections)
         self._listen(connections)
         Ticker().register(self._loop)
         self.register(self._loop)
@@ -182,6 +186,16 @@
             clock=time.monotonic,
         ).register(self._loop)
 
+    def _make_role_orders(self, connections: Connections) -> RoleOrders:
+        options = self._options
+        return RoleOrders(
+            self._services,
+            StoreLane(connections, options.store_address),
+            f"{options.host}-{uuid.uuid4().hex[:8]}",
+            lease_s=options.bounds.lease_s,
+            position=lambda: self._reports.position,
+        )
+
     def _make_desk_options(self) -> DeskOptions:
         options = self._options
         return DeskOptions(
@@ -248,11 +262,13 @@
         self._hosts.on_tick(now_s)
         self._note_store(now_s)
         self._services.retries.on_hosts(max(self._reports.live_hosts, self._hosts.count))
+        self._services.live_hosts = self._reports.live_hosts
         self._services.connections.on_tick(now_s)
         self._services.suspects.expire(now_s)
         self._desk.confirmed_s = self._configuration_follower.confirmed_s
         self._desk.on_tick(now_s)
         self._tell_others(now_s)
+        self._order_roles(now_s)
         self._log_lines.on_tick(now_s)
         if self._stop_s is not None:
             self._go_on_stopping(now_s, self._stop_s)
@@ -265,6 +281,13 @@
             registry.on_store_answered(now_s)
         self._backends.expire(now_s)
 
+    def _order_roles(self, now_s: float) -> None:
+        table = self._configuration.table
+        followed = self._backends_follower.complete and not self._backends_follower.failures
+        if table is not None and followed and self._stop_s is None:
+            self._role_orders.served = self._desk.has_served
+            self._role_orders.on_tick(table, now_s)
+
     def _tell_others(self, now_s: float) -> None:
         services = self._services
         for part_id, engine in services.new_parts:
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -158,6 +158,11 @@
         """Returns how many hosts live, this one included, as far as is known."""
         return 1 + len(self._peers)
 
+    @property
+    def position(self) -> int:
+        """Returns how many live hosts come before this one in the order of names."""
+        return sum(name < self._host for name in self._peers)
+
     def add_peer(self, host: str, address: Address, data_centre: str, now_s: float) -> None:
         """Takes another host from the store's list; a report keeps it known."""
         if host != self._host and host not in self._peers:
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -38,6 +38,8 @@
     rng: Random
     admission: AdmissionOptions = field(factory=AdmissionOptions)
     attempts: AttemptLimits = field(factory=AttemptLimits)
+    # Hosts that are known to live, this one included.
+    live_hosts: int = 1
     # Requests of this host under way at each plain backend server.
     under_way: Counter[str] = field(factory=Counter)
     # Parts that engines have newly read, for the other hosts: part id and engine.
