--- /dev/null
+++ b/tests/relay/test_platform_decoding.py
@@ -0,0 +1,195 @@
+"""What the platform's bytes become, and that bytes that can't be read become nothing."""
+
+import json
+from collections.abc import Callable
+
+import pytest
+from returns.result import Failure
+
+from berylquay.decisions.backend_registry import EntryState
+from berylquay.decisions.fleet import Address, Role
+from berylquay.decisions.relay_call import PromptPart
+from berylquay.decisions.route_table import RepeatRule
+from berylquay.net.kept_http import RawHead
+from berylquay.platform.backend_entries import decode_backend_entry
+from berylquay.platform.configuration import decode_configuration
+from berylquay.platform.requests import (
+    KeptPrompt,
+    RunDetails,
+    decode_accepted_orders,
+    decode_facts,
+    decode_kept_prompt,
+    encode_prefill,
+    encode_run,
+    passed_headers,
+    says_not_run,
+)
+from berylquay.platform.store import decode_keyed, encode_keyed
+from tests.support.relay_fleet import HOST_NAME, PATHS, make_configuration
+
+ENTRY = {
+    "service": "lm",
+    "address": "10.0.0.1:80",
+    "zone": "fes-a",
+    "slots": 4,
+    "state": "draining",
+    "phase": "decode",
+    "seq": 7,
+    "born": 12,
+}
+
+
+def test_an_entry_is_decoded_with_the_heartbeat_apart() -> None:
+    entry = decode_backend_entry("i-1", json.dumps(ENTRY).encode()).unwrap()
+    assert (entry.name, entry.pool, entry.address) == ("i-1", "lm", Address("10.0.0.1", 80))
+    assert (entry.state, entry.role) == (EntryState.LEAVING, Role.DECODE)
+    assert entry.age_order == (12, 7)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[1]",
+        b"[" * 100_000,
+        json.dumps({**ENTRY, "state": "resting"}).encode(),
+        json.dumps({**ENTRY, "phase": "mixed"}).encode(),
+        json.dumps({**ENTRY, "slots": "4"}).encode(),
+        json.dumps({**ENTRY, "slots": True}).encode(),
+        json.dumps({**ENTRY, "address": "10.0.0.1"}).encode(),
+        json.dumps({**ENTRY, "address": "10.0.0.1:99999"}).encode(),
+        json.dumps({key: value for key, value in ENTRY.items() if key != "zone"}).encode(),
+    ],
+)
+def test_an_entry_of_another_writer_names_no_backend_server(data: bytes) -> None:
+    assert isinstance(decode_backend_entry("i-1", data), Failure)
+
+
+def test_a_configuration_becomes_routes_by_host_and_prefix() -> None:
+    table = decode_configuration(json.dumps(make_configuration(7)).encode()).unwrap()
+    assert table.version == 7
+    once = table.match(HOST_NAME.upper(), PATHS["once"] + "x")
+    many = table.match(HOST_NAME, PATHS["many"])
+    resumable = table.match(HOST_NAME, PATHS["resumable"])
+    assert once is not None and many is not None and resumable is not None
+    assert (once.repeat, many.repeat) == (RepeatRule.ONCE, RepeatRule.REPEATABLE)
+    assert resumable.repeatable and resumable.streaming
+    assert (once.timeout_s, once.objective_s, resumable.pause_s) == (4.0, 0.4, 0.15)
+    assert table.match(HOST_NAME, "/on") is None
+    assert table.match("other.example", PATHS["once"]) is None
+
+
+def test_the_longest_prefix_wins() -> None:
+    configuration = make_configuration()
+    routes = configuration["routes"]
+    assert isinstance(routes, list)
+    routes.append({**routes[2], "name": "deeper", "pathPrefix": PATHS["once"] + "deep/"})
+    table = decode_configuration(json.dumps(configuration).encode()).unwrap()
+    found = table.match(HOST_NAME, PATHS["once"] + "deep/x")
+    assert found is not None and found.name == "deeper"
+
+
+def _without_routes(configuration: dict[str, object]) -> None:
+    del configuration["routes"]
+
+
+def _with_text_version(configuration: dict[str, object]) -> None:
+    configuration["version"] = "7"
+
+
+def _with_routes_of_numbers(configuration: dict[str, object]) -> None:
+    configuration["routes"] = [1, 2]
+
+
+@pytest.mark.parametrize("spoil", [_without_routes, _with_text_version, _with_routes_of_numbers])
+def test_a_configuration_with_a_fault_is_told_and_not_taken(
+    spoil: Callable[[dict[str, object]], None],
+) -> None:
+    configuration = make_configuration()
+    spoil(configuration)
+    assert isinstance(decode_configuration(json.dumps(configuration).encode()), Failure)
+
+
+@pytest.mark.parametrize(
+    ("parts", "expected"),
+    [
+        (b"aa:5,bb:6", (PromptPart("aa", 5), PromptPart("bb", 6))),
+        (b"aa:5, bb:6", (PromptPart("aa", 5), PromptPart("bb", 6))),
+        (b"aa:5,bad,bb:6", (PromptPart("aa", 5),)),
+        (b"", ()),
+    ],
+)
+def test_prompt_parts(parts: bytes, expected: tuple[PromptPart, ...]) -> None:
+    facts = decode_facts([(b"token-counts", b"11,4"), (b"prompt-prefix", parts)])
+    assert facts.generation is not None
+    assert facts.generation.parts == expected
+    assert (facts.generation.prompt_tokens, facts.generation.max_output_tokens) == (11, 4)
+
+
+@pytest.mark.parametrize("counts", [b"many,4", b"", b"-3,4"])
+def test_unreadable_token_counts_make_no_generation(counts: bytes) -> None:
+    assert decode_facts([(b"token-counts", counts)]).generation is None
+
+
+def test_a_run_carries_what_the_system_sets_and_nothing_of_one_connection() -> None:
+    headers = [
+        (b"host", b"h"),
+        (b"connection", b"keep-alive, x-hop"),
+        (b"x-hop", b"1"),
+        (b"x-own", b"2"),
+        (b"deadline-ms", b"9999"),
+        (b"kv-source", b"forged"),
+        (b"transfer-encoding", b"chunked"),
+    ]
+    kept = KeptPrompt("i-1", Address("10.0.0.9", 81), "abc", 5)
+    details = RunDetails("i-2", 1.5, urgency=3, kept_prompt=kept, resume_after=4)
+    run = encode_run(b"POST", b"/p?q", headers, b"body", details)
+    assert dict(run.headers) == {
+        b"host": b"h",
+        b"x-own": b"2",
+        b"deadline-ms": b"1500",
+        b"expect-instance": b"i-2",
+        b"content-length": b"4",
+        b"urgency-level": b"3",
+        b"kv-source": b"10.0.0.9:81/abc",
+        b"last-event-id": b"4",
+    }
+    prefill = encode_prefill(b"POST", b"/p?q", headers, b"body", RunDetails("i-1", 1.5))
+    assert dict(prefill.headers)[b"stage"] == b"prefill"
+
+
+def test_an_answer_loses_what_concerned_its_connection() -> None:
+    headers = [
+        (b"connection", b"close, x-hop"),
+        (b"x-hop", b"1"),
+        (b"keep-alive", b"timeout=5"),
+        (b"server-seal", b"s"),
+        (b"content-length", b"2"),
+    ]
+    head = RawHead(200, b"OK", headers)
+    assert passed_headers(head) == [(b"server-seal", b"s"), (b"content-length", b"2")]
+    assert not says_not_run(head)
+    assert says_not_run(RawHead(503, b"", [(b"not-executed", b"1")]))
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{}", b'{"kvHandle": 3}', b'{"kvHandle": "a/../b"}', b'["kvHandle"]']
+)
+def test_an_unreadable_handle_is_none(body: bytes) -> None:
+    assert isinstance(decode_kept_prompt("i-1", Address("10.0.0.1", 80), body), Failure)
+
+
+@pytest.mark.parametrize(("body", "orders"), [(b'{"seq": 3}', 3), (b"{}", None), (b"x", None)])
+def test_accepted_orders(body: bytes, orders: int | None) -> None:
+    assert decode_accepted_orders(body) == orders
+
+
+def test_keyed_records_and_what_is_none() -> None:
+    record = decode_keyed(encode_keyed("key", b"value"))
+    assert record is not None
+    assert (record.key, record.value) == ("key", b"value")
+    dropped = decode_keyed(encode_keyed("key", b""))
+    assert dropped is not None and dropped.value is None
+    assert decode_keyed(b"") is None
+    assert decode_keyed(b"\x09abc") is None
--- /dev/null
+++ b/tests/relay/test_role_orders.py
@@ -0,0 +1,161 @@
+"""Who may order engines about, and which orders the plan asks for, without a network."""
+
+from random import Random
+
+import pytest
+from attrs import define, evolve, field
+
+from berylquay.decisions.backend_registry import BackendEntry, EntryState
+from berylquay.decisions.fleet import Address, Role
+from berylquay.decisions.order_claims import ClaimStep, ClaimTimes, OrderClaims
+from berylquay.decisions.role_plan import (
+    LastingDeviation,
+    RolePlanOptions,
+    plan_role_changes,
+    wanted_decode_engines,
+)
+from berylquay.decisions.roles import RoleChange
+
+LEASE_S = 3.0
+TIMES = ClaimTimes(term_s=2.0, settle_s=LEASE_S + 2.0)
+ENGINE = BackendEntry(
+    "e", "lm", Address("10.0.0.1", 80), "a", 64, EntryState.READY, role=Role.DECODE
+)
+
+
+def make_engines(*roles: tuple[str, Role]) -> list[BackendEntry]:
+    return [
+        evolve(ENGINE, name=f"e-{number}", data_centre=place, role=role)
+        for number, (place, role) in enumerate(roles)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("engines", "fullness", "wanted"),
+    [(1, 0.0, 1), (2, 0.0, 1), (3, 0.0, 2), (5, 0.0, 2), (9, 0.0, 3), (9, 0.95, 5), (30, 0.0, 10)],
+)
+def test_the_wanted_split(engines: int, fullness: float, wanted: int) -> None:
+    assert wanted_decode_engines(engines, fullness, RolePlanOptions()) == wanted
+
+
+def test_long_prompts_and_short_answers_leave_one_maker_in_each_data_centre() -> None:
+    decode, prefill = Role.DECODE, Role.PREFILL
+    engines = make_engines(
+        ("a", decode), ("a", decode), ("a", prefill),
+        ("b", decode), ("b", decode), ("b", prefill),
+        ("c", decode), ("c", decode), ("c", prefill),
+    )  # fmt: skip
+    changes = plan_role_changes(engines, {}, RolePlanOptions())
+    changed = {change.backend for change in changes}
+    assert {change.role for change in changes} == {prefill}
+    left = [e.data_centre for e in engines if e.role is decode and e.name not in changed]
+    assert sorted(left) == ["a", "b", "c"]
+
+
+def test_lost_makers_are_replaced_by_readers() -> None:
+    engines = make_engines(("a", Role.PREFILL), ("b", Role.PREFILL), ("b", Role.PREFILL))
+    changes = plan_role_changes(engines, {}, RolePlanOptions())
+    assert [change.role for change in changes] == [Role.DECODE, Role.DECODE]
+
+
+def test_only_a_deviation_that_lasts_is_acted_on() -> None:
+    """Answers crashed engines, which are back within seconds."""
+    deviation = LastingDeviation(RolePlanOptions(lasting_s=6.0))
+    wanted = [RoleChange("e", Role.DECODE)]
+    assert not deviation.is_lasting(wanted, 5, False, 0.0)
+    assert not deviation.is_lasting(wanted, 5, False, 5.9)
+    assert not deviation.is_lasting([], 6, False, 5.95)
+    assert not deviation.is_lasting(wanted, 5, False, 6.1)
+    assert deviation.is_lasting(wanted, 5, False, 12.2)
+
+
+@define
+class _Topic:
+    """The store's topic: claims in order."""
+
+    holders: list[str] = field(factory=list)
+
+
+@define
+class _Host:
+    """A host that always wants to order, over a store with faults."""
+
+    name: str
+    claims: OrderClaims
+    # Time until which the host stands still.
+    frozen_until_s: float = 0.0
+    # A claim on its way that the store carries out later: when, and the required end.
+    late: tuple[float, int] | None = None
+
+
+def _step(host: _Host, topic: _Topic, now_s: float, rng: Random) -> int | None:
+    """Lets a host take one step; returns the fencing number if it orders."""
+    step = host.claims.next_step(now_s)
+    if step is ClaimStep.READ:
+        if rng.random() < 0.8:
+            unread = topic.holders[host.claims.read_from :]
+            host.claims.on_read(unread, len(topic.holders), True, now_s)
+    elif step is ClaimStep.APPEND:
+        host.claims.on_append_sent(now_s)
+        required = host.claims.read_from
+        fate = rng.random()
+        if fate < 0.2:
+            host.claims.on_claim_failed()
+        elif fate < 0.4:
+            # No answer: the store may carry it out seconds later.
+            host.late = (now_s + rng.uniform(0.0, 6.0), required)
+            host.claims.on_claim_failed()
+        elif len(topic.holders) == required:
+            topic.holders.append(host.name)
+            if fate < 0.5:
+                host.claims.on_claim_failed()
+            else:
+                host.claims.on_claimed(required)
+        else:
+            host.claims.on_claim_failed()
+    elif step is ClaimStep.ORDER:
+        return host.claims.fencing_number(now_s)
+    return None
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_two_hosts_never_order_within_the_lease(seed: int) -> None:
+    """Answers lost, late and refused claims, and hosts that freeze at any moment."""
+    rng = Random(seed)
+    topic = _Topic()
+    hosts = [_Host(f"h-{n}", OrderClaims(TIMES, f"h-{n}")) for n in range(4)]
+    orders: list[tuple[float, str, int]] = []
+    now_s = 0.0
+    while now_s < 120.0:
+        now_s += 0.05
+        for host in hosts:
+            if host.late is not None and now_s >= host.late[0]:
+                if len(topic.holders) == host.late[1]:
+                    topic.holders.append(host.name)
+                host.late = None
+            if now_s < host.frozen_until_s:
+                continue
+            if rng.random() < 0.01:
+                host.frozen_until_s = now_s + rng.uniform(0.5, 8.0)
+                continue
+            term = _step(host, topic, now_s, rng)
+            if term is not None:
+                orders.append((now_s, host.name, term))
+    assert orders
+    for before, after in zip(orders, orders[1:], strict=False):
+        if before[1] != after[1]:
+            assert after[0] - before[0] >= LEASE_S
+            assert after[2] > before[2]
+
+
+def test_claims_that_expired_unread_may_be_of_any_holder() -> None:
+    claims = OrderClaims(TIMES, "me")
+    assert claims.next_step(0.0) is ClaimStep.READ
+    claims.on_records_gone(40, 0.0)
+    claims.on_read([], 40, True, 0.1)
+    assert claims.next_step(1.0) is ClaimStep.WAIT
+    assert claims.next_step(TIMES.wait_s + 0.1) is ClaimStep.APPEND
+    claims.on_append_sent(8.0)
+    claims.on_claimed(40)
+    assert claims.fencing_number(9.9) == 41
+    assert claims.fencing_number(10.0) is None
