--- a/berylquay/decisions/engine_placement.py
+++ b/berylquay/decisions/engine_placement.py
@@ -3,10 +3,12 @@
 Pattern answered: long prompts and short ones share few engines, and reading prompts binds. A
 prefill engine reads two to three times as fast as a decode engine, which reads between the tokens
 of its streams, but a prompt read there must be handed over. Each request goes where its first token
-is predicted to come first, with what it costs others (shared parts read again, KV cache moved far)
-counted as time.
+is predicted to come in time at the least cost to others: shared parts read again, KV cache moved
+far, streams that slow each other. Time within the objective counts little, so that long prompts
+gather behind each other and leave some engines free for short ones, which have less time.
 """
 
+from collections import Counter
 from collections.abc import Sequence
 from hashlib import blake2b
 from typing import Final, Protocol
@@ -22,6 +24,7 @@
 
 MS_PER_S: Final = 1000.0
 BITS_PER_BYTE: Final = 8
+BYTES_PER_KB: Final = 1000.0
 BITS_PER_MS_PER_MBPS: Final = 1000.0
 
 
@@ -49,14 +52,28 @@
     # Time that reading one token of a shared part again counts for, as it displaces others.
     reread_ms_per_token: float = 0.1
     # Time that a move of KV cache between regions counts for besides, for each gigabyte.
-    far_move_ms_per_gb: float = 40.0
+    far_move_ms_per_gb: float = 70.0
+    # Time that sending a kilobyte to another region counts for besides the round trip.
+    far_send_ms_per_kb: float = 3.5
     # Time by which a prompt's home is preferred while no engine is known to keep its parts.
     home_bonus_ms: float = 40.0
+    # Part of the objective within which a predicted time counts as surely in time.
+    sure_share: float = 0.6
+    # Weight of time that is surely in time; later time counts whole.
+    sure_weight: float = 0.2
+    # Part of the prefill engines that is kept quick for requests with little time.
+    quick_share: float = 0.3
+    # A request has more time than most if its objective is this many times the shortest one.
+    ample_objectives: float = 1.6
+    # Longest wait and reading together of a request with ample time at an engine kept quick.
+    quick_bound_ms: float = 200.0
+    # Time that a breach of that bound counts for: any other engine is better.
+    quick_breach_ms: float = 20_000.0
     # Prompt tokens that may wait at a decode engine before its streams pause for too long: about
-    # five steps between two events of a stream.
-    decode_read_bound_tokens: int = 1300
+    # six steps, of the ten or so between two events of a stream.
+    decode_read_bound_tokens: int = 1600
     # Time that each token beyond the bound counts for.
-    beyond_bound_ms_per_token: float = 1.0
+    beyond_bound_ms_per_token: float = 0.5
     # Time that a full batch counts for besides, in proportion: each stream slows the others.
     full_batch_ms: float = 100.0
     # Shortest shared part that has a home.
@@ -91,9 +108,22 @@
     """Chooses the engines for a request."""
 
     def place(
-        self, generation: Generation, engines: Sequence[BackendEntry], now_s: float
+        self,
+        generation: Generation,
+        engines: Sequence[BackendEntry],
+        objective_s: float,
+        objective_left_s: float,
+        now_s: float,
     ) -> Placement | None:
-        """Returns the best placement, or None if no engine can make tokens."""
+        """Returns the best placement, or None if no engine can make tokens.
+
+        Args:
+            generation: What is asked.
+            engines: Engines that may be used.
+            objective_s: Time within which a first token is in time, from the request on.
+            objective_left_s: The same from now on.
+            now_s: Present time.
+        """
 
 
 @define
@@ -110,26 +140,57 @@
     _speeds: "EngineSpeeds"
     # What the engines of the pool have in common; set with each configuration.
     _pool: EnginePool | None = field(default=None, init=False)
-
-    def on_pool(self, pool: EnginePool | None) -> None:
-        """Takes what the engines of the pool have in common."""
+    # Shortest objective of the pool's routes.
+    _shortest_objective_s: float = field(default=0.0, init=False)
+    # Names of the engines that read prompts for others, and of those that are kept quick.
+    _readers: frozenset[str] = field(default=frozenset(), init=False)
+    _quick: frozenset[str] = field(default=frozenset(), init=False)
+
+    def on_pool(self, pool: EnginePool | None, shortest_objective_s: float) -> None:
+        """Takes what the engines of the pool have in common, and its routes' objectives."""
         self._pool = pool
+        self._shortest_objective_s = shortest_objective_s
+
+    def on_readers(self, readers: Sequence[BackendEntry]) -> None:
+        """Takes the engines that read prompts for others."""
+        self._readers = frozenset(engine.name for engine in readers)
+        count = round(len(readers) * self._options.quick_share) if len(readers) > 1 else 0
+        self._quick = frozenset(_one_of_each_place(readers)[:count])
 
     def place(
-        self, generation: Generation, engines: Sequence[BackendEntry], now_s: float
+        self,
+        generation: Generation,
+        engines: Sequence[BackendEntry],
+        objective_s: float,
+        objective_left_s: float,
+        now_s: float,
     ) -> Placement | None:
         """Returns the best placement, or None if no engine can make tokens."""
+        sure_ms = max(0.0, objective_left_s) * MS_PER_S * self._options.sure_share
+        ample = objective_s > self._shortest_objective_s * self._options.ample_objectives
         decoders = [engine for engine in engines if engine.role is not Role.PREFILL]
         best: tuple[float, Placement] | None = None
         for engine in decoders:
-            best = _cheaper(best, self._whole(generation, engine, now_s))
+            best = _cheaper(best, self._whole(generation, engine, sure_ms, now_s))
         readers = [engine for engine in engines if engine.role is Role.PREFILL]
         for engine in readers:
             decoder = self.decoder_for(engine, generation, decoders, now_s)
             if decoder is not None:
-                best = _cheaper(best, self._split(generation, engine, decoder, now_s))
+                option = self._split(generation, engine, decoder, sure_ms, now_s)
+                best = _cheaper(best, self._keep_quick(option, engine, ample))
         return None if best is None else best[1]
 
+    def _keep_quick(
+        self, option: tuple[float, Placement], reader: BackendEntry, ample: bool
+    ) -> tuple[float, Placement]:
+        """Makes an engine kept quick dear for a request that would hold it up for long."""
+        cost_ms, placement = option
+        rate = self._options.prefill_tokens_per_ms
+        held_ms = placement.wait_s * MS_PER_S + placement.tokens_to_read / rate
+        if ample and reader.name in self._quick and held_ms > self._options.quick_bound_ms:
+            cost_ms += self._options.quick_breach_ms
+        return cost_ms, placement
+
     def decoder_for(
         self,
         reader: BackendEntry,
@@ -149,7 +210,7 @@
         )
 
     def _whole(
-        self, generation: Generation, engine: BackendEntry, now_s: float
+        self, generation: Generation, engine: BackendEntry, sure_ms: float, now_s: float
     ) -> tuple[float, Placement]:
         rate = self._options.decode_tokens_per_ms
         wait_ms, read_ms, tokens = self._read_ms(generation, engine, rate, now_s)
@@ -157,8 +218,9 @@
         waiting = self._backlog.waiting_tokens(engine.name, LOWEST_RANK, now_s) + tokens
         beyond = max(0, waiting - self._options.decode_read_bound_tokens)
         cost_ms = (
-            first_ms
+            self._time_cost_ms(first_ms, sure_ms)
             + self._reread_cost_ms(generation, engine, now_s)
+            + self._send_cost_ms(generation, engine)
             + beyond * self._options.beyond_bound_ms_per_token
             + self._crowding_ms(engine, now_s)
         )
@@ -169,6 +231,7 @@
         generation: Generation,
         reader: BackendEntry,
         decoder: BackendEntry,
+        sure_ms: float,
         now_s: float,
     ) -> tuple[float, Placement]:
         rate = self._options.prefill_tokens_per_ms
@@ -182,13 +245,20 @@
             + self._batch_ms(decoder, now_s)
         )
         cost_ms = (
-            first_ms
+            self._time_cost_ms(first_ms, sure_ms)
             + self._reread_cost_ms(generation, reader, now_s)
+            + self._send_cost_ms(generation, reader)
+            + self._send_cost_ms(generation, decoder)
             + self._move_price_ms(generation, reader, decoder)
             + self._crowding_ms(decoder, now_s)
         )
         return cost_ms, Placement(reader, decoder, first_ms / MS_PER_S, wait_ms / MS_PER_S, tokens)
 
+    def _time_cost_ms(self, first_ms: float, sure_ms: float) -> float:
+        """Returns what the time to a first token counts for."""
+        sure = min(first_ms, sure_ms)
+        return sure * self._options.sure_weight + (first_ms - sure)
+
     def _read_ms(
         self, generation: Generation, engine: BackendEntry, rate: float, now_s: float
     ) -> tuple[float, float, int]:
@@ -211,6 +281,7 @@
         return (
             self._move_ms(generation, reader, decoder)
             + self._move_price_ms(generation, reader, decoder)
+            + self._send_cost_ms(generation, decoder)
             + self._round_trip_ms(decoder)
             + self._batch_ms(decoder, now_s)
             + self._crowding_ms(decoder, now_s)
@@ -246,7 +317,7 @@
         )
 
     def _best_weight(self, part_id: str) -> int:
-        return max((home_weight(part_id, name) for name in self._speeds.readers), default=0)
+        return max((home_weight(part_id, name) for name in self._readers), default=0)
 
     def _move_ms(
         self, generation: Generation, reader: BackendEntry, decoder: BackendEntry
@@ -275,6 +346,12 @@
         gigabytes = generation.prompt_tokens * pool.token_bytes / 1e9
         return gigabytes * self._options.far_move_ms_per_gb
 
+    def _send_cost_ms(self, generation: Generation, engine: BackendEntry) -> float:
+        """Returns what sending the request to the engine counts for."""
+        if self._region(engine.data_centre) == self._place.region:
+            return 0.0
+        return generation.request_bytes / BYTES_PER_KB * self._options.far_send_ms_per_kb
+
     def _round_trip_ms(self, engine: BackendEntry) -> float:
         if engine.data_centre == self._place.data_centre:
             return self._options.near_round_trip_ms
@@ -291,6 +368,16 @@
     return int.from_bytes(blake2b(f"{part_id}|{engine}".encode(), digest_size=6).digest(), "big")
 
 
+def _one_of_each_place(engines: Sequence[BackendEntry]) -> list[str]:
+    """Returns the engines' names so that the first ones stand in different data centres."""
+    seen: Counter[str] = Counter()
+    ranked = []
+    for engine in sorted(engines, key=lambda engine: engine.name):
+        ranked.append((seen[engine.data_centre], engine.data_centre, engine.name))
+        seen[engine.data_centre] += 1
+    return [name for _, _, name in sorted(ranked)]
+
+
 def _cheaper(
     best: tuple[float, Placement] | None, other: tuple[float, Placement]
 ) -> tuple[float, Placement]:
@@ -308,12 +395,9 @@
 
     # Factor on the expected time by engine.
     _slowdowns: dict[str, float]
-    # Engines that read prompts for others.
-    readers: frozenset[str]
 
     def __init__(self) -> None:
         self._slowdowns = {}
-        self.readers = frozenset()
 
     def slowdown(self, engine: str) -> float:
         """Returns the factor on the expected time."""
--- a/berylquay/decisions/relay_call.py
+++ b/berylquay/decisions/relay_call.py
@@ -26,6 +26,8 @@
     max_output_tokens: int
     # The prompt's parts in order; the last one belongs to the request or its session.
     parts: tuple[PromptPart, ...] = ()
+    # Size of the request's body, which goes to each engine that is used.
+    request_bytes: int = 0
 
 
 @define(eq=False)
--- a/berylquay/platform/store.py
+++ b/berylquay/platform/store.py
@@ -24,7 +24,7 @@
 
 # Time in which the store answers a call that does not wait; several times its usual time, and more
 # than that of a store that answers fifty times as slowly.
-CALL_TIMEOUT_S: Final = 1.2
+CALL_TIMEOUT_S: Final = 1.0
 # Largest answer that is taken: a page of newest records, or of records from an offset.
 MAX_ANSWER_BYTES: Final = 8_000_000
 READ_KB: Final = 1024
--- a/berylquay/relay/desk.py
+++ b/berylquay/relay/desk.py
@@ -6,9 +6,9 @@
 from typing import Final
 
 import logbook
-from attrs import define
+from attrs import define, evolve
 
-from berylquay.decisions.relay_call import RelayCall
+from berylquay.decisions.relay_call import Generation, RelayCall
 from berylquay.decisions.route_table import CallerBounds, Pool, Route, RouteTable
 from berylquay.decisions.suspects import Standing
 from berylquay.net.connections import Connections
@@ -216,7 +216,7 @@
             deadline_s=request.received_s + min(deadline_s, route.timeout_s),
             returning=self._is_returning(route.name, deadline_s),
             fingerprint=fingerprint,
-            generation=facts.generation if pool.engines is not None else None,
+            generation=_generation_of(request, facts) if pool.engines is not None else None,
         )
         if self._services.suspects.standing_of(fingerprint) is Standing.QUARANTINED:
             losses = len(self._services.suspects.losses_of(fingerprint))
@@ -274,6 +274,12 @@
         caller.answer(status, b"", content, f"{detail}\n".encode())
 
 
+def _generation_of(request: CallerRequest, facts: RequestFacts) -> Generation | None:
+    if facts.generation is None:
+        return None
+    return evolve(facts.generation, request_bytes=len(request.body))
+
+
 def _fingerprint(request: CallerRequest) -> str:
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
     for part in (request.method, request.target, request.body):
--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -190,7 +190,10 @@
         if generation is None:
             return
         engines = self._usable_engines(now_s)
-        placement = services.placement.place(generation, engines, now_s)
+        objective_left_s = call.received_s + call.route.objective_s - now_s
+        placement = services.placement.place(
+            generation, engines, call.route.objective_s, objective_left_s, now_s
+        )
         if placement is None:
             self._refuse(RefusalReason.NO_BACKEND, "no engine makes tokens", now_s)
             return
@@ -271,6 +274,7 @@
         services.backlog.add_prompt(
             engine.name, call.call_id, placement.tokens_to_read, call.route.rank
         )
+        services.on_new_work(now_s)
         connection = services.connections.take(engine, False, now_s)
         self._prefill_leg = Leg(
             _PrefillLegUser(self), engine, connection, raw, call_id=call.call_id, now_s=now_s
@@ -294,6 +298,7 @@
                 tokens = self._tokens_to_read(backend, now_s)
                 self._reading_at = backend.name
                 services.backlog.add_prompt(backend.name, call.call_id, tokens, call.route.rank)
+            services.on_new_work(now_s)
         else:
             services.under_way[backend.name] += 1
         connection = services.connections.take(backend, not call.route.repeatable, now_s)
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -56,9 +56,9 @@
 STATUS_UNAVAILABLE: Final = 503
 # The configuration changes rarely: a read waits at the store until it does. The wait and the time
 # that a silent connection takes to be found out stay within the time to apply a change.
-CONFIGURATION_TIMES: Final = FollowTimes(wait_s=1.2, interval_s=0.05)
+CONFIGURATION_TIMES: Final = FollowTimes(wait_s=3.0, interval_s=0.05)
 # Backend servers renew their entries all the time: waiting would return at once.
-BACKENDS_TIMES: Final = FollowTimes(wait_s=0.8, interval_s=0.9)
+BACKENDS_TIMES: Final = FollowTimes(wait_s=0.8, interval_s=1.15)
 # Descriptors that are kept for files and for connections to backend servers.
 RESERVED_SOCKETS: Final = 700
 # Time from the stop signal until new requests are refused: the balancer has taken the host out
@@ -154,8 +154,12 @@
             connections=BackendPool(connections),
             measures=RelayMeasures(),
             rng=rng,
+            on_new_work=self._tell_new_work,
         )
 
+    def _tell_new_work(self, now_s: float) -> None:
+        self._reports.on_new_work(now_s)
+
     def _make_store_readers(self, connections: Connections, rng: Random) -> None:
         address = self._options.store_address
         self._configuration_follower = TopicFollower(
@@ -231,8 +235,15 @@
     # What others say.
 
     def _on_configuration(self, table: RouteTable) -> None:
-        pools = [pool.engines for pool in table.pools.values() if pool.engines is not None]
-        self._services.placement.on_pool(pools[0] if pools else None)
+        pools = {pool.name: pool.engines for pool in table.pools.values() if pool.engines}
+        objectives = [
+            route.objective_s
+            for routes in table.by_host.values()
+            for route in routes
+            if any(share.pool in pools for share in route.shares)
+        ]
+        engines = next(iter(pools.values()), None)
+        self._services.placement.on_pool(engines, min(objectives, default=0.0))
 
     def _on_backend(self, change: RegistryChange) -> None:
         services = self._services
@@ -241,8 +252,8 @@
             services.health.forget(change.name)
             services.speeds.forget(change.name)
             services.locations.forget_engine(change.name)
-        services.speeds.readers = frozenset(
-            entry.name for entry in services.registry.all() if entry.role is Role.PREFILL
+        services.placement.on_readers(
+            [entry for entry in services.registry.all() if entry.role is Role.PREFILL]
         )
 
     def _on_known_host(self, host: str, address: Address, data_centre: str) -> None:
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -22,7 +22,10 @@
 MAX_DATAGRAM_BYTES: Final = 8192
 # Datagrams read in one turn.
 READS_PER_TURN: Final = 64
-# Shortest interval between reports for each other host that gets them.
+# Shortest interval between reports of new work for each other host that gets them: hosts that
+# place a prompt at the same moment choose the same engine until they hear of each other.
+NEW_WORK_INTERVAL_PER_HOST_S: Final = 0.001
+# The same between other reports.
 INTERVAL_PER_HOST_S: Final = 0.008
 SHORTEST_INTERVAL_S: Final = 0.05
 # Interval of reports when nothing has changed, so that the others know that the host lives.
@@ -176,6 +179,11 @@
         """Tells the others under which content a backend server was lost."""
         self._losses.append((fingerprint, backend))
 
+    def on_new_work(self, now_s: float) -> None:
+        """Tells the others at once of work that was placed, unless that was just done."""
+        if now_s - self._sent_s >= NEW_WORK_INTERVAL_PER_HOST_S * len(self._peers):
+            self._send(self._make_loads(), now_s)
+
     def on_tick(self, now_s: float) -> None:
         """Sends a report if one is due."""
         interval_s = max(SHORTEST_INTERVAL_S, INTERVAL_PER_HOST_S * len(self._peers))
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -1,6 +1,7 @@
 """What the exchanges of a relay host share: beliefs, decisions and connections."""
 
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 
 from attrs import define, field
@@ -36,6 +37,8 @@
     connections: BackendPool
     measures: RelayMeasures
     rng: Random
+    # Called when work was placed at an engine.
+    on_new_work: Callable[[float], None]
     admission: AdmissionOptions = field(factory=AdmissionOptions)
     attempts: AttemptLimits = field(factory=AttemptLimits)
     # Hosts that are known to live, this one included.
