Bound reports by region in large fleets, leave silent engines alone, take settings anew

An engine on which no event or handle came in several times its predicted time is left alone, as one that can't be reached; failures count in the placement. SIGHUP, or a change of the file alone, brings new bounds; a bad file leaves the old ones in force.

--- a/berylquay/decisions/engine_placement.py
+++ b/berylquay/decisions/engine_placement.py
@@ -15,6 +15,7 @@
 
 from attrs import define, field, frozen
 
+from berylquay.decisions.backend_health import BackendHealth
 from berylquay.decisions.backend_registry import BackendEntry
 from berylquay.decisions.engine_backlog import EngineBacklog
 from berylquay.decisions.fleet import Role
@@ -55,6 +56,8 @@
     far_move_ms_per_gb: float = 70.0
     # Time that sending a kilobyte to another region counts for besides the round trip.
     far_send_ms_per_kb: float = 3.5
+    # Time that a certain failure counts for.
+    failure_ms: float = 600.0
     # Time by which a prompt's home is preferred while no engine is known to keep its parts.
     home_bonus_ms: float = 40.0
     # Part of the objective within which a predicted time counts as surely in time.
@@ -138,6 +141,7 @@
     _backlog: EngineBacklog
     _locations: PartLocations
     _speeds: "EngineSpeeds"
+    _health: BackendHealth
     # What the engines of the pool have in common; set with each configuration.
     _pool: EnginePool | None = field(default=None, init=False)
     # Shortest objective of the pool's routes.
@@ -221,6 +225,7 @@
             self._time_cost_ms(first_ms, sure_ms)
             + self._reread_cost_ms(generation, engine, now_s)
             + self._send_cost_ms(generation, engine)
+            + self._failure_cost_ms(engine)
             + beyond * self._options.beyond_bound_ms_per_token
             + self._crowding_ms(engine, now_s)
         )
@@ -248,7 +253,9 @@
             self._time_cost_ms(first_ms, sure_ms)
             + self._reread_cost_ms(generation, reader, now_s)
             + self._send_cost_ms(generation, reader)
+            + self._failure_cost_ms(reader)
             + self._send_cost_ms(generation, decoder)
+            + self._failure_cost_ms(decoder)
             + self._move_price_ms(generation, reader, decoder)
             + self._crowding_ms(decoder, now_s)
         )
@@ -282,6 +289,7 @@
             self._move_ms(generation, reader, decoder)
             + self._move_price_ms(generation, reader, decoder)
             + self._send_cost_ms(generation, decoder)
+            + self._failure_cost_ms(decoder)
             + self._round_trip_ms(decoder)
             + self._batch_ms(decoder, now_s)
             + self._crowding_ms(decoder, now_s)
@@ -346,6 +354,10 @@
         gigabytes = generation.prompt_tokens * pool.token_bytes / 1e9
         return gigabytes * self._options.far_move_ms_per_gb
 
+    def _failure_cost_ms(self, engine: BackendEntry) -> float:
+        """Returns what the engine's recent failures count for."""
+        return self._health.failure_rate(engine.name) * self._options.failure_ms
+
     def _send_cost_ms(self, generation: Generation, engine: BackendEntry) -> float:
         """Returns what sending the request to the engine counts for."""
         if self._region(engine.data_centre) == self._place.region:
--- a/berylquay/decisions/shared_retries.py
+++ b/berylquay/decisions/shared_retries.py
@@ -48,6 +48,10 @@
         self._pools = {}
         self._hosts = 1
 
+    def on_bounds(self, bounds: RetryBounds) -> None:
+        """Takes new bounds; what was spent before counts on."""
+        self._bounds = bounds
+
     def on_hosts(self, count: int) -> None:
         """Takes how many hosts share the budget."""
         self._hosts = max(1, count)
--- a/berylquay/relay/__main__.py
+++ b/berylquay/relay/__main__.py
@@ -40,7 +40,7 @@
         return
     log_lines = LogLines(options.log_level)
     log_lines.push_application()
-    RelayHost(options, log_lines).run()
+    RelayHost(options, arguments.settings, log_lines).run()
 
 
 if __name__ == "__main__":
--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -174,8 +174,19 @@
         if leg is not None and placement is not None:
             patience_s = placement.first_token_s * PREFILL_PATIENCE + PREFILL_PATIENCE_S
             if now_s - leg.started_s > patience_s:
-                leg.cancel()
-                self._fail_leg(leg, AttemptEnd.BROKEN, "the prompt was not read in time", now_s)
+                self._give_up_silent(leg, "the prompt was not read in time", now_s)
+            return
+        run = self._run_leg
+        if run is not None and placement is not None and self._first_byte_s is None:
+            patience_s = placement.first_token_s * PREFILL_PATIENCE + PREFILL_PATIENCE_S
+            if call.route.repeatable and now_s - run.started_s > patience_s:
+                self._give_up_silent(run, "no event came in time", now_s)
+
+    def _give_up_silent(self, leg: Leg, detail: str, now_s: float) -> None:
+        """Ends a leg on which nothing comes; its engine is left alone for a while."""
+        leg.cancel()
+        self._services.health.on_unreachable(leg.backend.name, now_s)
+        self._fail_leg(leg, AttemptEnd.BROKEN, detail, now_s)
 
     def on_caller_ready(self) -> None:
         """Reads on from the backend server."""
@@ -235,11 +246,12 @@
         """Returns the engines that may be sent this call."""
         services, call = self._services, self.call
         attempts_left = call.route.max_attempts - len(set(call.sent_to))
-        engines = [
+        sound = [
             engine
             for engine in services.registry.in_pool(call.pool.name)
             if not services.health.is_paused(engine.name, now_s)
         ]
+        engines = services.scope.usable(sound, services.live_hosts)
         return [
             engine
             for engine in engines
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -7,7 +7,9 @@
 from typing import Final
 
 import logbook
+from attrs import evolve, fields_dict
 from circuits import BaseComponent, handler
+from returns.result import Failure
 
 from berylquay.decisions.backend_health import BackendHealth, HealthLimits
 from berylquay.decisions.backend_registry import BackendRegistry, RegistryChange
@@ -19,6 +21,7 @@
     PredictedPlacement,
 )
 from berylquay.decisions.fleet import Address, Role
+from berylquay.decisions.host_scope import HostScope
 from berylquay.decisions.part_locations import PartLocations
 from berylquay.decisions.route_table import RouteTable
 from berylquay.decisions.server_choice import Distances
@@ -49,7 +52,7 @@
 from berylquay.relay.pages import STATUS_OK, Page, PageConnection
 from berylquay.relay.role_orders import RoleOrders
 from berylquay.relay.services import RelayServices
-from berylquay.settings.relay_file import RelayOptions
+from berylquay.settings.relay_file import RelayOptions, SettingsFile, read_relay_file
 
 METRICS_PATH: Final = b"/metrics"
 TEXT: Final = b"text/plain; charset=utf-8"
@@ -83,6 +86,9 @@
     _options: RelayOptions
     _loop: Loop
     _log_lines: LogLines
+    # The settings file, and whether a signal said that it has changed.
+    _settings: SettingsFile
+    _reload_wanted: bool
     _desk: Desk
     _services: RelayServices
     _configuration: ConfigurationBelief
@@ -96,9 +102,11 @@
     _stop_s: float | None
     _closed: bool
 
-    def __init__(self, options: RelayOptions, log_lines: LogLines) -> None:
+    def __init__(self, options: RelayOptions, settings_path: str, log_lines: LogLines) -> None:
         super().__init__()
         self._options = options
+        self._settings = SettingsFile(settings_path)
+        self._reload_wanted = False
         self._log_lines = log_lines
         self._loop = Loop()
         self._stop_s = None
@@ -134,22 +142,21 @@
 
     def _make_services(self, connections: Connections, rng: Random) -> RelayServices:
         options = self._options
-        bounds = options.bounds
         place = Place(options.data_centre, options.region)
         backlog, locations, speeds = EngineBacklog(), PartLocations(), EngineSpeeds()
+        health = BackendHealth(HealthLimits())
         return RelayServices(
             registry=BackendRegistry(),
-            health=BackendHealth(HealthLimits()),
-            retries=SharedRetries(
-                RetryBounds(bounds.retry_ratio, bounds.retry_window_s, bounds.retry_extra)
-            ),
+            health=health,
+            retries=SharedRetries(_retry_bounds(options)),
             backlog=backlog,
             locations=locations,
             speeds=speeds,
             placement=PredictedPlacement(
-                PlacementOptions(), place, options.regions, backlog, locations, speeds
+                PlacementOptions(), place, options.regions, backlog, locations, speeds, health
             ),
             distances=Distances(place, options.regions),
+            scope=HostScope(options.region, options.regions),
             suspects=SuspectLedger(SuspectLimits(memory_s=LOSS_MEMORY_S)),
             connections=BackendPool(connections),
             measures=RelayMeasures(),
@@ -192,6 +199,7 @@
             make_loads=self._services.backlog.own_loads,
             on_report=self._on_report,
             clock=time.monotonic,
+            scope=self._services.scope,
         ).register(self._loop)
 
     def _make_role_orders(self, connections: Connections) -> RoleOrders:
@@ -275,9 +283,12 @@
         self._configuration_follower.on_tick(now_s)
         self._backends_follower.on_tick(now_s)
         self._hosts.on_tick(now_s)
+        self._reload(now_s)
         self._note_store(now_s)
-        self._services.retries.on_hosts(max(self._reports.live_hosts, self._hosts.count))
-        self._services.live_hosts = self._reports.live_hosts
+        hosts = max(self._reports.live_hosts, self._hosts.count)
+        self._reports.listed_hosts = self._hosts.count
+        self._services.retries.on_hosts(hosts)
+        self._services.live_hosts = hosts
         self._services.connections.on_tick(now_s)
         self._services.suspects.expire(now_s)
         self._desk.on_tick(now_s)
@@ -332,9 +343,27 @@
             self._loop.stop()
 
     def _on_hangup(self, _signal: int, _frame: object) -> None:
-        # Addresses and names can't change under a running process; what may change is read from
-        # the store. The line shows that the signal was heard.
-        _log.info("reload", changed="nothing that applies without a restart")
+        self._reload_wanted = True
+
+    def _reload(self, now_s: float) -> None:
+        """Takes the bounds of a settings file that has changed; the rest needs a new process."""
+        wanted, self._reload_wanted = self._reload_wanted, False
+        if not (wanted or self._settings.has_changed(now_s)):
+            return
+        read = read_relay_file(self._settings.path)
+        if isinstance(read, Failure):
+            faults = [str(fault) for fault in read.failure()]
+            _log.error("reload refused, what was read before stays in force", faults=faults)
+            return
+        options = read.unwrap()
+        changed = [
+            name
+            for name in fields_dict(RelayOptions)
+            if getattr(options, name) != getattr(self._options, name)
+        ]
+        self._options = evolve(self._options, bounds=options.bounds)
+        self._services.retries.on_bounds(_retry_bounds(options))
+        _log.info("reload", signalled=wanted, changed=changed, applied=["bounds"])
 
     # Pages.
 
@@ -357,3 +386,8 @@
             self._desk.open_calls, 0 if table is None else table.version, self._log_lines.dropped
         )
         return STATUS_OK, TEXT, body
+
+
+def _retry_bounds(options: RelayOptions) -> RetryBounds:
+    bounds = options.bounds
+    return RetryBounds(bounds.retry_ratio, bounds.retry_window_s, bounds.retry_extra)
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -17,6 +17,7 @@
 
 from berylquay.decisions.engine_backlog import EngineLoad
 from berylquay.decisions.fleet import Address
+from berylquay.decisions.host_scope import HostScope
 
 FORMAT: Final = 1
 MAX_DATAGRAM_BYTES: Final = 8192
@@ -119,6 +120,10 @@
     _make_loads: Callable[[], dict[str, EngineLoad]]
     _on_report: Callable[[LoadReport], None]
     _clock: Callable[[], float]
+    # Which hosts are told.
+    _scope: HostScope
+    # Hosts in the store's list.
+    listed_hosts: int
     # Other hosts by name.
     _peers: dict[str, _Peer]
     # Parts and losses that wait to be told.
@@ -137,6 +142,7 @@
         make_loads: Callable[[], dict[str, EngineLoad]],
         on_report: Callable[[LoadReport], None],
         clock: Callable[[], float],
+        scope: HostScope,
     ) -> None:
         super().__init__()
         self._poller = poller
@@ -146,6 +152,8 @@
         self._make_loads = make_loads
         self._on_report = on_report
         self._clock = clock
+        self._scope = scope
+        self.listed_hosts = 1
         self._peers = {}
         self._parts = []
         self._losses = []
@@ -181,12 +189,12 @@
 
     def on_new_work(self, now_s: float) -> None:
         """Tells the others at once of work that was placed, unless that was just done."""
-        if now_s - self._sent_s >= NEW_WORK_INTERVAL_PER_HOST_S * len(self._peers):
+        if now_s - self._sent_s >= NEW_WORK_INTERVAL_PER_HOST_S * len(self._told_peers()):
             self._send(self._make_loads(), now_s)
 
     def on_tick(self, now_s: float) -> None:
         """Sends a report if one is due."""
-        interval_s = max(SHORTEST_INTERVAL_S, INTERVAL_PER_HOST_S * len(self._peers))
+        interval_s = max(SHORTEST_INTERVAL_S, INTERVAL_PER_HOST_S * len(self._told_peers()))
         if now_s - self._sent_s < interval_s:
             return
         for name in [n for n, peer in self._peers.items() if now_s - peer.heard_s > HOST_TTL_S]:
@@ -207,13 +215,17 @@
             self._host, self._data_centre, self._address, loads, tuple(parts), tuple(losses)
         )
         data = encode_report(report)
-        for peer in self._peers.values():
+        for peer in self._told_peers():
             try:
                 self._sock.sendto(data, (peer.address.ip, peer.address.port))
             except OSError as error:
                 # The next report replaces this one.
                 _log.debug("report not sent", peer=str(peer.address), detail=str(error))
 
+    def _told_peers(self) -> list[_Peer]:
+        hosts = max(self.live_hosts, self.listed_hosts)
+        return [p for p in self._peers.values() if self._scope.tells(p.data_centre, hosts)]
+
     @handler("_read")
     def _on_readable(self, sock: socket.socket) -> None:
         if sock is not self._sock:
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -10,6 +10,7 @@
 from berylquay.decisions.backend_registry import BackendRegistry
 from berylquay.decisions.engine_backlog import EngineBacklog
 from berylquay.decisions.engine_placement import EngineSpeeds, PredictedPlacement
+from berylquay.decisions.host_scope import HostScope
 from berylquay.decisions.part_locations import PartLocations
 from berylquay.decisions.relay_admission import AdmissionOptions
 from berylquay.decisions.relay_fates import AttemptLimits
@@ -32,6 +33,7 @@
     speeds: EngineSpeeds
     placement: PredictedPlacement
     distances: Distances
+    scope: HostScope
     # Contents under which backend servers were lost.
     suspects: SuspectLedger
     connections: BackendPool
@@ -41,7 +43,7 @@
     on_new_work: Callable[[float], None]
     admission: AdmissionOptions = field(factory=AdmissionOptions)
     attempts: AttemptLimits = field(factory=AttemptLimits)
-    # Hosts that are known to live, this one included.
+    # Hosts of the whole fleet, as far as is known, this one included.
     live_hosts: int = 1
     # Requests of this host under way at each plain backend server.
     under_way: Counter[str] = field(factory=Counter)
--- a/berylquay/settings/relay_file.py
+++ b/berylquay/settings/relay_file.py
@@ -1,6 +1,7 @@
 """The settings file of a relay host: INI text to checked `RelayOptions`."""
 
 from configparser import ConfigParser, Error
+from pathlib import Path
 from typing import Final
 
 from attrs import frozen
@@ -13,6 +14,8 @@
 BYTES_PER_MB: Final = 1_000_000
 # Share of the process's memory that bodies of open requests may take together.
 BODY_MEMORY_SHARE: Final = 0.2
+# Interval between looks at the settings file.
+LOOK_INTERVAL_S: Final = 1.0
 
 
 @frozen
@@ -61,14 +64,42 @@
     log_level: str
 
 
+class SettingsFile:
+    """Notices that the settings file was written anew, which may come without a signal."""
+
+    path: str
+    # Time of the last change that was seen, in nanoseconds of the file system's clock.
+    _changed_ns: int
+    _next_look_s: float
+
+    def __init__(self, path: str) -> None:
+        self.path = path
+        self._changed_ns = self._read_change_ns()
+        self._next_look_s = 0.0
+
+    def has_changed(self, now_s: float) -> bool:
+        """Tells whether the file has changed since this was last asked, or cannot tell yet."""
+        if now_s < self._next_look_s:
+            return False
+        self._next_look_s = now_s + LOOK_INTERVAL_S
+        before, self._changed_ns = self._changed_ns, self._read_change_ns()
+        return self._changed_ns != before
+
+    def _read_change_ns(self) -> int:
+        try:
+            return Path(self.path).stat().st_mtime_ns
+        except OSError:
+            # It may be about to be replaced; the next look tells.
+            return 0
+
+
 def read_relay_file(path: str) -> Result[RelayOptions, tuple[SettingsError, ...]]:
     """Returns the options in the file, or every fault in it."""
     parser = ConfigParser(interpolation=None)
     # Names of data centres keep their case.
     parser.optionxform = str  # type: ignore[assignment,method-assign]
     try:
-        with open(path, encoding="utf-8") as file:  # noqa: PTH123
-            parser.read_file(file)
+        parser.read_string(Path(path).read_text(encoding="utf-8"), path)
     except (OSError, UnicodeDecodeError, Error) as error:
         return Failure((SettingsError(path, "", "", str(error), "a readable INI file"),))
     reader = IniReader(path, parser)
--- a/tests/support/prompt_world.py
+++ b/tests/support/prompt_world.py
@@ -12,6 +12,7 @@
 
 from attrs import define, field
 
+from berylquay.decisions.backend_health import BackendHealth, HealthLimits
 from berylquay.decisions.backend_registry import BackendEntry, EntryState
 from berylquay.decisions.engine_backlog import EngineBacklog
 from berylquay.decisions.engine_placement import (
@@ -72,6 +73,7 @@
             self.backlog,
             self.locations,
             EngineSpeeds(),
+            BackendHealth(HealthLimits()),
         )
         self.placement.on_pool(ENGINES, 0.3)
 
