Read the store as seldom as the bounds allow

The waits follow contactMs, configApplyMs and drainMs now: 5 s and 1.1 s on the small sites, 7.5 s and 1.8 s on the grown ones. Not yet measured.

--- a/berylquay/decisions/part_locations.py
+++ b/berylquay/decisions/part_locations.py
@@ -11,7 +11,7 @@
 from berylquay.decisions.relay_call import PromptPart
 
 # Age at which a part is taken to be evicted.
-MAX_AGE_S: Final = 10.0
+MAX_AGE_S: Final = 14.0
 # Parts that are remembered.
 MAX_PARTS: Final = 4096
 
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -57,11 +57,14 @@
 METRICS_PATH: Final = b"/metrics"
 TEXT: Final = b"text/plain; charset=utf-8"
 STATUS_UNAVAILABLE: Final = 503
-# The configuration changes rarely: a read waits at the store until it does. The wait and the time
-# that a silent connection takes to be found out stay within the time to apply a change.
-CONFIGURATION_TIMES: Final = FollowTimes(wait_s=3.0, interval_s=0.05)
-# Backend servers renew their entries all the time: waiting would return at once.
-BACKENDS_TIMES: Final = FollowTimes(wait_s=0.8, interval_s=1.15)
+# Least time between reads of the configuration, which wait at the store until it changes.
+CONFIGURATION_INTERVAL_S: Final = 0.05
+# Time that is left for finding out that a connection has gone silent and reading anew.
+SILENCE_MARGIN_S: Final = 1.5
+# Backend servers renew their entries all the time: a read waits only for the next one.
+BACKENDS_WAIT_S: Final = 0.8
+# Part of the time within which a leaving backend server must be left alone, between reads.
+BACKENDS_INTERVAL_SHARE: Final = 0.45
 # Descriptors that are kept for files and for connections to backend servers.
 RESERVED_SOCKETS: Final = 700
 # Time from the stop signal until new requests are refused: the balancer has taken the host out
@@ -171,7 +174,7 @@
         address = self._options.store_address
         self._configuration_follower = TopicFollower(
             TOPIC_CONFIGURATION,
-            CONFIGURATION_TIMES,
+            self._configuration_times(),
             StoreLane(connections, address),
             self._configuration,
             rng,
@@ -179,7 +182,9 @@
         )
         self._backends_follower = TopicFollower(
             TOPIC_BACKENDS,
-            BACKENDS_TIMES,
+            FollowTimes(
+                BACKENDS_WAIT_S, self._options.bounds.leaving_apply_s * BACKENDS_INTERVAL_SHARE
+            ),
             StoreLane(connections, address),
             self._backends,
             rng,
@@ -189,6 +194,12 @@
             StoreLane(connections, address), self._options, rng, self._on_known_host
         )
 
+    def _configuration_times(self) -> FollowTimes:
+        bounds = self._options.bounds
+        # A connection that goes silent is found out when the wait is over.
+        wait_s = bounds.contact_s + bounds.configuration_apply_s - SILENCE_MARGIN_S
+        return FollowTimes(max(1.0, wait_s), CONFIGURATION_INTERVAL_S)
+
     def _make_reports(self) -> None:
         options = self._options
         self._reports = LoadReports(
--- a/tests/relay/test_relay_calls.py
+++ b/tests/relay/test_relay_calls.py
@@ -149,6 +149,7 @@
 def test_a_path_is_denied_only_under_a_fresh_configuration(plain: RelayFleet) -> None:
     assert plain.ask("/nowhere/", "id-1").status == 404
     plain.store.post("/faults", {"away": True})
+    wait_until(lambda: any(line["message"] == "store lost" for line in plain.log_lines()), 15.0)
     time.sleep(3.0)
     assert plain.ask("/nowhere/", "id-2").status == 503
     assert plain.ask(PATHS["once"], "id-3").status == 200
