Refuse new requests 2.6 s after the stop signal

The host took requests for 4.4 s. Ruled out: a lost signal; the balancer (it had left the host). Test in the stop plan.

--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -26,6 +26,7 @@
 from berylquay.decisions.route_table import RouteTable
 from berylquay.decisions.server_choice import Distances
 from berylquay.decisions.shared_retries import RetryBounds, SharedRetries
+from berylquay.decisions.stop_plan import StopPhase, StopPlan
 from berylquay.decisions.suspects import SuspectLedger, SuspectLimits
 from berylquay.messages import StopRequested, Tick
 from berylquay.net.bus import BUS
@@ -67,17 +68,8 @@
 BACKENDS_INTERVAL_SHARE: Final = 0.45
 # Descriptors that are kept for files and for connections to backend servers.
 RESERVED_SOCKETS: Final = 700
-# Time from the stop signal until new requests are refused: the balancer has taken the host out
-# after two misses, a second apart, and its last connections have come.
-ACCEPT_SHARE: Final = 0.55
-# Time from the stop signal until the process ends at the latest.
-END_SHARE: Final = 0.94
-# Shortest time that a stopping host goes on, so that the balancer's last connections are served.
-LEAST_STOP_S: Final = 3.2
 # Memory of contents under which servers were lost: some attempts of a caller.
 LOSS_MEMORY_S: Final = 20.0
-# Interval at which the limits of time of connections and exchanges are checked.
-CHECK_INTERVAL_S: Final = 0.025
 _log = logbook.Logger("host")
 
 
@@ -101,9 +93,8 @@
     _reports: LoadReports
     _role_orders: RoleOrders
     _hosts: HostList
-    # Monotonic time of the stop signal, or None.
-    _stop_s: float | None
-    _closed: bool
+    # Times of the stop that was asked for, or None.
+    _stop: StopPlan | None
 
     def __init__(self, options: RelayOptions, settings_path: str, log_lines: LogLines) -> None:
         super().__init__()
@@ -112,8 +103,7 @@
         self._reload_wanted = False
         self._log_lines = log_lines
         self._loop = Loop()
-        self._stop_s = None
-        self._closed = False
+        self._stop = None
         connections = Connections(self._loop).register(self._loop)
         rng = Random()
         self._services = self._make_services(connections, rng)
@@ -306,8 +296,8 @@
         self._tell_others(now_s)
         self._order_roles(now_s)
         self._log_lines.on_tick(now_s)
-        if self._stop_s is not None:
-            self._go_on_stopping(now_s, self._stop_s)
+        if self._stop is not None:
+            self._go_on_stopping(self._stop, now_s)
 
     def _note_store(self, now_s: float) -> None:
         registry = self._services.registry
@@ -320,7 +310,7 @@
     def _order_roles(self, now_s: float) -> None:
         table = self._configuration.table
         followed = self._backends_follower.complete and not self._backends_follower.failures
-        if table is not None and followed and self._stop_s is None:
+        if table is not None and followed and self._stop is None:
             self._role_orders.served = self._desk.has_served
             self._role_orders.on_tick(table, now_s)
 
@@ -336,21 +326,20 @@
 
     @handler("StopRequested")
     def _on_stop_requested(self, message: StopRequested) -> None:
-        if self._stop_s is None:
-            self._stop_s = message.now_s
+        if self._stop is None:
+            self._stop = StopPlan(message.now_s, self._options.bounds.grace_s)
             _log.info("stop", open_calls=self._desk.open_calls)
             self._desk.stop_keeping()
             self._hosts.remove()
 
-    def _go_on_stopping(self, now_s: float, stop_s: float) -> None:
-        grace_s = self._options.bounds.grace_s
-        elapsed_s = now_s - stop_s
-        if not self._closed and elapsed_s >= grace_s * ACCEPT_SHARE:
-            self._closed = True
-            self._desk.close()
+    def _go_on_stopping(self, plan: StopPlan, now_s: float) -> None:
         quiet = not self._desk.open_calls and not self._desk.open_connections
-        if (quiet and elapsed_s >= LEAST_STOP_S) or elapsed_s >= grace_s * END_SHARE:
-            _log.info("stopped", open_calls=self._desk.open_calls, after_s=round(elapsed_s, 3))
+        phase = plan.phase(quiet, now_s)
+        if phase is StopPhase.FINISHING:
+            self._desk.close()
+        elif phase is StopPhase.ENDED:
+            after_s = round(now_s - plan.stopped_s, 3)
+            _log.info("stopped", open_calls=self._desk.open_calls, after_s=after_s)
             self._loop.stop()
 
     def _on_hangup(self, _signal: int, _frame: object) -> None:
@@ -383,7 +372,7 @@
         return (STATUS_UNAVAILABLE if obstacle else STATUS_OK), TEXT, f"{obstacle}\n".encode()
 
     def _obstacle(self) -> str:
-        if self._stop_s is not None:
+        if self._stop is not None:
             return "stopping"
         if self._configuration.table is None:
             return "no configuration is known"
--- a/tests/relay/test_relay_decisions.py
+++ b/tests/relay/test_relay_decisions.py
@@ -21,6 +21,7 @@
 from berylquay.decisions.route_table import Pool, PoolShare, RepeatRule, Route
 from berylquay.decisions.server_choice import Distances, choose_server
 from berylquay.decisions.shared_retries import RetryBounds, SharedRetries
+from berylquay.decisions.stop_plan import StopPhase, StopPlan
 from berylquay.relay.event_stream import MAX_EVENT_BYTES, EventTracker, OversizedEventError
 from berylquay.verdicts import RefusalReason, Verdict
 
@@ -203,3 +204,22 @@
     assert (tracker.newest_id, tracker.has_partial_event) == (2, False)
     with pytest.raises(OversizedEventError):
         tracker.feed(b"x" * (MAX_EVENT_BYTES + 1))
+
+
+@pytest.mark.parametrize(
+    ("is_quiet", "elapsed_s", "phase"),
+    [
+        (False, 0.1, StopPhase.TAKING),
+        (True, 2.0, StopPhase.TAKING),
+        # A request taken 3.02 s after the signal outlived its process (hunt, meskel-field).
+        (False, 3.0, StopPhase.FINISHING),
+        (True, 3.0, StopPhase.FINISHING),
+        (True, 3.3, StopPhase.ENDED),
+        (False, 7.0, StopPhase.FINISHING),
+        (False, 7.6, StopPhase.ENDED),
+    ],
+)
+def test_a_stop_goes_from_taking_over_finishing_to_its_end(
+    is_quiet: bool, elapsed_s: float, phase: StopPhase
+) -> None:
+    assert StopPlan(100.0, 8.0).phase(is_quiet, 100.0 + elapsed_s) is phase
