Read a prompt again when its handle has lapsed; learn which engines are slow to their first event

Seen failing first: 503 for 200 with lapsed handles. Engines turned slow after the hand-over were chosen again and again: only reading was learned.

--- a/berylquay/decisions/engine_placement.py
+++ b/berylquay/decisions/engine_placement.py
@@ -304,7 +304,9 @@
         """Returns the time to a first token in the engine's batch; a full batch makes it wait."""
         slots = max(1, engine.slots)
         fullness = self._backlog.streams(engine.name, now_s) / slots
-        return self._options.first_token_ms * (1.0 + fullness) + max(0.0, fullness - 1.0) * MS_PER_S
+        waits_ms = max(0.0, fullness - 1.0) * MS_PER_S
+        lag_ms = self._speeds.lag_s(engine.name, now_s) * MS_PER_S
+        return self._options.first_token_ms * (1.0 + fullness) + waits_ms + lag_ms
 
     def _reread_cost_ms(self, generation: Generation, engine: BackendEntry, now_s: float) -> float:
         """Returns what reading shared parts counts for at an engine that does not keep them."""
@@ -327,6 +329,18 @@
     def _best_weight(self, part_id: str) -> int:
         return max((home_weight(part_id, name) for name in self._readers), default=0)
 
+    def hand_over_s(
+        self, generation: Generation, reader: BackendEntry, decoder: BackendEntry, now_s: float
+    ) -> float:
+        """Returns the expected time from a hand-over to the first event, known lag not counted."""
+        known_ms = self._speeds.lag_s(decoder.name, now_s) * MS_PER_S
+        expected_ms = (
+            self._move_ms(generation, reader, decoder)
+            + self._round_trip_ms(decoder)
+            + self._batch_ms(decoder, now_s)
+        )
+        return (expected_ms - known_ms) / MS_PER_S
+
     def _move_ms(
         self, generation: Generation, reader: BackendEntry, decoder: BackendEntry
     ) -> float:
@@ -401,15 +415,21 @@
 
     # Weight of the newest time.
     NEWEST_WEIGHT: Final = 0.2
+    # Time in which a belief that an engine is slow to its first events loses half of its weight, so
+    # that it is tried again.
+    LAG_HALF_LIFE_S: Final = 3.0
     # Range of what is believed of an engine.
     FASTEST: Final = 0.4
     SLOWEST: Final = 8.0
 
     # Factor on the expected time by engine.
     _slowdowns: dict[str, float]
+    # By how much first events came late after a hand-over, and when that was seen, by engine.
+    _lags: dict[str, tuple[float, float]]
 
     def __init__(self) -> None:
         self._slowdowns = {}
+        self._lags = {}
 
     def slowdown(self, engine: str) -> float:
         """Returns the factor on the expected time."""
@@ -424,6 +444,19 @@
         mixed = before + self.NEWEST_WEIGHT * (seen - before)
         self._slowdowns[engine] = min(self.SLOWEST, max(self.FASTEST, mixed))
 
+    def on_first_event(self, engine: str, excess_s: float, now_s: float) -> None:
+        """Takes by how much a first event came later than expected after a hand-over."""
+        before_s = self.lag_s(engine, now_s)
+        mixed_s = before_s + self.NEWEST_WEIGHT * (max(0.0, excess_s) - before_s)
+        self._lags[engine] = (mixed_s, now_s)
+
+    def lag_s(self, engine: str, now_s: float) -> float:
+        """Returns by how much first events come late at an engine."""
+        lag_s, seen_s = self._lags.get(engine, (0.0, now_s))
+        kept: float = 0.5 ** ((now_s - seen_s) / self.LAG_HALF_LIFE_S)
+        return lag_s * kept
+
     def forget(self, engine: str) -> None:
         """Drops what is known of an engine that has ended."""
         self._slowdowns.pop(engine, None)
+        self._lags.pop(engine, None)
--- a/berylquay/decisions/relay_fates.py
+++ b/berylquay/decisions/relay_fates.py
@@ -16,6 +16,8 @@
     NOT_SENT = "not-sent"
     # The backend server said that it did not run the request.
     REJECTED = "rejected"
+    # The engine could not have the KV cache that was handed over, and did not run the request.
+    CACHE_GONE = "cache-gone"
     # The backend server at the address is another one.
     OTHER_SERVER = "other-server"
     # The backend server answered with a failure of its own, whole.
@@ -26,7 +28,12 @@
 
 # Ends that leave no doubt that the request has not run.
 SURELY_NOT_RUN: Final = frozenset(
-    {AttemptEnd.NOT_SENT, AttemptEnd.REJECTED, AttemptEnd.OTHER_SERVER}
+    {
+        AttemptEnd.NOT_SENT,
+        AttemptEnd.REJECTED,
+        AttemptEnd.CACHE_GONE,
+        AttemptEnd.OTHER_SERVER,
+    }
 )
 
 
@@ -69,6 +76,9 @@
         return False
     if end is AttemptEnd.NOT_SENT:
         return call.failed_connects < limits.failed_connects and _may_send_elsewhere(call)
+    if end is AttemptEnd.CACHE_GONE:
+        # The same engine may be asked again: it was no reason that the request did not run.
+        return has_budget
     return has_budget and _may_send_elsewhere(call)
 
 
--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -50,8 +50,10 @@
 # elsewhere.
 PREFILL_PATIENCE: Final = 3.0
 PREFILL_PATIENCE_S: Final = 0.5
-# Part of the time left that the backend server is given, so that its own last answer arrives.
+# Ranks of routes are spread over the engines' urgencies, 1 to 9.
 RANK_STEP: Final = 2
+# Times that a prompt is read apart; each one after the first counts as an extra send.
+MAX_PREFILLS: Final = 2
 HIGHEST_URGENCY: Final = 1
 LOWEST_URGENCY: Final = 9
 # Shared parts from this size on are told to the other hosts.
@@ -102,8 +104,11 @@
     _held: bool
     # Prompt that an engine keeps for this call and that was not handed over.
     _kept_prompt: KeptPrompt | None
-    # Whether a prefill leg was sent.
-    _prefilled: bool
+    # Prefill legs that were sent.
+    _prefills: int
+    # Prompt that was handed over on the open run leg, and the expected time to its first event.
+    _handed_over: KeptPrompt | None
+    _expected_first_s: float
     # Events passed on, for a stream that may be continued.
     _tracker: EventTracker | None
     # Answer that is collected before it is passed on, or None once it is passed on as it comes.
@@ -136,7 +141,9 @@
         self._placement = None
         self._held = False
         self._kept_prompt = None
-        self._prefilled = False
+        self._prefills = 0
+        self._handed_over = None
+        self._expected_first_s = 0.0
         self._tracker = EventTracker(resume_after) if call.route.resumable else None
         self._collected = None
         self._first_byte_s = None
@@ -214,7 +221,7 @@
         self._placement = placement
         self._log_placement(placement, "placed", now_s)
         has_room = services.retries.has_room(call.pool.name, now_s)
-        if placement.prefill is not None and not self._prefilled and has_room:
+        if placement.prefill is not None and self._prefills < MAX_PREFILLS and has_room:
             self._send_prefill(placement.prefill, placement, now_s)
         else:
             self._send_run(placement.decode, None, now_s)
@@ -279,7 +286,9 @@
 
     def _send_prefill(self, engine: BackendEntry, placement: Placement, now_s: float) -> None:
         call, services = self.call, self._services
-        self._prefilled = True
+        if self._prefills:
+            services.retries.spend(call.pool.name, now_s)
+        self._prefills += 1
         details = self._details(engine, now_s)
         request = self._request
         raw = encode_prefill(request.method, request.target, request.headers, request.body, details)
@@ -304,6 +313,7 @@
         request = self._request
         raw = encode_run(request.method, request.target, request.headers, request.body, details)
         self._kept_prompt = None
+        self._handed_over = kept
         if call.generation is not None and call.pool.engines is not None:
             services.backlog.add_stream(backend.name, call.call_id)
             if kept is None:
@@ -355,6 +365,11 @@
         if decoder is None:
             self._refuse(RefusalReason.NO_BACKEND, "no engine makes tokens", now_s)
             return
+        generation = self.call.generation
+        if generation is not None:
+            self._expected_first_s = self._services.placement.hand_over_s(
+                generation, leg.backend, decoder, now_s
+            )
         _log.info(
             "prompt handed over",
             id=self.call.call_id,
@@ -479,6 +494,9 @@
         if self._placement is not None:
             predicted_s = self._placement.first_token_s
         elapsed_s = now_s - self.call.received_s
+        if self._handed_over is not None:
+            excess_s = now_s - leg.started_s - self._expected_first_s
+            self._services.speeds.on_first_event(leg.backend.name, excess_s, now_s)
         self._services.measures.on_first_byte(self.call.route.name, elapsed_s, predicted_s)
         if self._reading_at is not None:
             self._services.backlog.remove_prompt(self._reading_at, self.call.call_id)
@@ -513,6 +531,11 @@
     def _ask_elsewhere(self, leg: Leg, end: AttemptEnd, detail: str, now_s: float) -> bool:
         """Sends the call to another backend server, if that is allowed."""
         call, services = self.call, self._services
+        kept, self._handed_over = self._handed_over, None
+        if kept is not None and end is AttemptEnd.REJECTED:
+            # The engine that kept the prompt lost it, or could not be reached from the other.
+            end = AttemptEnd.CACHE_GONE
+            services.health.on_failed(kept.engine)
         self._note_failure(leg, end, detail, "run", now_s)
         if end is AttemptEnd.NOT_SENT and call.sent_to:
             call.sent_to.pop()
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -2,7 +2,7 @@
 
 It notes what it ran (`GET /witness`) and takes faults (`POST /faults`): reject, fail, break_off
 (the connection ends within the answer), lose_answer, delay_s, foreign_answer (an answer to another
-request comes first), other_server (every request gets 421).
+request comes first), lapsed_handles (no KV cache can be fetched), other_server (every request gets 421).
 """
 
 import asyncio
@@ -71,13 +71,16 @@
         headers = request.headers
         if self.faults.get("other_server") or headers.get("expect-instance") != self.name:
             await exchange.answer(421, {}, (("Instance-Id", self.name),))
-        elif self.faults.get("reject"):
+        elif self.faults.get("reject") or self._has_lost_handle(headers):
             await exchange.answer(503, {}, NOT_EXECUTED)
         elif headers.get("stage") == "prefill":
             await self._read_prompt(exchange)
         else:
             await self._run(exchange)
 
+    def _has_lost_handle(self, headers: dict[str, str]) -> bool:
+        return bool(self.faults.get("lapsed_handles")) and "kv-source" in headers
+
     async def _read_prompt(self, exchange: Exchange) -> None:
         self._note(exchange.request, "prefill")
         await asyncio.sleep(self._delay_s())
--- a/tests/relay/test_relay_calls.py
+++ b/tests/relay/test_relay_calls.py
@@ -90,6 +90,15 @@
     assert len(engines.runs("maker-0", "maker-1")) == 1
 
 
+def test_a_prompt_whose_handle_has_lapsed_is_read_again(engines: RelayFleet) -> None:
+    """Answers engines at which handles lapse at once."""
+    for name in ("maker-0", "maker-1"):
+        engines.backends[name].post("/faults", {"lapsed_handles": True})
+    answer = engines.ask(PATHS["stream"], "id-1", b"prompt", PROMPT)
+    assert answer.status == 200
+    assert len(engines.runs("maker-0", "maker-1")) == 1
+
+
 def test_a_broken_stream_goes_on_elsewhere_where_the_route_allows_it(engines: RelayFleet) -> None:
     engines.backends["maker-0"].post("/faults", {"break_after": 2})
     engines.backends["maker-1"].post("/faults", {})
--- a/tests/relay/test_relay_decisions.py
+++ b/tests/relay/test_relay_decisions.py
@@ -57,6 +57,8 @@
         (ROUTE, [AttemptEnd.REJECTED], False, False),
         (ROUTE, [AttemptEnd.REJECTED, AttemptEnd.REJECTED], True, False),
         (ROUTE, [AttemptEnd.OTHER_SERVER], True, True),
+        (ROUTE, [AttemptEnd.CACHE_GONE, AttemptEnd.CACHE_GONE], True, True),
+        (ROUTE, [AttemptEnd.CACHE_GONE], False, False),
         (ROUTE, [AttemptEnd.BROKEN], True, False),
         (ROUTE, [AttemptEnd.FAILED], True, False),
         (ROUTE, [AttemptEnd.BROKEN, AttemptEnd.NOT_SENT], True, False),
