--- a/berylquay/decisions/backend_health.py
+++ b/berylquay/decisions/backend_health.py
@@ -19,6 +19,8 @@
     first_pause_s: float = 0.5
     # Longest such time; it doubles with each failure in a row.
     longest_pause_s: float = 4.0
+    # Time for which another host's word that a backend server is silent counts.
+    suspicion_s: float = 1.5
 
 
 @define
@@ -31,6 +33,10 @@
     paused_until_s: float = 0.0
     # Share of recent requests that failed there.
     failure_rate: float = 0.0
+    # Monotonic time of its last sign of life.
+    heard_s: float = float("-inf")
+    # Monotonic time until which another host's word that it is silent counts.
+    suspected_until_s: float = 0.0
 
 
 class BackendHealth:
@@ -64,17 +70,39 @@
         self._note(record, 1.0)
         return pause_s
 
+    def on_suspected(self, name: str, now_s: float) -> None:
+        """Takes another host's word that a backend server is silent.
+
+        The other host may be cut off itself: the word makes this host impatient, no more.
+        """
+        record = self._records.setdefault(name, _Record())
+        record.suspected_until_s = now_s + self._limits.suspicion_s
+
+    def is_suspected(self, name: str, now_s: float) -> bool:
+        """Tells whether another host found the backend server silent a moment ago."""
+        record = self._records.get(name)
+        return record is not None and now_s < record.suspected_until_s
+
     def on_failed(self, name: str) -> None:
         """Takes a request that failed at the backend server."""
         self._note(self._records.setdefault(name, _Record()), 1.0)
 
-    def on_answered(self, name: str) -> None:
-        """Takes a good answer."""
+    def on_heard(self, name: str, now_s: float) -> None:
+        """Takes a sign of life."""
+        self._records.setdefault(name, _Record()).heard_s = now_s
+
+    def was_heard_since(self, name: str, since_s: float) -> bool:
+        """Tells whether the backend server gave a sign of life since then."""
         record = self._records.get(name)
-        if record is not None:
-            record.unreachable = 0
-            record.paused_until_s = 0.0
-            self._note(record, 0.0)
+        return record is not None and record.heard_s >= since_s
+
+    def on_answered(self, name: str, now_s: float) -> None:
+        """Takes a good answer."""
+        self.on_heard(name, now_s)
+        record = self._records[name]
+        record.unreachable = 0
+        record.paused_until_s = 0.0
+        self._note(record, 0.0)
 
     def forget(self, name: str) -> None:
         """Drops what is known of a backend server that is gone or has restarted."""
--- a/berylquay/decisions/engine_placement.py
+++ b/berylquay/decisions/engine_placement.py
@@ -58,6 +58,8 @@
     far_send_ms_per_kb: float = 3.5
     # Time that a certain failure counts for.
     failure_ms: float = 600.0
+    # Rate of failures that another host's word of silence stands for.
+    suspicion_rate: float = 0.5
     # Time by which a prompt's home is preferred while no engine is known to keep its parts.
     home_bonus_ms: float = 40.0
     # Part of the objective within which a predicted time counts as surely in time.
@@ -225,7 +227,7 @@
             self._time_cost_ms(first_ms, sure_ms)
             + self._reread_cost_ms(generation, engine, now_s)
             + self._send_cost_ms(generation, engine)
-            + self._failure_cost_ms(engine)
+            + self._failure_cost_ms(engine, now_s)
             + beyond * self._options.beyond_bound_ms_per_token
             + self._crowding_ms(engine, now_s)
         )
@@ -253,9 +255,9 @@
             self._time_cost_ms(first_ms, sure_ms)
             + self._reread_cost_ms(generation, reader, now_s)
             + self._send_cost_ms(generation, reader)
-            + self._failure_cost_ms(reader)
+            + self._failure_cost_ms(reader, now_s)
             + self._send_cost_ms(generation, decoder)
-            + self._failure_cost_ms(decoder)
+            + self._failure_cost_ms(decoder, now_s)
             + self._move_price_ms(generation, reader, decoder)
             + self._crowding_ms(decoder, now_s)
         )
@@ -289,7 +291,7 @@
             self._move_ms(generation, reader, decoder)
             + self._move_price_ms(generation, reader, decoder)
             + self._send_cost_ms(generation, decoder)
-            + self._failure_cost_ms(decoder)
+            + self._failure_cost_ms(decoder, now_s)
             + self._round_trip_ms(decoder)
             + self._batch_ms(decoder, now_s)
             + self._crowding_ms(decoder, now_s)
@@ -368,9 +370,12 @@
         gigabytes = generation.prompt_tokens * pool.token_bytes / 1e9
         return gigabytes * self._options.far_move_ms_per_gb
 
-    def _failure_cost_ms(self, engine: BackendEntry) -> float:
-        """Returns what the engine's recent failures count for."""
-        return self._health.failure_rate(engine.name) * self._options.failure_ms
+    def _failure_cost_ms(self, engine: BackendEntry, now_s: float) -> float:
+        """Returns what the engine's recent failures count for, here and at other hosts."""
+        rate = self._health.failure_rate(engine.name)
+        if self._health.is_suspected(engine.name, now_s):
+            rate += self._options.suspicion_rate
+        return rate * self._options.failure_ms
 
     def _send_cost_ms(self, generation: Generation, engine: BackendEntry) -> float:
         """Returns what sending the request to the engine counts for."""
--- a/berylquay/decisions/role_plan.py
+++ b/berylquay/decisions/role_plan.py
@@ -28,6 +28,10 @@
     full_batches: float = 0.85
     # Time for which a deviation must last: engines that crash come back within it.
     lasting_s: float = 6.0
+    # The same while too few engines make tokens, or their batches are full.
+    lasting_in_need_s: float = 2.5
+    # The same for a change back: engines that were lost return, and each change costs seconds.
+    lasting_back_s: float = 12.0
     # The same while no request was served yet: nothing is taken away from callers.
     lasting_at_start_s: float = 3.0
 
@@ -48,6 +52,17 @@
     return min(engines - 1, max(min(options.least_decode, engines - 1), wanted))
 
 
+def is_in_need(
+    engines: Sequence[BackendEntry], streams: Mapping[str, int], options: RolePlanOptions
+) -> bool:
+    """Tells whether too few engines make tokens for the streams of now, or for a loss."""
+    decoders = [engine for engine in engines if engine.role is not Role.PREFILL]
+    slots = sum(engine.slots for engine in decoders)
+    busy = sum(streams.get(engine.name, 0) for engine in decoders)
+    too_few = len(decoders) < min(options.least_decode, len(engines) - 1)
+    return too_few or busy > slots * options.full_batches
+
+
 def plan_role_changes(
     engines: Sequence[BackendEntry], streams: Mapping[str, int], options: RolePlanOptions
 ) -> list[RoleChange]:
@@ -96,9 +111,21 @@
     lasting_from_s: float = field(default=float("inf"), init=False)
     # Direction of the wanted changes and the engines that the plan knew, when it began.
     _begun_with: tuple[Role | None, int] = field(default=(None, 0), init=False)
+    # Role of the last change that was ordered while requests were served, or None.
+    _last_ordered: Role | None = field(default=None, init=False)
+
+    def on_ordered(self, role: Role) -> None:
+        """Takes note of a change that was ordered while requests were served."""
+        self._last_ordered = role
 
     def is_lasting(
-        self, changes: Sequence[RoleChange], engines: int, at_start: bool, now_s: float
+        self,
+        changes: Sequence[RoleChange],
+        engines: int,
+        *,
+        at_start: bool,
+        in_need: bool,
+        now_s: float,
     ) -> bool:
         """Tells whether changes have been wanted for long enough to be made.
 
@@ -106,12 +133,19 @@
             changes: What is wanted now; changes the other way begin anew.
             engines: Engines that the plan knew; another number begins anew.
             at_start: Whether no request was served yet.
+            in_need: Whether callers suffer from the present split.
             now_s: Present time.
         """
+        options = self._options
+        lasting_s = options.lasting_at_start_s if at_start else options.lasting_s
+        if changes and self._last_ordered not in (None, changes[0].role):
+            lasting_s = options.lasting_back_s
+        elif in_need and not at_start:
+            lasting_s = options.lasting_in_need_s
         begun_with = (changes[0].role if changes else None, engines)
         if begun_with != self._begun_with:
             self._begun_with = begun_with
-            options = self._options
-            lasting_s = options.lasting_at_start_s if at_start else options.lasting_s
             self.lasting_from_s = now_s + lasting_s
+        # Need may arise while a deviation lasts.
+        self.lasting_from_s = min(self.lasting_from_s, now_s + lasting_s)
         return bool(changes) and now_s >= self.lasting_from_s
--- a/berylquay/net/connections.py
+++ b/berylquay/net/connections.py
@@ -17,7 +17,7 @@
 
 RECEIVE_BYTES: Final = 65536
 # Time after which a connection ends whose bytes or keep-alives the other end does not acknowledge.
-USER_TIMEOUT_MS: Final = 4000
+USER_TIMEOUT_MS: Final = 2500
 # Time without traffic before keep-alives are sent, and between them.
 KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_INTERVAL_S: Final = 1
--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -46,10 +46,13 @@
 CONNECT_TIMED_OUT: Final = "the connection was not established in time"
 # Time beyond the deadline in which the backend server's own answer to it is awaited.
 DEADLINE_SLACK_S: Final = 0.1
-# A prompt that takes longer than this many times its prediction, and the time besides, is read
-# elsewhere.
-PREFILL_PATIENCE: Final = 3.0
-PREFILL_PATIENCE_S: Final = 0.5
+# An engine on which nothing came for this many times the prediction, and the time besides, is
+# silent.
+PATIENCE: Final = 2.5
+PATIENCE_S: Final = 0.4
+# The same where another host has found the engine silent.
+SUSPICIOUS_PATIENCE: Final = 1.5
+SUSPICIOUS_PATIENCE_S: Final = 0.3
 # Ranks of routes are spread over the engines' urgencies, 1 to 9.
 RANK_STEP: Final = 2
 # Times that a prompt is read apart; each one after the first counts as an extra send.
@@ -177,22 +180,39 @@
         if self._held:
             self._place_generation(now_s, first=True)
             return
-        leg, placement = self._prefill_leg, self._placement
-        if leg is not None and placement is not None:
-            patience_s = placement.first_token_s * PREFILL_PATIENCE + PREFILL_PATIENCE_S
-            if now_s - leg.started_s > patience_s:
-                self._give_up_silent(leg, "the prompt was not read in time", now_s)
+        if self._prefill_leg is not None:
+            self._check_silence(self._prefill_leg, "the prompt was not read in time", now_s)
+        elif self._run_leg is not None and self._can_run_elsewhere(now_s):
+            self._check_silence(self._run_leg, "no event came in time", now_s)
+
+    def _can_run_elsewhere(self, now_s: float) -> bool:
+        """Tells whether a run could be given up for one at another engine."""
+        call, services = self.call, self._services
+        if not call.route.repeatable or len(set(call.sent_to)) >= call.route.max_attempts:
+            return False
+        has_room = services.retries.has_room(call.pool.name, now_s)
+        return has_room and any(e.role is not Role.PREFILL for e in self._usable_engines(now_s))
+
+    def _check_silence(self, leg: Leg, detail: str, now_s: float) -> None:
+        """Ends a leg on which nothing came for longer than predicted, if that does no harm."""
+        placement = self._placement
+        if placement is None or self._first_byte_s is not None:
+            return
+        patience_s = placement.first_token_s * PATIENCE + PATIENCE_S
+        health, name = self._services.health, leg.backend.name
+        if health.was_heard_since(name, leg.started_s):
+            # It is slow, or has much to do: what it has begun would be lost.
             return
-        run = self._run_leg
-        if run is not None and placement is not None and self._first_byte_s is None:
-            patience_s = placement.first_token_s * PREFILL_PATIENCE + PREFILL_PATIENCE_S
-            if call.route.repeatable and now_s - run.started_s > patience_s:
-                self._give_up_silent(run, "no event came in time", now_s)
+        if health.is_suspected(name, now_s):
+            patience_s = placement.first_token_s * SUSPICIOUS_PATIENCE + SUSPICIOUS_PATIENCE_S
+        if now_s - leg.started_s > patience_s:
+            self._give_up_silent(leg, detail, now_s)
 
     def _give_up_silent(self, leg: Leg, detail: str, now_s: float) -> None:
         """Ends a leg on which nothing comes; its engine is left alone for a while."""
         leg.cancel()
         self._services.health.on_unreachable(leg.backend.name, now_s)
+        self._services.new_silent.append(leg.backend.name)
         self._fail_leg(leg, AttemptEnd.BROKEN, detail, now_s)
 
     def on_caller_ready(self) -> None:
@@ -395,7 +415,7 @@
     def _note_prompt_read(self, leg: Leg, now_s: float) -> None:
         services, call = self._services, self.call
         services.backlog.remove_prompt(leg.backend.name, call.call_id)
-        services.health.on_answered(leg.backend.name)
+        services.health.on_answered(leg.backend.name, now_s)
         services.measures.on_attempt_ended(call.pool.name, "prompt-read")
         self._note_parts(leg.backend.name, now_s)
         if self._placement is not None:
@@ -472,7 +492,7 @@
             self._fail_run(leg, AttemptEnd.BROKEN, "the stream ended within an event", now_s)
             return
         if not failed:
-            self._services.health.on_answered(leg.backend.name)
+            self._services.health.on_answered(leg.backend.name, now_s)
             self._services.suspects.clear(self.call.fingerprint)
         self._services.measures.on_attempt_ended(self.call.pool.name, "answered")
         body, self._collected = self._collected, None
@@ -494,6 +514,7 @@
         if self._placement is not None:
             predicted_s = self._placement.first_token_s
         elapsed_s = now_s - self.call.received_s
+        self._services.health.on_heard(leg.backend.name, now_s)
         if self._handed_over is not None:
             excess_s = now_s - leg.started_s - self._expected_first_s
             self._services.speeds.on_first_event(leg.backend.name, excess_s, now_s)
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -273,6 +273,8 @@
         self._services.backlog.on_peer(report.host, report.loads, now_s)
         for part_id, engine in report.parts:
             self._services.locations.on_used(part_id, engine, now_s)
+        for backend in report.silent:
+            self._services.health.on_suspected(backend, now_s)
         for fingerprint, backend in report.losses:
             self._services.suspects.on_lost(backend, frozenset({fingerprint}), now_s)
 
@@ -320,6 +322,9 @@
             self._reports.tell_part(part_id, engine)
         for fingerprint, backend in services.new_losses:
             self._reports.tell_loss(fingerprint, backend)
+        for backend in services.new_silent:
+            self._reports.tell_silent(backend)
+        services.new_silent.clear()
         services.new_parts.clear()
         services.new_losses.clear()
         self._reports.on_tick(now_s)
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -52,6 +52,8 @@
     parts: tuple[tuple[str, str], ...]
     # Contents under which a backend server was lost: fingerprint and backend server.
     losses: tuple[tuple[str, str], ...] = ()
+    # Backend servers that the host has newly found silent.
+    silent: tuple[str, ...] = ()
 
 
 def encode_report(report: LoadReport) -> bytes:
@@ -69,6 +71,7 @@
         loads,
         [list(part) for part in report.parts],
         [list(loss) for loss in report.losses],
+        list(report.silent),
     ]
     return cbor2.dumps(fields)
 
@@ -76,7 +79,7 @@
 def decode_report(data: bytes) -> LoadReport | None:
     """Returns the report, or None if the datagram is not one of this format."""
     try:
-        form, host, data_centre, ip, port, loads, parts, losses = cbor2.loads(data)
+        form, host, data_centre, ip, port, loads, parts, losses, silent = cbor2.loads(data)
         if form != FORMAT:
             return None
         return LoadReport(
@@ -91,6 +94,7 @@
             },
             tuple((str(part), str(engine)) for part, engine in parts),
             tuple((str(content), str(backend)) for content, backend in losses),
+            tuple(str(backend) for backend in silent),
         )
     except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError, RecursionError):
         return None
@@ -126,9 +130,10 @@
     listed_hosts: int
     # Other hosts by name.
     _peers: dict[str, _Peer]
-    # Parts and losses that wait to be told.
+    # Parts, losses and silent backend servers that wait to be told.
     _parts: list[tuple[str, str]]
     _losses: list[tuple[str, str]]
+    _silent: set[str]
     _last_loads: dict[str, EngineLoad]
     _sent_s: float
 
@@ -157,6 +162,7 @@
         self._peers = {}
         self._parts = []
         self._losses = []
+        self._silent = set()
         self._last_loads = {}
         self._sent_s = float("-inf")
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -187,6 +193,10 @@
         """Tells the others under which content a backend server was lost."""
         self._losses.append((fingerprint, backend))
 
+    def tell_silent(self, backend: str) -> None:
+        """Tells the others that a backend server was found silent."""
+        self._silent.add(backend)
+
     def on_new_work(self, now_s: float) -> None:
         """Tells the others at once of work that was placed, unless that was just done."""
         if now_s - self._sent_s >= NEW_WORK_INTERVAL_PER_HOST_S * len(self._told_peers()):
@@ -201,7 +211,8 @@
             _log.info("host not heard of", host=name, after_s=HOST_TTL_S)
             del self._peers[name]
         loads = self._make_loads()
-        unchanged = loads == self._last_loads and not self._parts and not self._losses
+        has_news = bool(self._parts or self._losses or self._silent)
+        unchanged = loads == self._last_loads and not has_news
         if unchanged and now_s - self._sent_s < IDLE_INTERVAL_S:
             return
         self._send(loads, now_s)
@@ -211,8 +222,15 @@
         self._last_loads = loads
         parts, self._parts = self._parts[:PARTS_PER_REPORT], self._parts[PARTS_PER_REPORT:]
         losses, self._losses = self._losses, []
+        silent, self._silent = self._silent, set()
         report = LoadReport(
-            self._host, self._data_centre, self._address, loads, tuple(parts), tuple(losses)
+            self._host,
+            self._data_centre,
+            self._address,
+            loads,
+            tuple(parts),
+            tuple(losses),
+            tuple(silent),
         )
         data = encode_report(report)
         for peer in self._told_peers():
--- a/berylquay/relay/role_orders.py
+++ b/berylquay/relay/role_orders.py
@@ -10,7 +10,12 @@
 from berylquay.decisions.backend_registry import BackendEntry, EntryState
 from berylquay.decisions.order_claims import ClaimStep, ClaimTimes, OrderClaims
 from berylquay.decisions.relay_fates import AttemptEnd
-from berylquay.decisions.role_plan import LastingDeviation, RolePlanOptions, plan_role_changes
+from berylquay.decisions.role_plan import (
+    LastingDeviation,
+    RolePlanOptions,
+    is_in_need,
+    plan_role_changes,
+)
 from berylquay.decisions.roles import RoleChange
 from berylquay.decisions.route_table import RouteTable
 from berylquay.net.kept_http import RawHead, RawRequest
@@ -148,13 +153,18 @@
         changes = plan_role_changes(engines, streams, self._options)
         deviation = self._deviations.setdefault(pool, LastingDeviation(self._options))
         at_start = not self.served
-        if not deviation.is_lasting(changes, len(engines), at_start, now_s):
+        in_need = is_in_need(engines, streams, self._options)
+        lasting = deviation.is_lasting(
+            changes, len(engines), at_start=at_start, in_need=in_need, now_s=now_s
+        )
+        if not lasting:
             return
         if now_s < deviation.lasting_from_s + self._position() * HOLD_BACK_S:
             return
         if not at_start and len(self._ordered) > len(engines) // ENGINES_PER_CHANGE:
             return
-        self._advance(changes, now_s)
+        if self._advance(changes, now_s) and not at_start:
+            deviation.on_ordered(changes[0].role)
 
     def _planned_engines(self, pool: str) -> list[BackendEntry]:
         """Returns the pool's engines with the roles that they have or were ordered to take."""
@@ -176,9 +186,10 @@
                 _log.info("order settled", backend=name, taken_effect=settled)
                 del self._ordered[name]
 
-    def _advance(self, changes: Sequence[RoleChange], now_s: float) -> None:
+    def _advance(self, changes: Sequence[RoleChange], now_s: float) -> bool:
+        """Takes the next step towards an order; tells whether it has begun one."""
         if self._lane.busy or now_s < self._next_claim_s:
-            return
+            return False
         step = self._claims.next_step(claim_clock_s())
         if step is ClaimStep.READ:
             self._lane.read(TOPIC_AUTHORITY, self._claims.read_from, 0.0, self._on_claims_read)
@@ -192,6 +203,7 @@
             )
         elif step is ClaimStep.ORDER:
             self._begin_order(changes[0], now_s)
+        return step is ClaimStep.ORDER
 
     def _on_claims_read(self, result: RecordPage | StoreFailure) -> None:
         if isinstance(result, RecordPage):
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -51,3 +51,5 @@
     new_parts: list[tuple[str, str]] = field(factory=list)
     # Losses that this host has seen, for the other hosts: fingerprint and backend server.
     new_losses: list[tuple[str, str]] = field(factory=list)
+    # Backend servers that this host has newly found silent, for the other hosts.
+    new_silent: list[str] = field(factory=list)
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -2,7 +2,8 @@
 
 It notes what it ran (`GET /witness`) and takes faults (`POST /faults`): reject, fail, break_off
 (the connection ends within the answer), lose_answer, delay_s, foreign_answer (an answer to another
-request comes first), lapsed_handles (no KV cache can be fetched), other_server (every request gets 421).
+request comes first), lapsed_handles (no KV cache can be fetched), other_server (every request
+gets 421).
 """
 
 import asyncio
--- a/tests/relay/test_relay_decisions.py
+++ b/tests/relay/test_relay_decisions.py
@@ -193,7 +193,7 @@
     pauses = [health.on_unreachable("s", 0.0) for _ in range(5)]
     assert pauses == [0.5, 1.0, 2.0, 4.0, 4.0]
     assert health.is_paused("s", 3.9)
-    health.on_answered("s")
+    health.on_answered("s", 0.1)
     assert not health.is_paused("s", 0.1)
 
 
@@ -225,3 +225,20 @@
     is_quiet: bool, elapsed_s: float, phase: StopPhase
 ) -> None:
     assert StopPlan(100.0, 8.0).phase(is_quiet, 100.0 + elapsed_s) is phase
+
+
+def test_an_engine_that_was_heard_of_is_not_silent() -> None:
+    """Answers overload, in which slow engines taken for silent ones would shed all load."""
+    health = BackendHealth(HealthLimits())
+    assert not health.was_heard_since("s", 0.0)
+    health.on_heard("s", 5.0)
+    assert health.was_heard_since("s", 4.9)
+    assert not health.was_heard_since("s", 5.1)
+
+
+def test_another_hosts_word_of_silence_makes_impatient_and_does_not_exclude() -> None:
+    health = BackendHealth(HealthLimits(suspicion_s=1.5))
+    health.on_suspected("s", 10.0)
+    assert health.is_suspected("s", 11.4)
+    assert not health.is_paused("s", 11.4)
+    assert not health.is_suspected("s", 11.6)
--- a/tests/relay/test_role_orders.py
+++ b/tests/relay/test_role_orders.py
@@ -11,6 +11,7 @@
 from berylquay.decisions.role_plan import (
     LastingDeviation,
     RolePlanOptions,
+    is_in_need,
     plan_role_changes,
     wanted_decode_engines,
 )
@@ -60,13 +61,47 @@
 
 def test_only_a_deviation_that_lasts_is_acted_on() -> None:
     """Answers crashed engines, which are back within seconds."""
-    deviation = LastingDeviation(RolePlanOptions(lasting_s=6.0))
+    deviation = LastingDeviation(RolePlanOptions(lasting_s=6.0, lasting_in_need_s=1.0))
     wanted = [RoleChange("e", Role.DECODE)]
-    assert not deviation.is_lasting(wanted, 5, False, 0.0)
-    assert not deviation.is_lasting(wanted, 5, False, 5.9)
-    assert not deviation.is_lasting([], 6, False, 5.95)
-    assert not deviation.is_lasting(wanted, 5, False, 6.1)
-    assert deviation.is_lasting(wanted, 5, False, 12.2)
+
+    def lasts(
+        changes: list[RoleChange], engines: int, now_s: float, *, in_need: bool = False
+    ) -> bool:
+        return deviation.is_lasting(changes, engines, at_start=False, in_need=in_need, now_s=now_s)
+
+    assert not lasts(wanted, 5, 0.0)
+    assert not lasts(wanted, 5, 5.9)
+    assert not lasts([], 6, 5.95)
+    assert not lasts(wanted, 5, 6.1)
+    assert not lasts(wanted, 5, 8.0, in_need=True)
+    assert lasts(wanted, 5, 9.1, in_need=True)
+
+
+def test_a_change_back_waits_for_engines_that_return() -> None:
+    """Answers crashes and withdrawals in series, where each change would cost an engine."""
+    deviation = LastingDeviation(RolePlanOptions())
+    to_decode, to_prefill = [RoleChange("e", Role.DECODE)], [RoleChange("e", Role.PREFILL)]
+
+    def lasts(changes: list[RoleChange], now_s: float) -> bool:
+        return deviation.is_lasting(changes, 5, at_start=False, in_need=True, now_s=now_s)
+
+    assert not lasts(to_decode, 0.0)
+    assert lasts(to_decode, 2.6)
+    deviation.on_ordered(Role.DECODE)
+    assert not lasts(to_prefill, 3.0)
+    assert not lasts(to_prefill, 14.0)
+    assert lasts(to_prefill, 15.1)
+
+
+def test_too_few_makers_or_full_batches_are_need() -> None:
+    """Answers the withdrawal of most of the engines that make tokens (meskel-field, scale-1)."""
+    options = RolePlanOptions()
+    engines = make_engines(("a", Role.DECODE), ("b", Role.PREFILL), ("c", Role.PREFILL))
+    assert is_in_need(engines, {}, options)
+    two = make_engines(("a", Role.DECODE), ("b", Role.DECODE), ("c", Role.PREFILL))
+    assert not is_in_need(two, {"e-0": 40, "e-1": 40}, options)
+    assert is_in_need(two, {"e-0": 64, "e-1": 60}, options)
+    assert not is_in_need(make_engines(("a", Role.DECODE)), {}, options)
 
 
 @define
