--- a/berylquay/relay/log_lines.py
+++ b/berylquay/relay/log_lines.py
@@ -58,7 +58,8 @@
         """Writes what waits, and says how many lines were dropped."""
         self._clock_s = now_s
         self.flush()
-        if self.dropped > self._reported and not self._waiting:
+        has_room = len(self._waiting) < WAITING_BYTES // 2
+        if self.dropped > self._reported and has_room:
             dropped, self._reported = self.dropped - self._reported, self.dropped
             logbook.Logger("log-lines").warning("lines dropped", count=dropped)
 
