--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -161,12 +161,6 @@
             return []
         return [self._drop(name) for name in sorted(self._lapsed)]
 
-    def mark_leaving(self, name: str) -> None:
-        """Takes from the backend server itself that it is leaving."""
-        entry = self._entries.get(name)
-        if entry is not None:
-            self._entries[name] = evolve(entry, state=EntryState.LEAVING)
-
     def _remember(self, entry: BackendEntry) -> None:
         # Names that were heard of longest ago yield first.
         self._latest.pop(entry.name, None)
--- a/berylquay/platform/names.py
+++ b/berylquay/platform/names.py
@@ -36,8 +36,6 @@
 
 # Headers of an answer.
 NOT_EXECUTED: Final = b"not-executed"
-# Signature of the backend server that ran the request.
-SIGNATURE: Final = b"server-seal"
 RETRY_AFTER: Final = b"retry-after"
 
 # Calls to engines.
--- a/berylquay/platform/store.py
+++ b/berylquay/platform/store.py
@@ -32,7 +32,6 @@
 DETAIL_BYTES: Final = 200
 STATUS_NOT_FOUND: Final = 404
 STATUS_GONE: Final = 410
-STATUS_CONDITION_FAILED: Final = 412
 _OFFSETS: Final = struct.Struct(">QQ")
 _LENGTH: Final = struct.Struct(">I")
 
@@ -103,11 +102,6 @@
         """Tells whether the topic does not exist yet."""
         return self.status == STATUS_NOT_FOUND
 
-    @property
-    def condition_failed(self) -> bool:
-        """Tells whether the topic had gone on past the required end."""
-        return self.status == STATUS_CONDITION_FAILED
-
 
 class _Decoder(Protocol):
     def __call__(self, body: bytes) -> object: ...
--- a/berylquay/relay/desk.py
+++ b/berylquay/relay/desk.py
@@ -123,12 +123,6 @@
         """Refuses new requests from now on."""
         self._closed = True
 
-    def finish_idle(self) -> None:
-        """Ends the connections on which nothing is under way."""
-        for caller in list(self._callers):
-            if caller not in self._exchanges:
-                caller.finish()
-
     def on_tick(self, now_s: float) -> None:
         """Checks the time limits of all calls and connections."""
         for exchange in list(self._exchanges.values()):
--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -20,26 +20,23 @@
 )
 from berylquay.decisions.server_choice import choose_server
 from berylquay.net.kept_http import RawHead
-from berylquay.platform.names import RETRY_AFTER
 from berylquay.platform.requests import (
     KeptPrompt,
     RunDetails,
     decode_kept_prompt,
     encode_prefill,
-    encode_release,
     encode_run,
     passed_headers,
 )
 from berylquay.relay.caller_connection import CallerConnection, CallerRequest
 from berylquay.relay.event_stream import EventTracker, OversizedEventError
 from berylquay.relay.legs import FIRST_SERVER_ERROR, Leg
+from berylquay.relay.prompt_legs import PromptReading, release_prompt
+from berylquay.relay.refusals import send_refusal
 from berylquay.relay.services import RelayServices
-from berylquay.verdicts import Refusal, RefusalReason, Verdict
+from berylquay.verdicts import RefusalReason, Verdict
 
 STATUS_OK: Final = 200
-STATUS_BAD_GATEWAY: Final = 502
-STATUS_UNAVAILABLE: Final = 503
-STATUS_GATEWAY_TIMEOUT: Final = 504
 # Largest answer of a plain service that is collected before it is passed on, so that one that
 # breaks off can still be asked for elsewhere.
 COLLECTED_BYTES: Final = 131072
@@ -64,29 +61,6 @@
 _log = logbook.Logger("exchange")
 
 
-class _PrefillLegUser:
-    """Passes what a prefill leg hears on to its exchange."""
-
-    def __init__(self, exchange: "RelayExchange") -> None:
-        self._exchange = exchange
-        self._body = b""
-
-    def on_leg_head(self, leg: Leg, head: RawHead) -> None:
-        """Waits for the body."""
-
-    def on_leg_data(self, leg: Leg, data: bytes) -> None:
-        """Collects the body."""
-        self._body += data[: COLLECTED_BYTES - len(self._body)]
-
-    def on_leg_whole(self, leg: Leg) -> None:
-        """Passes on the whole answer."""
-        self._exchange.on_prefill_answer(leg, self._body)
-
-    def on_leg_failed(self, leg: Leg, end: AttemptEnd, detail: str) -> None:
-        """Passes on the failure."""
-        self._exchange.on_prefill_failed(leg, end, detail)
-
-
 class RelayExchange:
     """Drives one call: places it, sends it, passes its answer on, and ends it once."""
 
@@ -318,7 +292,7 @@
         services.on_new_work(now_s)
         connection = services.connections.take(engine, False, now_s)
         self._prefill_leg = Leg(
-            _PrefillLegUser(self), engine, connection, raw, call_id=call.call_id, now_s=now_s
+            PromptReading(self), engine, connection, raw, call_id=call.call_id, now_s=now_s
         )
 
     def _send_run(self, backend: BackendEntry, kept: KeptPrompt | None, now_s: float) -> None:
@@ -723,49 +697,5 @@
         )
 
 
-class _ReleaseUser:
-    """Hears whether a KV cache was freed."""
-
-    def __init__(self, engine: str) -> None:
-        self._engine = engine
-
-    def on_leg_head(self, leg: Leg, head: RawHead) -> None:
-        """Waits for the end."""
-
-    def on_leg_data(self, leg: Leg, data: bytes) -> None:
-        """Ignores the body."""
-
-    def on_leg_whole(self, leg: Leg) -> None:
-        """Does nothing: the cache is free."""
-
-    def on_leg_failed(self, leg: Leg, end: AttemptEnd, detail: str) -> None:
-        """Leaves the cache to its expiry."""
-        _log.info("prompt not freed", engine=self._engine, end=end.value, detail=detail)
-
-
-def release_prompt(services: RelayServices, kept: KeptPrompt, now_s: float) -> None:
-    """Frees a KV cache that nobody will fetch."""
-    entry = services.registry.get(kept.engine)
-    if entry is None:
-        return
-    connection = services.connections.take(entry, False, now_s)
-    Leg(_ReleaseUser(kept.engine), entry, connection, encode_release(kept), call_id="", now_s=now_s)
-
-
-def send_refusal(caller: CallerConnection, refusal: Refusal) -> None:
-    """Answers a call that was given up, with what is known of whether it ran."""
-    headers = [(b"content-type", b"text/plain; charset=utf-8")]
-    if refusal.verdict is Verdict.NOT_RUN:
-        status = STATUS_UNAVAILABLE
-        if refusal.retry_after_s is not None:
-            headers.append((RETRY_AFTER, f"{refusal.retry_after_s:.2f}".encode()))
-    elif refusal.reason is RefusalReason.DEADLINE:
-        status = STATUS_GATEWAY_TIMEOUT
-    else:
-        status = STATUS_BAD_GATEWAY
-    body = f"{refusal.reason.value}: {refusal.detail}\n".encode("latin-1", "replace")
-    caller.answer(status, b"", headers, body)
-
-
 def _ms(seconds: float) -> int:
     return round(seconds * 1000.0)
--- a/berylquay/settings/relay_file.py
+++ b/berylquay/settings/relay_file.py
@@ -38,8 +38,6 @@
     retry_extra: float
     # Time for which nobody else may order engines about after the last holder did.
     lease_s: float
-    # Time after a frozen sender has woken in which its orders may still arrive.
-    thaw_slack_s: float
 
 
 @frozen
@@ -58,8 +56,6 @@
     peers_address: Address
     metrics_address: Address
     store_address: Address
-    # Most bytes that one append to the store may carry in one record.
-    store_record_bytes: int
     # Most bytes of bodies that are held at once.
     body_memory_bytes: int
     # Most descriptors that sockets may take.
@@ -127,7 +123,6 @@
         peers_address=reader.address("listen", "peers"),
         metrics_address=reader.address("listen", "metrics"),
         store_address=reader.address("store", "address"),
-        store_record_bytes=reader.count("store", "record_bytes"),
         body_memory_bytes=int(memory_bytes * BODY_MEMORY_SHARE),
         max_sockets=reader.count("limits", "max_sockets"),
         bounds=_read_bounds(reader),
@@ -146,5 +141,4 @@
         retry_window_s=reader.number(section, "retry_window_s"),
         retry_extra=reader.number(section, "retry_extra"),
         lease_s=reader.number(section, "lease_ms") / 1000.0,
-        thaw_slack_s=reader.number(section, "thaw_slack_ms") / 1000.0,
     )
--- a/tests/support/relay_fleet.py
+++ b/tests/support/relay_fleet.py
@@ -195,7 +195,6 @@
 
 [store]
 address = 127.0.0.1:{store_port}
-record_bytes = 262144
 
 [limits]
 memory_mb = 300
@@ -210,7 +209,6 @@
 retry_window_s = 10
 retry_extra = 58
 lease_ms = 3000
-thaw_slack_ms = 300
 """
 
 
