--- a/berylquay/decisions/role_plan.py
+++ b/berylquay/decisions/role_plan.py
@@ -24,11 +24,13 @@
     decode_share: float = 0.34
     # Fewest engines that make tokens, so that one can be lost.
     least_decode: int = 2
-    # Fullness of the decode engines' batches above which one more is kept.
-    full_batches: float = 0.85
+    # Streams under way for each slot of the decode engines above which one more is kept: more
+    # than run at once wait for a slot. Fuller batches alone are no reason; they empty faster once
+    # prompts are read elsewhere.
+    full_batches: float = 1.2
     # Time for which a deviation must last: engines that crash come back within it.
     lasting_s: float = 6.0
-    # The same while too few engines make tokens, or their batches are full.
+    # The same while too few engines make tokens.
     lasting_in_need_s: float = 2.5
     # The same for a change back: engines that were lost return, and each change costs seconds.
     lasting_back_s: float = 12.0
@@ -52,15 +54,10 @@
     return min(engines - 1, max(min(options.least_decode, engines - 1), wanted))
 
 
-def is_in_need(
-    engines: Sequence[BackendEntry], streams: Mapping[str, int], options: RolePlanOptions
-) -> bool:
-    """Tells whether too few engines make tokens for the streams of now, or for a loss."""
-    decoders = [engine for engine in engines if engine.role is not Role.PREFILL]
-    slots = sum(engine.slots for engine in decoders)
-    busy = sum(streams.get(engine.name, 0) for engine in decoders)
-    too_few = len(decoders) < min(options.least_decode, len(engines) - 1)
-    return too_few or busy > slots * options.full_batches
+def is_in_need(engines: Sequence[BackendEntry], options: RolePlanOptions) -> bool:
+    """Tells whether too few engines make tokens to bear the loss of one."""
+    decoders = sum(engine.role is not Role.PREFILL for engine in engines)
+    return decoders < min(options.least_decode, len(engines) - 1)
 
 
 def plan_role_changes(
--- a/berylquay/relay/role_orders.py
+++ b/berylquay/relay/role_orders.py
@@ -153,7 +153,7 @@
         changes = plan_role_changes(engines, streams, self._options)
         deviation = self._deviations.setdefault(pool, LastingDeviation(self._options))
         at_start = not self.served
-        in_need = is_in_need(engines, streams, self._options)
+        in_need = is_in_need(engines, self._options)
         lasting = deviation.is_lasting(
             changes, len(engines), at_start=at_start, in_need=in_need, now_s=now_s
         )
