Deny unknown paths while a read waits at the store, and find silent connections out within contactMs

Seen failing first. And a wait of 5 s would have left a host with a silent connection an old version for 2 s after it counts as in contact again; the wait is 2.8 s now.

--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -39,9 +39,7 @@
     TOPIC_BACKENDS,
     TOPIC_CONFIGURATION,
 )
-from berylquay.platform.store import (
-    StoreLane,
-)
+from berylquay.platform.store import CALL_TIMEOUT_S, StoreLane
 from berylquay.relay.backend_pool import BackendPool
 from berylquay.relay.beliefs import BackendsBelief, ConfigurationBelief
 from berylquay.relay.desk import Desk, DeskOptions
@@ -60,8 +58,8 @@
 STATUS_UNAVAILABLE: Final = 503
 # Least time between reads of the configuration, which wait at the store until it changes.
 CONFIGURATION_INTERVAL_S: Final = 0.05
-# Time that is left for finding out that a connection has gone silent and reading anew.
-SILENCE_MARGIN_S: Final = 1.5
+# Time that is left for reading anew after a connection has gone silent.
+SILENCE_MARGIN_S: Final = 0.2
 # Backend servers renew their entries all the time: a read waits only for the next one.
 BACKENDS_WAIT_S: Final = 0.8
 # Part of the time within which a leaving backend server must be left alone, between reads.
@@ -116,7 +114,7 @@
             self._services,
             self._configuration,
             self._make_desk_options(),
-            lambda: self._configuration_follower.confirmed_s,
+            self._configuration_confirmed_s,
         )
         self._role_orders = self._make_role_orders(connections)
         self._listen(connections)
@@ -186,9 +184,12 @@
 
     def _configuration_times(self) -> FollowTimes:
         bounds = self._options.bounds
-        # A connection that goes silent is found out when the wait is over.
-        wait_s = bounds.contact_s + bounds.configuration_apply_s - SILENCE_MARGIN_S
-        return FollowTimes(max(1.0, wait_s), CONFIGURATION_INTERVAL_S)
+        # A connection that goes silent is found out when the wait is over, and the host has to know
+        # the newest version once it counts as in contact again.
+        return FollowTimes(
+            max(1.0, bounds.contact_s - CALL_TIMEOUT_S - SILENCE_MARGIN_S),
+            CONFIGURATION_INTERVAL_S,
+        )
 
     def _make_reports(self) -> None:
         options = self._options
@@ -213,6 +214,9 @@
             position=lambda: self._reports.position,
         )
 
+    def _configuration_confirmed_s(self) -> float:
+        return self._configuration_follower.confirmed_s(time.monotonic())
+
     def _make_desk_options(self) -> DeskOptions:
         options = self._options
         return DeskOptions(
--- a/tests/relay/test_relay_calls.py
+++ b/tests/relay/test_relay_calls.py
@@ -162,3 +162,9 @@
     time.sleep(3.0)
     assert plain.ask("/nowhere/", "id-2").status == 503
     assert plain.ask(PATHS["once"], "id-3").status == 200
+
+
+def test_a_path_is_denied_also_when_nothing_has_changed_for_long(plain: RelayFleet) -> None:
+    """Answers reads that wait for seconds at the store, which brings what is new at once."""
+    time.sleep(3.5)
+    assert [plain.ask("/nowhere/", f"id-{n}").status for n in range(3)] == [404, 404, 404]
