One place for distances, speeds and reading of INI files

The placement and the choice of plain servers each had the three round trips and the look-up of regions; two settings files were read by the same lines; the speeds of engines stood in the module of the placement. No change of behaviour; tests of the relay and of settings pass.

--- a/berylquay/decisions/engine_placement.py
+++ b/berylquay/decisions/engine_placement.py
@@ -17,7 +17,9 @@
 
 from berylquay.decisions.backend_health import BackendHealth
 from berylquay.decisions.backend_registry import BackendEntry
+from berylquay.decisions.distances import Distances
 from berylquay.decisions.engine_backlog import EngineBacklog
+from berylquay.decisions.engine_speeds import EngineSpeeds
 from berylquay.decisions.fleet import Role
 from berylquay.decisions.part_locations import PartLocations
 from berylquay.decisions.relay_call import Generation
@@ -43,10 +45,6 @@
     first_token_ms: float = 12.0
     # Fixed time of a hand-over between engines.
     hand_over_ms: float = 10.0
-    # Round trips within a data centre, within a region and between regions.
-    near_round_trip_ms: float = 0.5
-    region_round_trip_ms: float = 2.5
-    far_round_trip_ms: float = 41.0
     # Factors on the time of a move of KV cache between data centres and between regions.
     region_move_factor: float = 2.0
     far_move_factor: float = 10.0
@@ -85,14 +83,6 @@
     home_min_tokens: int = 1000
 
 
-@frozen
-class Place:
-    """Where a host or an engine stands."""
-
-    data_centre: str
-    region: str
-
-
 @frozen
 class Placement:
     """Where a request should run."""
@@ -136,13 +126,11 @@
     """Chooses the placement whose first token is predicted to come first."""
 
     _options: PlacementOptions
-    # Where this host stands.
-    _place: Place
-    # Region of each data centre.
-    _regions: dict[str, str]
+    # Round trips from this host.
+    _distances: Distances
     _backlog: EngineBacklog
     _locations: PartLocations
-    _speeds: "EngineSpeeds"
+    _speeds: EngineSpeeds
     _health: BackendHealth
     # What the engines of the pool have in common; set with each configuration.
     _pool: EnginePool | None = field(default=None, init=False)
@@ -379,19 +367,15 @@
 
     def _send_cost_ms(self, generation: Generation, engine: BackendEntry) -> float:
         """Returns what sending the request to the engine counts for."""
-        if self._region(engine.data_centre) == self._place.region:
+        if self._region(engine.data_centre) == self._distances.place.region:
             return 0.0
         return generation.request_bytes / BYTES_PER_KB * self._options.far_send_ms_per_kb
 
     def _round_trip_ms(self, engine: BackendEntry) -> float:
-        if engine.data_centre == self._place.data_centre:
-            return self._options.near_round_trip_ms
-        if self._region(engine.data_centre) == self._place.region:
-            return self._options.region_round_trip_ms
-        return self._options.far_round_trip_ms
+        return self._distances.round_trip_ms(engine.data_centre)
 
     def _region(self, data_centre: str) -> str:
-        return self._regions.get(data_centre, data_centre)
+        return self._distances.region_of(data_centre)
 
 
 def home_weight(part_id: str, engine: str) -> int:
@@ -413,55 +397,3 @@
     best: tuple[float, Placement] | None, other: tuple[float, Placement]
 ) -> tuple[float, Placement]:
     return other if best is None or other[0] < best[0] else best
-
-
-class EngineSpeeds:
-    """How much slower than expected each engine reads, learned from how long prompts took."""
-
-    # Weight of the newest time.
-    NEWEST_WEIGHT: Final = 0.2
-    # Time in which a belief that an engine is slow to its first events loses half of its weight, so
-    # that it is tried again.
-    LAG_HALF_LIFE_S: Final = 3.0
-    # Range of what is believed of an engine.
-    FASTEST: Final = 0.4
-    SLOWEST: Final = 8.0
-
-    # Factor on the expected time by engine.
-    _slowdowns: dict[str, float]
-    # By how much first events came late after a hand-over, and when that was seen, by engine.
-    _lags: dict[str, tuple[float, float]]
-
-    def __init__(self) -> None:
-        self._slowdowns = {}
-        self._lags = {}
-
-    def slowdown(self, engine: str) -> float:
-        """Returns the factor on the expected time."""
-        return self._slowdowns.get(engine, 1.0)
-
-    def on_read(self, engine: str, expected_s: float, taken_s: float) -> None:
-        """Takes how long a prompt took against the prediction made when it was sent."""
-        if expected_s <= 0.0:
-            return
-        before = self.slowdown(engine)
-        seen = before * taken_s / expected_s
-        mixed = before + self.NEWEST_WEIGHT * (seen - before)
-        self._slowdowns[engine] = min(self.SLOWEST, max(self.FASTEST, mixed))
-
-    def on_first_event(self, engine: str, excess_s: float, now_s: float) -> None:
-        """Takes by how much a first event came later than expected after a hand-over."""
-        before_s = self.lag_s(engine, now_s)
-        mixed_s = before_s + self.NEWEST_WEIGHT * (max(0.0, excess_s) - before_s)
-        self._lags[engine] = (mixed_s, now_s)
-
-    def lag_s(self, engine: str, now_s: float) -> float:
-        """Returns by how much first events come late at an engine."""
-        lag_s, seen_s = self._lags.get(engine, (0.0, now_s))
-        kept: float = 0.5 ** ((now_s - seen_s) / self.LAG_HALF_LIFE_S)
-        return lag_s * kept
-
-    def forget(self, engine: str) -> None:
-        """Drops what is known of an engine that has ended."""
-        self._slowdowns.pop(engine, None)
-        self._lags.pop(engine, None)
--- a/berylquay/decisions/host_scope.py
+++ b/berylquay/decisions/host_scope.py
@@ -6,12 +6,13 @@
 knows nothing, are used only where its own region has none.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from typing import Final
 
 from attrs import frozen
 
 from berylquay.decisions.backend_registry import BackendEntry
+from berylquay.decisions.distances import Distances
 from berylquay.decisions.fleet import Role
 
 # Hosts up to which all tell each other: some tens of datagrams a second each.
@@ -22,9 +23,7 @@
 class HostScope:
     """What a host of one region takes into account."""
 
-    region: str
-    # Region of each data centre.
-    regions: Mapping[str, str]
+    distances: Distances
 
     def tells(self, data_centre: str, hosts: int) -> bool:
         """Tells whether a host in the data centre is told of this host's load.
@@ -33,14 +32,11 @@
             data_centre: Where the other host stands.
             hosts: Hosts of the whole fleet.
         """
-        return hosts <= ALL_HOSTS or self._is_near(data_centre)
+        return hosts <= ALL_HOSTS or self.distances.is_near(data_centre)
 
     def usable(self, engines: Sequence[BackendEntry], hosts: int) -> list[BackendEntry]:
         """Returns the engines that this host uses."""
         if hosts <= ALL_HOSTS:
             return list(engines)
-        near = [engine for engine in engines if self._is_near(engine.data_centre)]
+        near = [engine for engine in engines if self.distances.is_near(engine.data_centre)]
         return near if any(engine.role is not Role.PREFILL for engine in near) else list(engines)
-
-    def _is_near(self, data_centre: str) -> bool:
-        return self.regions.get(data_centre, data_centre) == self.region
--- a/berylquay/decisions/server_choice.py
+++ b/berylquay/decisions/server_choice.py
@@ -8,11 +8,9 @@
 from random import Random
 from typing import Final
 
-from attrs import frozen
-
 from berylquay.decisions.backend_health import BackendHealth
 from berylquay.decisions.backend_registry import BackendEntry
-from berylquay.decisions.engine_placement import Place
+from berylquay.decisions.distances import Distances
 
 # Time that a request of this host already under way at a server counts for.
 BUSY_MS: Final = 25.0
@@ -22,26 +20,6 @@
 LOT_MS: Final = 2.0
 
 
-@frozen
-class Distances:
-    """Round trips from this host."""
-
-    place: Place
-    # Region of each data centre.
-    regions: Mapping[str, str]
-    near_ms: float = 0.5
-    region_ms: float = 2.5
-    far_ms: float = 41.0
-
-    def round_trip_ms(self, data_centre: str) -> float:
-        """Returns the round trip to a data centre."""
-        if data_centre == self.place.data_centre:
-            return self.near_ms
-        if self.regions.get(data_centre, data_centre) == self.place.region:
-            return self.region_ms
-        return self.far_ms
-
-
 def choose_server(
     servers: Sequence[BackendEntry],
     tried: Collection[str],
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -13,18 +13,14 @@
 
 from berylquay.decisions.backend_health import BackendHealth, HealthLimits
 from berylquay.decisions.backend_registry import BackendRegistry, RegistryChange
+from berylquay.decisions.distances import Distances, Place
 from berylquay.decisions.engine_backlog import EngineBacklog
-from berylquay.decisions.engine_placement import (
-    EngineSpeeds,
-    Place,
-    PlacementOptions,
-    PredictedPlacement,
-)
+from berylquay.decisions.engine_placement import PlacementOptions, PredictedPlacement
+from berylquay.decisions.engine_speeds import EngineSpeeds
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.host_scope import HostScope
 from berylquay.decisions.part_locations import PartLocations
 from berylquay.decisions.route_table import RouteTable
-from berylquay.decisions.server_choice import Distances
 from berylquay.decisions.shared_retries import RetryBounds, SharedRetries
 from berylquay.decisions.stop_plan import StopPhase, StopPlan
 from berylquay.decisions.suspects import SuspectLedger, SuspectLimits
@@ -134,6 +130,7 @@
     def _make_services(self, connections: Connections, rng: Random) -> RelayServices:
         options = self._options
         place = Place(options.data_centre, options.region)
+        distances = Distances(place, options.regions)
         backlog, locations, speeds = EngineBacklog(), PartLocations(), EngineSpeeds()
         health = BackendHealth(HealthLimits())
         return RelayServices(
@@ -144,10 +141,10 @@
             locations=locations,
             speeds=speeds,
             placement=PredictedPlacement(
-                PlacementOptions(), place, options.regions, backlog, locations, speeds, health
+                PlacementOptions(), distances, backlog, locations, speeds, health
             ),
-            distances=Distances(place, options.regions),
-            scope=HostScope(options.region, options.regions),
+            distances=distances,
+            scope=HostScope(distances),
             suspects=SuspectLedger(SuspectLimits(memory_s=LOSS_MEMORY_S)),
             connections=BackendPool(connections),
             measures=RelayMeasures(),
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -8,13 +8,14 @@
 
 from berylquay.decisions.backend_health import BackendHealth
 from berylquay.decisions.backend_registry import BackendRegistry
+from berylquay.decisions.distances import Distances
 from berylquay.decisions.engine_backlog import EngineBacklog
-from berylquay.decisions.engine_placement import EngineSpeeds, PredictedPlacement
+from berylquay.decisions.engine_placement import PredictedPlacement
+from berylquay.decisions.engine_speeds import EngineSpeeds
 from berylquay.decisions.host_scope import HostScope
 from berylquay.decisions.part_locations import PartLocations
 from berylquay.decisions.relay_admission import AdmissionOptions
 from berylquay.decisions.relay_fates import AttemptLimits
-from berylquay.decisions.server_choice import Distances
 from berylquay.decisions.shared_retries import SharedRetries
 from berylquay.decisions.suspects import SuspectLedger
 from berylquay.relay.backend_pool import BackendPool
--- a/berylquay/settings/host_file.py
+++ b/berylquay/settings/host_file.py
@@ -1,6 +1,6 @@
 """The settings file of one entry host: INI text to checked `Options`."""
 
-from configparser import ConfigParser, Error
+from configparser import ConfigParser
 from ipaddress import IPv4Address
 from typing import Final
 
@@ -8,7 +8,7 @@
 
 from berylquay.decisions.speeds import EngineSpeed
 from berylquay.errors import SettingsError
-from berylquay.settings.ini import IniReader
+from berylquay.settings.ini import IniReader, read_ini
 from berylquay.settings.options import (
     AuthorityOptions,
     CallerLimits,
@@ -25,11 +25,9 @@
 def read_host_file(path: str) -> Result[Options, tuple[SettingsError, ...]]:
     """Returns the options in the file, or every fault in it."""
     parser = ConfigParser(interpolation=None)
-    try:
-        with open(path, encoding="utf-8") as file:  # noqa: PTH123
-            parser.read_file(file)
-    except (OSError, UnicodeDecodeError, Error) as error:
-        return Failure((SettingsError(path, "", "", str(error), "a readable INI file"),))
+    fault = read_ini(path, parser)
+    if fault is not None:
+        return Failure((fault,))
     reader = IniReader(path, parser)
     options = _read_options(reader, parser)
     reader.check_for_unknown_keys()
--- a/berylquay/settings/ini.py
+++ b/berylquay/settings/ini.py
@@ -1,8 +1,9 @@
 """INI sections: typed reading that collects every fault instead of stopping at the first."""
 
 from collections.abc import Callable
-from configparser import ConfigParser
+from configparser import ConfigParser, Error
 from ipaddress import IPv4Address
+from pathlib import Path
 from typing import Final, TypeVar
 
 from berylquay.decisions.fleet import Address
@@ -114,6 +115,15 @@
         self.errors.append(SettingsError(self.file, section, key, found, allowed))
 
 
+def read_ini(path: str, parser: ConfigParser) -> SettingsError | None:
+    """Reads a file into the parser; returns the fault if it can't be read."""
+    try:
+        parser.read_string(Path(path).read_text(encoding="utf-8"), path)
+    except (OSError, UnicodeDecodeError, Error) as error:
+        return SettingsError(path, "", "", str(error), "a readable INI file")
+    return None
+
+
 def parse_fallback(parse: Callable[[str], T]) -> T:
     """Returns some value of the parser's type, so that reading goes on after a fault."""
     for text in ("", "0", "no", "0.0.0.0:0"):
--- a/berylquay/settings/relay_file.py
+++ b/berylquay/settings/relay_file.py
@@ -1,6 +1,6 @@
 """The settings file of a relay host: INI text to checked `RelayOptions`."""
 
-from configparser import ConfigParser, Error
+from configparser import ConfigParser
 from pathlib import Path
 from typing import Final
 
@@ -9,7 +9,7 @@
 
 from berylquay.decisions.fleet import Address
 from berylquay.errors import SettingsError
-from berylquay.settings.ini import IniReader
+from berylquay.settings.ini import IniReader, read_ini
 
 BYTES_PER_MB: Final = 1_000_000
 # Share of the process's memory that bodies of open requests may take together.
@@ -98,10 +98,9 @@
     parser = ConfigParser(interpolation=None)
     # Names of data centres keep their case.
     parser.optionxform = str  # type: ignore[assignment,method-assign]
-    try:
-        parser.read_string(Path(path).read_text(encoding="utf-8"), path)
-    except (OSError, UnicodeDecodeError, Error) as error:
-        return Failure((SettingsError(path, "", "", str(error), "a readable INI file"),))
+    fault = read_ini(path, parser)
+    if fault is not None:
+        return Failure((fault,))
     reader = IniReader(path, parser)
     options = _read_options(reader, parser)
     reader.check_for_unknown_keys()
--- a/tests/relay/test_relay_decisions.py
+++ b/tests/relay/test_relay_decisions.py
@@ -7,7 +7,8 @@
 
 from berylquay.decisions.backend_health import BackendHealth, HealthLimits
 from berylquay.decisions.backend_registry import BackendEntry, EntryState
-from berylquay.decisions.engine_placement import Place, Placement
+from berylquay.decisions.distances import Distances, Place
+from berylquay.decisions.engine_placement import Placement
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.relay_admission import AdmissionOptions, AdmissionStep, admit
 from berylquay.decisions.relay_call import RelayCall
@@ -19,7 +20,7 @@
     refuse,
 )
 from berylquay.decisions.route_table import Pool, PoolShare, RepeatRule, Route
-from berylquay.decisions.server_choice import Distances, choose_server
+from berylquay.decisions.server_choice import choose_server
 from berylquay.decisions.shared_retries import RetryBounds, SharedRetries
 from berylquay.decisions.stop_plan import StopPhase, StopPlan
 from berylquay.relay.event_stream import MAX_EVENT_BYTES, EventTracker, OversizedEventError
--- a/tests/support/prompt_world.py
+++ b/tests/support/prompt_world.py
@@ -14,13 +14,10 @@
 
 from berylquay.decisions.backend_health import BackendHealth, HealthLimits
 from berylquay.decisions.backend_registry import BackendEntry, EntryState
+from berylquay.decisions.distances import Distances, Place
 from berylquay.decisions.engine_backlog import EngineBacklog
-from berylquay.decisions.engine_placement import (
-    EngineSpeeds,
-    Place,
-    PlacementOptions,
-    PredictedPlacement,
-)
+from berylquay.decisions.engine_placement import PlacementOptions, PredictedPlacement
+from berylquay.decisions.engine_speeds import EngineSpeeds
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.part_locations import PartLocations
 from berylquay.decisions.relay_admission import AdmissionOptions, AdmissionStep, admit
@@ -68,8 +65,7 @@
         self.locations = PartLocations()
         self.placement = PredictedPlacement(
             OPTIONS,
-            Place(data_centre, regions[data_centre]),
-            regions,
+            Distances(Place(data_centre, regions[data_centre]), regions),
             self.backlog,
             self.locations,
             EngineSpeeds(),
