Take a configuration for fresh only from answered reads, and wait 0.4 of the time to apply one

The change that counted a read under way as a confirmation took a silent store for one that had nothing new.

--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -58,7 +58,7 @@
     # Whether the newest records were read once in this process.
     complete: bool = field(default=False, init=False)
     # Monotonic time at which the last read that succeeded was sent.
-    _read_s: float = field(default=float("-inf"), init=False)
+    confirmed_s: float = field(default=float("-inf"), init=False)
     # Calls in a row that failed.
     failures: int = field(default=0, init=False)
     # Offset from which to read on, or None to begin with the newest records.
@@ -72,16 +72,6 @@
     _next_s: float = field(default=float("-inf"), init=False)
     _sent_s: float = field(default=0.0, init=False)
 
-    def confirmed_s(self, now_s: float) -> float:
-        """Returns the time up to which what is known was the newest, as far as can be told.
-
-        While a read waits at the store, it would bring what is new at once.
-        """
-        waits = self._lane.busy and not self.failures and self._offset is not None
-        if waits and now_s - self._sent_s <= self._times.wait_s:
-            return now_s
-        return self._read_s
-
     def on_tick(self, now_s: float) -> None:
         """Makes the next call when it is due."""
         self._lane.on_tick(now_s)
@@ -141,7 +131,7 @@
         if self.failures:
             _log.info("store regained", topic=self.topic, failures=self.failures)
         self.failures = 0
-        self._read_s = self._sent_s
+        self.confirmed_s = self._sent_s
 
     def _on_failure(self, failure: StoreFailure, now_s: float) -> None:
         if not self.failures:
@@ -150,7 +140,7 @@
                 topic=self.topic,
                 status=failure.status,
                 detail=failure.detail,
-                known_ms=round((now_s - self._read_s) * 1000.0) if self.complete else None,
+                known_ms=round((now_s - self.confirmed_s) * 1000.0) if self.complete else None,
             )
         self.failures += 1
         self._next_s = now_s + FAILURE_BACKOFF.delay_s(self.failures, self._rng)
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -35,7 +35,7 @@
     TOPIC_BACKENDS,
     TOPIC_CONFIGURATION,
 )
-from berylquay.platform.store import CALL_TIMEOUT_S, StoreLane
+from berylquay.platform.store import StoreLane
 from berylquay.relay.backend_pool import BackendPool
 from berylquay.relay.beliefs import BackendsBelief, ConfigurationBelief
 from berylquay.relay.desk import Desk, DeskOptions
@@ -54,8 +54,8 @@
 STATUS_UNAVAILABLE: Final = 503
 # Least time between reads of the configuration, which wait at the store until it changes.
 CONFIGURATION_INTERVAL_S: Final = 0.05
-# Time that is left for reading anew after a connection has gone silent.
-SILENCE_MARGIN_S: Final = 0.2
+# Part of the time within which a configuration must be in force that a read waits.
+CONFIGURATION_WAIT_SHARE: Final = 0.4
 # Backend servers renew their entries all the time: a read waits only for the next one.
 BACKENDS_WAIT_S: Final = 0.8
 # Part of the time within which a leaving backend server must be left alone, between reads.
@@ -181,11 +181,11 @@
 
     def _configuration_times(self) -> FollowTimes:
         bounds = self._options.bounds
-        # A connection that goes silent is found out when the wait is over, and the host has to know
-        # the newest version once it counts as in contact again.
+        # What is known counts from the sending of the last read that was answered, so two waits in
+        # a row must stay within the time to apply a change: only then is it never taken for old
+        # while the store answers, nor for new when the store has gone silent.
         return FollowTimes(
-            max(1.0, bounds.contact_s - CALL_TIMEOUT_S - SILENCE_MARGIN_S),
-            CONFIGURATION_INTERVAL_S,
+            bounds.configuration_apply_s * CONFIGURATION_WAIT_SHARE, CONFIGURATION_INTERVAL_S
         )
 
     def _make_reports(self) -> None:
@@ -212,7 +212,7 @@
         )
 
     def _configuration_confirmed_s(self) -> float:
-        return self._configuration_follower.confirmed_s(time.monotonic())
+        return self._configuration_follower.confirmed_s
 
     def _make_desk_options(self) -> DeskOptions:
         options = self._options
--- a/berylquay/settings/relay_file.py
+++ b/berylquay/settings/relay_file.py
@@ -28,8 +28,6 @@
     configuration_apply_s: float
     # Time after which a backend server that is leaving must get nothing new.
     leaving_apply_s: float
-    # Time after a disruption from which a host is held to these times again.
-    contact_s: float
     # Extra sends that each request for a pool allows, over all hosts.
     retry_ratio: float
     # Length of the window in which extra sends are counted.
@@ -135,7 +133,6 @@
         grace_s=reader.number(section, "grace_s"),
         configuration_apply_s=reader.number(section, "configuration_apply_ms") / 1000.0,
         leaving_apply_s=reader.number(section, "leaving_apply_ms") / 1000.0,
-        contact_s=reader.number(section, "contact_ms") / 1000.0,
         retry_ratio=reader.number(section, "retry_ratio"),
         retry_window_s=reader.number(section, "retry_window_s"),
         retry_extra=reader.number(section, "retry_extra"),
--- a/tests/support/relay_fleet.py
+++ b/tests/support/relay_fleet.py
@@ -204,7 +204,6 @@
 grace_s = 8
 configuration_apply_ms = 2500
 leaving_apply_ms = 2500
-contact_ms = 4000
 retry_ratio = 0.2
 retry_window_s = 10
 retry_extra = 58
