--- a/tests/relay/test_follower.py
+++ b/tests/relay/test_follower.py
@@ -45,7 +45,7 @@
 
 
 def test_a_read_under_way_confirms_nothing() -> None:
-    """Answers a store that goes silent amid a read (hunt, meskel-field, mix, 45556787387)."""
+    """Answers a read that brings nothing though something is new (hunt, mix, 45556787387)."""
     now_s = 0.0
     lane = FakeLane()
     follower = TopicFollower(
