Count waiting prompts without their ranks

Since all waiting prompts count, every caller but one passed the lowest rank; the ranks were kept, sent between hosts and filtered for nothing. The one that passed its own was the log line of a placement, which so told another number than the one that had decided. No decision changes. Reports have format 2. Dropped with it: a method that nothing called. Tests of the relay pass, and reports get some of their own.

--- a/berylquay/decisions/engine_backlog.py
+++ b/berylquay/decisions/engine_backlog.py
@@ -19,16 +19,8 @@
 
     # Streams that run or are about to.
     streams: int = 0
-    # Prompt tokens that are to be read, by the rank of their requests.
-    tokens_by_rank: Mapping[int, int] = field(factory=dict)
-
-
-@frozen
-class _Prompt:
-    """A prompt that this host has sent to be read."""
-
-    tokens: int
-    rank: int
+    # Prompt tokens that are to be read.
+    tokens: int = 0
 
 
 @frozen
@@ -43,15 +35,15 @@
 class EngineBacklog:
     """Work under way at each engine."""
 
-    # Own prompts by engine and call id.
-    _prompts: dict[str, dict[str, _Prompt]] = field(factory=dict, init=False)
+    # Tokens of own prompts by engine and call id.
+    _prompts: dict[str, dict[str, int]] = field(factory=dict, init=False)
     # Own streams by engine: ids of their calls.
     _streams: dict[str, set[str]] = field(factory=dict, init=False)
     _peers: dict[str, _PeerReport] = field(factory=dict, init=False)
 
-    def add_prompt(self, engine: str, call_id: str, tokens: int, rank: int) -> None:
+    def add_prompt(self, engine: str, call_id: str, tokens: int) -> None:
         """Takes note of a prompt that was sent to an engine."""
-        self._prompts.setdefault(engine, {})[call_id] = _Prompt(tokens, rank)
+        self._prompts.setdefault(engine, {})[call_id] = tokens
 
     def remove_prompt(self, engine: str, call_id: str) -> None:
         """Takes note that a prompt was read or given up."""
@@ -69,24 +61,14 @@
         """Takes another host's report, which replaces its last one."""
         self._peers[host] = _PeerReport(now_s, loads)
 
-    def forget_engine(self, engine: str) -> None:
-        """Drops what was sent to an engine that is gone."""
-        self._prompts.pop(engine, None)
-        self._streams.pop(engine, None)
-
-    def waiting_tokens(self, engine: str, rank: int, now_s: float) -> int:
-        """Returns the prompt tokens that are read before those of a new request of the rank."""
-        own = sum(
-            prompt.tokens
-            for prompt in self._prompts.get(engine, {}).values()
-            if prompt.rank <= rank
-        )
-        return own + sum(
-            tokens
-            for load in self._peer_loads(engine, now_s)
-            for other_rank, tokens in load.tokens_by_rank.items()
-            if other_rank <= rank
-        )
+    def waiting_tokens(self, engine: str, now_s: float) -> int:
+        """Returns the prompt tokens that are read before those of a new request.
+
+        Whatever their ranks: an engine admits as many requests as it has slots and reads their
+        prompts in turn.
+        """
+        own = sum(self._prompts.get(engine, {}).values())
+        return own + sum(load.tokens for load in self._peer_loads(engine, now_s))
 
     def streams(self, engine: str, now_s: float) -> int:
         """Returns the streams under way at an engine."""
@@ -97,12 +79,10 @@
         """Returns what this host has under way, for the other hosts."""
         loads: dict[str, EngineLoad] = {}
         for engine in {*self._prompts, *self._streams}:
-            by_rank: dict[int, int] = {}
-            for prompt in self._prompts.get(engine, {}).values():
-                by_rank[prompt.rank] = by_rank.get(prompt.rank, 0) + prompt.tokens
+            tokens = sum(self._prompts.get(engine, {}).values())
             streams = len(self._streams.get(engine, ()))
-            if by_rank or streams:
-                loads[engine] = EngineLoad(streams, by_rank)
+            if tokens or streams:
+                loads[engine] = EngineLoad(streams, tokens)
         return loads
 
     def _peer_loads(self, engine: str, now_s: float) -> list[EngineLoad]:
--- a/berylquay/decisions/engine_placement.py
+++ b/berylquay/decisions/engine_placement.py
@@ -23,7 +23,7 @@
 from berylquay.decisions.fleet import Role
 from berylquay.decisions.part_locations import PartLocations
 from berylquay.decisions.relay_call import Generation
-from berylquay.decisions.route_table import LOWEST_RANK, EnginePool
+from berylquay.decisions.route_table import EnginePool
 
 MS_PER_S: Final = 1000.0
 BITS_PER_BYTE: Final = 8
@@ -209,7 +209,7 @@
         rate = self._options.decode_tokens_per_ms
         wait_ms, read_ms, tokens = self._read_ms(generation, engine, rate, now_s)
         first_ms = self._round_trip_ms(engine) + wait_ms + read_ms + self._batch_ms(engine, now_s)
-        waiting = self._backlog.waiting_tokens(engine.name, LOWEST_RANK, now_s) + tokens
+        waiting = self._backlog.waiting_tokens(engine.name, now_s) + tokens
         beyond = max(0, waiting - self._options.decode_read_bound_tokens)
         cost_ms = (
             self._time_cost_ms(first_ms, sure_ms)
@@ -260,8 +260,7 @@
         self, generation: Generation, engine: BackendEntry, rate: float, now_s: float
     ) -> tuple[float, float, int]:
         tokens = self.reading_work(generation, engine, now_s)
-        # An engine admits as many requests as it has slots and reads their prompts in turn.
-        waiting = self._backlog.waiting_tokens(engine.name, LOWEST_RANK, now_s)
+        waiting = self._backlog.waiting_tokens(engine.name, now_s)
         ms_per_token = self._speeds.slowdown(engine.name) / rate
         return waiting * ms_per_token, tokens * ms_per_token, tokens
 
--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -286,9 +286,7 @@
         details = self._details(engine, now_s)
         request = self._request
         raw = encode_prefill(request.method, request.target, request.headers, request.body, details)
-        services.backlog.add_prompt(
-            engine.name, call.call_id, placement.tokens_to_read, call.route.rank
-        )
+        services.backlog.add_prompt(engine.name, call.call_id, placement.tokens_to_read)
         services.on_new_work(now_s)
         connection = services.connections.take(engine, False, now_s)
         self._prefill_leg = Leg(
@@ -313,7 +311,7 @@
             if kept is None:
                 tokens = self._tokens_to_read(backend, now_s)
                 self._reading_at = backend.name
-                services.backlog.add_prompt(backend.name, call.call_id, tokens, call.route.rank)
+                services.backlog.add_prompt(backend.name, call.call_id, tokens)
             services.on_new_work(now_s)
         else:
             services.under_way[backend.name] += 1
@@ -691,7 +689,7 @@
             to_read=placement.tokens_to_read,
             prompt=0 if generation is None else generation.prompt_tokens,
             waiting=self._services.backlog.waiting_tokens(
-                (placement.prefill or placement.decode).name, call.route.rank, now_s
+                (placement.prefill or placement.decode).name, now_s
             ),
             returning=call.returning,
         )
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -19,7 +19,7 @@
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.host_scope import HostScope
 
-FORMAT: Final = 1
+FORMAT: Final = 2
 MAX_DATAGRAM_BYTES: Final = 8192
 # Datagrams read in one turn.
 READS_PER_TURN: Final = 64
@@ -58,9 +58,7 @@
 
 def encode_report(report: LoadReport) -> bytes:
     """Returns the report as a datagram."""
-    loads = {
-        engine: [load.streams, dict(load.tokens_by_rank)] for engine, load in report.loads.items()
-    }
+    loads = {engine: [load.streams, load.tokens] for engine, load in report.loads.items()}
     address = report.address
     fields = [
         FORMAT,
@@ -87,10 +85,8 @@
             str(data_centre),
             Address(str(ip), int(port)),
             {
-                str(engine): EngineLoad(
-                    int(streams), {int(rank): int(tokens) for rank, tokens in by_rank.items()}
-                )
-                for engine, (streams, by_rank) in loads.items()
+                str(engine): EngineLoad(int(streams), int(tokens))
+                for engine, (streams, tokens) in loads.items()
             },
             tuple((str(part), str(engine)) for part, engine in parts),
             tuple((str(content), str(backend)) for content, backend in losses),
--- /dev/null
+++ b/tests/relay/test_load_reports.py
@@ -0,0 +1,41 @@
+"""Load reports as datagrams, and the backlog that they add up to."""
+
+import pytest
+
+from berylquay.decisions.engine_backlog import REPORT_TTL_S, EngineBacklog, EngineLoad
+from berylquay.decisions.fleet import Address
+from berylquay.relay.load_reports import LoadReport, decode_report, encode_report
+
+REPORT = LoadReport(
+    "h-1",
+    "fes-a",
+    Address("10.0.0.1", 7380),
+    {"e-1": EngineLoad(3, 1200), "e-2": EngineLoad(0, 7)},
+    (("part", "e-1"),),
+    (("content", "e-2"),),
+    ("e-3",),
+)
+
+
+def test_a_report_is_read_as_it_was_written() -> None:
+    assert decode_report(encode_report(REPORT)) == REPORT
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\xff", b"text", b"\x80", b"\x83\x01\x02\x03", b"\x9f" * 999]
+)
+def test_a_datagram_of_another_kind_is_none(data: bytes) -> None:
+    assert decode_report(data) is None
+
+
+def test_prompts_of_all_hosts_wait_at_an_engine_until_read_or_void() -> None:
+    backlog = EngineBacklog()
+    backlog.add_prompt("e-1", "id-1", 500)
+    backlog.add_prompt("e-1", "id-2", 40)
+    backlog.on_peer("h-1", REPORT.loads, 10.0)
+    assert backlog.waiting_tokens("e-1", 10.0) == 1740
+    assert backlog.own_loads() == {"e-1": EngineLoad(0, 540)}
+    backlog.remove_prompt("e-1", "id-1")
+    backlog.on_peer("h-1", {"e-1": EngineLoad(1, 60)}, 10.5)
+    assert backlog.waiting_tokens("e-1", 10.5) == 100
+    assert backlog.waiting_tokens("e-1", 10.6 + REPORT_TTL_S) == 40
--- a/tests/support/prompt_world.py
+++ b/tests/support/prompt_world.py
@@ -154,7 +154,7 @@
         begin_s = max(self.now_s, self._free_s.get(engine.name, 0.0))
         read_s = begin_s + placement.tokens_to_read / rate / 1000.0
         self._free_s[engine.name] = read_s
-        host.backlog.add_prompt(engine.name, call.call_id, placement.tokens_to_read, 0)
+        host.backlog.add_prompt(engine.name, call.call_id, placement.tokens_to_read)
         self._tell(host)
         self._at(read_s, lambda: self._finish(call, host, engine.name))
 
