Work out a decoder's cost and a prompt's home once for a placement, not once a reader

What does not depend on the reader (way, failures, batch, crowd) was added up for each reader anew, and the hashes of all readers were taken for each reader.

--- a/berylquay/decisions/engine_placement.py
+++ b/berylquay/decisions/engine_placement.py
@@ -99,6 +99,14 @@
     tokens_to_read: int
 
 
+@frozen
+class _DecoderCost:
+    """What making the tokens counts for at one engine, whoever read the prompt."""
+
+    engine: BackendEntry
+    cost_ms: float
+
+
 class PlacementPolicy(Protocol):
     """Chooses the engines for a request."""
 
@@ -166,13 +174,18 @@
         best: tuple[float, Placement] | None = None
         for engine in decoders:
             best = _cheaper(best, self._whole(generation, engine, sure_ms, now_s))
-        readers = [engine for engine in engines if engine.role is Role.PREFILL]
-        for engine in readers:
-            decoder = self.decoder_for(engine, generation, decoders, now_s)
-            if decoder is not None:
-                option = self._split(generation, engine, decoder, sure_ms, now_s)
+        if best is None:
+            return None
+        costs = self._decoder_costs_ms(generation, decoders, now_s)
+        home = self._home(generation)
+        for engine in engines:
+            if engine.role is Role.PREFILL:
+                decoder = self._best_decoder(engine, generation, costs)
+                option = self._split(
+                    generation, engine, decoder, home=home, sure_ms=sure_ms, now_s=now_s
+                )
                 best = _cheaper(best, self._keep_quick(option, engine, ample))
-        return None if best is None else best[1]
+        return best[1]
 
     def _keep_quick(
         self, option: tuple[float, Placement], reader: BackendEntry, ample: bool
@@ -195,13 +208,34 @@
         """Returns the engine to which a prompt's KV cache is handed over at the least cost."""
         if not decoders:
             return None
-        return min(
-            decoders,
-            key=lambda engine: (
-                self._hand_over_cost_ms(generation, reader, engine, now_s),
-                engine.name,
-            ),
-        )
+        costs = self._decoder_costs_ms(generation, decoders, now_s)
+        return self._best_decoder(reader, generation, costs)
+
+    def _best_decoder(
+        self, reader: BackendEntry, generation: Generation, costs_ms: list[_DecoderCost]
+    ) -> BackendEntry:
+        def hand_over_cost(cost: _DecoderCost) -> tuple[float, str]:
+            move_ms = self._move_ms(generation, reader, cost.engine)
+            price_ms = self._move_price_ms(generation, reader, cost.engine)
+            return move_ms + price_ms + cost.cost_ms, cost.engine.name
+
+        return min(costs_ms, key=hand_over_cost).engine
+
+    def _decoder_costs_ms(
+        self, generation: Generation, decoders: Sequence[BackendEntry], now_s: float
+    ) -> list[_DecoderCost]:
+        """Returns what making the tokens counts for at each engine, whoever read the prompt."""
+        return [
+            _DecoderCost(
+                engine,
+                self._send_cost_ms(generation, engine)
+                + self._failure_cost_ms(engine, now_s)
+                + self._round_trip_ms(engine)
+                + self._batch_ms(engine, now_s)
+                + self._crowding_ms(engine, now_s),
+            )
+            for engine in decoders
+        ]
 
     def _whole(
         self, generation: Generation, engine: BackendEntry, sure_ms: float, now_s: float
@@ -213,7 +247,7 @@
         beyond = max(0, waiting - self._options.decode_read_bound_tokens)
         cost_ms = (
             self._time_cost_ms(first_ms, sure_ms)
-            + self._reread_cost_ms(generation, engine, now_s)
+            + self._reread_cost_ms(generation, engine, None, now_s)
             + self._send_cost_ms(generation, engine)
             + self._failure_cost_ms(engine, now_s)
             + beyond * self._options.beyond_bound_ms_per_token
@@ -226,6 +260,8 @@
         generation: Generation,
         reader: BackendEntry,
         decoder: BackendEntry,
+        *,
+        home: str | None,
         sure_ms: float,
         now_s: float,
     ) -> tuple[float, Placement]:
@@ -241,7 +277,7 @@
         )
         cost_ms = (
             self._time_cost_ms(first_ms, sure_ms)
-            + self._reread_cost_ms(generation, reader, now_s)
+            + self._reread_cost_ms(generation, reader, home, now_s)
             + self._send_cost_ms(generation, reader)
             + self._failure_cost_ms(reader, now_s)
             + self._send_cost_ms(generation, decoder)
@@ -271,19 +307,6 @@
         look_back = (cached + tokens / 2.0) * self._options.look_back_per_token
         return round(tokens * (1.0 + look_back))
 
-    def _hand_over_cost_ms(
-        self, generation: Generation, reader: BackendEntry, decoder: BackendEntry, now_s: float
-    ) -> float:
-        return (
-            self._move_ms(generation, reader, decoder)
-            + self._move_price_ms(generation, reader, decoder)
-            + self._send_cost_ms(generation, decoder)
-            + self._failure_cost_ms(decoder, now_s)
-            + self._round_trip_ms(decoder)
-            + self._batch_ms(decoder, now_s)
-            + self._crowding_ms(decoder, now_s)
-        )
-
     def _crowding_ms(self, engine: BackendEntry, now_s: float) -> float:
         """Returns what one more stream counts for at an engine, by how full its batch is."""
         streams = self._backlog.streams(engine.name, now_s)
@@ -297,26 +320,25 @@
         lag_ms = self._speeds.lag_s(engine.name, now_s) * MS_PER_S
         return self._options.first_token_ms * (1.0 + fullness) + waits_ms + lag_ms
 
-    def _reread_cost_ms(self, generation: Generation, engine: BackendEntry, now_s: float) -> float:
+    def _reread_cost_ms(
+        self, generation: Generation, engine: BackendEntry, home: str | None, now_s: float
+    ) -> float:
         """Returns what reading shared parts counts for at an engine that does not keep them."""
         shared = generation.parts[:-1]
         tokens = sum(part.tokens for part in shared)
         missing = tokens - self._locations.cached_tokens(engine.name, shared, now_s)
         cost_ms = missing * self._options.reread_ms_per_token
-        if missing and self._is_home(engine, generation):
+        if missing and engine.name == home:
             cost_ms -= self._options.home_bonus_ms
         return cost_ms
 
-    def _is_home(self, engine: BackendEntry, generation: Generation) -> bool:
+    def _home(self, generation: Generation) -> str | None:
+        """Returns the reader that is the home of a prompt's shared parts, if they are long."""
         long_parts = [p for p in generation.parts[:-1] if p.tokens >= self._options.home_min_tokens]
-        if not long_parts or engine.role is not Role.PREFILL:
-            return False
-        return home_weight(long_parts[-1].part_id, engine.name) >= self._best_weight(
-            long_parts[-1].part_id
-        )
-
-    def _best_weight(self, part_id: str) -> int:
-        return max((home_weight(part_id, name) for name in self._readers), default=0)
+        if not long_parts:
+            return None
+        part_id = long_parts[-1].part_id
+        return max(self._readers, key=lambda name: home_weight(part_id, name), default=None)
 
     def hand_over_s(
         self, generation: Generation, reader: BackendEntry, decoder: BackendEntry, now_s: float
