One buffer for news, one way to answer an error, one constant for success; cheap tests of silence first

What an exchange found out was collected in the services and copied into the load reports at each tick; both now share it, so news may go with a report of new work up to a tick earlier. Two modules built the same error answer. Three had the status of success anew, though the HTTP client names it for all. Each tick listed the usable engines for every repeatable run, also long after its first event. A call has a generation only where its pool has engines, which four places asked again.

--- a/berylquay/decisions/relay_call.py
+++ b/berylquay/decisions/relay_call.py
@@ -46,7 +46,7 @@
     returning: bool
     # Hash of what is asked for; the same when the caller sends it again.
     fingerprint: str
-    # What is asked of a model, or None for a plain service.
+    # What is asked of a model, or None if the pool has no engines.
     generation: Generation | None = None
     # Backend servers that were sent the request so that it could run.
     sent_to: list[str] = field(factory=list)
--- a/berylquay/relay/desk.py
+++ b/berylquay/relay/desk.py
@@ -12,8 +12,6 @@
 from berylquay.decisions.route_table import CallerBounds, Pool, Route, RouteTable
 from berylquay.decisions.suspects import Standing
 from berylquay.net.connections import Connections
-from berylquay.net.kept_http import Headers
-from berylquay.platform.names import RETRY_AFTER
 from berylquay.platform.requests import RequestFacts, decode_facts
 from berylquay.relay.beliefs import ConfigurationBelief
 from berylquay.relay.caller_connection import (
@@ -23,6 +21,7 @@
     CallerRequest,
 )
 from berylquay.relay.exchange import RelayExchange
+from berylquay.relay.refusals import send_error
 from berylquay.relay.services import RelayServices
 
 NOT_FOUND: Final = 404
@@ -153,7 +152,7 @@
             self._refuse(caller, facts, "the route's service is not defined", UNKNOWN_RETRY_S)
             return
         if not facts.call_id:
-            self._answer_error(caller, BAD_REQUEST, "the request has no id", [])
+            send_error(caller, BAD_REQUEST, "the request has no id")
             return
         self._begin(caller, request, facts, route, pool)
 
@@ -246,7 +245,7 @@
         _log.info(
             "no route", id=facts.call_id, version=table.version, confirmed_ms=round(age_s * 1000.0)
         )
-        self._answer_error(caller, NOT_FOUND, "no route", [])
+        send_error(caller, NOT_FOUND, "no route")
 
     def _refuse(
         self,
@@ -256,16 +255,7 @@
         retry_after_s: float | None,
     ) -> None:
         _log.info("request refused", id=facts.call_id, detail=detail)
-        headers: Headers = []
-        if retry_after_s is not None:
-            headers.append((RETRY_AFTER, f"{retry_after_s:.2f}".encode()))
-        self._answer_error(caller, SERVICE_UNAVAILABLE, detail, headers)
-
-    def _answer_error(
-        self, caller: CallerConnection, status: int, detail: str, headers: Headers
-    ) -> None:
-        content = [*headers, (b"content-type", b"text/plain; charset=utf-8")]
-        caller.answer(status, b"", content, f"{detail}\n".encode())
+        send_error(caller, SERVICE_UNAVAILABLE, detail, retry_after_s)
 
 
 def _generation_of(request: CallerRequest, facts: RequestFacts) -> Generation | None:
--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -19,6 +19,7 @@
     refuse,
 )
 from berylquay.decisions.server_choice import choose_server
+from berylquay.net.http_client import STATUS_OK
 from berylquay.net.kept_http import RawHead
 from berylquay.platform.requests import (
     KeptPrompt,
@@ -36,7 +37,6 @@
 from berylquay.relay.services import RelayServices
 from berylquay.verdicts import RefusalReason, Verdict
 
-STATUS_OK: Final = 200
 # Largest answer of a plain service that is collected before it is passed on, so that one that
 # breaks off can still be asked for elsewhere.
 COLLECTED_BYTES: Final = 131072
@@ -130,7 +130,7 @@
     def begin(self, now_s: float) -> None:
         """Places the call, or refuses it at once."""
         self._services.retries.on_offered(self.call.pool.name, now_s)
-        if self.call.pool.engines is not None and self.call.generation is not None:
+        if self.call.generation is not None:
             self._place_generation(now_s, first=True)
         else:
             self._send_to_server(now_s)
@@ -154,10 +154,12 @@
         if self._held:
             self._place_generation(now_s, first=True)
             return
-        if self._prefill_leg is not None:
-            self._check_silence(self._prefill_leg, "the prompt was not read in time", now_s)
-        elif self._run_leg is not None and self._can_run_elsewhere(now_s):
-            self._check_silence(self._run_leg, "no event came in time", now_s)
+        prefill, run = self._prefill_leg, self._run_leg
+        if prefill is not None:
+            if self._is_silent(prefill, now_s):
+                self._give_up_silent(prefill, "the prompt was not read in time", now_s)
+        elif run is not None and self._is_silent(run, now_s) and self._can_run_elsewhere(now_s):
+            self._give_up_silent(run, "no event came in time", now_s)
 
     def _can_run_elsewhere(self, now_s: float) -> bool:
         """Tells whether a run could be given up for one at another engine."""
@@ -167,26 +169,25 @@
         has_room = services.retries.has_room(call.pool.name, now_s)
         return has_room and any(e.role is not Role.PREFILL for e in self._usable_engines(now_s))
 
-    def _check_silence(self, leg: Leg, detail: str, now_s: float) -> None:
-        """Ends a leg on which nothing came for longer than predicted, if that does no harm."""
+    def _is_silent(self, leg: Leg, now_s: float) -> bool:
+        """Tells whether nothing came on a leg for longer than predicted, nor from its engine."""
         placement = self._placement
         if placement is None or self._first_byte_s is not None:
-            return
+            return False
         patience_s = placement.first_token_s * PATIENCE + PATIENCE_S
         health, name = self._services.health, leg.backend.name
         if health.was_heard_since(name, leg.started_s):
             # It is slow, or has much to do: what it has begun would be lost.
-            return
+            return False
         if health.is_suspected(name, now_s):
             patience_s = placement.first_token_s * SUSPICIOUS_PATIENCE + SUSPICIOUS_PATIENCE_S
-        if now_s - leg.started_s > patience_s:
-            self._give_up_silent(leg, detail, now_s)
+        return now_s - leg.started_s > patience_s
 
     def _give_up_silent(self, leg: Leg, detail: str, now_s: float) -> None:
         """Ends a leg on which nothing comes; its engine is left alone for a while."""
         leg.cancel()
         self._services.health.on_unreachable(leg.backend.name, now_s)
-        self._services.new_silent.append(leg.backend.name)
+        self._services.news.silent.add(leg.backend.name)
         self._fail_leg(leg, AttemptEnd.BROKEN, detail, now_s)
 
     def on_caller_ready(self) -> None:
@@ -306,7 +307,7 @@
         raw = encode_run(request.method, request.target, request.headers, request.body, details)
         self._kept_prompt = None
         self._handed_over = kept
-        if call.generation is not None and call.pool.engines is not None:
+        if call.generation is not None:
             services.backlog.add_stream(backend.name, call.call_id)
             if kept is None:
                 tokens = self._tokens_to_read(backend, now_s)
@@ -403,7 +404,7 @@
             self._services.locations.on_used(part.part_id, engine, now_s)
         for part in generation.parts[:-1]:
             if part.tokens >= TOLD_PART_TOKENS:
-                self._services.new_parts.append((part.part_id, engine))
+                self._services.news.parts.append((part.part_id, engine))
 
     # The answer.
 
@@ -541,7 +542,7 @@
         self._collected = None
         if self._tracker is not None:
             self._tracker.drop_partial_event()
-        if call.generation is not None and call.pool.engines is not None:
+        if call.generation is not None:
             if not any(e.role is not Role.PREFILL for e in self._usable_engines(now_s)):
                 return False
             self._place_generation(now_s, first=False)
@@ -571,7 +572,7 @@
             services.health.on_failed(name)
         if end is AttemptEnd.BROKEN:
             services.suspects.on_lost(name, frozenset({call.fingerprint}), now_s)
-            services.new_losses.append((call.fingerprint, name))
+            services.news.losses.append((call.fingerprint, name))
         services.measures.on_attempt_ended(call.pool.name, end.value)
         entry = services.registry.get(name)
         _log.info(
@@ -622,7 +623,7 @@
         services, call = self._services, self.call
         if leg is self._run_leg:
             self._run_leg = None
-        if call.generation is not None and call.pool.engines is not None:
+        if call.generation is not None:
             services.backlog.remove_stream(leg.backend.name, call.call_id)
             services.backlog.remove_prompt(leg.backend.name, call.call_id)
             self._reading_at = None
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -27,6 +27,7 @@
 from berylquay.messages import StopRequested, Tick
 from berylquay.net.bus import BUS
 from berylquay.net.connections import Connections
+from berylquay.net.http_client import STATUS_OK
 from berylquay.net.listener import Listener
 from berylquay.net.loop import Loop
 from berylquay.net.ticker import Ticker
@@ -38,20 +39,20 @@
 from berylquay.platform.store import StoreLane
 from berylquay.relay.backend_pool import BackendPool
 from berylquay.relay.beliefs import BackendsBelief, ConfigurationBelief
+from berylquay.relay.caller_connection import SERVICE_UNAVAILABLE
 from berylquay.relay.desk import Desk, DeskOptions
 from berylquay.relay.follower import FollowTimes, TopicFollower
 from berylquay.relay.host_list import HostList
 from berylquay.relay.load_reports import LoadReport, LoadReports
 from berylquay.relay.log_lines import LogLines
 from berylquay.relay.measures import RelayMeasures
-from berylquay.relay.pages import STATUS_OK, Page, PageConnection
+from berylquay.relay.pages import Page, PageConnection
 from berylquay.relay.role_orders import RoleOrders
 from berylquay.relay.services import RelayServices
 from berylquay.settings.relay_file import RelayOptions, SettingsFile, read_relay_file
 
 METRICS_PATH: Final = b"/metrics"
 TEXT: Final = b"text/plain; charset=utf-8"
-STATUS_UNAVAILABLE: Final = 503
 # Least time between reads of the configuration, which wait at the store until it changes.
 CONFIGURATION_INTERVAL_S: Final = 0.05
 # Part of the time within which a configuration must be in force that a read waits.
@@ -199,6 +200,7 @@
             on_report=self._on_report,
             clock=time.monotonic,
             scope=self._services.scope,
+            news=self._services.news,
         ).register(self._loop)
 
     def _make_role_orders(self, connections: Connections) -> RoleOrders:
@@ -296,7 +298,7 @@
         self._services.connections.on_tick(now_s)
         self._services.suspects.expire(now_s)
         self._desk.on_tick(now_s)
-        self._tell_others(now_s)
+        self._reports.on_tick(now_s)
         self._order_roles(now_s)
         self._log_lines.on_tick(now_s)
         if self._stop is not None:
@@ -317,19 +319,6 @@
             self._role_orders.served = self._desk.has_served
             self._role_orders.on_tick(table, now_s)
 
-    def _tell_others(self, now_s: float) -> None:
-        services = self._services
-        for part_id, engine in services.new_parts:
-            self._reports.tell_part(part_id, engine)
-        for fingerprint, backend in services.new_losses:
-            self._reports.tell_loss(fingerprint, backend)
-        for backend in services.new_silent:
-            self._reports.tell_silent(backend)
-        services.new_silent.clear()
-        services.new_parts.clear()
-        services.new_losses.clear()
-        self._reports.on_tick(now_s)
-
     @handler("StopRequested")
     def _on_stop_requested(self, message: StopRequested) -> None:
         if self._stop is None:
@@ -375,7 +364,7 @@
 
     def _ready_page(self) -> Page:
         obstacle = self._obstacle()
-        return (STATUS_UNAVAILABLE if obstacle else STATUS_OK), TEXT, f"{obstacle}\n".encode()
+        return (SERVICE_UNAVAILABLE if obstacle else STATUS_OK), TEXT, f"{obstacle}\n".encode()
 
     def _obstacle(self) -> str:
         if self._stop is not None:
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -18,6 +18,7 @@
 from berylquay.decisions.engine_backlog import EngineLoad
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.host_scope import HostScope
+from berylquay.relay.news import News
 
 FORMAT: Final = 2
 MAX_DATAGRAM_BYTES: Final = 8192
@@ -126,10 +127,8 @@
     listed_hosts: int
     # Other hosts by name.
     _peers: dict[str, _Peer]
-    # Parts, losses and silent backend servers that wait to be told.
-    _parts: list[tuple[str, str]]
-    _losses: list[tuple[str, str]]
-    _silent: set[str]
+    # What waits to be told.
+    _news: News
     _last_loads: dict[str, EngineLoad]
     _sent_s: float
 
@@ -144,6 +143,7 @@
         on_report: Callable[[LoadReport], None],
         clock: Callable[[], float],
         scope: HostScope,
+        news: News,
     ) -> None:
         super().__init__()
         self._poller = poller
@@ -156,9 +156,7 @@
         self._scope = scope
         self.listed_hosts = 1
         self._peers = {}
-        self._parts = []
-        self._losses = []
-        self._silent = set()
+        self._news = news
         self._last_loads = {}
         self._sent_s = float("-inf")
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -181,18 +179,6 @@
         if host != self._host and host not in self._peers:
             self._peers[host] = _Peer(address, data_centre, now_s)
 
-    def tell_part(self, part_id: str, engine: str) -> None:
-        """Tells the others that an engine keeps a part."""
-        self._parts.append((part_id, engine))
-
-    def tell_loss(self, fingerprint: str, backend: str) -> None:
-        """Tells the others under which content a backend server was lost."""
-        self._losses.append((fingerprint, backend))
-
-    def tell_silent(self, backend: str) -> None:
-        """Tells the others that a backend server was found silent."""
-        self._silent.add(backend)
-
     def on_new_work(self, now_s: float) -> None:
         """Tells the others at once of work that was placed, unless that was just done."""
         if now_s - self._sent_s >= NEW_WORK_INTERVAL_PER_HOST_S * len(self._told_peers()):
@@ -207,8 +193,7 @@
             _log.info("host not heard of", host=name, after_s=HOST_TTL_S)
             del self._peers[name]
         loads = self._make_loads()
-        has_news = bool(self._parts or self._losses or self._silent)
-        unchanged = loads == self._last_loads and not has_news
+        unchanged = loads == self._last_loads and self._news.is_empty()
         if unchanged and now_s - self._sent_s < IDLE_INTERVAL_S:
             return
         self._send(loads, now_s)
@@ -216,18 +201,19 @@
     def _send(self, loads: dict[str, EngineLoad], now_s: float) -> None:
         self._sent_s = now_s
         self._last_loads = loads
-        parts, self._parts = self._parts[:PARTS_PER_REPORT], self._parts[PARTS_PER_REPORT:]
-        losses, self._losses = self._losses, []
-        silent, self._silent = self._silent, set()
+        news = self._news
         report = LoadReport(
             self._host,
             self._data_centre,
             self._address,
             loads,
-            tuple(parts),
-            tuple(losses),
-            tuple(silent),
+            tuple(news.parts[:PARTS_PER_REPORT]),
+            tuple(news.losses),
+            tuple(news.silent),
         )
+        del news.parts[:PARTS_PER_REPORT]
+        news.losses.clear()
+        news.silent.clear()
         data = encode_report(report)
         for peer in self._told_peers():
             try:
--- /dev/null
+++ b/berylquay/relay/news.py
@@ -0,0 +1,19 @@
+"""News: what this host has found out since its last report, for the other hosts."""
+
+from attrs import define, field
+
+
+@define
+class News:
+    """Collected by the exchanges, taken by the load reports."""
+
+    # Parts that engines have newly read: part id and engine.
+    parts: list[tuple[str, str]] = field(factory=list)
+    # Contents under which a backend server was lost: fingerprint and backend server.
+    losses: list[tuple[str, str]] = field(factory=list)
+    # Backend servers that were newly found silent.
+    silent: set[str] = field(factory=set)
+
+    def is_empty(self) -> bool:
+        """Tells whether there is nothing to tell."""
+        return not (self.parts or self.losses or self.silent)
--- a/berylquay/relay/pages.py
+++ b/berylquay/relay/pages.py
@@ -8,7 +8,6 @@
 
 from berylquay.net.connections import Connection, Connections
 
-STATUS_OK: Final = 200
 STATUS_NOT_FOUND: Final = 404
 # A page: status, content type and body.
 Page = tuple[int, bytes, bytes]
--- a/berylquay/relay/refusals.py
+++ b/berylquay/relay/refusals.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from berylquay.net.kept_http import Headers
 from berylquay.platform.names import RETRY_AFTER
 from berylquay.relay.caller_connection import SERVICE_UNAVAILABLE, CallerConnection
 from berylquay.verdicts import Refusal, RefusalReason, Verdict
@@ -12,14 +13,21 @@
 
 def send_refusal(caller: CallerConnection, refusal: Refusal) -> None:
     """Answers a call that was given up, with what is known of whether it ran."""
-    headers = [(b"content-type", b"text/plain; charset=utf-8")]
     if refusal.verdict is Verdict.NOT_RUN:
         status = SERVICE_UNAVAILABLE
-        if refusal.retry_after_s is not None:
-            headers.append((RETRY_AFTER, f"{refusal.retry_after_s:.2f}".encode()))
     elif refusal.reason is RefusalReason.DEADLINE:
         status = STATUS_GATEWAY_TIMEOUT
     else:
         status = STATUS_BAD_GATEWAY
-    body = f"{refusal.reason.value}: {refusal.detail}\n".encode("latin-1", "replace")
-    caller.answer(status, b"", headers, body)
+    send_error(caller, status, f"{refusal.reason.value}: {refusal.detail}", refusal.retry_after_s)
+
+
+def send_error(
+    caller: CallerConnection, status: int, detail: str, retry_after_s: float | None = None
+) -> None:
+    """Answers a request with an error, and with when to come back if that is worth it."""
+    headers: Headers = []
+    if retry_after_s is not None:
+        headers.append((RETRY_AFTER, f"{retry_after_s:.2f}".encode()))
+    headers.append((b"content-type", b"text/plain; charset=utf-8"))
+    caller.answer(status, b"", headers, f"{detail}\n".encode("latin-1", "replace"))
--- a/berylquay/relay/role_orders.py
+++ b/berylquay/relay/role_orders.py
@@ -18,6 +18,7 @@
 )
 from berylquay.decisions.roles import RoleChange
 from berylquay.decisions.route_table import RouteTable
+from berylquay.net.http_client import STATUS_OK
 from berylquay.net.kept_http import RawHead, RawRequest
 from berylquay.platform.names import TOPIC_AUTHORITY
 from berylquay.platform.requests import (
@@ -46,8 +47,6 @@
 ENGINES_PER_CHANGE: Final = 16
 # Time that a report or an order may take.
 EXCHANGE_TIMEOUT_S: Final = 1.0
-STATUS_OK: Final = 200
-STATUS_ACCEPTED: Final = 202
 STATUS_CONFLICT: Final = 409
 _log = logbook.Logger("role-orders")
 
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -20,6 +20,7 @@
 from berylquay.decisions.suspects import SuspectLedger
 from berylquay.relay.backend_pool import BackendPool
 from berylquay.relay.measures import RelayMeasures
+from berylquay.relay.news import News
 
 
 @define
@@ -48,9 +49,5 @@
     live_hosts: int = 1
     # Requests of this host under way at each plain backend server.
     under_way: Counter[str] = field(factory=Counter)
-    # Parts that engines have newly read, for the other hosts: part id and engine.
-    new_parts: list[tuple[str, str]] = field(factory=list)
-    # Losses that this host has seen, for the other hosts: fingerprint and backend server.
-    new_losses: list[tuple[str, str]] = field(factory=list)
-    # Backend servers that this host has newly found silent, for the other hosts.
-    new_silent: list[str] = field(factory=list)
+    # What this host has found out, for the other hosts.
+    news: News = field(factory=News)
