--- a/berylquay/decisions/engine_placement.py
+++ b/berylquay/decisions/engine_placement.py
@@ -5,7 +5,8 @@
 of its streams, but a prompt read there must be handed over. Each request goes where its first token
 is predicted to come in time at the least cost to others: shared parts read again, KV cache moved
 far, streams that slow each other. Time within the objective counts little, so that long prompts
-gather behind each other and leave some engines free for short ones, which have less time.
+gather behind each other and leave some engines free for short ones, which have less time. Shared
+parts that another engine keeps are copied from it where that is quicker than to read them again.
 """
 
 from collections import Counter
@@ -45,6 +46,8 @@
     first_token_ms: float = 12.0
     # Fixed time of a hand-over between engines.
     hand_over_ms: float = 10.0
+    # Fixed time of a copy of shared parts from another engine's cache.
+    copy_ms: float = 4.0
     # Factors on the time of a move of KV cache between data centres and between regions.
     region_move_factor: float = 2.0
     far_move_factor: float = 10.0
@@ -97,6 +100,44 @@
     wait_s: float
     # Work of reading the prompt, in tokens at the beginning of a prompt.
     tokens_to_read: int
+    # Engine from which the reader copies shared parts first, or None.
+    copy_from: BackendEntry | None = None
+
+
+@frozen
+class _Source:
+    """An engine from which shared parts of a prompt can be copied into a data centre."""
+
+    engine: BackendEntry
+    # Tokens of the prompt's beginning that it keeps.
+    tokens: int
+    # Time of the copy, and what its price counts for.
+    copy_ms: float
+    price_ms: float
+
+
+@frozen
+class _Reading:
+    """What reading a prompt at an engine takes."""
+
+    wait_ms: float
+    # Time of copying shared parts and of reading the others.
+    read_ms: float
+    # Work of reading, in tokens at the beginning of a prompt.
+    tokens: int
+    # Tokens of shared parts that are read though some engine may have read them before.
+    shared_tokens: int
+    source: _Source | None
+
+    @property
+    def copy_from(self) -> BackendEntry | None:
+        """Returns the engine from which shared parts are copied."""
+        return None if self.source is None else self.source.engine
+
+    @property
+    def price_ms(self) -> float:
+        """Returns what the price of the copy counts for."""
+        return 0.0 if self.source is None else self.source.price_ms
 
 
 @frozen
@@ -171,9 +212,11 @@
         sure_ms = max(0.0, objective_left_s) * MS_PER_S * self._options.sure_share
         ample = objective_s > self._shortest_objective_s * self._options.ample_objectives
         decoders = [engine for engine in engines if engine.role is not Role.PREFILL]
+        sources = self._sources(generation, engines, now_s)
         best: tuple[float, Placement] | None = None
         for engine in decoders:
-            best = _cheaper(best, self._whole(generation, engine, sure_ms, now_s))
+            source = sources.get(engine.data_centre)
+            best = _cheaper(best, self._whole(generation, engine, source, sure_ms, now_s))
         if best is None:
             return None
         costs = self._decoder_costs_ms(generation, decoders, now_s)
@@ -182,7 +225,13 @@
             if engine.role is Role.PREFILL:
                 decoder = self._best_decoder(engine, generation, costs)
                 option = self._split(
-                    generation, engine, decoder, home=home, sure_ms=sure_ms, now_s=now_s
+                    generation,
+                    engine,
+                    decoder,
+                    source=sources.get(engine.data_centre),
+                    home=home,
+                    sure_ms=sure_ms,
+                    now_s=now_s,
                 )
                 best = _cheaper(best, self._keep_quick(option, engine, ample))
         return best[1]
@@ -237,23 +286,58 @@
             for engine in decoders
         ]
 
+    def _sources(
+        self, generation: Generation, engines: Sequence[BackendEntry], now_s: float
+    ) -> dict[str, _Source]:
+        """Returns where to copy the prompt's shared parts from, for each data centre."""
+        kept = self._locations.keepers(generation.parts[:-1], now_s)
+        keepers = [(engine, kept[engine.name]) for engine in engines if engine.name in kept]
+        sources: dict[str, _Source] = {}
+        for place in {engine.data_centre for engine in engines} if keepers else ():
+            # The copy used last is the least likely to be evicted, and changes from use to use.
+            best = max(
+                keepers,
+                key=lambda item: (
+                    item[1].tokens,
+                    -self._move_factor(item[0].data_centre, place),  # noqa: B023
+                    item[1].used_s,
+                ),
+            )
+            sources[place] = self._source(best[0], best[1].tokens, place)
+        return sources
+
+    def _source(self, engine: BackendEntry, tokens: int, place: str) -> _Source:
+        move_ms = self._transfer_ms(tokens, engine.data_centre, place)
+        price_ms = self._transfer_price_ms(tokens, engine.data_centre, place)
+        return _Source(engine, tokens, self._options.copy_ms + move_ms, price_ms)
+
     def _whole(
-        self, generation: Generation, engine: BackendEntry, sure_ms: float, now_s: float
+        self,
+        generation: Generation,
+        engine: BackendEntry,
+        source: _Source | None,
+        sure_ms: float,
+        now_s: float,
     ) -> tuple[float, Placement]:
         rate = self._options.decode_tokens_per_ms
-        wait_ms, read_ms, tokens = self._read_ms(generation, engine, rate, now_s)
-        first_ms = self._round_trip_ms(engine) + wait_ms + read_ms + self._batch_ms(engine, now_s)
-        waiting = self._backlog.waiting_tokens(engine.name, now_s) + tokens
+        reading = self._read(generation, engine, rate, source, now_s)
+        first_ms = (
+            self._round_trip_ms(engine)
+            + reading.wait_ms
+            + reading.read_ms
+            + self._batch_ms(engine, now_s)
+        )
+        waiting = self._backlog.waiting_tokens(engine.name, now_s) + reading.tokens
         beyond = max(0, waiting - self._options.decode_read_bound_tokens)
         cost_ms = (
             self._time_cost_ms(first_ms, sure_ms)
-            + self._reread_cost_ms(generation, engine, None, now_s)
+            + self._reread_cost_ms(reading, engine, None)
             + self._send_cost_ms(generation, engine)
             + self._failure_cost_ms(engine, now_s)
             + beyond * self._options.beyond_bound_ms_per_token
             + self._crowding_ms(engine, now_s)
         )
-        return cost_ms, Placement(None, engine, first_ms / MS_PER_S, wait_ms / MS_PER_S, tokens)
+        return cost_ms, _placement(None, engine, first_ms, reading)
 
     def _split(
         self,
@@ -261,23 +345,24 @@
         reader: BackendEntry,
         decoder: BackendEntry,
         *,
+        source: _Source | None,
         home: str | None,
         sure_ms: float,
         now_s: float,
     ) -> tuple[float, Placement]:
         rate = self._options.prefill_tokens_per_ms
-        wait_ms, read_ms, tokens = self._read_ms(generation, reader, rate, now_s)
+        reading = self._read(generation, reader, rate, source, now_s)
         first_ms = (
             self._round_trip_ms(reader)
-            + wait_ms
-            + read_ms
+            + reading.wait_ms
+            + reading.read_ms
             + self._move_ms(generation, reader, decoder)
             + self._round_trip_ms(decoder)
             + self._batch_ms(decoder, now_s)
         )
         cost_ms = (
             self._time_cost_ms(first_ms, sure_ms)
-            + self._reread_cost_ms(generation, reader, home, now_s)
+            + self._reread_cost_ms(reading, reader, home)
             + self._send_cost_ms(generation, reader)
             + self._failure_cost_ms(reader, now_s)
             + self._send_cost_ms(generation, decoder)
@@ -285,24 +370,41 @@
             + self._move_price_ms(generation, reader, decoder)
             + self._crowding_ms(decoder, now_s)
         )
-        return cost_ms, Placement(reader, decoder, first_ms / MS_PER_S, wait_ms / MS_PER_S, tokens)
+        return cost_ms, _placement(reader, decoder, first_ms, reading)
 
     def _time_cost_ms(self, first_ms: float, sure_ms: float) -> float:
         """Returns what the time to a first token counts for."""
         sure = min(first_ms, sure_ms)
         return sure * self._options.sure_weight + (first_ms - sure)
 
-    def _read_ms(
-        self, generation: Generation, engine: BackendEntry, rate: float, now_s: float
-    ) -> tuple[float, float, int]:
-        tokens = self.reading_work(generation, engine, now_s)
-        waiting = self._backlog.waiting_tokens(engine.name, now_s)
+    def _read(
+        self,
+        generation: Generation,
+        engine: BackendEntry,
+        rate: float,
+        source: _Source | None,
+        now_s: float,
+    ) -> _Reading:
         ms_per_token = self._speeds.slowdown(engine.name) / rate
-        return waiting * ms_per_token, tokens * ms_per_token, tokens
+        wait_ms = self._backlog.waiting_tokens(engine.name, now_s) * ms_per_token
+        cached = self._locations.cached_tokens(engine.name, generation.parts, now_s)
+        tokens = self._work(generation, cached)
+        read_ms = tokens * ms_per_token
+        if source is not None and source.tokens > cached:
+            tokens_after_copy = self._work(generation, source.tokens)
+            after_copy_ms = source.copy_ms + tokens_after_copy * ms_per_token
+            if after_copy_ms + source.price_ms < read_ms:
+                shared = generation.shared_tokens - source.tokens
+                return _Reading(wait_ms, after_copy_ms, tokens_after_copy, shared, source)
+        shared = max(0, generation.shared_tokens - cached)
+        return _Reading(wait_ms, read_ms, tokens, shared, None)
 
     def reading_work(self, generation: Generation, engine: BackendEntry, now_s: float) -> int:
         """Returns the work of reading a prompt, in tokens at the beginning of a prompt."""
         cached = self._locations.cached_tokens(engine.name, generation.parts, now_s)
+        return self._work(generation, cached)
+
+    def _work(self, generation: Generation, cached: int) -> int:
         tokens = max(1, generation.prompt_tokens - cached)
         look_back = (cached + tokens / 2.0) * self._options.look_back_per_token
         return round(tokens * (1.0 + look_back))
@@ -320,15 +422,10 @@
         lag_ms = self._speeds.lag_s(engine.name, now_s) * MS_PER_S
         return self._options.first_token_ms * (1.0 + fullness) + waits_ms + lag_ms
 
-    def _reread_cost_ms(
-        self, generation: Generation, engine: BackendEntry, home: str | None, now_s: float
-    ) -> float:
-        """Returns what reading shared parts counts for at an engine that does not keep them."""
-        shared = generation.parts[:-1]
-        tokens = sum(part.tokens for part in shared)
-        missing = tokens - self._locations.cached_tokens(engine.name, shared, now_s)
-        cost_ms = missing * self._options.reread_ms_per_token
-        if missing and engine.name == home:
+    def _reread_cost_ms(self, reading: _Reading, engine: BackendEntry, home: str | None) -> float:
+        """Returns what having shared parts counts for at an engine that does not keep them."""
+        cost_ms = reading.price_ms + reading.shared_tokens * self._options.reread_ms_per_token
+        if reading.shared_tokens and engine.name == home:
             cost_ms -= self._options.home_bonus_ms
         return cost_ms
 
@@ -355,29 +452,40 @@
     def _move_ms(
         self, generation: Generation, reader: BackendEntry, decoder: BackendEntry
     ) -> float:
-        options = self._options
+        transfer_ms = self._transfer_ms(
+            generation.prompt_tokens, reader.data_centre, decoder.data_centre
+        )
+        return self._options.hand_over_ms + transfer_ms
+
+    def _transfer_ms(self, tokens: int, source: str, destination: str) -> float:
+        """Returns the time of moving the KV cache of tokens from one data centre to another."""
         pool = self._pool
         if pool is None or pool.link_mbps <= 0.0:
-            return options.hand_over_ms
-        bits = generation.prompt_tokens * pool.token_bytes * BITS_PER_BYTE
+            return 0.0
+        bits = tokens * pool.token_bytes * BITS_PER_BYTE
         move_ms = bits / (pool.link_mbps * BITS_PER_MS_PER_MBPS)
-        return options.hand_over_ms + move_ms * self._move_factor(reader, decoder)
+        return move_ms * self._move_factor(source, destination)
 
-    def _move_factor(self, reader: BackendEntry, decoder: BackendEntry) -> float:
-        if reader.data_centre == decoder.data_centre:
+    def _move_factor(self, source: str, destination: str) -> float:
+        if source == destination:
             return 1.0
-        if self._region(reader.data_centre) == self._region(decoder.data_centre):
+        if self._region(source) == self._region(destination):
             return self._options.region_move_factor
         return self._options.far_move_factor
 
     def _move_price_ms(
         self, generation: Generation, reader: BackendEntry, decoder: BackendEntry
     ) -> float:
+        return self._transfer_price_ms(
+            generation.prompt_tokens, reader.data_centre, decoder.data_centre
+        )
+
+    def _transfer_price_ms(self, tokens: int, source: str, destination: str) -> float:
+        """Returns what moving the KV cache of tokens between data centres counts for besides."""
         pool = self._pool
-        if pool is None or self._region(reader.data_centre) == self._region(decoder.data_centre):
+        if pool is None or self._region(source) == self._region(destination):
             return 0.0
-        gigabytes = generation.prompt_tokens * pool.token_bytes / 1e9
-        return gigabytes * self._options.far_move_ms_per_gb
+        return tokens * pool.token_bytes / 1e9 * self._options.far_move_ms_per_gb
 
     def _failure_cost_ms(self, engine: BackendEntry, now_s: float) -> float:
         """Returns what the engine's recent failures count for, here and at other hosts."""
@@ -404,6 +512,19 @@
     return int.from_bytes(blake2b(f"{part_id}|{engine}".encode(), digest_size=6).digest(), "big")
 
 
+def _placement(
+    reader: BackendEntry | None, decoder: BackendEntry, first_ms: float, reading: _Reading
+) -> Placement:
+    return Placement(
+        reader,
+        decoder,
+        first_ms / MS_PER_S,
+        reading.wait_ms / MS_PER_S,
+        reading.tokens,
+        reading.copy_from,
+    )
+
+
 def _one_of_each_place(engines: Sequence[BackendEntry]) -> list[str]:
     """Returns the engines' names so that the first ones stand in different data centres."""
     seen: Counter[str] = Counter()
--- a/berylquay/decisions/part_locations.py
+++ b/berylquay/decisions/part_locations.py
@@ -8,6 +8,8 @@
 from collections.abc import Sequence
 from typing import Final
 
+from attrs import frozen
+
 from berylquay.decisions.relay_call import PromptPart
 
 # Age at which a part is taken to be evicted.
@@ -16,6 +18,16 @@
 MAX_PARTS: Final = 4096
 
 
+@frozen
+class KeptParts:
+    """What an engine is believed to keep of a prompt."""
+
+    # Tokens of the prompt's beginning.
+    tokens: int
+    # Monotonic time at which its first part was last used there.
+    used_s: float
+
+
 class PartLocations:
     """Where parts were last read."""
 
@@ -42,6 +54,15 @@
             tokens += part.tokens
         return tokens
 
+    def keepers(self, parts: Sequence[PromptPart], now_s: float) -> dict[str, KeptParts]:
+        """Returns how much of a prompt's beginning each engine is believed to keep, if any."""
+        uses = self._uses.get(parts[0].part_id, {}) if parts else {}
+        return {
+            engine: KeptParts(self.cached_tokens(engine, parts, now_s), used_s)
+            for engine, used_s in uses.items()
+            if now_s - used_s <= MAX_AGE_S
+        }
+
     def forget_engine(self, engine: str) -> None:
         """Drops what an engine kept that has ended."""
         for uses in self._uses.values():
--- a/berylquay/decisions/relay_call.py
+++ b/berylquay/decisions/relay_call.py
@@ -29,6 +29,11 @@
     # Size of the request's body, which goes to each engine that is used.
     request_bytes: int = 0
 
+    @property
+    def shared_tokens(self) -> int:
+        """Returns the length of the parts that other requests may share."""
+        return sum(part.tokens for part in self.parts[:-1])
+
 
 @define(eq=False)
 class RelayCall:
--- a/berylquay/platform/names.py
+++ b/berylquay/platform/names.py
@@ -20,6 +20,8 @@
 STAGE_PREFILL: Final = b"prefill"
 # Address of the engine that holds the KV cache, and the handle there.
 CACHE_SOURCE: Final = b"kv-source"
+# Address of an engine from whose cache the shared parts of a prompt are copied first.
+CACHE_COPY: Final = b"kv-fetch"
 SYSTEM_HEADERS: Final = frozenset(
     {
         EXPECT_INSTANCE,
@@ -27,8 +29,8 @@
         URGENCY,
         STAGE,
         CACHE_SOURCE,
+        CACHE_COPY,
         b"kv-hold",
-        b"kv-fetch",
         b"kv-backup",
         b"pin-ms",
     }
--- a/berylquay/platform/requests.py
+++ b/berylquay/platform/requests.py
@@ -127,6 +127,8 @@
     kept_prompt: KeptPrompt | None = None
     # Newest event that the caller has, if another run's stream is continued.
     resume_after: int | None = None
+    # Engine from which shared parts of the prompt are copied before the rest is read, or None.
+    copy_from: Address | None = None
 
 
 def encode_run(
@@ -205,6 +207,8 @@
     if details.kept_prompt is not None:
         source = f"{details.kept_prompt.address}/{details.kept_prompt.handle}"
         kept.append((names.CACHE_SOURCE, source.encode("latin-1")))
+    if details.copy_from is not None:
+        kept.append((names.CACHE_COPY, str(details.copy_from).encode()))
     if details.resume_after is not None:
         kept.append((names.LAST_EVENT_ID, str(details.resume_after).encode()))
     return kept
--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -5,10 +5,11 @@
 from typing import Final
 
 import logbook
+from attrs import evolve
 
 from berylquay.decisions.backend_registry import BackendEntry, EntryState
 from berylquay.decisions.engine_placement import Placement
-from berylquay.decisions.fleet import Role
+from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.relay_admission import AdmissionStep, admit
 from berylquay.decisions.relay_call import RelayCall
 from berylquay.decisions.relay_fates import (
@@ -57,7 +58,7 @@
 HIGHEST_URGENCY: Final = 1
 LOWEST_URGENCY: Final = 9
 # Shared parts from this size on are told to the other hosts.
-TOLD_PART_TOKENS: Final = 1000
+TOLD_PART_TOKENS: Final = 100
 _log = logbook.Logger("exchange")
 
 
@@ -284,7 +285,7 @@
         if self._prefills:
             services.retries.spend(call.pool.name, now_s)
         self._prefills += 1
-        details = self._details(engine, now_s)
+        details = evolve(self._details(engine, now_s), copy_from=_address_of(placement.copy_from))
         request = self._request
         raw = encode_prefill(request.method, request.target, request.headers, request.body, details)
         services.backlog.add_prompt(engine.name, call.call_id, placement.tokens_to_read)
@@ -303,6 +304,8 @@
         if self._tracker is not None and self.caller.head_sent:
             resume_after = self._tracker.newest_id
         details = self._details(backend, now_s, kept, resume_after)
+        if kept is None:
+            details = evolve(details, copy_from=self._copied_from(backend))
         request = self._request
         raw = encode_run(request.method, request.target, request.headers, request.body, details)
         self._kept_prompt = None
@@ -319,10 +322,19 @@
         connection = services.connections.take(backend, not call.route.repeatable, now_s)
         self._run_leg = Leg(self, backend, connection, raw, call_id=call.call_id, now_s=now_s)
 
+    def _copied_from(self, reader: BackendEntry) -> Address | None:
+        """Returns where an engine that reads the whole prompt copies shared parts from."""
+        placement = self._placement
+        if placement is None or placement.prefill is not None or placement.decode is not reader:
+            return None
+        return _address_of(placement.copy_from)
+
     def _tokens_to_read(self, engine: BackendEntry, now_s: float) -> int:
-        generation = self.call.generation
+        placement, generation = self._placement, self.call.generation
         if generation is None:
             return 0
+        if placement is not None and placement.prefill is None and placement.decode is engine:
+            return placement.tokens_to_read
         return self._services.placement.reading_work(generation, engine, now_s)
 
     def _details(
@@ -685,10 +697,12 @@
             route=call.route.name,
             reader=None if placement.prefill is None else placement.prefill.name,
             decoder=placement.decode.name,
+            copy_from=None if placement.copy_from is None else placement.copy_from.name,
             predicted_ms=_ms(placement.first_token_s),
             objective_ms=_ms(call.route.objective_s),
             to_read=placement.tokens_to_read,
             prompt=0 if generation is None else generation.prompt_tokens,
+            shared=0 if generation is None else generation.shared_tokens,
             waiting=self._services.backlog.waiting_tokens(
                 (placement.prefill or placement.decode).name, now_s
             ),
@@ -696,5 +710,9 @@
         )
 
 
+def _address_of(engine: BackendEntry | None) -> Address | None:
+    return None if engine is None else engine.address
+
+
 def _ms(seconds: float) -> int:
     return round(seconds * 1000.0)
--- a/tests/relay/test_platform_decoding.py
+++ b/tests/relay/test_platform_decoding.py
@@ -155,8 +155,10 @@
         b"kv-source": b"10.0.0.9:81/abc",
         b"last-event-id": b"4",
     }
-    prefill = encode_prefill(b"POST", b"/p?q", headers, b"body", RunDetails("i-1", 1.5))
+    reading = RunDetails("i-1", 1.5, copy_from=Address("10.0.0.8", 82))
+    prefill = encode_prefill(b"POST", b"/p?q", headers, b"body", reading)
     assert dict(prefill.headers)[b"stage"] == b"prefill"
+    assert dict(prefill.headers)[b"kv-fetch"] == b"10.0.0.8:82"
 
 
 def test_an_answer_loses_what_concerned_its_connection() -> None:
--- /dev/null
+++ b/tests/relay/test_shared_parts.py
@@ -0,0 +1,97 @@
+"""Shared parts of prompts: where they are read once, and when they are copied between engines."""
+
+import pytest
+
+from berylquay.decisions.backend_health import BackendHealth, HealthLimits
+from berylquay.decisions.backend_registry import BackendEntry, EntryState
+from berylquay.decisions.distances import Distances, Place
+from berylquay.decisions.engine_backlog import EngineBacklog
+from berylquay.decisions.engine_placement import Placement, PlacementOptions, PredictedPlacement
+from berylquay.decisions.engine_speeds import EngineSpeeds
+from berylquay.decisions.fleet import Address, Role
+from berylquay.decisions.part_locations import MAX_AGE_S, PartLocations
+from berylquay.decisions.relay_call import Generation, PromptPart
+from berylquay.decisions.route_table import EnginePool
+
+REGIONS = {"a": "north", "b": "north", "c": "south"}
+SHARED = PromptPart("shared", 5000)
+LONG = Generation("m", 11000, 30, (SHARED, PromptPart("own", 6000)))
+ENGINES = EnginePool(64, 500_000, 163_840, 1_400_000.0, 5.0, 3.0)
+OBJECTIVE_S = 0.8
+
+
+def make_engine(name: str, data_centre: str = "a", role: Role = Role.PREFILL) -> BackendEntry:
+    address = Address("10.0.0.1", 80)
+    return BackendEntry(name, "lm", address, data_centre, 64, EntryState.READY, role=role)
+
+
+MAKER = make_engine("maker", role=Role.DECODE)
+
+
+class View:
+    """What one host knows of the engines."""
+
+    def __init__(self, readers: list[BackendEntry]) -> None:
+        self.engines = [MAKER, *readers]
+        self.backlog = EngineBacklog()
+        self.locations = PartLocations()
+        distances = Distances(Place("a", REGIONS["a"]), REGIONS)
+        health = BackendHealth(HealthLimits())
+        self._placement = PredictedPlacement(
+            PlacementOptions(), distances, self.backlog, self.locations, EngineSpeeds(), health
+        )
+        self._placement.on_pool(ENGINES, OBJECTIVE_S)
+        self._placement.on_readers(readers)
+
+    def place(self, now_s: float = 0.0, generation: Generation = LONG) -> Placement:
+        """Places a prompt whose objective is as long as any."""
+        placed = self._placement.place(generation, self.engines, OBJECTIVE_S, OBJECTIVE_S, now_s)
+        assert placed is not None
+        return placed
+
+
+def test_a_reader_copies_shared_parts_from_one_that_is_busy() -> None:
+    keeper, other = make_engine("keeper"), make_engine("other")
+    view = View([keeper, other])
+    view.locations.on_used("shared", "keeper", 0.0)
+    view.backlog.add_prompt("keeper", "before", 20_000)
+    placed = view.place()
+    assert placed.prefill is other
+    assert placed.copy_from is keeper
+    assert placed.tokens_to_read < 7000
+
+
+def test_nothing_is_copied_where_the_reader_keeps_the_parts_itself() -> None:
+    view = View([make_engine("keeper"), make_engine("other")])
+    view.locations.on_used("shared", "keeper", 0.0)
+    view.locations.on_used("shared", "other", 0.0)
+    assert view.place().copy_from is None
+
+
+@pytest.mark.parametrize("now_s", [MAX_AGE_S + 0.1, 100.0])
+def test_parts_that_may_be_evicted_are_not_copied(now_s: float) -> None:
+    view = View([make_engine("keeper"), make_engine("other")])
+    view.locations.on_used("shared", "keeper", 0.0)
+    view.backlog.add_prompt("keeper", "before", 20_000)
+    assert view.place(now_s).copy_from is None
+
+
+def test_the_nearest_keeper_is_asked() -> None:
+    far, near, reader = make_engine("far", "c"), make_engine("near", "b"), make_engine("reader")
+    view = View([far, near, reader])
+    for engine in (far, near):
+        view.locations.on_used("shared", engine.name, 0.0)
+        view.backlog.add_prompt(engine.name, "before", 50_000)
+    placed = view.place()
+    assert placed.prefill is reader
+    assert placed.copy_from is near
+
+
+def test_a_part_that_is_read_sooner_than_copied_is_not_copied() -> None:
+    tiny = Generation("m", 6050, 30, (PromptPart("tiny", 50), PromptPart("own", 6000)))
+    keeper, other = make_engine("keeper", "c"), make_engine("other")
+    view = View([keeper, other])
+    view.locations.on_used("tiny", "keeper", 0.0)
+    placed = view.place(generation=tiny)
+    assert placed.prefill is other
+    assert placed.copy_from is None
