Tell where shared parts are about to be read when the prompt is sent

Cause: hosts learned of a part only when it had been read, 0.1 to 0.8 s later; prompts with the same part went to other engines meanwhile and read it again. An engine reads prompts in turn, so a part that waits there need not be read twice; it is no source for copies before it was read.

--- a/berylquay/decisions/part_locations.py
+++ b/berylquay/decisions/part_locations.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from typing import Final
 
-from attrs import frozen
+from attrs import define, frozen
 
 from berylquay.decisions.relay_call import PromptPart
 
@@ -24,44 +24,83 @@
 
     # Tokens of the prompt's beginning.
     tokens: int
-    # Monotonic time at which its first part was last used there.
+    # Monotonic time of the last use there of the part that was not used for longest.
     used_s: float
 
 
+@define
+class _Use:
+    """The use of a part by an engine."""
+
+    # Monotonic time of the last use, and time from which the engine has read the part.
+    used_s: float
+    ready_s: float
+
+
 class PartLocations:
-    """Where parts were last read."""
+    """Where parts were last read, or are about to be."""
 
-    # Monotonic time of the last use by engine, by part; the part used last stands last.
-    _uses: "OrderedDict[str, dict[str, float]]"
+    # Last use by engine, by part; the part used last stands last.
+    _uses: "OrderedDict[str, dict[str, _Use]]"
 
     def __init__(self) -> None:
         self._uses = OrderedDict()
 
-    def on_used(self, part_id: str, engine: str, now_s: float) -> None:
-        """Takes note that an engine has read or fetched a part."""
-        self._uses.setdefault(part_id, {})[engine] = now_s
+    def on_used(
+        self, part_id: str, engine: str, now_s: float, ready_s: float = float("-inf")
+    ) -> None:
+        """Takes note that an engine reads a part, or has read it.
+
+        Args:
+            part_id: The part.
+            engine: The engine.
+            now_s: Present time.
+            ready_s: Time at which it is expected to have read the part, unless it has already.
+        """
+        uses = self._uses.setdefault(part_id, {})
+        before = uses.get(engine)
+        if before is not None and now_s - before.used_s <= MAX_AGE_S:
+            ready_s = min(ready_s, before.ready_s)
+        uses[engine] = _Use(now_s, ready_s)
         self._uses.move_to_end(part_id)
         if len(self._uses) > MAX_PARTS:
             self._uses.popitem(last=False)
 
     def cached_tokens(self, engine: str, parts: Sequence[PromptPart], now_s: float) -> int:
-        """Returns how much of a prompt's beginning the engine is believed to keep."""
+        """Returns how much of a prompt's beginning the engine is believed not to read again.
+
+        Prompts are read in the order in which they come, so a part that waits to be read counts.
+        """
         tokens = 0
         for part in parts:
-            used_s = self._uses.get(part.part_id, {}).get(engine)
-            if used_s is None or now_s - used_s > MAX_AGE_S:
+            use = self._uses.get(part.part_id, {}).get(engine)
+            if use is None or now_s - use.used_s > MAX_AGE_S:
                 break
             tokens += part.tokens
         return tokens
 
     def keepers(self, parts: Sequence[PromptPart], now_s: float) -> dict[str, KeptParts]:
-        """Returns how much of a prompt's beginning each engine is believed to keep, if any."""
-        uses = self._uses.get(parts[0].part_id, {}) if parts else {}
-        return {
-            engine: KeptParts(self.cached_tokens(engine, parts, now_s), used_s)
-            for engine, used_s in uses.items()
-            if now_s - used_s <= MAX_AGE_S
-        }
+        """Returns how much of a prompt's beginning each engine is believed to have read, if any."""
+        kept = {}
+        for engine in self._uses.get(parts[0].part_id, {}) if parts else ():
+            tokens, used_s = 0, now_s
+            for part in parts:
+                use = self._uses.get(part.part_id, {}).get(engine)
+                if use is None or now_s - use.used_s > MAX_AGE_S or use.ready_s > now_s:
+                    break
+                tokens += part.tokens
+                used_s = min(used_s, use.used_s)
+            if tokens:
+                kept[engine] = KeptParts(tokens, used_s)
+        return kept
+
+    def on_not_read(self, parts: Sequence[PromptPart], engine: str, now_s: float) -> None:
+        """Takes note that an engine did not read what it was about to read."""
+        for part in parts:
+            uses = self._uses.get(part.part_id, {})
+            use = uses.get(engine)
+            if use is not None and use.ready_s > now_s:
+                del uses[engine]
 
     def forget_engine(self, engine: str) -> None:
         """Drops what an engine kept that has ended."""
--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -289,6 +289,7 @@
         request = self._request
         raw = encode_prefill(request.method, request.target, request.headers, request.body, details)
         services.backlog.add_prompt(engine.name, call.call_id, placement.tokens_to_read)
+        self._announce_parts(engine.name, placement, now_s)
         services.on_new_work(now_s)
         connection = services.connections.take(engine, False, now_s)
         self._prefill_leg = Leg(
@@ -316,6 +317,8 @@
                 tokens = self._tokens_to_read(backend, now_s)
                 self._reading_at = backend.name
                 services.backlog.add_prompt(backend.name, call.call_id, tokens)
+                if self._placement is not None:
+                    self._announce_parts(backend.name, self._placement, now_s)
             services.on_new_work(now_s)
         else:
             services.under_way[backend.name] += 1
@@ -407,16 +410,24 @@
             expected_s = self._placement.first_token_s
             services.speeds.on_read(leg.backend.name, expected_s, now_s - leg.started_s)
 
-    def _note_parts(self, engine: str, now_s: float) -> None:
-        """Takes note of what an engine keeps from now on."""
+    def _announce_parts(self, engine: str, placement: Placement, now_s: float) -> None:
+        """Takes note of what an engine is about to read, and tells the other hosts."""
         generation = self.call.generation
         if generation is None:
             return
-        for part in generation.parts:
-            self._services.locations.on_used(part.part_id, engine, now_s)
         for part in generation.parts[:-1]:
+            ready_s = now_s + placement.first_token_s
+            self._services.locations.on_used(part.part_id, engine, now_s, ready_s)
             if part.tokens >= TOLD_PART_TOKENS:
-                self._services.news.parts.append((part.part_id, engine))
+                news = (part.part_id, engine, _ms(placement.first_token_s))
+                self._services.news.parts.append(news)
+
+    def _note_parts(self, engine: str, now_s: float) -> None:
+        """Takes note of what an engine keeps from now on."""
+        generation = self.call.generation
+        if generation is not None:
+            for part in generation.parts:
+                self._services.locations.on_used(part.part_id, engine, now_s)
 
     # The answer.
 
@@ -585,6 +596,8 @@
         if end is AttemptEnd.BROKEN:
             services.suspects.on_lost(name, frozenset({call.fingerprint}), now_s)
             services.news.losses.append((call.fingerprint, name))
+        if call.generation is not None:
+            services.locations.on_not_read(call.generation.parts, name, now_s)
         services.measures.on_attempt_ended(call.pool.name, end.value)
         entry = services.registry.get(name)
         _log.info(
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -51,6 +51,7 @@
 from berylquay.relay.services import RelayServices
 from berylquay.settings.relay_file import RelayOptions, SettingsFile, read_relay_file
 
+MS_PER_S: Final = 1000.0
 METRICS_PATH: Final = b"/metrics"
 TEXT: Final = b"text/plain; charset=utf-8"
 # Least time between reads of the configuration, which wait at the store until it changes.
@@ -274,8 +275,9 @@
     def _on_report(self, report: LoadReport) -> None:
         now_s = time.monotonic()
         self._services.backlog.on_peer(report.host, report.loads, now_s)
-        for part_id, engine in report.parts:
-            self._services.locations.on_used(part_id, engine, now_s)
+        for part_id, engine, ready_in_ms in report.parts:
+            ready_s = now_s + ready_in_ms / MS_PER_S
+            self._services.locations.on_used(part_id, engine, now_s, ready_s)
         for backend in report.silent:
             self._services.health.on_suspected(backend, now_s)
         for fingerprint, backend in report.losses:
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -49,8 +49,9 @@
     address: Address
     # What it has under way, by engine.
     loads: dict[str, EngineLoad]
-    # Parts that engines have newly read: part id and engine.
-    parts: tuple[tuple[str, str], ...]
+    # Parts that engines are about to read: part id, engine and time until it is read, in
+    # milliseconds.
+    parts: tuple[tuple[str, str, int], ...]
     # Contents under which a backend server was lost: fingerprint and backend server.
     losses: tuple[tuple[str, str], ...] = ()
     # Backend servers that the host has newly found silent.
@@ -89,7 +90,7 @@
                 str(engine): EngineLoad(int(streams), int(tokens))
                 for engine, (streams, tokens) in loads.items()
             },
-            tuple((str(part), str(engine)) for part, engine in parts),
+            tuple((str(part), str(engine), int(ready_in)) for part, engine, ready_in in parts),
             tuple((str(content), str(backend)) for content, backend in losses),
             tuple(str(backend) for backend in silent),
         )
--- a/berylquay/relay/news.py
+++ b/berylquay/relay/news.py
@@ -7,8 +7,9 @@
 class News:
     """Collected by the exchanges, taken by the load reports."""
 
-    # Parts that engines have newly read: part id and engine.
-    parts: list[tuple[str, str]] = field(factory=list)
+    # Parts that engines are about to read: part id, engine and time until it is read, in
+    # milliseconds.
+    parts: list[tuple[str, str, int]] = field(factory=list)
     # Contents under which a backend server was lost: fingerprint and backend server.
     losses: list[tuple[str, str]] = field(factory=list)
     # Backend servers that were newly found silent.
--- a/tests/relay/test_load_reports.py
+++ b/tests/relay/test_load_reports.py
@@ -11,7 +11,7 @@
     "fes-a",
     Address("10.0.0.1", 7380),
     {"e-1": EngineLoad(3, 1200), "e-2": EngineLoad(0, 7)},
-    (("part", "e-1"),),
+    (("part", "e-1", 250),),
     (("content", "e-2"),),
     ("e-3",),
 )
--- a/tests/relay/test_shared_parts.py
+++ b/tests/relay/test_shared_parts.py
@@ -95,3 +95,31 @@
     placed = view.place(generation=tiny)
     assert placed.prefill is other
     assert placed.copy_from is None
+
+
+def test_a_part_that_waits_to_be_read_is_read_once_but_not_copied_yet() -> None:
+    keeper, other = make_engine("keeper"), make_engine("other")
+    view = View([keeper, other])
+    view.locations.on_used("shared", "keeper", 0.0, ready_s=0.3)
+    placed = view.place()
+    assert placed.prefill is keeper
+    assert placed.tokens_to_read < 7000
+    view.backlog.add_prompt("keeper", "before", 20_000)
+    assert view.place(0.1).copy_from is None
+    assert view.place(0.31).copy_from is keeper
+
+
+def test_a_later_announcement_does_not_make_a_kept_part_unread() -> None:
+    locations = PartLocations()
+    locations.on_used("shared", "keeper", 0.0)
+    locations.on_used("shared", "keeper", 1.0, ready_s=1.5)
+    assert locations.keepers([SHARED], 1.1)["keeper"].tokens == SHARED.tokens
+    locations.on_not_read([SHARED], "keeper", 1.2)
+    assert locations.cached_tokens("keeper", [SHARED], 1.2) == SHARED.tokens
+
+
+def test_a_prompt_that_failed_leaves_its_parts_unread() -> None:
+    locations = PartLocations()
+    locations.on_used("shared", "keeper", 0.0, ready_s=0.4)
+    locations.on_not_read([SHARED], "keeper", 0.2)
+    assert locations.cached_tokens("keeper", [SHARED], 0.2) == 0
