Copy shared parts only from engines that have just read a prompt

Ruled out: memory (no more than 290,000 of 566,000 tokens in use), reading at decode engines (4,000 tokens), long moves. Hosts now tell each other of parts at sending and once read; an engine that read nothing for 1.5 s is no source.

--- a/berylquay/decisions/part_locations.py
+++ b/berylquay/decisions/part_locations.py
@@ -14,6 +14,9 @@
 
 # Age at which a part is taken to be evicted.
 MAX_AGE_S: Final = 14.0
+# Time after an engine has last read a prompt until which others copy from it: an engine that copies
+# from a silent one stands still for seconds.
+MAX_SILENCE_S: Final = 1.5
 # Parts that are remembered.
 MAX_PARTS: Final = 4096
 
@@ -42,9 +45,12 @@
 
     # Last use by engine, by part; the part used last stands last.
     _uses: "OrderedDict[str, dict[str, _Use]]"
+    # Monotonic time at which an engine has last read a prompt, by engine.
+    _alive_s: dict[str, float]
 
     def __init__(self) -> None:
         self._uses = OrderedDict()
+        self._alive_s = {}
 
     def on_used(
         self, part_id: str, engine: str, now_s: float, ready_s: float = float("-inf")
@@ -57,11 +63,14 @@
             now_s: Present time.
             ready_s: Time at which it is expected to have read the part, unless it has already.
         """
+        has_read = ready_s <= now_s
         uses = self._uses.setdefault(part_id, {})
         before = uses.get(engine)
         if before is not None and now_s - before.used_s <= MAX_AGE_S:
             ready_s = min(ready_s, before.ready_s)
         uses[engine] = _Use(now_s, ready_s)
+        if has_read:
+            self._alive_s[engine] = now_s
         self._uses.move_to_end(part_id)
         if len(self._uses) > MAX_PARTS:
             self._uses.popitem(last=False)
@@ -80,9 +89,11 @@
         return tokens
 
     def keepers(self, parts: Sequence[PromptPart], now_s: float) -> dict[str, KeptParts]:
-        """Returns how much of a prompt's beginning each engine is believed to have read, if any."""
+        """Returns how much of a prompt's beginning each live engine is believed to have read."""
         kept = {}
         for engine in self._uses.get(parts[0].part_id, {}) if parts else ():
+            if now_s - self._alive_s.get(engine, float("-inf")) > MAX_SILENCE_S:
+                continue
             tokens, used_s = 0, now_s
             for part in parts:
                 use = self._uses.get(part.part_id, {}).get(engine)
@@ -106,3 +117,4 @@
         """Drops what an engine kept that has ended."""
         for uses in self._uses.values():
             uses.pop(engine, None)
+        self._alive_s.pop(engine, None)
--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -11,7 +11,7 @@
 from berylquay.decisions.engine_placement import Placement
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.relay_admission import AdmissionStep, admit
-from berylquay.decisions.relay_call import RelayCall
+from berylquay.decisions.relay_call import Generation, RelayCall
 from berylquay.decisions.relay_fates import (
     SURELY_NOT_RUN,
     AttemptEnd,
@@ -418,16 +418,22 @@
         for part in generation.parts[:-1]:
             ready_s = now_s + placement.first_token_s
             self._services.locations.on_used(part.part_id, engine, now_s, ready_s)
-            if part.tokens >= TOLD_PART_TOKENS:
-                news = (part.part_id, engine, _ms(placement.first_token_s))
-                self._services.news.parts.append(news)
+        self._tell_parts(generation, engine, _ms(placement.first_token_s))
 
     def _note_parts(self, engine: str, now_s: float) -> None:
         """Takes note of what an engine keeps from now on."""
         generation = self.call.generation
-        if generation is not None:
-            for part in generation.parts:
-                self._services.locations.on_used(part.part_id, engine, now_s)
+        if generation is None:
+            return
+        for part in generation.parts:
+            self._services.locations.on_used(part.part_id, engine, now_s)
+        self._tell_parts(generation, engine, 0)
+
+    def _tell_parts(self, generation: Generation, engine: str, ready_in_ms: int) -> None:
+        """Tells the other hosts which parts an engine reads, or has read."""
+        for part in generation.parts[:-1]:
+            if part.tokens >= TOLD_PART_TOKENS:
+                self._services.news.parts.append((part.part_id, engine, ready_in_ms))
 
     # The answer.
 
--- a/tests/relay/test_shared_parts.py
+++ b/tests/relay/test_shared_parts.py
@@ -9,7 +9,7 @@
 from berylquay.decisions.engine_placement import Placement, PlacementOptions, PredictedPlacement
 from berylquay.decisions.engine_speeds import EngineSpeeds
 from berylquay.decisions.fleet import Address, Role
-from berylquay.decisions.part_locations import MAX_AGE_S, PartLocations
+from berylquay.decisions.part_locations import MAX_AGE_S, MAX_SILENCE_S, PartLocations
 from berylquay.decisions.relay_call import Generation, PromptPart
 from berylquay.decisions.route_table import EnginePool
 
@@ -106,6 +106,7 @@
     assert placed.tokens_to_read < 7000
     view.backlog.add_prompt("keeper", "before", 20_000)
     assert view.place(0.1).copy_from is None
+    view.locations.on_used("shared", "keeper", 0.3)
     assert view.place(0.31).copy_from is keeper
 
 
@@ -123,3 +124,14 @@
     locations.on_used("shared", "keeper", 0.0, ready_s=0.4)
     locations.on_not_read([SHARED], "keeper", 0.2)
     assert locations.cached_tokens("keeper", [SHARED], 0.2) == 0
+
+
+def test_nothing_is_copied_from_an_engine_that_has_read_nothing_for_a_while() -> None:
+    """The copying engine would stand still until its connection to the silent one is given up."""
+    view = View([make_engine("keeper"), make_engine("other")])
+    view.locations.on_used("shared", "keeper", 0.0)
+    view.backlog.add_prompt("keeper", "before", 20_000)
+    view.locations.on_used("shared", "keeper", 1.9, ready_s=2.5)
+    assert view.place(MAX_SILENCE_S).copy_from is not None
+    assert view.place(2.0).copy_from is None
+    assert view.place(2.6).copy_from is None
