--- /dev/null
+++ b/soak/link_proxy.py
@@ -0,0 +1,129 @@
+"""A loopback proxy whose links are delayed, cut one way or both ways, reset or closed.
+
+`POST /link` on the control port sets the state of one link: `name`, and any of `delay_s`,
+`cut` (towards, back or both), `closed`; `reset` ends the connections that are open.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import socket
+import struct
+from typing import Final
+
+from attrs import define, field
+
+from standins.http_server import RECEIVE_BYTES, Exchange, run_standin, standin_parser
+
+# SO_LINGER with a time of zero: closing sends a reset.
+_RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
+LOOK_S: Final = 0.01
+
+
+@define(eq=False)
+class Link:
+    """One link: where it listens, where it leads, and what is wrong with it."""
+
+    name: str
+    port: int
+    target_port: int
+    delay_s: float = 0.0
+    cut: str = ""
+    closed: bool = False
+    server: asyncio.Server | None = None
+    open: set[asyncio.StreamWriter] = field(factory=set)
+
+    async def set_state(self, state: dict[str, object]) -> None:
+        """Puts a state in force."""
+        self.delay_s = float(str(state.get("delay_s", 0.0)))
+        self.cut = str(state.get("cut", ""))
+        closed = bool(state.get("closed", False))
+        if state.get("reset") or closed:
+            for writer in list(self.open):
+                _reset(writer)
+        if closed and self.server is not None:
+            self.server.close()
+            self.server = None
+        elif not closed and self.server is None:
+            await self.listen()
+
+    async def listen(self) -> None:
+        """Takes connections."""
+        self.server = await asyncio.start_server(self._carry, "127.0.0.1", self.port)
+
+    async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
+        except OSError:
+            _reset(writer)
+            return
+        self.open |= {writer, far_writer}
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, "towards"), self._pump(far_reader, writer, "back")
+            )
+        except OSError:
+            _reset(writer)
+            _reset(far_writer)
+        finally:
+            self.open -= {writer, far_writer}
+            writer.close()
+            far_writer.close()
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: str
+    ) -> None:
+        while data := await reader.read(RECEIVE_BYTES):
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            # What a cut link holds arrives when it heals, as a sender repeats it.
+            while self.cut in (way, "both"):
+                await asyncio.sleep(LOOK_S)
+            writer.write(data)
+            await writer.drain()
+        # One end has closed; the other must learn it also while its own side is silent.
+        writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    with contextlib.suppress(OSError):
+        sock: socket.socket | None = writer.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
+@define
+class LinkProxy:
+    """All links."""
+
+    links: dict[str, Link]
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Takes a change of one link, once the links are there."""
+        for link in self.links.values():
+            if link.server is None and not link.closed:
+                await link.listen()
+        if exchange.request.path == "/link":
+            value = exchange.request.value()
+            link = self.links[str(value["name"])]
+            await link.set_state(value)
+            link.closed = link.server is None
+        await exchange.answer(200, {})
+
+
+def _link(text: str) -> Link:
+    name, port, target_port = text.split(":")
+    return Link(name, int(port), int(target_port))
+
+
+def main() -> None:
+    """Runs the proxy."""
+    parser: argparse.ArgumentParser = standin_parser("Loopback proxy with faulty links.")
+    parser.add_argument("links", nargs="+", type=_link, metavar="NAME:PORT:TARGET_PORT")
+    arguments = parser.parse_args()
+    run_standin(arguments, LinkProxy({link.name: link for link in arguments.links}).handle)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -3,11 +3,15 @@
 It notes what it ran (`GET /witness`) and takes faults (`POST /faults`): reject, fail, break_off
 (the connection ends within the answer), lose_answer, delay_s, foreign_answer (an answer to another
 request comes first), lapsed_handles (no KV cache can be fetched), other_server (every request
-gets 421).
+gets 421). With `--witness` it also writes each thing that it does to a file at once, with the
+monotonic time, so that nothing is lost when it is killed.
 """
 
 import asyncio
+import json
 import secrets
+import time
+from pathlib import Path
 from typing import Final
 
 from attrs import define, field
@@ -35,6 +39,8 @@
     # Prompts that are kept for another engine.
     handles: list[str] = field(factory=list)
     accepted_orders: int = 0
+    # File for what it does, or None.
+    witness: Path | None = None
 
     async def handle(self, exchange: Exchange) -> None:
         """Answers one request."""
@@ -65,6 +71,7 @@
         self.accepted_orders += 1
         self.role = str(order["phase"])
         self.ran.append({"stage": "order", **order})
+        self._write("order", holder=order.get("holder"), term=order.get("fence"))
         await exchange.answer(202, {})
 
     async def _serve(self, exchange: Exchange) -> None:
@@ -85,6 +92,9 @@
     async def _read_prompt(self, exchange: Exchange) -> None:
         self._note(exchange.request, "prefill")
         await asyncio.sleep(self._delay_s())
+        if exchange.is_closed():
+            self._write("cancelled", id=exchange.request.headers.get("attempt-id", ""))
+            return
         handle = secrets.token_hex(6)
         self.handles.append(handle)
         await exchange.answer(200, {"kvHandle": handle, "tokens": 10, "version": 1})
@@ -115,20 +125,30 @@
         for number in range(first, self.events + 1):
             if exchange.is_closed():
                 self.cancelled.append(request.headers.get("attempt-id", ""))
+                self._write("cancelled", id=request.headers.get("attempt-id", ""))
                 return
             if number > break_after:
                 await exchange.send_raw(f"id: {number}\nda".encode())
                 exchange.abort()
                 return
-            await exchange.send_raw(f"id: {number}\ndata: {'x' * EVENT_BYTES}\n\n".encode())
+            data = request.headers.get("attempt-id", "").ljust(EVENT_BYTES, "x")
+            await exchange.send_raw(f"id: {number}\ndata: {data}\n\n".encode())
             await asyncio.sleep(self.interval_s)
         await exchange.end()
 
     def _delay_s(self) -> float:
         return float(str(self.faults.get("delay_s", 0.0)))
 
+    def _write(self, event: str, **fields: object) -> None:
+        if self.witness is None:
+            return
+        line = {"at_s": time.monotonic(), "backend": self.name, "event": event, **fields}
+        with self.witness.open("a", encoding="utf-8") as file:
+            file.write(json.dumps(line) + "\n")
+
     def _note(self, request: StandinRequest, stage: str) -> None:
         headers = request.headers
+        self._write(stage, id=headers.get("attempt-id", ""), target=request.target)
         self.ran.append(
             {
                 "stage": stage,
@@ -148,10 +168,12 @@
     parser.add_argument("--role", default="", choices=("", "prefill", "decode"))
     parser.add_argument("--events", type=int, default=4)
     parser.add_argument("--interval-ms", type=float, default=5.0)
+    parser.add_argument("--witness", type=Path)
     arguments = parser.parse_args()
     backend = PlatformBackend(
         arguments.name, arguments.role, arguments.events, arguments.interval_ms / 1000.0
     )
+    backend.witness = arguments.witness
     run_standin(arguments, backend.handle)
 
 
