One host reads the store for those that tell each other; the others rely on its word

The first host by name reads; its reports say what it knew (an offset, or a hash of the entries) and when. Hosts that know the same are confirmed by that, one that knows something else reads at once, and after 0.6 to 0.8 of the bound without a word each reads itself, one after the other.

--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -5,6 +5,7 @@
 """
 
 from enum import Enum
+from hashlib import blake2b
 from typing import Final
 
 from attrs import evolve, field, frozen
@@ -13,6 +14,7 @@
 
 # Time after the store's return in which a live backend server has registered again.
 RETURN_GRACE_S: Final = 2.0
+MARK_BYTES: Final = 8
 # Names of which the latest age is kept: the largest fleet, with several replacements of each.
 MAX_REMEMBERED: Final = 50000
 
@@ -51,6 +53,10 @@
         """Returns the entry as it would be in another role."""
         return evolve(self, role=role)
 
+    def unnumbered(self) -> "BackendEntry":
+        """Returns the entry without the number of its heartbeat."""
+        return evolve(self, beat=0)
+
     @property
     def age_order(self) -> tuple[int, int]:
         """Returns a value that is higher for a later entry of the same name."""
@@ -91,8 +97,11 @@
     _store_away: bool
     # Monotonic time at which the store answered again after trouble.
     _store_back_s: float
+    # Hash of all entries, or empty once one has changed.
+    _mark: str
 
     def __init__(self) -> None:
+        self._mark = ""
         self._entries = {}
         self._latest = {}
         self._lapsed = set()
@@ -115,6 +124,13 @@
         """Returns every backend server that is believed to exist."""
         return list(self._entries.values())
 
+    def mark(self) -> str:
+        """Returns a hash of all entries; two hosts with equal entries have equal hashes."""
+        if not self._mark:
+            entries = sorted(repr(entry.unnumbered()) for entry in self._entries.values())
+            self._mark = blake2b("|".join(entries).encode(), digest_size=MARK_BYTES).hexdigest()
+        return self._mark
+
     def on_store_away(self) -> None:
         """Takes note that the store does not answer."""
         self._store_away = True
@@ -136,6 +152,7 @@
         if before == entry:
             return None
         self._entries[entry.name] = entry
+        self._mark = ""
         return RegistryChange(entry.name, before, entry)
 
     def on_removed(self, name: str, now_s: float) -> RegistryChange | None:
@@ -170,4 +187,5 @@
 
     def _drop(self, name: str) -> RegistryChange:
         self._lapsed.discard(name)
+        self._mark = ""
         return RegistryChange(name, self._entries.pop(name), None)
--- a/berylquay/relay/beliefs.py
+++ b/berylquay/relay/beliefs.py
@@ -68,6 +68,10 @@
         self._registry = registry
         self._on_change = on_change
 
+    def mark(self) -> str:
+        """Returns what stands for all entries; heartbeats alone do not change it."""
+        return self._registry.mark()
+
     def on_snapshot(self, records: dict[str, bytes], now_s: float) -> None:
         """Takes the newest entries of all backend servers."""
         decoded = [self._decode(name, data) for name, data in records.items()]
--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -1,4 +1,7 @@
-"""Follows a topic of the store: the newest record of each key first, then what comes after."""
+"""Follows a topic of the store: the newest record of each key first, then what comes after.
+
+Where other hosts have read the topic a moment ago, their word takes the place of an own read.
+"""
 
 from collections.abc import Callable
 from random import Random
@@ -8,6 +11,7 @@
 from attrs import define, field, frozen
 
 from berylquay.decisions.backoff import Backoff
+from berylquay.decisions.shared_reading import OwnRead, SharedReading, Word
 from berylquay.platform.store import (
     KeyedRecord,
     NewestPage,
@@ -26,15 +30,21 @@
 class FollowTimes:
     """How a topic is read."""
 
-    # Time for which a read waits at the store for a new record.
+    # Time for which the read of the host that reads for others waits at the store for a new record.
     wait_s: float
-    # Least time from the start of one read to that of the next.
+    # Least time from the start of one such read to that of the next.
     interval_s: float
+    # Time in which a change must be known.
+    bound_s: float
 
 
 class TopicUser:
     """Takes what a topic holds."""
 
+    def mark(self) -> str:
+        """Returns what stands for all that is known, or nothing if the offset does."""
+        return ""
+
     def on_snapshot(self, records: dict[str, bytes], now_s: float) -> None:
         """Called with the newest value of each key."""
         raise NotImplementedError
@@ -57,8 +67,8 @@
     _clock: Callable[[], float]
     # Whether the newest records were read once in this process.
     complete: bool = field(default=False, init=False)
-    # Monotonic time at which the last read that succeeded was sent.
-    confirmed_s: float = field(default=float("-inf"), init=False)
+    # When to read, and how fresh what is known is.
+    reading: SharedReading = field(init=False)
     # Calls in a row that failed.
     failures: int = field(default=0, init=False)
     # Offset from which to read on, or None to begin with the newest records.
@@ -68,21 +78,47 @@
     # Last key of the page before, and the topic's end when the first page was read.
     _after: str = field(default="", init=False)
     _end_offset: int | None = field(default=None, init=False)
-    # Monotonic time of the next call, and of the start of the last.
+    # Monotonic time before which no call is made, and of the start of the last.
     _next_s: float = field(default=float("-inf"), init=False)
-    _sent_s: float = field(default=0.0, init=False)
+    _sent_s: float = field(default=float("-inf"), init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Begins as a host that reads for itself."""
+        self.reading = SharedReading(self._times.bound_s, self._times.interval_s)
+
+    @property
+    def confirmed_s(self) -> float:
+        """Returns the monotonic time up to which what is known is complete."""
+        return self.reading.confirmed_s
+
+    @property
+    def mark(self) -> str:
+        """Returns what stands for all that is known of the topic."""
+        return self._user.mark() or str(self._offset)
 
     def on_tick(self, now_s: float) -> None:
         """Makes the next call when it is due."""
         self._lane.on_tick(now_s)
         if self._lane.busy or now_s < self._next_s:
             return
-        self._sent_s = now_s
-        self._next_s = now_s + self._times.interval_s
         if self._offset is None:
+            self._sent_s = now_s
             self._lane.newest(self.topic, self._after, self._on_newest)
-        else:
-            self._lane.read(self.topic, self._offset, self._times.wait_s, self._on_page)
+        elif now_s >= self.reading.due_s(self._sent_s):
+            self._sent_s = now_s
+            wait_s = self._times.wait_s if self.reading.is_reader else 0.0
+            self._lane.read(self.topic, self._offset, wait_s, self._on_page)
+
+    def on_word(self, word: Word, now_s: float) -> None:
+        """Takes what another host has read."""
+        if self.complete and self._offset is not None:
+            self.reading.on_word(word, self.mark, now_s)
+
+    def next_to_tell(self, now_s: float) -> OwnRead | None:
+        """Returns the read to tell the others of, if there is one."""
+        if not self.complete or self._offset is None:
+            return None
+        return self.reading.next_to_tell(self.topic, self.mark, now_s)
 
     def _on_newest(self, result: NewestPage | StoreFailure) -> None:
         now_s = self._clock()
@@ -131,7 +167,7 @@
         if self.failures:
             _log.info("store regained", topic=self.topic, failures=self.failures)
         self.failures = 0
-        self.confirmed_s = self._sent_s
+        self.reading.on_read(self._sent_s)
 
     def _on_failure(self, failure: StoreFailure, now_s: float) -> None:
         if not self.failures:
@@ -140,7 +176,9 @@
                 topic=self.topic,
                 status=failure.status,
                 detail=failure.detail,
-                known_ms=round((now_s - self.confirmed_s) * 1000.0) if self.complete else None,
+                known_ms=(
+                    round((now_s - self.reading.confirmed_s) * 1000.0) if self.complete else None
+                ),
             )
         self.failures += 1
         self._next_s = now_s + FAILURE_BACKOFF.delay_s(self.failures, self._rng)
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -57,11 +57,11 @@
 # Least time between reads of the configuration, which wait at the store until it changes.
 CONFIGURATION_INTERVAL_S: Final = 0.05
 # Part of the time within which a configuration must be in force that a read waits.
-CONFIGURATION_WAIT_SHARE: Final = 0.4
+CONFIGURATION_WAIT_SHARE: Final = 0.2
 # Backend servers renew their entries all the time: a read waits only for the next one.
 BACKENDS_WAIT_S: Final = 0.8
 # Part of the time within which a leaving backend server must be left alone, between reads.
-BACKENDS_INTERVAL_SHARE: Final = 0.45
+BACKENDS_INTERVAL_SHARE: Final = 0.2
 # Descriptors that are kept for files and for connections to backend servers.
 RESERVED_SOCKETS: Final = 700
 # Memory of contents under which servers were lost: some attempts of a caller.
@@ -169,9 +169,7 @@
         )
         self._backends_follower = TopicFollower(
             TOPIC_BACKENDS,
-            FollowTimes(
-                BACKENDS_WAIT_S, self._options.bounds.leaving_apply_s * BACKENDS_INTERVAL_SHARE
-            ),
+            self._backends_times(),
             StoreLane(connections, address),
             self._backends,
             rng,
@@ -182,13 +180,16 @@
         )
 
     def _configuration_times(self) -> FollowTimes:
-        bounds = self._options.bounds
+        bound_s = self._options.bounds.configuration_apply_s
         # What is known counts from the sending of the last read that was answered, so two waits in
         # a row must stay within the time to apply a change: only then is it never taken for old
         # while the store answers, nor for new when the store has gone silent.
-        return FollowTimes(
-            bounds.configuration_apply_s * CONFIGURATION_WAIT_SHARE, CONFIGURATION_INTERVAL_S
-        )
+        wait_s = bound_s * CONFIGURATION_WAIT_SHARE
+        return FollowTimes(wait_s, CONFIGURATION_INTERVAL_S, bound_s)
+
+    def _backends_times(self) -> FollowTimes:
+        bound_s = self._options.bounds.leaving_apply_s
+        return FollowTimes(BACKENDS_WAIT_S, bound_s * BACKENDS_INTERVAL_SHARE, bound_s)
 
     def _make_reports(self) -> None:
         options = self._options
@@ -280,6 +281,10 @@
             self._services.locations.on_used(part_id, engine, now_s, ready_s)
         for backend in report.silent:
             self._services.health.on_suspected(backend, now_s)
+        for word in report.words:
+            for follower in (self._configuration_follower, self._backends_follower):
+                if follower.topic == word.topic:
+                    follower.on_word(word, now_s)
         for fingerprint, backend in report.losses:
             self._services.suspects.on_lost(backend, frozenset({fingerprint}), now_s)
 
@@ -288,8 +293,13 @@
     @handler("Tick")
     def _on_tick(self, message: Tick) -> None:
         now_s = message.now_s
-        self._configuration_follower.on_tick(now_s)
-        self._backends_follower.on_tick(now_s)
+        rank, told_hosts = self._reports.rank()
+        for follower in (self._configuration_follower, self._backends_follower):
+            follower.reading.rank, follower.reading.hosts = rank, told_hosts
+            follower.on_tick(now_s)
+            read = follower.next_to_tell(now_s)
+            if read is not None:
+                self._services.news.reads.append(read)
         self._hosts.on_tick(now_s)
         self._reload(now_s)
         self._note_store(now_s)
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -18,9 +18,10 @@
 from berylquay.decisions.engine_backlog import EngineLoad
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.host_scope import HostScope
+from berylquay.decisions.shared_reading import Word
 from berylquay.relay.news import News
 
-FORMAT: Final = 2
+FORMAT: Final = 3
 MAX_DATAGRAM_BYTES: Final = 8192
 # Datagrams read in one turn.
 READS_PER_TURN: Final = 64
@@ -56,6 +57,8 @@
     losses: tuple[tuple[str, str], ...] = ()
     # Backend servers that the host has newly found silent.
     silent: tuple[str, ...] = ()
+    # What the host has read in the store a moment ago.
+    words: tuple[Word, ...] = ()
 
 
 def encode_report(report: LoadReport) -> bytes:
@@ -72,6 +75,7 @@
         [list(part) for part in report.parts],
         [list(loss) for loss in report.losses],
         list(report.silent),
+        [[word.topic, word.mark, word.age_ms] for word in report.words],
     ]
     return cbor2.dumps(fields)
 
@@ -79,7 +83,7 @@
 def decode_report(data: bytes) -> LoadReport | None:
     """Returns the report, or None if the datagram is not one of this format."""
     try:
-        form, host, data_centre, ip, port, loads, parts, losses, silent = cbor2.loads(data)
+        form, host, data_centre, ip, port, loads, parts, losses, silent, words = cbor2.loads(data)
         if form != FORMAT:
             return None
         return LoadReport(
@@ -93,6 +97,7 @@
             tuple((str(part), str(engine), int(ready_in)) for part, engine, ready_in in parts),
             tuple((str(content), str(backend)) for content, backend in losses),
             tuple(str(backend) for backend in silent),
+            tuple(Word(str(topic), str(mark), int(age_ms)) for topic, mark, age_ms in words),
         )
     except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError, RecursionError):
         return None
@@ -175,6 +180,14 @@
         """Returns how many live hosts come before this one in the order of names."""
         return sum(name < self._host for name in self._peers)
 
+    def rank(self) -> tuple[int, int]:
+        """Returns how many hosts come before this one of those that are told, and their number."""
+        hosts = max(self.live_hosts, self.listed_hosts)
+        told = [
+            name for name, peer in self._peers.items() if self._scope.tells(peer.data_centre, hosts)
+        ]
+        return sum(name < self._host for name in told), 1 + len(told)
+
     def add_peer(self, host: str, address: Address, data_centre: str, now_s: float) -> None:
         """Takes another host from the store's list; a report keeps it known."""
         if host != self._host and host not in self._peers:
@@ -211,10 +224,12 @@
             tuple(news.parts[:PARTS_PER_REPORT]),
             tuple(news.losses),
             tuple(news.silent),
+            tuple(read.as_word(now_s) for read in news.reads),
         )
         del news.parts[:PARTS_PER_REPORT]
         news.losses.clear()
         news.silent.clear()
+        news.reads.clear()
         data = encode_report(report)
         for peer in self._told_peers():
             try:
--- a/berylquay/relay/news.py
+++ b/berylquay/relay/news.py
@@ -2,6 +2,8 @@
 
 from attrs import define, field
 
+from berylquay.decisions.shared_reading import OwnRead
+
 
 @define
 class News:
@@ -14,7 +16,9 @@
     losses: list[tuple[str, str]] = field(factory=list)
     # Backend servers that were newly found silent.
     silent: set[str] = field(factory=set)
+    # Reads of the store that brought what is known up to date.
+    reads: list[OwnRead] = field(factory=list)
 
     def is_empty(self) -> bool:
         """Tells whether there is nothing to tell."""
-        return not (self.parts or self.losses or self.silent)
+        return not (self.parts or self.losses or self.silent or self.reads)
--- a/tests/relay/test_follower.py
+++ b/tests/relay/test_follower.py
@@ -49,7 +49,7 @@
     now_s = 0.0
     lane = FakeLane()
     follower = TopicFollower(
-        "t", FollowTimes(1.0, 0.05), lane, Ignore(), Random(1), lambda: now_s  # type: ignore[arg-type]
+        "t", FollowTimes(1.0, 0.05, 2.5), lane, Ignore(), Random(1), lambda: now_s  # type: ignore[arg-type]
     )
     follower.on_tick(now_s)
     lane.give(NewestPage((), False, 4))
--- a/tests/relay/test_load_reports.py
+++ b/tests/relay/test_load_reports.py
@@ -4,6 +4,7 @@
 
 from berylquay.decisions.engine_backlog import REPORT_TTL_S, EngineBacklog, EngineLoad
 from berylquay.decisions.fleet import Address
+from berylquay.decisions.shared_reading import Word
 from berylquay.relay.load_reports import LoadReport, decode_report, encode_report
 
 REPORT = LoadReport(
@@ -14,6 +15,7 @@
     (("part", "e-1", 250),),
     (("content", "e-2"),),
     ("e-3",),
+    (Word("keyed.op", "12", 40),),
 )
 
 
