Read first prompts apart though the retries are used up

Engines' own reports (a trial polled them) showed queues of 20 to 47 with 7 to 20 of 64 slots and a quarter of the memory in use. The first reading of a prompt is no extra send. A prompt that may not be read apart again is placed among the engines that make tokens and checked like a new one.

--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -204,6 +204,8 @@
         if generation is None:
             return
         engines = self._usable_engines(now_s)
+        if not self._may_read_apart(now_s):
+            engines = [engine for engine in engines if engine.role is not Role.PREFILL]
         objective_left_s = call.received_s + call.route.objective_s - now_s
         placement = services.placement.place(
             generation, engines, call.route.objective_s, objective_left_s, now_s
@@ -211,16 +213,24 @@
         if placement is None:
             self._refuse(RefusalReason.NO_BACKEND, "no engine makes tokens", now_s)
             return
-        if first and not self._is_admitted(placement, now_s):
+        # A prompt that is not read apart after all is a heavy load for an engine that makes tokens.
+        is_checked = first or (placement.prefill is None and not self.caller.head_sent)
+        if is_checked and not self._is_admitted(placement, now_s):
             return
         self._held = False
         self._placement = placement
         self._log_placement(placement, "placed", now_s)
-        has_room = services.retries.has_room(call.pool.name, now_s)
-        if placement.prefill is not None and self._prefills < MAX_PREFILLS and has_room:
-            self._send_prefill(placement.prefill, placement, now_s)
-        else:
+        if placement.prefill is None:
             self._send_run(placement.decode, None, now_s)
+        else:
+            self._send_prefill(placement.prefill, placement, now_s)
+
+    def _may_read_apart(self, now_s: float) -> bool:
+        """Tells whether the prompt may be read apart; the first time that is no extra send."""
+        if not self._prefills:
+            return True
+        has_room = self._services.retries.has_room(self.call.pool.name, now_s)
+        return has_room and self._prefills < MAX_PREFILLS
 
     def _is_admitted(self, placement: Placement, now_s: float) -> bool:
         """Tells whether the call goes out now; otherwise it is held, or was refused."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -242,8 +242,8 @@
         return self.directory / f"{name}.ini"
 
     def _start_host(self, name: str) -> None:
-        text = make_host_file(name, self._ports[name], self._proxy_ports[f"{name}-store"])
-        text = text.replace("retry_extra = 58", f"retry_extra = {RETRY_EXTRA}")
+        store_port = self._proxy_ports[f"{name}-store"]
+        text = make_host_file(name, self._ports[name], store_port, RETRY_EXTRA)
         self._settings_path(name).write_text(text, encoding="utf-8")
         self.stopping_s.pop(name, None)
         self.hosts[name] = self.processes.start(
--- a/tests/relay/test_relay_calls.py
+++ b/tests/relay/test_relay_calls.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.support.relay_fleet import PATHS, RelayFleet, wait_until
+from tests.support.relay_fleet import PATHS, RelayFleet, make_configuration, wait_until
 
 PROMPT = {"Model": "m", "Token-Counts": "20000,40", "Prompt-Prefix": "aa:5000,bb:15000"}
 SHORT = {"Model": "m", "Token-Counts": "300,40", "Prompt-Prefix": "cc:100,dd:200"}
@@ -168,3 +168,27 @@
     """Answers reads that wait for seconds at the store, which brings what is new at once."""
     time.sleep(3.5)
     assert [plain.ask("/nowhere/", f"id-{n}").status for n in range(3)] == [404, 404, 404]
+
+
+@pytest.fixture
+def engines_without_retries(fleet: RelayFleet) -> RelayFleet:
+    """Returns engines and a host that may make hardly any extra send."""
+    fleet.configure(make_configuration())
+    fleet.add_backend("reader", "lm", "prefill")
+    fleet.add_backend("maker", "lm", "decode")
+    fleet.add_host(retry_extra=0)
+    return fleet
+
+
+def test_the_first_reading_of_a_prompt_needs_no_retry(engines_without_retries: RelayFleet) -> None:
+    """Once failures had used up the retries, long prompts flooded the engines that make tokens."""
+    fleet = engines_without_retries
+    fleet.backends["maker"].post("/faults", {"lapsed_handles": True})
+    statuses = [fleet.ask(PATHS["stream"], f"id-{n}", b"", PROMPT).status for n in range(4)]
+    fleet.backends["maker"].post("/faults", {})
+    assert 503 in statuses
+    assert fleet.ask(PATHS["stream"], "id-last", b"", PROMPT).status == 200
+    assert fleet.ran("reader")[-1]["id"] == "id-last"
+    headers = fleet.runs("maker")[-1]["headers"]
+    assert isinstance(headers, dict)
+    assert "kv-source" in headers
--- a/tests/support/relay_fleet.py
+++ b/tests/support/relay_fleet.py
@@ -15,6 +15,8 @@
 
 HOST_NAME: Final = "calls.example"
 WAIT_S: Final = 10.0
+# Extra sends that a host may make in a window beside those that its requests allow.
+RETRY_EXTRA: Final = 58
 PATHS: Final = {"stream": "/stream/", "resumable": "/resume/", "once": "/once/", "many": "/many/"}
 
 
@@ -107,11 +109,15 @@
             entry["phase"] = role
         self.put("keyed.servers", name, {**entry, **changes})
 
-    def add_host(self, name: str = "host-0", *, wait: bool = True) -> Process:
+    def add_host(
+        self, name: str = "host-0", *, wait: bool = True, retry_extra: int = RETRY_EXTRA
+    ) -> Process:
         """Starts a relay host."""
         ports = [free_port() for _ in range(4)]
         settings = self.processes.directory / f"{name}.ini"
-        settings.write_text(make_host_file(name, ports, self.store.port), encoding="utf-8")
+        settings.write_text(
+            make_host_file(name, ports, self.store.port, retry_extra), encoding="utf-8"
+        )
         process = self.processes.start(name, "berylquay.relay", ports[0], str(settings))
         self.hosts.append(process)
         self.ready_ports.append(ports[1])
@@ -176,7 +182,9 @@
         return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
 
 
-def make_host_file(name: str, ports: list[int], store_port: int) -> str:
+def make_host_file(
+    name: str, ports: list[int], store_port: int, retry_extra: int = RETRY_EXTRA
+) -> str:
     """Returns the settings of a relay host on loopback."""
     return f"""
 [host]
@@ -206,7 +214,7 @@
 leaving_apply_ms = 2500
 retry_ratio = 0.2
 retry_window_s = 10
-retry_extra = 58
+retry_extra = {retry_extra}
 lease_ms = 3000
 """
 
