Give each seed of the soak its own ports

Cause: two seeds played at the same time drew from one range, and a host that was down for a moment found its port taken (host-1 of seed 21, address in use).

--- a/examples/processes.py
+++ b/examples/processes.py
@@ -21,15 +21,20 @@
 
 _rng: Final = Random()
 _taken: Final[set[int]] = set()
+# Ports from which free ones are drawn: below the range for outgoing connections, so that none of
+# those takes one meanwhile.
+_drawn_from: list[int] = [FIRST_PORT, LAST_PORT]
 
 
-def free_port() -> int:
-    """Returns a port that nothing listens on now and that was not returned before.
+def draw_ports_from(first: int, end: int) -> None:
+    """Keeps this process to a range of ports, as others draw theirs at the same time."""
+    _drawn_from[:] = [first, end]
+
 
-    Ports below the range for outgoing connections, so that none of those takes it meanwhile.
-    """
+def free_port() -> int:
+    """Returns a port that nothing listens on now and that was not returned before."""
     while True:
-        port = _rng.randrange(FIRST_PORT, LAST_PORT)
+        port = _rng.randrange(*_drawn_from)
         if port not in _taken and _is_free(port):
             _taken.add(port)
             return port
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,8 +14,12 @@
 from random import Random
 from typing import Final
 
+from examples.processes import FIRST_PORT, draw_ports_from
 from soak.rounds import FAULTS_S, play_seed
 
+# Ports of the seeds that are played at the same time: a block for each, so that none takes a port
+# that another's stopped process is about to use again.
+PORTS_PER_JOB: Final = 300
 # Seeds without a word on it, from the system's source of randomness.
 FRESH_SEEDS: Final = 1_000_000_000
 
@@ -29,8 +33,11 @@
     parser.add_argument("--jobs", type=int, default=2, help="seeds at a time")
     parser.add_argument("--keep", type=Path, help="directory for the logs of broken seeds")
     parser.add_argument("--one", type=int, help=argparse.SUPPRESS)
+    parser.add_argument("--job", type=int, default=0, help=argparse.SUPPRESS)
     arguments = parser.parse_args()
     if arguments.one is not None:
+        first_port = FIRST_PORT + arguments.job * PORTS_PER_JOB
+        draw_ports_from(first_port, first_port + PORTS_PER_JOB)
         _play_one(arguments.one, arguments.seconds, arguments.keep)
         return
     fresh = Random()
@@ -56,10 +63,11 @@
     broken: list[int] = []
     waiting = list(seeds)
 
-    async def play_some() -> None:
+    async def play_some(job: int) -> None:
         while waiting:
             seed = waiting.pop(0)
-            command = ["-m", "soak", "--one", str(seed), "--seconds", str(seconds)]
+            command = ["-m", "soak", "--one", str(seed), "--job", str(job)]
+            command += ["--seconds", str(seconds)]
             process = await asyncio.create_subprocess_exec(
                 sys.executable, *command, "--keep", str(keep), stdout=subprocess.PIPE
             )
@@ -68,7 +76,7 @@
             if process.returncode:
                 broken.append(seed)
 
-    await asyncio.gather(*(play_some() for _ in range(jobs)))
+    await asyncio.gather(*(play_some(job) for job in range(jobs)))
     return sorted(broken)
 
 
