Keep the list of told hosts, and a prompt's placement in one piece

From reading the change again; behaviour stays as it is. A run that reads its prompt always has its placement, so the guards around it and reading_work were dead. The source of copies is chosen in _source, without a closure in a loop.

--- a/berylquay/decisions/engine_placement.py
+++ b/berylquay/decisions/engine_placement.py
@@ -22,7 +22,7 @@
 from berylquay.decisions.engine_backlog import EngineBacklog
 from berylquay.decisions.engine_speeds import EngineSpeeds
 from berylquay.decisions.fleet import Role
-from berylquay.decisions.part_locations import PartLocations
+from berylquay.decisions.part_locations import KeptParts, PartLocations
 from berylquay.decisions.relay_call import Generation
 from berylquay.decisions.route_table import EnginePool
 
@@ -292,21 +292,21 @@
         """Returns where to copy the prompt's shared parts from, for each data centre."""
         kept = self._locations.keepers(generation.parts[:-1], now_s)
         keepers = [(engine, kept[engine.name]) for engine in engines if engine.name in kept]
-        sources: dict[str, _Source] = {}
-        for place in {engine.data_centre for engine in engines} if keepers else ():
+        if not keepers:
+            return {}
+        places = {engine.data_centre for engine in engines}
+        return {place: self._source(keepers, place) for place in places}
+
+    def _source(self, keepers: list[tuple[BackendEntry, KeptParts]], place: str) -> _Source:
+        """Returns where to copy shared parts from into one data centre."""
+
+        def worth(keeper: tuple[BackendEntry, KeptParts]) -> tuple[int, float, float]:
             # The copy used last is the least likely to be evicted, and changes from use to use.
-            best = max(
-                keepers,
-                key=lambda item: (
-                    item[1].tokens,
-                    -self._move_factor(item[0].data_centre, place),  # noqa: B023
-                    item[1].used_s,
-                ),
-            )
-            sources[place] = self._source(best[0], best[1].tokens, place)
-        return sources
+            engine, kept = keeper
+            return kept.tokens, -self._move_factor(engine.data_centre, place), kept.used_s
 
-    def _source(self, engine: BackendEntry, tokens: int, place: str) -> _Source:
+        engine, best = max(keepers, key=worth)
+        tokens = best.tokens
         move_ms = self._transfer_ms(tokens, engine.data_centre, place)
         price_ms = self._transfer_price_ms(tokens, engine.data_centre, place)
         return _Source(engine, tokens, self._options.copy_ms + move_ms, price_ms)
@@ -399,12 +399,8 @@
         shared = max(0, generation.shared_tokens - cached)
         return _Reading(wait_ms, read_ms, tokens, shared, None)
 
-    def reading_work(self, generation: Generation, engine: BackendEntry, now_s: float) -> int:
-        """Returns the work of reading a prompt, in tokens at the beginning of a prompt."""
-        cached = self._locations.cached_tokens(engine.name, generation.parts, now_s)
-        return self._work(generation, cached)
-
     def _work(self, generation: Generation, cached: int) -> int:
+        """Returns the work of reading a prompt, in tokens at the beginning of a prompt."""
         tokens = max(1, generation.prompt_tokens - cached)
         look_back = (cached + tokens / 2.0) * self._options.look_back_per_token
         return round(tokens * (1.0 + look_back))
--- a/berylquay/relay/exchange.py
+++ b/berylquay/relay/exchange.py
@@ -315,41 +315,26 @@
         if self._tracker is not None and self.caller.head_sent:
             resume_after = self._tracker.newest_id
         details = self._details(backend, now_s, kept, resume_after)
-        if kept is None:
-            details = evolve(details, copy_from=self._copied_from(backend))
+        # Where a prompt that nobody has read yet was placed; plain calls have no placement.
+        placement = self._placement if kept is None else None
+        if placement is not None:
+            details = evolve(details, copy_from=_address_of(placement.copy_from))
         request = self._request
         raw = encode_run(request.method, request.target, request.headers, request.body, details)
         self._kept_prompt = None
         self._handed_over = kept
         if call.generation is not None:
             services.backlog.add_stream(backend.name, call.call_id)
-            if kept is None:
-                tokens = self._tokens_to_read(backend, now_s)
+            if placement is not None:
                 self._reading_at = backend.name
-                services.backlog.add_prompt(backend.name, call.call_id, tokens)
-                if self._placement is not None:
-                    self._announce_parts(backend.name, self._placement, now_s)
+                services.backlog.add_prompt(backend.name, call.call_id, placement.tokens_to_read)
+                self._announce_parts(backend.name, placement, now_s)
             services.on_new_work(now_s)
         else:
             services.under_way[backend.name] += 1
         connection = services.connections.take(backend, not call.route.repeatable, now_s)
         self._run_leg = Leg(self, backend, connection, raw, call_id=call.call_id, now_s=now_s)
 
-    def _copied_from(self, reader: BackendEntry) -> Address | None:
-        """Returns where an engine that reads the whole prompt copies shared parts from."""
-        placement = self._placement
-        if placement is None or placement.prefill is not None or placement.decode is not reader:
-            return None
-        return _address_of(placement.copy_from)
-
-    def _tokens_to_read(self, engine: BackendEntry, now_s: float) -> int:
-        placement, generation = self._placement, self.call.generation
-        if generation is None:
-            return 0
-        if placement is not None and placement.prefill is None and placement.decode is engine:
-            return placement.tokens_to_read
-        return self._services.placement.reading_work(generation, engine, now_s)
-
     def _details(
         self,
         backend: BackendEntry,
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -107,6 +107,7 @@
 class _Peer:
     """Another host."""
 
+    name: str
     address: Address
     data_centre: str
     heard_s: float
@@ -133,6 +134,9 @@
     listed_hosts: int
     # Other hosts by name.
     _peers: dict[str, _Peer]
+    # Those of them that are told, or None once that may have changed, and for how many hosts.
+    _told: list[_Peer] | None
+    _told_for_hosts: int
     # What waits to be told.
     _news: News
     _last_loads: dict[str, EngineLoad]
@@ -162,6 +166,8 @@
         self._scope = scope
         self.listed_hosts = 1
         self._peers = {}
+        self._told = None
+        self._told_for_hosts = 0
         self._news = news
         self._last_loads = {}
         self._sent_s = float("-inf")
@@ -182,16 +188,14 @@
 
     def rank(self) -> tuple[int, int]:
         """Returns how many hosts come before this one of those that are told, and their number."""
-        hosts = max(self.live_hosts, self.listed_hosts)
-        told = [
-            name for name, peer in self._peers.items() if self._scope.tells(peer.data_centre, hosts)
-        ]
-        return sum(name < self._host for name in told), 1 + len(told)
+        told = self._told_peers()
+        return sum(peer.name < self._host for peer in told), 1 + len(told)
 
     def add_peer(self, host: str, address: Address, data_centre: str, now_s: float) -> None:
         """Takes another host from the store's list; a report keeps it known."""
         if host != self._host and host not in self._peers:
-            self._peers[host] = _Peer(address, data_centre, now_s)
+            self._peers[host] = _Peer(host, address, data_centre, now_s)
+            self._told = None
 
     def on_new_work(self, now_s: float) -> None:
         """Tells the others at once of work that was placed, unless that was just done."""
@@ -206,6 +210,7 @@
         for name in [n for n, peer in self._peers.items() if now_s - peer.heard_s > HOST_TTL_S]:
             _log.info("host not heard of", host=name, after_s=HOST_TTL_S)
             del self._peers[name]
+            self._told = None
         loads = self._make_loads()
         unchanged = loads == self._last_loads and self._news.is_empty()
         if unchanged and now_s - self._sent_s < IDLE_INTERVAL_S:
@@ -240,7 +245,12 @@
 
     def _told_peers(self) -> list[_Peer]:
         hosts = max(self.live_hosts, self.listed_hosts)
-        return [p for p in self._peers.values() if self._scope.tells(p.data_centre, hosts)]
+        if self._told is None or hosts != self._told_for_hosts:
+            self._told_for_hosts = hosts
+            self._told = [
+                peer for peer in self._peers.values() if self._scope.tells(peer.data_centre, hosts)
+            ]
+        return self._told
 
     @handler("_read")
     def _on_readable(self, sock: socket.socket) -> None:
@@ -266,5 +276,10 @@
         peer = self._peers.get(report.host)
         if peer is None:
             _log.info("host heard of", host=report.host, address=str(report.address))
-        self._peers[report.host] = _Peer(report.address, report.data_centre, self._clock())
+        now_s = self._clock()
+        if peer is None or peer.data_centre != report.data_centre:
+            self._peers[report.host] = _Peer(report.host, report.address, report.data_centre, now_s)
+            self._told = None
+        else:
+            peer.address, peer.heard_s = report.address, now_s
         self._on_report(report)
