Log how the body of a backend server's answer was framed

'call ended' and 'attempt failed' now have a field 'framing' (length, chunked, connection-end). Nothing else changes; the three cases of the new test failed without the field.

--- a/berylquay/net/persistent_http.py
+++ b/berylquay/net/persistent_http.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Final, Protocol
 
 import h11
@@ -31,6 +32,15 @@
     body: bytes = b""
 
 
+class BodyFraming(Enum):
+    """How the end of a response's body is marked."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    # The body ends with its connection: neither a length nor chunks.
+    CONNECTION_END = "connection-end"
+
+
 @frozen
 class RawResponseHead:
     """Status line and headers of a response; header names are in lower case."""
@@ -43,6 +53,15 @@
         """Returns the first value of the header, or None; `name` must be in lower case."""
         return next((value for header_name, value in self.headers if header_name == name), None)
 
+    @property
+    def framing(self) -> BodyFraming:
+        """Returns how the end of the body is marked."""
+        if self.get(b"transfer-encoding") is not None:
+            return BodyFraming.CHUNKED
+        if self.get(b"content-length") is not None:
+            return BodyFraming.LENGTH
+        return BodyFraming.CONNECTION_END
+
 
 class ResponseHandler(Protocol):
     """Callbacks for the response to a request; none is called after `close`."""
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -530,7 +530,8 @@
         if body:
             self.caller.send_body(bytes(body))
         # The call ends first: ending the response may bring the caller's next request.
-        self._end(now_s, "failed-at-backend" if failed else "answered", upstream.backend.name)
+        outcome = "failed-at-backend" if failed else "answered"
+        self._end(now_s, outcome, upstream.backend.name, framing=upstream.framing)
         self.caller.end_response()
 
     def on_upstream_failed(
@@ -658,6 +659,7 @@
             backend=name,
             end=outcome.value,
             detail=detail,
+            framing=upstream.framing,
             after_ms=_ms(now_s - upstream.started_s),
             failure_rate=round(services.health.failure_rate(name), 3),
             paused_ms=_ms(backoff_s),
@@ -715,8 +717,10 @@
         now_s: float,
         outcome: str,
         backend: str = "",
+        *,
         verdict: Verdict | None = None,
         detail: str = "",
+        framing: str = "",
     ) -> None:
         call = self.call
         self.ended = True
@@ -735,6 +739,7 @@
             verdict="" if verdict is None else verdict.value,
             detail=detail,
             backend=backend,
+            framing=framing,
             sent_to=call.sent_to,
             first_ms=None if first_byte_delay_s is None else _ms(first_byte_delay_s),
             total_ms=_ms(total_s),
--- a/berylquay/relay/upstream_request.py
+++ b/berylquay/relay/upstream_request.py
@@ -72,6 +72,11 @@
             request, self, ATTEMPT_ID if call_id else b"", call_id.encode("latin-1")
         )
 
+    @property
+    def framing(self) -> str:
+        """Returns how the response marks the end of its body, for logs; empty before its head."""
+        return "" if self.head is None else self.head.framing.value
+
     @property
     def may_have_run(self) -> bool:
         """Tells whether the backend server may have begun to run what was sent."""
--- /dev/null
+++ b/tests/relay/test_answer_framing.py
@@ -0,0 +1,37 @@
+"""How answers of backend servers that end too early reach their callers."""
+
+from typing import Final
+
+import pytest
+
+from tests.support.relay_fleet import PATHS, RelayFleet, make_configuration, wait_until
+from tests.support.scripted_backend import Ending
+
+EVENT: Final = b"id: 1\ndata: first\n\n"
+UNFRAMED_STREAM_HEAD: Final = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: <id>\r\n"
+    b"Server-Seal: seal\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("framing_header", "body", "framing"),
+    [
+        (b"Content-Length: 2\r\n", b"{}", "length"),
+        (b"Transfer-Encoding: chunked\r\n", b"2\r\n{}\r\n0\r\n\r\n", "chunked"),
+        (b"", b"{}", "connection-end"),
+    ],
+)
+def test_the_log_names_how_an_answer_was_framed(
+    fleet: RelayFleet, framing_header: bytes, body: bytes, framing: str
+) -> None:
+    fleet.put_configuration(make_configuration())
+    answer = b"HTTP/1.1 200 OK\r\nAttempt-Id: <id>\r\n" + framing_header + b"\r\n" + body
+    fleet.add_scripted_backend("app", "app", answer, Ending.FIN)
+    fleet.add_host()
+    assert fleet.send_request(PATHS["many"], "id-1").body == b"{}"
+    wait_until(lambda: _logged_framings(fleet) == [framing])
+
+
+def _logged_framings(fleet: RelayFleet) -> list[object]:
+    return [line["framing"] for line in fleet.log_lines() if line["message"] == "call ended"]
--- a/tests/support/relay_fleet.py
+++ b/tests/support/relay_fleet.py
@@ -12,6 +12,7 @@
 from attrs import define, field
 
 from examples.processes import Process, Processes, free_port
+from tests.support.scripted_backend import Ending, ScriptedBackend
 
 HOST_NAME: Final = "calls.example"
 WAIT_TIMEOUT_S: Final = 10.0
@@ -70,6 +71,7 @@
     processes: Processes
     store: Process
     backends: dict[str, Process] = field(factory=dict)
+    scripted_backends: list[ScriptedBackend] = field(factory=list)
     hosts: list[Process] = field(factory=list)
     ready_ports: list[int] = field(factory=list)
 
@@ -92,11 +94,22 @@
         self.register(name, pool, role)
         return process
 
+    def add_scripted_backend(
+        self, name: str, pool: str, answer: bytes, ending: Ending, role: str = ""
+    ) -> ScriptedBackend:
+        """Starts a backend server that always sends `answer`, and writes its entry to the store."""
+        backend = ScriptedBackend(answer, ending)
+        backend.start()
+        self.scripted_backends.append(backend)
+        self.register(name, pool, role, address=f"127.0.0.1:{backend.port}")
+        return backend
+
     def register(self, name: str, pool: str, role: str = "", **changes: object) -> None:
         """Writes a backend server's entry to the store."""
+        process = self.backends.get(name)
         entry: dict[str, object] = {
             "service": pool,
-            "address": f"127.0.0.1:{self.backends[name].port}",
+            "address": "" if process is None else f"127.0.0.1:{process.port}",
             "zone": "fes-a",
             "version": "v1",
             "slots": 64,
@@ -230,9 +243,13 @@
 def start_relay_fleet(directory: Path) -> Iterator[RelayFleet]:
     """Starts the store, and stops all processes of the fleet on exit."""
     processes = Processes(directory)
+    scripted_backends: list[ScriptedBackend] = []
     try:
-        yield RelayFleet(processes, processes.start_standin("store", "platform_store"))
+        store = processes.start_standin("store", "platform_store")
+        yield RelayFleet(processes, store, scripted_backends=scripted_backends)
     finally:
+        for backend in scripted_backends:
+            backend.stop()
         processes.stop_all()
 
 
