--- a/tests/relay/test_answer_framing.py
+++ b/tests/relay/test_answer_framing.py
@@ -1,5 +1,6 @@
 """How answers of backend servers that end too early reach their callers."""
 
+import http.client
 from typing import Final
 
 import pytest
@@ -35,3 +36,17 @@
 
 def _logged_framings(fleet: RelayFleet) -> list[object]:
     return [line["framing"] for line in fleet.log_lines() if line["message"] == "call ended"]
+
+
+# Guards against a stream without length and chunks that ends within an event, and that its caller
+# got as complete.
+def test_a_stream_that_ends_within_an_event_with_its_connection_is_broken_off(
+    fleet: RelayFleet,
+) -> None:
+    fleet.put_configuration(make_configuration())
+    answer = UNFRAMED_STREAM_HEAD + EVENT + b"id: 2\ndata: sec"
+    fleet.add_scripted_backend("engine", "lm", answer, Ending.FIN, "decode")
+    fleet.add_host()
+    with pytest.raises(http.client.IncompleteRead) as broken:
+        fleet.send_request(PATHS["stream"], "id-1")
+    assert broken.value.partial.startswith(EVENT)
