Break off answers of event streams that end within an event

Cause: the end of a connection was taken as the end of the answer. An engine that crashes within a stream without length and chunks may end it with FIN; HTTP then counts the body as complete. Only routes whose streams may be resumed followed events, so every other route passed the FIN on as the last chunk.

Why this works: whether a body is complete is now asked of the body itself (relay/response_body.py), by its content type, on every route and for every framing. Only whole events are passed on, so a caller never has half of one either.

--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -6,6 +6,7 @@
 
 import logbook
 from attrs import evolve
+from returns.result import Success
 
 from berylquay.call_verdicts import RefusalReason, Verdict
 from berylquay.decisions.attempt_outcomes import (
@@ -33,9 +34,10 @@
 )
 from berylquay.relay.caller_connection import CallerConnection, CallerRequest
 from berylquay.relay.engine_selection import EngineSelection
-from berylquay.relay.event_stream import EventTracker, OversizedEventError
+from berylquay.relay.event_stream import EventTracker
 from berylquay.relay.prefill_requests import PrefillResponseCollector, release_kv_cache
 from berylquay.relay.refusals import send_refusal
+from berylquay.relay.response_body import OpaqueBody, ResponseBody, select_response_body
 from berylquay.relay.services import RelayServices
 from berylquay.relay.upstream_request import FIRST_SERVER_ERROR, UpstreamRequest
 
@@ -91,8 +93,10 @@
     # to its first event.
     _transferred_kv_handle: KVCacheHandle | None
     _expected_first_event_delay_s: float
-    # Tracks the events that were relayed, or None if the route's streams can't be resumed.
-    _event_tracker: EventTracker | None
+    # Tracks the events of a stream that were relayed, over all attempts.
+    _event_tracker: EventTracker
+    # Body of the response that is being received.
+    _body: ResponseBody
     # Response body that is buffered, or None while the body is relayed as it arrives.
     _buffered_body: bytearray | None
     # Monotonic time of the first byte of the response body, or None before it.
@@ -127,7 +131,8 @@
         self._prefill_attempts = 0
         self._transferred_kv_handle = None
         self._expected_first_event_delay_s = 0.0
-        self._event_tracker = EventTracker(last_event_id) if call.route.resumable else None
+        self._event_tracker = EventTracker(last_event_id)
+        self._body = OpaqueBody()
         self._buffered_body = None
         self._first_byte_s = None
         self._run_prefill_engine = None
@@ -317,9 +322,7 @@
         if call.sent_to:
             services.retry_budget.spend(call.pool.name, now_s)
         call.sent_to.append(backend.name)
-        last_event_id = None
-        if self._event_tracker is not None and self.caller.response_started:
-            last_event_id = self._event_tracker.newest_id
+        last_event_id = self._event_tracker.newest_id if self.caller.response_started else None
         details = self._run_details(backend, now_s, kv_handle, last_event_id)
         # Placement of a prompt that this engine has still to prefill; plain calls have none.
         placement = self._placement if kv_handle is None else None
@@ -461,8 +464,14 @@
 
     def on_upstream_head(self, upstream: UpstreamRequest, head: RawResponseHead) -> None:
         """Decides whether the response is buffered or relayed as it arrives."""
-        is_streamed = self.call.route.streaming and head.status < FIRST_SERVER_ERROR
-        if not is_streamed:
+        route = self.call.route
+        self._body = select_response_body(
+            self._caller_request.method,
+            head,
+            self._event_tracker,
+            is_streaming_route=route.streaming,
+        )
+        if not (route.streaming and head.status < FIRST_SERVER_ERROR):
             self._buffered_body = bytearray()
 
     def on_upstream_data(self, upstream: UpstreamRequest, data: bytes) -> None:
@@ -471,20 +480,12 @@
             return
         if self._first_byte_s is None:
             self._record_first_byte(upstream)
+        data = self._body.feed(data)
         if self._buffered_body is not None:
             self._buffered_body += data
             if len(self._buffered_body) <= MAX_BUFFERED_BODY_BYTES:
                 return
             data, self._buffered_body = bytes(self._buffered_body), None
-        if self._event_tracker is not None:
-            try:
-                data = self._event_tracker.feed(data)
-            except OversizedEventError:
-                upstream.cancel()
-                self._fail_upstream(
-                    upstream, AttemptOutcome.CONNECTION_LOST, "oversized event", time.monotonic()
-                )
-                return
         self._relay_data(upstream, data)
 
     def _relay_data(self, upstream: UpstreamRequest, data: bytes) -> None:
@@ -499,7 +500,7 @@
         head = upstream.head
         if head is not None and not self.caller.response_started:
             headers = forwarded_headers(head)
-            if self._event_tracker is not None and self.call.route.streaming:
+            if self.call.route.resumable:
                 # The length would be wrong for a stream that another run resumes.
                 headers = [item for item in headers if item[0] != b"content-length"]
             self.caller.start_response(head.status, head.reason, headers)
@@ -512,23 +513,21 @@
             return
         failed = head.status >= FIRST_SERVER_ERROR
         self._release_upstream(upstream)
+        body_end = self._body.finish()
+        if not isinstance(body_end, Success):
+            self._fail_run(upstream, AttemptOutcome.CONNECTION_LOST, body_end.failure(), now_s)
+            return
         if failed and self._retry_elsewhere(
             upstream, AttemptOutcome.SERVER_ERROR, f"status {head.status}", now_s
         ):
             return
-        if self._event_tracker is not None and self._event_tracker.has_partial_event:
-            self._fail_run(
-                upstream, AttemptOutcome.CONNECTION_LOST, "the stream ended within an event", now_s
-            )
-            return
         if not failed:
             self._services.health.on_answered(upstream.backend.name, now_s)
             self._services.crash_history.clear(self.call.fingerprint)
         self._services.metrics.on_attempt_ended(self.call.pool.name, "answered")
-        body, self._buffered_body = self._buffered_body, None
+        buffered_body, self._buffered_body = self._buffered_body, None
         self._start_response(upstream)
-        if body:
-            self.caller.send_body(bytes(body))
+        self.caller.send_body(bytes(buffered_body or b"") + body_end.unwrap())
         # The call ends first: ending the response may bring the caller's next request.
         outcome = "failed-at-backend" if failed else "answered"
         self._end(now_s, outcome, upstream.backend.name, framing=upstream.framing)
@@ -610,8 +609,7 @@
         if not may_retry(call, outcome, has_budget, now_s, services.attempts):
             return False
         self._buffered_body = None
-        if self._event_tracker is not None:
-            self._event_tracker.drop_partial_event()
+        self._event_tracker.drop_partial_event()
         if call.generation is not None:
             if not self._engines.can_decode(now_s):
                 return False
@@ -623,8 +621,9 @@
         return True
 
     def _can_resume_stream(self) -> bool:
-        event_tracker = self._event_tracker
-        return event_tracker is not None and event_tracker.newest_id is not None
+        tracker = self._event_tracker
+        knows_position = tracker.newest_id is not None and tracker.holds_whole_events
+        return self.call.route.resumable and knows_position
 
     def _has_untried_server(self) -> bool:
         servers = self._services.registry.ready_in_pool(self.call.pool.name)
@@ -744,7 +743,7 @@
             first_ms=None if first_byte_delay_s is None else _ms(first_byte_delay_s),
             total_ms=_ms(total_s),
             passed_bytes=self._relayed_bytes,
-            newest_event=None if self._event_tracker is None else self._event_tracker.newest_id,
+            newest_event=self._event_tracker.newest_id,
             left_ms=_ms(call.remaining_s(now_s)),
             returning=call.is_caller_retry,
         )
--- /dev/null
+++ b/berylquay/relay/response_body.py
@@ -0,0 +1,62 @@
+"""Bodies of backend servers' responses: what may be relayed, and whether the body is complete.
+
+A body that ends with its connection, or whose sender ended the message early, can look complete to
+HTTP. Its content then tells more: an event stream ends between two events.
+"""
+
+from typing import Final, Protocol
+
+from returns.result import Result, Success
+
+from berylquay.net.persistent_http import RawResponseHead
+from berylquay.relay.event_stream import EventTracker
+
+EVENT_STREAM_TYPE: Final = b"text/event-stream"
+FIRST_REDIRECT: Final = 300
+STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
+
+
+class ResponseBody(Protocol):
+    """The body of one response."""
+
+    def feed(self, data: bytes) -> bytes:
+        """Adds received bytes and returns those that may be relayed."""
+
+    def finish(self) -> Result[bytes, str]:
+        """Returns the bytes still to be relayed, or why the body is incomplete.
+
+        Called once, after HTTP has delivered the whole body.
+        """
+
+
+class OpaqueBody:
+    """A body whose framing alone tells whether it is complete."""
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the bytes as received."""
+        return data
+
+    def finish(self) -> Result[bytes, str]:
+        """Returns nothing: all bytes were returned as they were received."""
+        return Success(b"")
+
+
+def select_response_body(
+    method: bytes, head: RawResponseHead, event_tracker: EventTracker, *, is_streaming_route: bool
+) -> ResponseBody:
+    """Returns the body that fits the head of a response.
+
+    Args:
+        method: Method of the request.
+        head: Head of the response.
+        event_tracker: The call's event tracker, used if the response is an event stream.
+        is_streaming_route: Whether the route's successful responses are event streams.
+    """
+    if method == b"HEAD" or head.status in STATUSES_WITHOUT_BODY:
+        return OpaqueBody()
+    content_type = (head.get(b"content-type") or b"").partition(b";")[0].strip().lower()
+    if not content_type and is_streaming_route and head.status < FIRST_REDIRECT:
+        content_type = EVENT_STREAM_TYPE
+    if content_type == EVENT_STREAM_TYPE:
+        return event_tracker
+    return OpaqueBody()
