Don't pass on an unframed JSON answer that was cut off

Bodies of other types that end with their connection stay complete at a FIN and broken at a reset: nothing in them tells more.

--- a/berylquay/relay/response_body.py
+++ b/berylquay/relay/response_body.py
@@ -1,17 +1,21 @@
 """Bodies of backend servers' responses: what may be relayed, and whether the body is complete.
 
 A body that ends with its connection, or whose sender ended the message early, can look complete to
-HTTP. Its content then tells more: an event stream ends between two events.
+HTTP. Its content then tells more: an event stream ends between two events, and a JSON document with
+its last bracket.
 """
 
 from typing import Final, Protocol
 
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
-from berylquay.net.persistent_http import RawResponseHead
+from berylquay.net.json_end import JsonEndDetector
+from berylquay.net.persistent_http import BodyFraming, RawResponseHead
 from berylquay.relay.event_stream import EventTracker
 
 EVENT_STREAM_TYPE: Final = b"text/event-stream"
+JSON_TYPE: Final = b"application/json"
+JSON_SUFFIX: Final = b"+json"
 FIRST_REDIRECT: Final = 300
 STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 
@@ -41,6 +45,26 @@
         return Success(b"")
 
 
+class UnframedJsonBody:
+    """A JSON document that ends with its connection."""
+
+    _end_detector: JsonEndDetector
+
+    def __init__(self) -> None:
+        self._end_detector = JsonEndDetector()
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the bytes as received."""
+        self._end_detector.feed(data)
+        return data
+
+    def finish(self) -> Result[bytes, str]:
+        """Fails if the document was cut off."""
+        if self._end_detector.is_complete:
+            return Success(b"")
+        return Failure("the JSON document was cut off")
+
+
 def select_response_body(
     method: bytes, head: RawResponseHead, event_tracker: EventTracker, *, is_streaming_route: bool
 ) -> ResponseBody:
@@ -59,4 +83,7 @@
         content_type = EVENT_STREAM_TYPE
     if content_type == EVENT_STREAM_TYPE:
         return event_tracker
+    is_json = content_type == JSON_TYPE or content_type.endswith(JSON_SUFFIX)
+    if is_json and head.framing is BodyFraming.CONNECTION_END:
+        return UnframedJsonBody()
     return OpaqueBody()
--- a/tests/relay/test_answer_framing.py
+++ b/tests/relay/test_answer_framing.py
@@ -50,3 +50,28 @@
     with pytest.raises(http.client.IncompleteRead) as broken:
         fleet.send_request(PATHS["stream"], "id-1")
     assert broken.value.partial.startswith(EVENT)
+
+
+# Guards against a JSON answer without length and chunks that is cut off, and that its caller got as
+# complete.
+@pytest.mark.parametrize(
+    ("body", "is_complete"),
+    [
+        (b'{"a": [1, "}"]}', True),
+        (b'{"a": [1, "}"]', False),
+        (b'{"a": "\\"}', False),
+        (b'"cut', False),
+        (b"", False),
+    ],
+)
+def test_an_unframed_json_answer_that_is_cut_off_is_not_passed_on(
+    fleet: RelayFleet, body: bytes, is_complete: bool
+) -> None:
+    fleet.put_configuration(make_configuration())
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nServer-Seal: seal\r\n\r\n"
+    fleet.add_scripted_backend("app", "app", head + body, Ending.FIN)
+    fleet.add_host()
+    response = fleet.send_request(PATHS["once"], "id-1")
+    assert (response.status, "server-seal" in response.headers) == (
+        (200, True) if is_complete else (502, False)
+    )
