--- a/berylquay/net/http_client.py
+++ b/berylquay/net/http_client.py
@@ -10,6 +10,7 @@
 from berylquay.call_verdicts import Verdict
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
+from berylquay.net.body_framing import BodyFraming, framing_of
 from berylquay.net.tcp_connections import Connection, TcpConnections
 
 STATUS_OK: Final = 200
@@ -33,6 +34,11 @@
     status: int
     headers: dict[str, str] = field(factory=dict)
 
+    @property
+    def framing(self) -> BodyFraming:
+        """Returns how the end of the body is marked."""
+        return framing_of(self.headers)
+
 
 class HttpResponseHandler(Protocol):
     """Callbacks that `HttpExchange` invokes; none is called after `cancel`."""
@@ -136,7 +142,9 @@
         """Ends the exchange; reports a failure unless the response is complete."""
         if self._ended:
             return
-        self.on_data_received(b"", disconnected=True)
+        if self._connection.peer_closed_cleanly:
+            # A body without length and chunks ends with FIN; a reset has broken it off.
+            self.on_data_received(b"", disconnected=True)
         self._fail(detail, disconnected=True)
 
     def _deliver_events(self) -> None:
--- a/berylquay/net/persistent_http.py
+++ b/berylquay/net/persistent_http.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-from enum import Enum
 from typing import Final, Protocol
 
 import h11
@@ -15,6 +14,7 @@
 from berylquay.call_verdicts import Verdict
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
+from berylquay.net.body_framing import BodyFraming, framing_of
 from berylquay.net.tcp_connections import Connection, TcpConnections
 
 Headers = list[tuple[bytes, bytes]]
@@ -32,15 +32,6 @@
     body: bytes = b""
 
 
-class BodyFraming(Enum):
-    """How the end of a response's body is marked."""
-
-    LENGTH = "length"
-    CHUNKED = "chunked"
-    # The body ends with its connection: neither a length nor chunks.
-    CONNECTION_END = "connection-end"
-
-
 @frozen
 class RawResponseHead:
     """Status line and headers of a response; header names are in lower case."""
@@ -56,11 +47,7 @@
     @property
     def framing(self) -> BodyFraming:
         """Returns how the end of the body is marked."""
-        if self.get(b"transfer-encoding") is not None:
-            return BodyFraming.CHUNKED
-        if self.get(b"content-length") is not None:
-            return BodyFraming.LENGTH
-        return BodyFraming.CONNECTION_END
+        return framing_of({name.decode("latin-1") for name, _ in self.headers})
 
 
 class ResponseHandler(Protocol):
--- a/berylquay/relay/response_body.py
+++ b/berylquay/relay/response_body.py
@@ -9,13 +9,12 @@
 
 from returns.result import Failure, Result, Success
 
+from berylquay.net.body_framing import BodyFraming, is_json, media_type
 from berylquay.net.json_end import JsonEndDetector
-from berylquay.net.persistent_http import BodyFraming, RawResponseHead
+from berylquay.net.persistent_http import RawResponseHead
 from berylquay.relay.event_stream import EventTracker
 
-EVENT_STREAM_TYPE: Final = b"text/event-stream"
-JSON_TYPE: Final = b"application/json"
-JSON_SUFFIX: Final = b"+json"
+EVENT_STREAM_TYPE: Final = "text/event-stream"
 FIRST_REDIRECT: Final = 300
 STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 
@@ -78,12 +77,11 @@
     """
     if method == b"HEAD" or head.status in STATUSES_WITHOUT_BODY:
         return OpaqueBody()
-    content_type = (head.get(b"content-type") or b"").partition(b";")[0].strip().lower()
+    content_type = (head.get(b"content-type") or b"").decode("latin-1")
     if not content_type and is_streaming_route and head.status < FIRST_REDIRECT:
         content_type = EVENT_STREAM_TYPE
-    if content_type == EVENT_STREAM_TYPE:
+    if media_type(content_type) == EVENT_STREAM_TYPE:
         return event_tracker
-    is_json = content_type == JSON_TYPE or content_type.endswith(JSON_SUFFIX)
-    if is_json and head.framing is BodyFraming.CONNECTION_END:
+    if is_json(content_type) and head.framing is BodyFraming.CONNECTION_END:
         return UnframedJsonBody()
     return OpaqueBody()
--- a/test-data/scenarios/fates.feature
+++ b/test-data/scenarios/fates.feature
@@ -14,6 +14,8 @@
       | breaks off after the request | 5        | may-have-run | 1     |
       | refuses before it starts     | 5        | not-run      | 1     |
       | fails with 500               | 5        | may-have-run | 1     |
+      | resets an unframed answer    | 5        | may-have-run | 1     |
+      | cuts an unframed answer      | 5        | may-have-run | 1     |
 
   Scenario Outline: An engine that sends nonsense fails its attempt only
     Given a data centre with 1 engines, 1 services and 1 hosts
--- a/tests/support/raw_backend.py
+++ b/tests/support/raw_backend.py
@@ -14,6 +14,7 @@
 STREAM_RESPONSE_HEAD: Final = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 )
+UNFRAMED_JSON_HEAD: Final = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
 LARGE_FRAME_BYTES: Final = 200_000
 RESET_DELAY_S: Final = 0.3
 
@@ -108,6 +109,13 @@
     sock.close()
 
 
+def _send_and_reset(sock: socket.socket, data: bytes) -> None:
+    sock.sendall(data)
+    # The other end reads the data first: a reset may discard what it has not read.
+    time.sleep(RESET_DELAY_S)
+    _reset_connection(sock)
+
+
 def _respond(status: str, headers: str, body: str) -> Callable[[socket.socket, bytes], None]:
     text = f"HTTP/1.1 {status}\r\n{headers}Content-Length: {len(body)}\r\n\r\n{body}"
     return lambda sock, request: _send_and_close(sock, text.encode())
@@ -128,6 +136,12 @@
     "cuts the answer": lambda sock, request: _send_and_close(
         sock, b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{"
     ),
+    "resets an unframed answer": lambda sock, request: _send_and_reset(
+        sock, UNFRAMED_JSON_HEAD + b'{"acknowledged": true}'
+    ),
+    "cuts an unframed answer": lambda sock, request: _send_and_close(
+        sock, UNFRAMED_JSON_HEAD + b'{"acknowledged": tr'
+    ),
     "refuses before it starts": _respond(
         "503 Busy", "X-Not-Started: yes\r\nRetry-After: 3\r\n", "busy"
     ),
