Reset the connection of an HTTP/1.0 caller whose answer breaks off

Such a connection now resets when it is closed before the end of the answer, also if the process is killed. The two incomplete cases of the test failed before (FIN instead of a reset).

--- a/berylquay/net/tcp_connections.py
+++ b/berylquay/net/tcp_connections.py
@@ -6,6 +6,7 @@
 
 import errno
 import socket
+import struct
 from collections import deque
 from typing import Final, Protocol
 
@@ -125,6 +126,12 @@
             connection.reading_paused = False
             self._poller.addReader(self, connection.sock)
 
+    def set_reset_on_close(self, connection: Connection, enabled: bool) -> None:
+        """Chooses whether closing the connection resets it, also when this process is killed."""
+        if not connection.closed:
+            linger = struct.pack("ii", int(enabled), 0)
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def half_close(self, connection: Connection) -> None:
         """Shuts down the sending side once all pending data is sent, and discards received data.
 
--- a/berylquay/relay/caller_connection.py
+++ b/berylquay/relay/caller_connection.py
@@ -17,6 +17,8 @@
 SLOW_CALLER_BUFFER_BYTES: Final = 262144
 # Time to wait for the caller to close the connection after this end has closed its side.
 LINGER_TIMEOUT_S: Final = 1.0
+# First HTTP version whose bodies can be sent in chunks.
+FIRST_CHUNKED_VERSION: Final = b"1.1"
 CONNECTION_CLOSE_HEADER: Final = (b"connection", b"close")
 
 BAD_REQUEST: Final = 400
@@ -105,6 +107,8 @@
     _body_bytes: int = field(default=0, init=False)
     # Whether the head of the present response was sent.
     _response_started: bool = field(default=False, init=False)
+    # Whether closing the connection resets it.
+    _resets_on_close: bool = field(default=False, init=False)
     # Whether `send_body` has reported a slow caller, so that `on_caller_writable` is due.
     _is_caller_slow: bool = field(default=False, init=False)
 
@@ -160,6 +164,9 @@
         if self.close_after_response:
             headers = [*headers, CONNECTION_CLOSE_HEADER]
         self._response_started = True
+        if self._ends_with_connection(headers):
+            # The caller would take a FIN for the end of the body.
+            self._set_reset_on_close(enabled=True)
         self._write(h11.Response(status_code=status, reason=reason, headers=headers))
 
     def send_body(self, data: bytes) -> bool:
@@ -178,6 +185,7 @@
             # The backend server's body was shorter than its content length.
             self.abort()
             return
+        self._set_reset_on_close(enabled=False)
         self._reset_request()
         if self.close_after_response or self._protocol.our_state is not h11.DONE:
             self.close_gracefully()
@@ -312,6 +320,17 @@
         if data:
             self._connections.send(self.connection, data)
 
+    def _ends_with_connection(self, headers: Headers) -> bool:
+        """Tells whether the caller can tell the end of the body by that of the connection only."""
+        version = self._protocol.their_http_version
+        accepts_chunks = version is None or version >= FIRST_CHUNKED_VERSION
+        return not accepts_chunks and not any(name == b"content-length" for name, _ in headers)
+
+    def _set_reset_on_close(self, *, enabled: bool) -> None:
+        if enabled is not self._resets_on_close:
+            self._resets_on_close = enabled
+            self._connections.set_reset_on_close(self.connection, enabled)
+
     def _reset_request(self) -> None:
         self._handler.release_body(self._body_bytes)
         self._request_head = None
--- a/tests/relay/test_answer_framing.py
+++ b/tests/relay/test_answer_framing.py
@@ -1,11 +1,12 @@
 """How answers of backend servers that end too early reach their callers."""
 
 import http.client
+import socket
 from typing import Final
 
 import pytest
 
-from tests.support.relay_fleet import PATHS, RelayFleet, make_configuration, wait_until
+from tests.support.relay_fleet import HOST_NAME, PATHS, RelayFleet, make_configuration, wait_until
 from tests.support.scripted_backend import Ending
 
 EVENT: Final = b"id: 1\ndata: first\n\n"
@@ -75,3 +76,36 @@
     assert (response.status, "server-seal" in response.headers) == (
         (200, True) if is_complete else (502, False)
     )
+
+
+def _receive_until_end(caller: socket.socket) -> tuple[bytes, bool]:
+    """Returns what a caller received, and whether its connection ended with a reset."""
+    received = b""
+    while True:
+        try:
+            data = caller.recv(65536)
+        except ConnectionResetError:
+            return received, True
+        if not data:
+            return received, False
+        received += data
+
+
+# Guards against a broken-off answer that an HTTP/1.0 caller takes as complete: nothing but the end
+# of its connection tells it.
+@pytest.mark.parametrize("ending", [Ending.FIN, Ending.RESET])
+@pytest.mark.parametrize("is_complete", [True, False])
+def test_an_http_1_0_caller_sees_a_broken_off_answer_as_a_reset(
+    fleet: RelayFleet, ending: Ending, is_complete: bool
+) -> None:
+    fleet.put_configuration(make_configuration())
+    head = UNFRAMED_STREAM_HEAD.replace(b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n")
+    answer = head + b"%x\r\n%b\r\n" % (len(EVENT), EVENT) + (b"0\r\n\r\n" if is_complete else b"")
+    fleet.add_scripted_backend("engine", "lm", answer, ending, "decode")
+    fleet.add_host()
+    with fleet.connect() as caller:
+        request = f"POST {PATHS['stream']} HTTP/1.0\r\nHost: {HOST_NAME}\r\nAttempt-Id: id-1\r\n"
+        caller.sendall(request.encode() + b"Content-Length: 0\r\n\r\n")
+        received, was_reset = _receive_until_end(caller)
+    assert received.endswith(EVENT)
+    assert was_reset is not is_complete
