Split the relay of a response to the caller out of the long request module

relay/response_relay.py buffers or relays the response of the present attempt; relayed_request.py decides. No change in behaviour; tests/relay passes.

--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -30,20 +30,15 @@
     decode_kv_cache_handle,
     encode_prefill_request,
     encode_run_request,
-    forwarded_headers,
 )
 from berylquay.relay.caller_connection import CallerConnection, CallerRequest
 from berylquay.relay.engine_selection import EngineSelection
-from berylquay.relay.event_stream import EventTracker
 from berylquay.relay.prefill_requests import PrefillResponseCollector, release_kv_cache
 from berylquay.relay.refusals import send_refusal
-from berylquay.relay.response_body import OpaqueBody, ResponseBody, select_response_body
+from berylquay.relay.response_relay import FIRST_SERVER_ERROR, ResponseRelay
 from berylquay.relay.services import RelayServices
-from berylquay.relay.upstream_request import FIRST_SERVER_ERROR, UpstreamRequest
+from berylquay.relay.upstream_request import UpstreamRequest
 
-# Largest response body that is buffered before it is relayed, so that the request can still be
-# sent to another backend server if the response breaks off.
-MAX_BUFFERED_BODY_BYTES: Final = 131072
 CONNECT_TIMED_OUT: Final = "the connection was not established in time"
 # Time after the deadline for which the backend server's own response to it is awaited.
 DEADLINE_SLACK_S: Final = 0.1
@@ -93,18 +88,12 @@
     # to its first event.
     _transferred_kv_handle: KVCacheHandle | None
     _expected_first_event_delay_s: float
-    # Tracks the events of a stream that were relayed, over all attempts.
-    _event_tracker: EventTracker
-    # Body of the response that is being received.
-    _body: ResponseBody
-    # Response body that is buffered, or None while the body is relayed as it arrives.
-    _buffered_body: bytearray | None
+    # Passes the response on to the caller.
+    _response: ResponseRelay
     # Monotonic time of the first byte of the response body, or None before it.
     _first_byte_s: float | None
     # Engine that prefills the prompt as part of the run and whose backlog includes it, or None.
     _run_prefill_engine: str | None
-    # Bytes of the response body that were relayed as they arrived.
-    _relayed_bytes: int
 
     def __init__(
         self,
@@ -131,12 +120,15 @@
         self._prefill_attempts = 0
         self._transferred_kv_handle = None
         self._expected_first_event_delay_s = 0.0
-        self._event_tracker = EventTracker(last_event_id)
-        self._body = OpaqueBody()
-        self._buffered_body = None
+        self._response = ResponseRelay(
+            caller,
+            request.method,
+            is_streaming_route=call.route.streaming,
+            is_resumable=call.route.resumable,
+            last_event_id=last_event_id,
+        )
         self._first_byte_s = None
         self._run_prefill_engine = None
-        self._relayed_bytes = 0
 
     def start(self, now_s: float) -> None:
         """Places and sends the call, queues it, or refuses it."""
@@ -322,7 +314,7 @@
         if call.sent_to:
             services.retry_budget.spend(call.pool.name, now_s)
         call.sent_to.append(backend.name)
-        last_event_id = self._event_tracker.newest_id if self.caller.response_started else None
+        last_event_id = self._response.newest_event_id if self.caller.response_started else None
         details = self._run_details(backend, now_s, kv_handle, last_event_id)
         # Placement of a prompt that this engine has still to prefill; plain calls have none.
         placement = self._placement if kv_handle is None else None
@@ -463,16 +455,8 @@
     # Response.
 
     def on_upstream_head(self, upstream: UpstreamRequest, head: RawResponseHead) -> None:
-        """Decides whether the response is buffered or relayed as it arrives."""
-        route = self.call.route
-        self._body = select_response_body(
-            self._caller_request.method,
-            head,
-            self._event_tracker,
-            is_streaming_route=route.streaming,
-        )
-        if not (route.streaming and head.status < FIRST_SERVER_ERROR):
-            self._buffered_body = bytearray()
+        """Prepares to relay the response."""
+        self._response.begin(head)
 
     def on_upstream_data(self, upstream: UpstreamRequest, data: bytes) -> None:
         """Relays or buffers a piece of the response body."""
@@ -480,31 +464,9 @@
             return
         if self._first_byte_s is None:
             self._record_first_byte(upstream)
-        data = self._body.feed(data)
-        if self._buffered_body is not None:
-            self._buffered_body += data
-            if len(self._buffered_body) <= MAX_BUFFERED_BODY_BYTES:
-                return
-            data, self._buffered_body = bytes(self._buffered_body), None
-        self._relay_data(upstream, data)
-
-    def _relay_data(self, upstream: UpstreamRequest, data: bytes) -> None:
-        if not data:
-            return
-        self._start_response(upstream)
-        self._relayed_bytes += len(data)
-        if not self.caller.send_body(data):
+        if not self._response.feed(data):
             upstream.set_reading_paused(paused=True)
 
-    def _start_response(self, upstream: UpstreamRequest) -> None:
-        head = upstream.head
-        if head is not None and not self.caller.response_started:
-            headers = forwarded_headers(head)
-            if self.call.route.resumable:
-                # The length would be wrong for a stream that another run resumes.
-                headers = [item for item in headers if item[0] != b"content-length"]
-            self.caller.start_response(head.status, head.reason, headers)
-
     def on_upstream_complete(self, upstream: UpstreamRequest) -> None:
         """Ends the response, or tries another backend server after a failure."""
         now_s = time.monotonic()
@@ -513,7 +475,7 @@
             return
         failed = head.status >= FIRST_SERVER_ERROR
         self._release_upstream(upstream)
-        body_end = self._body.finish()
+        body_end = self._response.finish_body()
         if not isinstance(body_end, Success):
             self._fail_run(upstream, AttemptOutcome.CONNECTION_LOST, body_end.failure(), now_s)
             return
@@ -525,9 +487,7 @@
             self._services.health.on_answered(upstream.backend.name, now_s)
             self._services.crash_history.clear(self.call.fingerprint)
         self._services.metrics.on_attempt_ended(self.call.pool.name, "answered")
-        buffered_body, self._buffered_body = self._buffered_body, None
-        self._start_response(upstream)
-        self.caller.send_body(bytes(buffered_body or b"") + body_end.unwrap())
+        self._response.send_rest(body_end.unwrap())
         # The call ends first: ending the response may bring the caller's next request.
         outcome = "failed-at-backend" if failed else "answered"
         self._end(now_s, outcome, upstream.backend.name, framing=upstream.framing)
@@ -604,12 +564,11 @@
             call.sent_to.pop()
         record_attempt_outcome(call, outcome)
         has_budget = services.retry_budget.has_budget(call.pool.name, now_s)
-        if self.caller.response_started and not self._can_resume_stream():
+        if self.caller.response_started and not self._response.can_resume:
             return False
         if not may_retry(call, outcome, has_budget, now_s, services.attempts):
             return False
-        self._buffered_body = None
-        self._event_tracker.drop_partial_event()
+        self._response.discard_attempt()
         if call.generation is not None:
             if not self._engines.can_decode(now_s):
                 return False
@@ -620,11 +579,6 @@
             self._send_to_server(now_s)
         return True
 
-    def _can_resume_stream(self) -> bool:
-        tracker = self._event_tracker
-        knows_position = tracker.newest_id is not None and tracker.holds_whole_events
-        return self.call.route.resumable and knows_position
-
     def _has_untried_server(self) -> bool:
         servers = self._services.registry.ready_in_pool(self.call.pool.name)
         return any(server.name not in self.call.sent_to for server in servers)
@@ -742,8 +696,8 @@
             sent_to=call.sent_to,
             first_ms=None if first_byte_delay_s is None else _ms(first_byte_delay_s),
             total_ms=_ms(total_s),
-            passed_bytes=self._relayed_bytes,
-            newest_event=self._event_tracker.newest_id,
+            passed_bytes=self._response.relayed_bytes,
+            newest_event=self._response.newest_event_id,
             left_ms=_ms(call.remaining_s(now_s)),
             returning=call.is_caller_retry,
         )
--- /dev/null
+++ b/berylquay/relay/response_relay.py
@@ -0,0 +1,115 @@
+"""Passes the response of a call's present attempt on to the caller, buffered or as it arrives."""
+
+from typing import Final
+
+from returns.result import Result
+
+from berylquay.net.persistent_http import RawResponseHead
+from berylquay.platform.request_codec import forwarded_headers
+from berylquay.relay.caller_connection import CallerConnection
+from berylquay.relay.event_stream import EventTracker
+from berylquay.relay.response_body import OpaqueBody, ResponseBody, select_response_body
+
+FIRST_SERVER_ERROR: Final = 500
+# Largest response body that is buffered before it is relayed, so that the request can still be
+# sent to another backend server if the response breaks off.
+MAX_BUFFERED_BODY_BYTES: Final = 131072
+
+
+class ResponseRelay:
+    """Relays one response to the caller, which several attempts may contribute to."""
+
+    # Bytes of the body that were relayed as they arrived.
+    relayed_bytes: int
+    _caller: CallerConnection
+    # Method of the caller's request.
+    _method: bytes
+    # Whether the route's successful responses are event streams.
+    _is_streaming_route: bool
+    # Whether another attempt may continue an event stream.
+    _is_resumable: bool
+    # Tracks the events that were relayed, over all attempts.
+    _event_tracker: EventTracker
+    # Head of the present attempt's response, or None before it arrives.
+    _head: RawResponseHead | None
+    _body: ResponseBody
+    # Body that is buffered, or None while the body is relayed as it arrives.
+    _buffered_body: bytearray | None
+
+    def __init__(
+        self,
+        caller: CallerConnection,
+        method: bytes,
+        *,
+        is_streaming_route: bool,
+        is_resumable: bool,
+        last_event_id: int | None,
+    ) -> None:
+        self.relayed_bytes = 0
+        self._caller = caller
+        self._method = method
+        self._is_streaming_route = is_streaming_route
+        self._is_resumable = is_resumable
+        self._event_tracker = EventTracker(last_event_id)
+        self._head = None
+        self._body = OpaqueBody()
+        self._buffered_body = None
+
+    @property
+    def newest_event_id(self) -> int | None:
+        """Returns the id of the newest event that the caller has, or None."""
+        return self._event_tracker.newest_id
+
+    @property
+    def can_resume(self) -> bool:
+        """Returns whether another attempt may continue the event stream that has begun."""
+        tracker = self._event_tracker
+        return self._is_resumable and tracker.newest_id is not None and tracker.holds_whole_events
+
+    def begin(self, head: RawResponseHead) -> None:
+        """Decides whether the response is buffered or relayed as it arrives."""
+        self._head = head
+        self._body = select_response_body(
+            self._method, head, self._event_tracker, is_streaming_route=self._is_streaming_route
+        )
+        if not (self._is_streaming_route and head.status < FIRST_SERVER_ERROR):
+            self._buffered_body = bytearray()
+
+    def feed(self, data: bytes) -> bool:
+        """Relays or buffers a piece of the body; returns False if the caller reads too slowly."""
+        data = self._body.feed(data)
+        if self._buffered_body is not None:
+            self._buffered_body += data
+            if len(self._buffered_body) <= MAX_BUFFERED_BODY_BYTES:
+                return True
+            data, self._buffered_body = bytes(self._buffered_body), None
+        if not data:
+            return True
+        self._start_response()
+        self.relayed_bytes += len(data)
+        return self._caller.send_body(data)
+
+    def finish_body(self) -> Result[bytes, str]:
+        """Returns the rest of the body, or why it is incomplete, once HTTP has delivered it all."""
+        return self._body.finish()
+
+    def send_rest(self, rest: bytes) -> None:
+        """Sends all that the caller does not have of a complete response, but its end."""
+        buffered_body, self._buffered_body = self._buffered_body, None
+        self._start_response()
+        self._caller.send_body(bytes(buffered_body or b"") + rest)
+
+    def discard_attempt(self) -> None:
+        """Forgets what was not relayed of an attempt that has failed."""
+        self._buffered_body = None
+        self._event_tracker.drop_partial_event()
+
+    def _start_response(self) -> None:
+        head = self._head
+        if head is None or self._caller.response_started:
+            return
+        headers = forwarded_headers(head)
+        if self._is_resumable:
+            # The length would be wrong for a stream that another attempt continues.
+            headers = [item for item in headers if item[0] != b"content-length"]
+        self._caller.start_response(head.status, head.reason, headers)
--- a/berylquay/relay/upstream_request.py
+++ b/berylquay/relay/upstream_request.py
@@ -12,7 +12,6 @@
 
 # Maximum time to establish a connection; sufficient unless two packets are lost in a row.
 CONNECT_TIMEOUT_S: Final = 0.45
-FIRST_SERVER_ERROR: Final = 500
 
 
 class UpstreamRequestHandler(Protocol):
