--- a/tests/support/relay_fleet.py
+++ b/tests/support/relay_fleet.py
@@ -12,7 +12,7 @@
 from attrs import define, field
 
 from examples.processes import Process, Processes, free_port
-from tests.support.scripted_backend import Ending, ScriptedBackend
+from tests.support.scripted_backend import Ending, Script, ScriptedBackend
 
 HOST_NAME: Final = "calls.example"
 WAIT_TIMEOUT_S: Final = 10.0
@@ -98,7 +98,7 @@
         self, name: str, pool: str, answer: bytes, ending: Ending, role: str = ""
     ) -> ScriptedBackend:
         """Starts a backend server that always sends `answer`, and writes its entry to the store."""
-        backend = ScriptedBackend(answer, ending)
+        backend = ScriptedBackend(Script(answer, ending))
         backend.start()
         self.scripted_backends.append(backend)
         self.register(name, pool, role, address=f"127.0.0.1:{backend.port}")
--- a/tests/support/scripted_backend.py
+++ b/tests/support/scripted_backend.py
@@ -1,14 +1,16 @@
-"""A backend server on plain sockets that answers every request with the same bytes."""
+"""A backend server on plain sockets that answers with the bytes that a test has chosen."""
 
 import socket
 import struct
+import time
 from enum import Enum
 from threading import Event, Thread
 from typing import Final
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 RECEIVE_BYTES: Final = 65536
+RESET_DELAY_S: Final = 0.1
 # Stands for the attempt's id in the bytes of an answer.
 ATTEMPT_ID_PLACEHOLDER: Final = b"<id>"
 
@@ -22,12 +24,23 @@
     SILENCE = "silence"
 
 
-@define
-class ScriptedBackend:
-    """Listens on the loopback interface and sends the script's bytes on each connection."""
+@frozen
+class Script:
+    """What a scripted backend server does with one request."""
 
+    # Bytes that it sends; `ATTEMPT_ID_PLACEHOLDER` is replaced.
     answer: bytes
     ending: Ending
+
+
+@define
+class ScriptedBackend:
+    """Listens on the loopback interface; serves one request on each connection."""
+
+    # Script of the requests whose body is in no other script.
+    default_script: Script
+    # Scripts by the body of the request.
+    scripts: dict[bytes, Script] = field(factory=dict)
     # Heads and bodies of the requests that were received.
     requests: list[bytes] = field(factory=list)
     _listener: socket.socket = field(factory=socket.socket)
@@ -64,10 +77,13 @@
                 return
             self.requests.append(request)
             attempt_id = _find_header(request, b"attempt-id")
-            sock.sendall(self.answer.replace(ATTEMPT_ID_PLACEHOLDER, attempt_id))
-            if self.ending is Ending.RESET:
+            script = self.scripts.get(request.partition(b"\r\n\r\n")[2], self.default_script)
+            sock.sendall(script.answer.replace(ATTEMPT_ID_PLACEHOLDER, attempt_id))
+            if script.ending is Ending.RESET:
+                # The other end reads the data first: a reset may discard what it has not read.
+                time.sleep(RESET_DELAY_S)
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            elif self.ending is Ending.SILENCE:
+            elif script.ending is Ending.SILENCE:
                 self._stopped.wait()
 
 
