--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -131,8 +131,9 @@
         elif kind is FaultKind.BACKEND_PAUSE:
             self.backends[name].pause()
         elif kind is FaultKind.BACKEND_ANSWERS:
-            value = {"break_after": 3, "delay_s": 0.5}.get(fault.variant, True)
-            self.backends[name].post("/faults", {fault.variant: value})
+            values = {"break_after": 3, "delay_s": 0.5}
+            faults = {part: values.get(part, True) for part in fault.variant.split("+")}
+            self.backends[name].post("/faults", faults)
         elif kind is FaultKind.BACKEND_LEAVES:
             self._register(name, state="draining")
             self.drains.append((name, time.monotonic(), float("inf")))
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -35,6 +35,8 @@
         "lapsed_handles",
         "other_server",
         "break_after",
+        "break_after+unframed",
+        "unframed",
         "delay_s",
     ),
     FaultKind.LINK_CUT: ("towards", "back", "both"),
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -74,6 +74,21 @@
         self._send(h11.Response(status_code=200, headers=all_headers))
         await self.writer.drain()
 
+    async def start_unframed_stream(self, headers: tuple[tuple[str, str], ...] = ()) -> None:
+        """Sends the response head of a stream that ends with its connection."""
+        all_headers = [("Content-Type", "text/event-stream"), ("Connection", "close"), *headers]
+        lines = "".join(f"{name}: {value}\r\n" for name, value in all_headers)
+        await self.send_raw_bytes(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
+
+    async def send_raw_bytes(self, data: bytes) -> None:
+        """Sends bytes past the HTTP protocol."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    def close_connection(self) -> None:
+        """Closes the connection with FIN, whatever of the response is missing."""
+        self.writer.close()
+
     async def send_event(self, value: object) -> None:
         """Sends one server-sent event."""
         self._send(h11.Data(data=b"data: " + json.dumps(value).encode() + b"\n\n"))
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -128,20 +128,33 @@
         request = exchange.request
         first_event_id = int(request.headers.get("last-event-id", "0")) + 1
         break_after = int(str(self.faults.get("break_after", self.event_count + 1)))
-        await exchange.start_stream(headers)
+        # Without length and chunks, a stream that breaks off ends as cleanly as a complete one.
+        is_unframed = bool(self.faults.get("unframed"))
+        if is_unframed:
+            await exchange.start_unframed_stream(headers)
+            send = exchange.send_raw_bytes
+        else:
+            await exchange.start_stream(headers)
+            send = exchange.send_stream_bytes
         for event_id in range(first_event_id, self.event_count + 1):
             if exchange.is_closed():
                 self.cancelled_attempt_ids.append(request.headers.get("attempt-id", ""))
                 self._write_event("cancelled", id=request.headers.get("attempt-id", ""))
                 return
             if event_id > break_after:
-                await exchange.send_stream_bytes(f"id: {event_id}\nda".encode())
-                exchange.abort_connection()
+                await send(f"id: {event_id}\nda".encode())
+                if is_unframed:
+                    exchange.close_connection()
+                else:
+                    exchange.abort_connection()
                 return
             data = request.headers.get("attempt-id", "").ljust(EVENT_DATA_BYTES, "x")
-            await exchange.send_stream_bytes(f"id: {event_id}\ndata: {data}\n\n".encode())
+            await send(f"id: {event_id}\ndata: {data}\n\n".encode())
             await asyncio.sleep(self.event_interval_s)
-        await exchange.end_response()
+        if is_unframed:
+            exchange.close_connection()
+        else:
+            await exchange.end_response()
 
     def _delay_s(self) -> float:
         return float(str(self.faults.get("delay_s", 0.0)))
