Follow a store that comes back from an older copy

The header Store-Era was not read: after a restore a host kept offsets, a claim and deltas of the lost time, and missed what was written later at offsets that were given out again.

The era is read in one place, on every answer of the store (decisions/store_era.py), and all that hold something of the former era drop it: both followers read from the newest records again, calls in flight are abandoned, an answer of an older era is dropped, the host's entry is written again within 1.5 s. Reports and deltas between hosts carry the era; those of another era are not applied.

Fencing numbers order claims by era, then by offset. A claimant waits, from the moment at which it learns of the era, as long as after another holder's claim: one that the copy lacks may still be valid. So does a process that sees its first era. The host count does not fall while entries are written again.

The stand-in of the store gets /restore and answers 410 beyond a topic's end.

Stores without the header are followed as before.

--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -147,11 +147,18 @@
             self._store_unreachable = False
             self._store_recovered_s = now_s
 
+    def on_store_restored(self, now_s: float) -> None:
+        """Records that the store came back older, so that servers write their entries again."""
+        self._store_recovered_s = now_s
+
     def on_entry(self, entry: BackendEntry) -> RegistryChange | None:
         """Applies an entry and returns the change; None if it is outdated or changes nothing."""
         latest = self._latest_recency.get(entry.name)
         if latest is not None and entry.recency_key < latest:
             return None
+        if entry.recency_key == latest and entry.heartbeat_number and self._is_gone(entry.name):
+            # An older copy of the store shows a server that has left.
+            return None
         self._track_recency(entry)
         self._expired_in_outage.discard(entry.name)
         before = self._entries.get(entry.name)
@@ -191,6 +198,9 @@
             return []
         return [self._drop(name) for name in sorted(self._expired_in_outage)]
 
+    def _is_gone(self, name: str) -> bool:
+        return name not in self._entries
+
     def _track_recency(self, entry: BackendEntry) -> None:
         # The least recently updated names are dropped first.
         self._latest_recency.pop(entry.name, None)
--- a/berylquay/decisions/order_claims.py
+++ b/berylquay/decisions/order_claims.py
@@ -5,12 +5,20 @@
 is sent. A claimant that finds a record of another holder waits until that term, plus the time in
 which two holders must not order the same engines, has passed since it first read the record. It
 uses only its own monotonic clock. Nothing is renewed, so an idle authority costs no calls.
+
+When the store comes back from an older copy, a claim of the former era may be lost from the topic
+and still be valid for its holder. A claimant therefore waits as after another holder's claim, from
+the moment at which it learns of the era. The fencing number orders claims by era, then by offset.
 """
 
 from enum import Enum
+from typing import Final
 
 from attrs import define, field, frozen
 
+# Bits of a fencing number that hold the claim's place in the topic; the era is above them.
+OFFSET_BITS: Final = 32
+
 
 @frozen
 class ClaimTimes:
@@ -59,6 +67,10 @@
     # Fencing number of this process's newest claim, and monotonic time until which it is valid.
     _fencing_number: int = field(default=0, init=False)
     _valid_until_s: float = field(default=float("-inf"), init=False)
+    # Era of the store in which the topic is read, or 0 if the store states none.
+    _era: int = field(default=0, init=False)
+    # Monotonic time before which a claim of a former era may still be valid.
+    _former_era_until_s: float = field(default=float("-inf"), init=False)
     # Monotonic time from before the pending append was sent, or None if none is pending.
     _append_sent_s: float | None = field(default=None, init=False)
 
@@ -70,6 +82,8 @@
             return ClaimStep.WAIT
         if not self._read_to_end:
             return ClaimStep.READ
+        if now_s < self._former_era_until_s:
+            return ClaimStep.WAIT
         is_other_holder = self._last_holder not in ("", self._holder)
         if is_other_holder and now_s < self._other_claim_read_s + self._times.takeover_delay_s:
             return ClaimStep.WAIT
@@ -101,6 +115,19 @@
         self._other_claim_read_s = now_s
         self._read_to_end = False
 
+    def on_store_era(self, era: int, now_s: float) -> None:
+        """Forgets the topic and this process's claim, which are of a former era of the store.
+
+        Also called with the first era that this process sees: it may have begun just before.
+        """
+        self._era = era
+        self.next_offset = 0
+        self._read_to_end = False
+        self._last_holder = ""
+        self._append_sent_s = None
+        self._valid_until_s = float("-inf")
+        self._former_era_until_s = now_s + self._times.takeover_delay_s
+
     def on_append_sent(self, now_s: float) -> None:
         """Records that the append of a claim is being sent."""
         self._append_sent_s = now_s
@@ -110,7 +137,7 @@
         sent_s, self._append_sent_s = self._append_sent_s, None
         if sent_s is None:
             return
-        self._fencing_number = offset + 1
+        self._fencing_number = (self._era << OFFSET_BITS) + offset + 1
         self._valid_until_s = sent_s + self._times.validity_s
         self._last_holder = self._holder
         self.next_offset = offset + 1
--- a/berylquay/decisions/shared_polling.py
+++ b/berylquay/decisions/shared_polling.py
@@ -106,6 +106,10 @@
         else:
             self._is_behind = True
 
+    def on_newer_era(self) -> None:
+        """Records that another host has seen a newer era of the store than this one."""
+        self._is_behind = True
+
     def next_report(self, topic: str, own_state_hash: str, now_s: float) -> OwnRead | None:
         """Returns the own read to report to the others, or None if no report is due."""
         if self._read_s <= self._reported_read_s or now_s < self._reported_s + REPORT_INTERVAL_S:
--- a/berylquay/platform/store_client.py
+++ b/berylquay/platform/store_client.py
@@ -17,10 +17,12 @@
 
 from berylquay.call_verdicts import Verdict
 from berylquay.decisions.fleet import Address
+from berylquay.decisions.store_era import EraCheck, StoreEra
 from berylquay.errors import TransportError
 from berylquay.net.http_client import STATUS_OK
 from berylquay.net.persistent_http import Headers, PersistentConnection, RawRequest, RawResponseHead
 from berylquay.net.tcp_connections import TcpConnections
+from berylquay.platform.wire_names import STORE_ERA
 
 # Timeout of a call that is not a long poll; several times the store's usual response time, and long
 # enough for a store that answers fifty times as slowly.
@@ -30,6 +32,8 @@
 MAX_READ_KB: Final = 1024
 # Maximum length of the response body of a failed call that is used as the failure's detail.
 MAX_DETAIL_BYTES: Final = 200
+# Digits of the largest era that is read.
+MAX_ERA_DIGITS: Final = 18
 STATUS_NOT_FOUND: Final = 404
 STATUS_GONE: Final = 410
 _PAGE_HEADER: Final = struct.Struct(">QQ")
@@ -91,6 +95,8 @@
     may_have_happened: bool
     # Offset of the oldest record that is retained, if older ones were requested; else 0.
     first_offset: int = 0
+    # Whether the answer is of an older era of the store and was dropped.
+    is_outdated: bool = False
 
     @property
     def records_gone(self) -> bool:
@@ -115,6 +121,8 @@
     on_result: Callable[[object], None]
     deadline_s: float
     status: int = 0
+    # Whether the answer is of an older era of the store.
+    is_outdated: bool = False
     body: bytearray = field(factory=bytearray)
 
 
@@ -125,10 +133,16 @@
     _address: Address
     _connection: PersistentConnection | None
     _call: _PendingCall | None
+    # Monotonic time of the last tick.
+    _last_tick_s: float
+    # Era of the store, which all clients of a process share.
+    _store_era: StoreEra
 
-    def __init__(self, connections: TcpConnections, address: Address) -> None:
+    def __init__(self, connections: TcpConnections, address: Address, store_era: StoreEra) -> None:
         self._connections = connections
         self._address = address
+        self._store_era = store_era
+        self._last_tick_s = time.monotonic()
         self._connection = None
         self._call = None
 
@@ -188,14 +202,24 @@
         self._send(b"POST", target, body, decode=_decode_append_result, on_result=on_result)
 
     def on_tick(self, now_s: float) -> None:
-        """Fails a call that has exceeded its deadline."""
+        """Fails a call that has exceeded its deadline; also called before each call."""
+        self._last_tick_s = now_s
         if self._call is not None and now_s >= self._call.deadline_s:
             self._fail_call("no answer in time", self._may_have_happened())
 
+    def abandon_call(self) -> None:
+        """Drops the call in flight, if any, without passing on its result."""
+        self._call = None
+        if self._connection is not None:
+            self._connection.close()
+
     def on_response_head(self, head: RawResponseHead) -> None:
-        """Stores the status."""
+        """Stores the status, and the era that any answer states."""
+        era_check = self._store_era.on_answer(_decode_era(head))
+        # A new era makes the owners of the clients abandon their calls.
         if self._call is not None:
             self._call.status = head.status
+            self._call.is_outdated = era_check is EraCheck.OUTDATED
 
     def on_response_data(self, data: bytes) -> None:
         """Adds data to the body; fails the call if the body is too large."""
@@ -210,6 +234,13 @@
         call, self._call = self._call, None
         if call is None:
             return
+        if call.is_outdated:
+            call.on_result(
+                StoreFailure(
+                    "an answer of an older era", 0, may_have_happened=True, is_outdated=True
+                )
+            )
+            return
         if call.status != STATUS_OK:
             call.on_result(_decode_failure(call.status, bytes(call.body)))
             return
@@ -242,7 +273,7 @@
         headers: Headers = [(b"host", str(self._address).encode())]
         if method == b"POST":
             headers.append((b"content-length", str(len(body)).encode()))
-        deadline_s = time.monotonic() + long_poll_wait_s + CALL_TIMEOUT_S
+        deadline_s = self._last_tick_s + long_poll_wait_s + CALL_TIMEOUT_S
         self._call = _PendingCall(decode, on_result, deadline_s)
         if self._connection is None or self._connection.closed:
             self._connection = PersistentConnection(
@@ -278,6 +309,11 @@
     return KeyedRecord(key, content[key_end:] or None)
 
 
+def _decode_era(head: RawResponseHead) -> int | None:
+    value = (head.get(STORE_ERA) or b"").strip()
+    return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else None
+
+
 def _decode_newest_page(body: bytes) -> NewestRecordsPage:
     fields = json.loads(body)
     records = tuple(
--- a/berylquay/platform/wire_names.py
+++ b/berylquay/platform/wire_names.py
@@ -39,6 +39,8 @@
 # Headers of a response.
 NOT_EXECUTED: Final = b"not-executed"
 RETRY_AFTER: Final = b"retry-after"
+# In the store's responses: rises by one each time the store comes back from an older copy.
+STORE_ERA: Final = b"store-era"
 
 # Paths of requests to engines.
 KV_HANDLE_PATH: Final = "/kv-handle/"
--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -13,6 +13,7 @@
 
 from berylquay.decisions.backoff import Backoff
 from berylquay.decisions.shared_polling import OwnRead, SharedPolling, TopicReport
+from berylquay.decisions.store_era import StoreEra, add_era, split_era
 from berylquay.platform.store_client import (
     KeyedRecord,
     NewestRecordsPage,
@@ -25,6 +26,8 @@
 
 # Wait after a failed call; the store rejects calls beyond a rate limit that all hosts share.
 FAILURE_BACKOFF: Final = Backoff(min_delay_s=0.2, max_delay_s=0.8)
+# Time over which the hosts spread their reads after the store has come back from an older copy.
+NEW_ERA_READ_SPREAD_S: Final = 0.4
 _log = logbook.Logger("follower")
 
 
@@ -67,6 +70,8 @@
     _rng: Random
     # Reads the monotonic clock.
     _clock: Callable[[], float]
+    # Era of the store, which marks this host's state of the topic.
+    _store_era: StoreEra
     # Whether this process has read the newest records of all keys at least once.
     has_snapshot: bool = field(default=False, init=False)
     # Decides when to read, and tracks up to when the knowledge is complete.
@@ -83,6 +88,8 @@
     # Monotonic time before which no call is made, and that at which the last call was sent.
     _next_call_s: float = field(default=float("-inf"), init=False)
     _last_call_s: float = field(default=float("-inf"), init=False)
+    # Newest era that another host has reported and this one has not seen in an answer.
+    _reported_era: int = field(default=-1, init=False)
     # Changes that this host has read for the others and not passed on yet.
     _unsent_deltas: list[TopicDelta] = field(factory=list, init=False)
 
@@ -98,7 +105,24 @@
     @property
     def state_hash(self) -> str:
         """Returns a string that is equal on hosts that know the same of the topic."""
-        return self._handler.state_hash() or str(self._offset)
+        return add_era(self._handler.state_hash() or str(self._offset), self._store_era.current)
+
+    @property
+    def next_offset(self) -> int | None:
+        """Returns the offset of the next record to read, or None before the first read."""
+        return self._offset
+
+    def on_new_era(self, now_s: float) -> None:
+        """Reads the topic again, since the offset and a call in flight are of the former era."""
+        self._store_client.abandon_call()
+        self._unsent_deltas.clear()
+        self._restart_from_snapshot("the store came back older")
+        self._next_call_s = now_s + self._new_era_delay_s()
+
+    def _new_era_delay_s(self) -> float:
+        if self.polling.is_poller:
+            return 0.0
+        return self._rng.uniform(0.0, NEW_ERA_READ_SPREAD_S)
 
     def on_tick(self, now_s: float) -> None:
         """Sends the next call when it is due."""
@@ -115,8 +139,17 @@
 
     def on_peer_report(self, report: TopicReport, now_s: float) -> None:
         """Takes another host's report of a read; ignored while this host has no snapshot."""
-        if self.has_snapshot and self._offset is not None:
+        if not self.has_snapshot or self._offset is None:
+            return
+        own_era = self._store_era.current
+        era, _state_hash = split_era(report.state_hash)
+        if own_era is None or era == own_era:
             self.polling.on_peer_report(report, self.state_hash, now_s)
+        elif era is not None and era > max(own_era, self._reported_era):
+            # The answer to a read shows the new era to this host as well.
+            self._reported_era = era
+            self.polling.on_newer_era()
+            self._next_call_s = max(self._next_call_s, now_s + self._new_era_delay_s())
 
     def next_report(self, now_s: float) -> OwnRead | None:
         """Returns the read to report to the other hosts, or None."""
@@ -135,9 +168,10 @@
             return False
         if not self._handler.state_hash():
             # The offset identifies the state of this topic.
-            if not delta.after_hash.isdecimal():
+            _era, after_offset = split_era(delta.after_hash)
+            if not after_offset.isdecimal():
                 return False
-            self._offset = int(delta.after_hash)
+            self._offset = int(after_offset)
         self._apply_records(delta.contents, now_s)
         _log.info(
             "changes applied",
@@ -152,7 +186,11 @@
     def _on_newest(self, result: NewestRecordsPage | StoreFailure) -> None:
         now_s = self._clock()
         if isinstance(result, StoreFailure):
-            self._on_failure(result, now_s)
+            if result.is_outdated:
+                self._restart_from_snapshot(result.detail)
+                self._next_call_s = now_s
+            else:
+                self._on_failure(result, now_s)
             return
         if self._snapshot_end_offset is None:
             # The pages are not read atomically: changes made meanwhile are read from the end offset
@@ -177,8 +215,10 @@
     def _on_page(self, result: RecordPage | StoreFailure) -> None:
         now_s = self._clock()
         if isinstance(result, StoreFailure):
-            if result.records_gone:
-                self._restart_from_snapshot("records were deleted unread")
+            if result.records_gone or result.is_outdated:
+                self._restart_from_snapshot(
+                    result.detail if result.is_outdated else "records were deleted unread"
+                )
                 self._next_call_s = now_s
             else:
                 self._on_failure(result, now_s)
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -24,6 +24,7 @@
 from berylquay.decisions.route_table import RouteTable
 from berylquay.decisions.shared_retry_budget import RetryBudgetOptions, SharedRetryBudget
 from berylquay.decisions.shutdown_schedule import ShutdownPhase, ShutdownSchedule
+from berylquay.decisions.store_era import StoreEra
 from berylquay.decisions.topology import Location, Topology
 from berylquay.net.event_loop import EventLoop
 from berylquay.net.http_client import STATUS_OK
@@ -93,6 +94,8 @@
     _peer_exchange: PeerExchange
     _role_controller: RoleController
     _host_list: HostList
+    # Era of the store, as its answers state it.
+    _store_era: StoreEra
     # Schedule of the requested shutdown, or None.
     _shutdown_schedule: ShutdownSchedule | None
 
@@ -108,6 +111,7 @@
         self._shutdown_schedule = None
         connections = TcpConnections(self._loop).register(self._loop)
         rng = Random()
+        self._store_era = StoreEra()
         self._services = self._make_services(connections, rng)
         self._configuration_view = ConfigurationView(self._on_configuration)
         self._backends_view = BackendsView(self._services.registry, self._on_backend)
@@ -123,6 +127,7 @@
             self._configuration_confirmed_s,
         )
         self._role_controller = self._make_role_controller(connections)
+        self._store_era.add_listener(self._on_store_era)
         self._listen(connections)
         Ticker().register(self._loop)
         self.register(self._loop)
@@ -178,21 +183,23 @@
         self._configuration_follower = TopicFollower(
             TOPIC_CONFIGURATION,
             self._configuration_timings(),
-            StoreClient(connections, address),
+            StoreClient(connections, address, self._store_era),
             self._configuration_view,
             rng,
             time.monotonic,
+            self._store_era,
         )
         self._backends_follower = TopicFollower(
             TOPIC_BACKENDS,
             self._backends_timings(),
-            StoreClient(connections, address),
+            StoreClient(connections, address, self._store_era),
             self._backends_view,
             rng,
             time.monotonic,
+            self._store_era,
         )
         self._host_list = HostList(
-            StoreClient(connections, address),
+            StoreClient(connections, address, self._store_era),
             self._options,
             rng,
             self._on_host_listed,
@@ -218,7 +225,7 @@
         options = self._options
         return RoleController(
             self._services,
-            StoreClient(connections, options.store_address),
+            StoreClient(connections, options.store_address, self._store_era),
             f"{options.host}-{uuid.uuid4().hex[:8]}",
             lease_s=options.bounds.lease_s,
             host_rank=lambda: self._peer_exchange.host_rank,
@@ -283,6 +290,25 @@
             [entry for entry in services.registry.all_entries() if entry.role is Role.PREFILL]
         )
 
+    def _on_store_era(self, before: int | None, era: int) -> None:
+        """Drops what is of a former era when the store has come back from an older copy."""
+        now_s = time.monotonic()
+        self._services.metrics.on_store_era(era, has_risen=before is not None)
+        self._role_controller.on_store_era(era)
+        if before is None:
+            return
+        followers = (self._configuration_follower, self._backends_follower)
+        _log.warning(
+            "store came back older",
+            era=era,
+            before=before,
+            last_read={follower.topic: follower.next_offset for follower in followers},
+        )
+        self._services.registry.on_store_restored(now_s)
+        for follower in followers:
+            follower.on_new_era(now_s)
+        self._host_list.on_new_era(now_s)
+
     def _on_host_listed(self, host: str, address: Address, data_centre: str) -> None:
         self._peer_exchange.add_host(host, address, data_centre, time.monotonic())
 
--- a/berylquay/relay/host_list.py
+++ b/berylquay/relay/host_list.py
@@ -30,6 +30,10 @@
 # Time from the first read to the second; by then all hosts that started together have written their
 # entries.
 SECOND_READ_DELAY_S: Final = 2.0
+# Time over which the hosts spread the writing of their entries after the store has come back from
+# an older copy, and time after which the list is complete again.
+NEW_ERA_WRITE_SPREAD_S: Final = 1.5
+NEW_ERA_SETTLE_S: Final = 4.0
 _log = logbook.Logger("host-list")
 
 
@@ -49,6 +53,11 @@
     _read_count: int
     _removing: bool
     _next_call_s: float
+    _next_read_s: float
+    # Monotonic time until which entries may be missing from the list.
+    _incomplete_until_s: float
+    # Monotonic time of the last tick.
+    _last_tick_s: float
     _consecutive_failures: int
 
     def __init__(
@@ -69,8 +78,18 @@
         self._read_count = 0
         self._removing = False
         self._next_call_s = float("-inf")
+        self._next_read_s = float("-inf")
+        self._incomplete_until_s = float("-inf")
+        self._last_tick_s = float("-inf")
         self._consecutive_failures = 0
 
+    def on_new_era(self, now_s: float) -> None:
+        """Writes this host's entry, or its removal, again: the store came back without it."""
+        self._store_client.abandon_call()
+        self._entry_written = False
+        self._next_call_s = now_s + self._rng.uniform(0.0, NEW_ERA_WRITE_SPREAD_S)
+        self._incomplete_until_s = now_s + NEW_ERA_SETTLE_S
+
     def remove_entry(self) -> None:
         """Starts removing this host's entry; `on_tick` retries until the store accepts it."""
         self._removing = True
@@ -79,17 +98,22 @@
 
     def on_tick(self, now_s: float) -> None:
         """Sends the next request to the store when it is due."""
+        self._last_tick_s = now_s
         self._store_client.on_tick(now_s)
         if self._store_client.busy or now_s < self._next_call_s:
             return
-        self._next_call_s = now_s + FAILURE_BACKOFF.delay_s(
-            self._consecutive_failures + 1, self._rng
-        )
         if not self._entry_written:
+            self._back_off(now_s)
             self._store_client.append(TOPIC_HOSTS, [self._encode_entry()], self._on_appended)
-        elif not self._removing:
+        elif not self._removing and now_s >= self._next_read_s:
+            self._back_off(now_s)
+            self._next_read_s = now_s + self._read_interval_s()
             self._store_client.read_newest(TOPIC_HOSTS, "", self._on_newest)
-            self._next_call_s = now_s + self._read_interval_s()
+
+    def _back_off(self, now_s: float) -> None:
+        self._next_call_s = now_s + FAILURE_BACKOFF.delay_s(
+            self._consecutive_failures + 1, self._rng
+        )
 
     def _read_interval_s(self) -> float:
         if not self._read_count:
@@ -125,10 +149,16 @@
             return
         self._consecutive_failures = 0
         self._read_count += 1
-        self.listed_host_count = max(1, len(result.records))
+        self._update_host_count(len(result.records))
         for record in result.records:
             self._apply_record(record)
 
+    def _update_host_count(self, listed: int) -> None:
+        # Hosts that have not written their entries again still spend their shares of the budgets.
+        is_incomplete = self._last_tick_s < self._incomplete_until_s
+        least = self.listed_host_count if is_incomplete else 1
+        self.listed_host_count = max(least, listed)
+
     def _apply_record(self, record: KeyedRecord) -> None:
         try:
             entry_fields = json.loads(record.value or b"")
@@ -139,5 +169,6 @@
 
     def _on_failure(self, failure: StoreFailure) -> None:
         self._consecutive_failures += 1
-        self._next_call_s = float("-inf") if self._consecutive_failures == 1 else self._next_call_s
+        if self._consecutive_failures == 1:
+            self._next_call_s = self._next_read_s = float("-inf")
         _log.info("host list request failed", status=failure.status, detail=failure.detail)
--- a/berylquay/relay/metrics.py
+++ b/berylquay/relay/metrics.py
@@ -22,6 +22,9 @@
     _prediction_excess: Histogram
     _open_calls: Gauge
     _configuration_version: Gauge
+    _store_era: Gauge
+    # Times at which the store came back from an older copy.
+    _store_restores: Counter
     # Log lines dropped to limit their volume, or because standard output failed.
     _dropped_lines: Gauge
 
@@ -40,6 +43,10 @@
         self._configuration_version = Gauge(
             "berylquay_relay_configuration_version", "Version in force", registry=registry
         )
+        self._store_era = Gauge("berylquay_relay_store_era", "Era of the store", registry=registry)
+        self._store_restores = Counter(
+            "berylquay_relay_store_restores_total", "Rises of the store's era", registry=registry
+        )
         self._dropped_lines = Gauge(
             "berylquay_relay_dropped_log_lines", "Log lines dropped", registry=registry
         )
@@ -53,6 +60,12 @@
         """Counts an ended attempt at a backend server."""
         self._attempts.inc({"pool": pool, "end": outcome})
 
+    def on_store_era(self, era: int, *, has_risen: bool) -> None:
+        """Records the era of the store, and whether an earlier one was known."""
+        self._store_era.set({}, era)
+        if has_risen:
+            self._store_restores.inc({})
+
     def on_first_byte(self, route: str, elapsed_s: float, predicted_s: float | None) -> None:
         """Records the time to the first byte of a response's body.
 
--- a/berylquay/relay/role_controller.py
+++ b/berylquay/relay/role_controller.py
@@ -132,6 +132,11 @@
         self._next_claim_s = float("-inf")
         self._claim_failures = 0
 
+    def on_store_era(self, era: int) -> None:
+        """Gives up a claim of a former era; orders sent under it may still be carried out."""
+        self._store_client.abandon_call()
+        self._claims.on_store_era(era, claim_clock_s())
+
     def on_tick(self, table: RouteTable, now_s: float) -> None:
         """Checks the plan at intervals, and takes the next step of an order."""
         self._store_client.on_tick(now_s)
@@ -229,7 +234,8 @@
         if isinstance(result, AppendResult):
             self._claim_failures = 0
             self._claims.on_claimed(result.offset)
-            _log.info("authority claimed", holder=self._holder, term=result.offset + 1)
+            term = self._claims.fencing_number(claim_clock_s())
+            _log.info("authority claimed", holder=self._holder, term=term)
             return
         self._claims.on_claim_failed()
         self._on_claim_failure(result)
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -44,6 +44,8 @@
     protocol: h11.Connection
     writer: asyncio.StreamWriter
     reader: asyncio.StreamReader
+    # Headers of every response.
+    common_headers: tuple[tuple[str, str], ...] = ()
 
     async def send_json(
         self, status: int, value: object, headers: tuple[tuple[str, str], ...] = ()
@@ -53,6 +55,7 @@
         all_headers = [
             ("Content-Type", JSON_CONTENT_TYPE),
             ("Content-Length", str(len(body))),
+            *self.common_headers,
             *headers,
         ]
         self._send(h11.Response(status_code=status, headers=all_headers))
@@ -96,7 +99,8 @@
 
     async def send_bytes(self, status: int, body: bytes) -> None:
         """Sends a complete response with a binary body."""
-        self._send(h11.Response(status_code=status, headers=[("Content-Length", str(len(body)))]))
+        headers = [("Content-Length", str(len(body))), *self.common_headers]
+        self._send(h11.Response(status_code=status, headers=headers))
         self._send(h11.Data(data=body))
         await self.end_response()
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -2,22 +2,31 @@
 
 Faults, set by `POST /faults`: away (503), silent (requests are not answered), cut (connections are
 aborted without a response), lose_answers (responses lost after the append took effect) and
-drop_history (records are deleted).
+drop_history (records are deleted). `POST /restore` with `copy_age_s` brings the state of that long
+ago back in a new era, in which others than the system write again what was lost, after
+`rewrite_delay_s`. From the first restore on, each answer states the era.
 """
 
 import asyncio
 import base64
 import contextlib
+import json
 import struct
+import time
 from typing import Final
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from standins.http_server import Exchange, create_standin_parser, run_standin
 
 KEYED_TOPIC_PREFIX: Final = "keyed."
 UNRESPONSIVE_HOLD_S: Final = 60.0
 MAX_ITEMS_PER_PAGE: Final = 500
+STATUS_OK: Final = 200
+STATUS_GONE: Final = 410
+STATUS_PRECONDITION_FAILED: Final = 412
+# Topics that the operator and the backend servers write.
+WRITTEN_BY_OTHERS: Final = ("keyed.op", "keyed.servers")
 _OFFSETS: Final = struct.Struct(">QQ")
 _LENGTH: Final = struct.Struct(">I")
 
@@ -52,6 +61,15 @@
         self.records.clear()
 
 
+@frozen
+class Change:
+    """One record, as it was appended."""
+
+    at_s: float
+    topic: str
+    content: bytes
+
+
 @define
 class PlatformStore:
     """All topics, and the injected faults."""
@@ -62,6 +80,10 @@
     closes_unanswered: bool = False
     # Number of upcoming appends whose responses are lost after the append took effect.
     responses_to_lose: int = 0
+    # Rises with each restore; stated in each answer, or in none if None.
+    era: int | None = None
+    # All changes, oldest first, from which an older copy is made.
+    changes: list[Change] = field(factory=list)
     # Number of requests per path.
     call_counts: dict[str, int] = field(factory=dict)
     append_event: asyncio.Event = field(factory=asyncio.Event)
@@ -69,7 +91,12 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answers one request."""
         path = exchange.request.path
-        if path == "/faults":
+        if self.era is not None:
+            exchange.common_headers = (("Store-Era", str(self.era)),)
+        if path == "/restore":
+            await self._restore(exchange.request.json_body())
+            await exchange.send_json(200, {"era": self.era})
+        elif path == "/faults":
             self._set_faults(exchange.request.json_body())
             await exchange.send_json(200, {})
         elif path == "/calls":
@@ -79,7 +106,8 @@
             # berylquay has no such request.
             value = exchange.request.json_body()
             content = str(value["value"]).encode() if value["value"] is not None else b""
-            self._append(str(value["topic"]), encode_keyed_record(str(value["key"]), content))
+            record = encode_keyed_record(str(value["key"]), content)
+            self.append(str(value["topic"]), record, time.monotonic())
             await exchange.send_json(200, {})
         else:
             await self._serve(exchange)
@@ -103,8 +131,37 @@
             await exchange.send_json(404, {"error": "no such call"})
 
     async def _handle_newest(self, exchange: Exchange) -> None:
+        await exchange.send_json(200, self.newest_page(exchange.request.query))
+
+    async def _handle_read(self, exchange: Exchange) -> None:
+        query = exchange.request.query
+        topic, start_offset = query["topic"], int(query["source"])
+        era = self.era
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(query.get("waitMs", "0")) / 1000.0):
+                while self.era == era and self._topic(topic).end_offset == start_offset:
+                    await self.append_event.wait()
+        status, body = self.read_page(query)
+        if status == STATUS_OK:
+            await exchange.send_bytes(status, body)
+        else:
+            await exchange.send_json(status, json.loads(body))
+
+    async def _handle_append(self, exchange: Exchange) -> None:
         query = exchange.request.query
-        topic = self.topics.get(query["topic"], Topic())
+        if query["topic"] in WRITTEN_BY_OTHERS:
+            await exchange.send_json(403, {"error": "not yours"})
+            return
+        status, fields = self.append_records(query, exchange.request.body, time.monotonic())
+        if status == STATUS_OK and self.responses_to_lose:
+            self.responses_to_lose -= 1
+            exchange.abort_connection()
+            return
+        await exchange.send_json(status, fields)
+
+    def newest_page(self, query: dict[str, str]) -> dict[str, object]:
+        """Returns the body of a page of the newest records."""
+        topic = self._topic(query["topic"])
         keys = sorted(key for key in topic.newest_by_key if key > query.get("after", ""))
         page = keys[:MAX_ITEMS_PER_PAGE]
         items = [
@@ -115,48 +172,58 @@
             }
             for key in page
         ]
-        more = len(keys) > len(page)
-        end = topic.end_offset
-        await exchange.send_json(200, {"items": items, "hasMore": more, "endOffset": end})
+        return {"items": items, "hasMore": len(keys) > len(page), "endOffset": topic.end_offset}
 
-    async def _handle_read(self, exchange: Exchange) -> None:
-        query = exchange.request.query
-        topic = self.topics.setdefault(query["topic"], Topic())
-        start_offset = int(query["source"])
-        if start_offset < topic.first_offset:
-            await exchange.send_json(410, {"firstOffset": topic.first_offset})
-            return
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(int(query.get("waitMs", "0")) / 1000.0):
-                while topic.end_offset <= start_offset:
-                    await self.append_event.wait()
+    def read_page(self, query: dict[str, str]) -> tuple[int, bytes]:
+        """Returns status and body of a page of records from an offset."""
+        topic, start_offset = self._topic(query["topic"]), int(query["source"])
+        if not topic.first_offset <= start_offset <= topic.end_offset:
+            return STATUS_GONE, json.dumps({"firstOffset": topic.first_offset}).encode()
         contents = topic.records[start_offset - topic.first_offset :]
         body = _OFFSETS.pack(topic.end_offset, topic.first_offset)
-        body += b"".join(_LENGTH.pack(len(content)) + content for content in contents)
-        await exchange.send_bytes(200, body)
+        return STATUS_OK, body + b"".join(_LENGTH.pack(len(item)) + item for item in contents)
 
-    async def _handle_append(self, exchange: Exchange) -> None:
-        query = exchange.request.query
-        topic = self.topics.setdefault(query["topic"], Topic())
-        if query["topic"] in ("keyed.op", "keyed.servers"):
-            await exchange.send_json(403, {"error": "not yours"})
-            return
+    def append_records(
+        self, query: dict[str, str], body: bytes, now_s: float
+    ) -> tuple[int, dict[str, object]]:
+        """Appends the system's records and returns status and fields of the answer."""
+        topic = self._topic(query["topic"])
         if "at" in query and int(query["at"]) != topic.end_offset:
-            await exchange.send_json(412, {"endOffset": topic.end_offset})
-            return
+            return STATUS_PRECONDITION_FAILED, {"endOffset": topic.end_offset}
         offset = topic.end_offset
-        for content in _split_records(exchange.request.body):
-            self._append(query["topic"], content)
-        if self.responses_to_lose:
-            self.responses_to_lose -= 1
-            exchange.abort_connection()
-            return
-        await exchange.send_json(200, {"offset": offset, "endOffset": topic.end_offset})
+        for content in _split_records(body):
+            self.append(query["topic"], content, now_s)
+        return STATUS_OK, {"offset": offset, "endOffset": topic.end_offset}
+
+    def _topic(self, name: str) -> Topic:
+        return self.topics.setdefault(name, Topic())
+
+    def restore(self, copy_age_s: float, now_s: float) -> list[Change]:
+        """Comes back from a copy; returns the newest lost change of each key of others' topics."""
+        self.era = 1 if self.era is None else self.era + 1
+        changes, self.changes, self.topics = self.changes, [], {}
+        lost: dict[tuple[str, bytes], Change] = {}
+        for change in changes:
+            if change.at_s <= now_s - copy_age_s:
+                self.append(change.topic, change.content, change.at_s)
+            elif change.topic in WRITTEN_BY_OTHERS:
+                lost[change.topic, change.content[: 1 + change.content[0]]] = change
+        return list(lost.values())
+
+    async def _restore(self, fields: dict[str, object]) -> None:
+        lost = self.restore(float(str(fields["copy_age_s"])), time.monotonic())
+        self._wake_readers()
+        await asyncio.sleep(float(str(fields.get("rewrite_delay_s", 0.0))))
+        for change in lost:
+            self.append(change.topic, change.content, time.monotonic())
+
+    def append(self, topic_name: str, content: bytes, now_s: float) -> None:
+        """Appends one record."""
+        self.changes.append(Change(now_s, topic_name, content))
+        self._topic(topic_name).append(content, topic_name.startswith(KEYED_TOPIC_PREFIX))
+        self._wake_readers()
 
-    def _append(self, topic_name: str, content: bytes) -> None:
-        self.topics.setdefault(topic_name, Topic()).append(
-            content, topic_name.startswith(KEYED_TOPIC_PREFIX)
-        )
+    def _wake_readers(self) -> None:
         self.append_event.set()
         self.append_event = asyncio.Event()
 
--- a/tests/relay/test_follower.py
+++ b/tests/relay/test_follower.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
+from berylquay.decisions.store_era import StoreEra
 from berylquay.platform.store_client import KeyedRecord, NewestRecordsPage, RecordPage, StoreFailure
 from berylquay.relay.follower import FollowTimings, TopicFollower, TopicHandler
 
@@ -28,6 +29,9 @@
     ) -> None:
         self.result_handler = on_result
 
+    def abandon_call(self) -> None:
+        self.result_handler = None
+
     def complete(self, result: NewestRecordsPage | RecordPage | StoreFailure) -> None:
         handler, self.result_handler = self.result_handler, None
         assert handler is not None
@@ -58,6 +62,7 @@
         IgnoringHandler(),
         Random(1),
         lambda: now_s,
+        StoreEra(),
     )
     follower.on_tick(now_s)
     store_client.complete(NewestRecordsPage((), False, 4))
--- a/tests/relay/test_topic_deltas.py
+++ b/tests/relay/test_topic_deltas.py
@@ -10,6 +10,7 @@
 import pytest
 from attrs import define, field
 
+from berylquay.decisions.store_era import StoreEra
 from berylquay.platform.store_client import (
     KeyedRecord,
     NewestRecordsPage,
@@ -104,6 +105,7 @@
             handler,
             Random(1),
             lambda: self.now_s,
+            StoreEra(),
         )
 
     def run(self, duration_s: float) -> None:
