Heed servers that state in an answer that they leave or want no requests

Server-Leaving and the Retry-After of a server's 503 were not read: a server kept getting work until its entry in the store said that it drains, and one that had asked for quiet was tried again at once.

Every answer of a backend server is now read for both (runs, staged prefills, orders, reports, releases; not a 421, which may be another server's). A statement holds for the instance that made it: an entry that still says ready, a new role or a restored store don't lift it, a server that starts again begins without. Such servers are not in the list from which all placements, retries, resumptions, orders and the role plan draw, from the next decision on; running work ends by itself. A pause is bounded by an hour, ends spread over up to 0.5 s between hosts, is not shortened by a later answer, and keeps releases and orders away as well. Hosts tell each other who leaves by a datagram. Where only paused servers are left, a caller is refused at once and told when the first of them returns.

Lines 'server is leaving', 'server paused', 'server pause ended'; a counter and two gauges.

--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -11,6 +11,7 @@
 from attrs import evolve, field, frozen
 
 from berylquay.decisions.fleet import Address, Role
+from berylquay.decisions.server_notices import ServerInstance, ServerNotices
 
 # Time after the store's recovery within which a live backend server registers again.
 RECOVERY_GRACE_S: Final = 2.0
@@ -49,6 +50,11 @@
     # Number of this heartbeat since the start; entries that differ only in it are equal.
     heartbeat_number: int = field(default=0, eq=False)
 
+    @property
+    def instance(self) -> ServerInstance:
+        """Returns the incarnation that the entry is of."""
+        return ServerInstance(self.name, self.started_unix_ms)
+
     def with_role(self, role: Role) -> "BackendEntry":
         """Returns a copy of the entry with another role."""
         return evolve(self, role=role)
@@ -88,7 +94,9 @@
 class BackendRegistry:
     """Cached view of all backend servers."""
 
-    # Entries by name.
+    # What the servers state of themselves in answers, which goes before their entries.
+    notices: ServerNotices
+    # Entries by name, as read in the store.
     _entries: dict[str, BackendEntry]
     # Recency key of the latest entry of each name, also of names that are gone, so that a heartbeat
     # that the store applies late changes nothing.
@@ -103,6 +111,7 @@
     _state_hash: str
 
     def __init__(self) -> None:
+        self.notices = ServerNotices()
         self._state_hash = ""
         self._entries = {}
         self._latest_recency = {}
@@ -119,8 +128,22 @@
         return [
             entry
             for entry in self._entries.values()
+            if entry.pool == pool
+            and entry.state is EntryState.READY
+            and self.notices.accepts_requests(entry.instance)
+        ]
+
+    def earliest_return_s(self, pool: str, now_s: float) -> float | None:
+        """Returns the time until a server of the pool ends its pause.
+
+        None if one accepts requests now, or if none is merely paused.
+        """
+        instances = [
+            entry.instance
+            for entry in self._entries.values()
             if entry.pool == pool and entry.state is EntryState.READY
         ]
+        return self.notices.earliest_return_s(instances, now_s)
 
     def all_entries(self) -> list[BackendEntry]:
         """Returns all entries, in any state."""
@@ -160,6 +183,7 @@
             # An older copy of the store shows a server that has left.
             return None
         self._track_recency(entry)
+        self.notices.on_instance(entry.instance)
         self._expired_in_outage.discard(entry.name)
         before = self._entries.get(entry.name)
         if before == entry:
--- a/berylquay/platform/request_codec.py
+++ b/berylquay/platform/request_codec.py
@@ -8,11 +8,13 @@
 
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.relay_call import GenerationRequest, PromptSegment
+from berylquay.decisions.server_notices import ServerNotice
 from berylquay.net.persistent_http import Headers, RawRequest, RawResponseHead
 from berylquay.platform import wire_names
 
 MS_PER_S: Final = 1000.0
 STATUS_MISDIRECTED: Final = 421
+STATUS_UNAVAILABLE: Final = 503
 # Headers that apply to one connection only, and the content length, which is set again.
 _HOP_BY_HOP_HEADERS: Final = frozenset(
     {
@@ -254,6 +256,24 @@
     return head.status == STATUS_MISDIRECTED
 
 
+def decode_server_notice(head: RawResponseHead) -> ServerNotice:
+    """Returns what a response states of its server; a time that can't be parsed is ignored."""
+    is_leaving = (head.get(wire_names.SERVER_LEAVING) or b"").strip() == b"1"
+    retry_after = head.get(wire_names.RETRY_AFTER)
+    if head.status != STATUS_UNAVAILABLE or retry_after is None:
+        return ServerNotice(is_leaving, None)
+    return ServerNotice(is_leaving, _parse_pause_s(retry_after))
+
+
+def _parse_pause_s(text: bytes) -> float | None:
+    try:
+        pause_s = float(text)
+    except ValueError:
+        return None
+    # Not for "nan" either.
+    return pause_s if pause_s > 0.0 else None
+
+
 def decode_kv_cache_handle(
     engine: str, address: Address, body: bytes
 ) -> Result[KVCacheHandle, str]:
--- a/berylquay/platform/wire_names.py
+++ b/berylquay/platform/wire_names.py
@@ -38,6 +38,9 @@
 
 # Headers of a response.
 NOT_EXECUTED: Final = b"not-executed"
+# "1" in all responses of a backend server that is leaving.
+SERVER_LEAVING: Final = b"server-leaving"
+# In a backend server's 503: time for which it wants no requests from this host.
 RETRY_AFTER: Final = b"retry-after"
 # In the store's responses: rises by one each time the store comes back from an older copy.
 STORE_ERA: Final = b"store-era"
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -13,7 +13,7 @@
 
 from berylquay.component_messages import StopRequested, Tick
 from berylquay.decisions.backend_health import BackendHealth, HealthOptions
-from berylquay.decisions.backend_registry import BackendRegistry, RegistryChange
+from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry, RegistryChange
 from berylquay.decisions.crash_history import CrashHistory, CrashHistoryLimits
 from berylquay.decisions.engine_backlog import EngineBacklog
 from berylquay.decisions.engine_estimates import EngineEstimates
@@ -22,6 +22,7 @@
 from berylquay.decisions.load_sharing_scope import LoadSharingScope
 from berylquay.decisions.prefix_cache_index import PrefixCacheIndex
 from berylquay.decisions.route_table import RouteTable
+from berylquay.decisions.server_notices import ServerInstance, ServerNotice
 from berylquay.decisions.shared_retry_budget import RetryBudgetOptions, SharedRetryBudget
 from berylquay.decisions.shutdown_schedule import ShutdownPhase, ShutdownSchedule
 from berylquay.decisions.store_era import StoreEra
@@ -48,6 +49,7 @@
 from berylquay.relay.peer_exchange import PeerExchange
 from berylquay.relay.request_handler import RequestHandler, RequestHandlerOptions
 from berylquay.relay.role_controller import RoleController
+from berylquay.relay.server_notice_handler import ServerNoticeHandler
 from berylquay.relay.services import RelayServices
 from berylquay.relay.store_views import BackendsView, ConfigurationView
 from berylquay.settings.relay_settings import RelayOptions, SettingsFileWatcher, read_relay_settings
@@ -91,6 +93,7 @@
     _configuration_follower: TopicFollower
     _backends_view: BackendsView
     _backends_follower: TopicFollower
+    _server_notice_handler: ServerNoticeHandler
     _peer_exchange: PeerExchange
     _role_controller: RoleController
     _host_list: HostList
@@ -113,11 +116,20 @@
         rng = Random()
         self._store_era = StoreEra()
         self._services = self._make_services(connections, rng)
+        self._server_notice_handler = ServerNoticeHandler(
+            self._services.registry.notices,
+            self._services.metrics,
+            rng,
+            self._tell_leaving_server,
+        )
         self._configuration_view = ConfigurationView(self._on_configuration)
         self._backends_view = BackendsView(self._services.registry, self._on_backend)
         self._make_topic_followers(connections, rng)
         self._peer_exchange = PeerExchange(
-            self._services, options, (self._configuration_follower, self._backends_follower)
+            self._services,
+            options,
+            (self._configuration_follower, self._backends_follower),
+            self._server_notice_handler.on_reported_leaving,
         )
         self._request_handler = RequestHandler(
             connections,
@@ -169,12 +181,19 @@
             metrics=RelayMetrics(),
             rng=rng,
             on_work_placed=self._notify_work_placed,
+            on_server_notice=self._on_server_notice,
             receive_reports=self._receive_reports,
         )
 
     def _notify_work_placed(self, now_s: float) -> None:
         self._peer_exchange.on_work_placed(now_s)
 
+    def _on_server_notice(self, backend: BackendEntry, notice: ServerNotice) -> None:
+        self._server_notice_handler.on_notice(backend, notice)
+
+    def _tell_leaving_server(self, instance: ServerInstance) -> None:
+        self._peer_exchange.tell_leaving_server(instance)
+
     def _receive_reports(self, now_s: float) -> None:
         self._peer_exchange.receive(now_s)
 
@@ -326,6 +345,7 @@
         self._services.retry_budget.on_host_count(host_count)
         self._services.live_host_count = host_count
         self._services.connection_pool.on_tick(now_s)
+        self._server_notice_handler.on_tick(now_s)
         self._services.crash_history.expire(now_s)
         self._request_handler.on_tick(now_s)
         self._peer_exchange.on_tick(now_s)
--- a/berylquay/relay/metrics.py
+++ b/berylquay/relay/metrics.py
@@ -25,6 +25,10 @@
     _store_era: Gauge
     # Times at which the store came back from an older copy.
     _store_restores: Counter
+    # What servers state in answers: changes by cause and source, and how many are affected now.
+    _server_notices: Counter
+    _paused_servers: Gauge
+    _leaving_servers: Gauge
     # Log lines dropped to limit their volume, or because standard output failed.
     _dropped_lines: Gauge
 
@@ -47,6 +51,19 @@
         self._store_restores = Counter(
             "berylquay_relay_store_restores_total", "Rises of the store's era", registry=registry
         )
+        self._server_notices = Counter(
+            "berylquay_relay_server_notices_total",
+            "Servers that were found to leave or to want no requests",
+            registry=registry,
+        )
+        self._paused_servers = Gauge(
+            "berylquay_relay_paused_servers", "Servers that want no requests", registry=registry
+        )
+        self._leaving_servers = Gauge(
+            "berylquay_relay_leaving_servers",
+            "Instances of servers that said that they leave",
+            registry=registry,
+        )
         self._dropped_lines = Gauge(
             "berylquay_relay_dropped_log_lines", "Log lines dropped", registry=registry
         )
@@ -66,6 +83,15 @@
         if has_risen:
             self._store_restores.inc({})
 
+    def on_server_notice(self, cause: str, source: str) -> None:
+        """Counts a server that was found to be leaving or paused."""
+        self._server_notices.inc({"cause": cause, "source": source})
+
+    def on_server_notices(self, paused: int, leaving: int) -> None:
+        """Records how many servers are paused and leaving."""
+        self._paused_servers.set({}, paused)
+        self._leaving_servers.set({}, leaving)
+
     def on_first_byte(self, route: str, elapsed_s: float, predicted_s: float | None) -> None:
         """Records the time to the first byte of a response's body.
 
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -4,16 +4,19 @@
 """
 
 import time
+from collections.abc import Callable
 from typing import Final
 
 import logbook
 
 from berylquay.decisions.fleet import Address
+from berylquay.decisions.server_notices import ServerInstance
 from berylquay.decisions.shared_polling import TopicReport
 from berylquay.relay.follower import TopicFollower
 from berylquay.relay.load_reports import LoadGossip, LoadReport
 from berylquay.relay.region_exchange import RegionExchange, RegionSummary
 from berylquay.relay.report_fields import AnnouncedSegment
+from berylquay.relay.server_notice_handler import encode_leaving_server
 from berylquay.relay.services import RelayServices
 from berylquay.relay.topic_deltas import TopicDelta, encode_delta
 from berylquay.settings.relay_settings import RelayOptions
@@ -36,6 +39,7 @@
         services: RelayServices,
         options: RelayOptions,
         followers: tuple[TopicFollower, ...],
+        on_leaving_server: Callable[[ServerInstance, float], None],
     ) -> None:
         self._services = services
         self._followers = followers
@@ -62,6 +66,7 @@
             is_active=self._is_fleet_large,
             on_summary=self._on_region_summary,
             on_delta=self._on_delta,
+            on_leaving_server=on_leaving_server,
             rng=services.rng,
         )
 
@@ -92,6 +97,12 @@
         """Reports newly placed work to the other hosts."""
         self._gossip.on_work_placed(now_s)
 
+    def tell_leaving_server(self, instance: ServerInstance) -> None:
+        """Tells all hosts that a backend server is leaving."""
+        data = encode_leaving_server(instance)
+        self._gossip.send_to_recipients(data)
+        self._regions.send_to_regions(data, time.monotonic())
+
     def follow_topics(self, now_s: float) -> None:
         """Reads the store's topics when due, and passes on what was read."""
         rank, recipients = self._gossip.rank_among_recipients(now_s)
--- a/berylquay/relay/prefill_requests.py
+++ b/berylquay/relay/prefill_requests.py
@@ -90,10 +90,10 @@
 def release_kv_cache(services: RelayServices, kv_handle: KVCacheHandle, now_s: float) -> None:
     """Asks an engine to free a KV cache that no engine will fetch.
 
-    Does nothing if the engine is no longer known.
+    Does nothing if the engine is no longer known, or wants no requests; the cache then expires.
     """
     entry = services.registry.get(kv_handle.engine)
-    if entry is None:
+    if entry is None or services.registry.notices.is_paused(entry.instance):
         return
     connection = services.connection_pool.acquire(entry, False, now_s)
     UpstreamRequest(
@@ -102,5 +102,6 @@
         connection,
         encode_release_request(kv_handle),
         call_id="",
+        on_notice=services.on_server_notice,
         now_s=now_s,
     )
--- a/berylquay/relay/region_exchange.py
+++ b/berylquay/relay/region_exchange.py
@@ -15,6 +15,7 @@
 
 from berylquay.decisions.engine_backlog import EngineLoad
 from berylquay.decisions.fleet import Address
+from berylquay.decisions.server_notices import ServerInstance
 from berylquay.decisions.shared_polling import TopicReport
 from berylquay.decisions.topology import Topology
 from berylquay.relay.report_fields import (
@@ -28,6 +29,7 @@
     encode_loads,
     encode_topic_reports,
 )
+from berylquay.relay.server_notice_handler import LEAVING_TAG, decode_leaving_server
 from berylquay.relay.topic_deltas import DELTA_TAG, TopicDelta, decode_delta
 
 # First byte of a summary's datagram, and of one that the first host of the receiving region is to
@@ -35,7 +37,9 @@
 SUMMARY_TAG: Final = b"\x01"
 RELAY_TAG: Final = b"\x02"
 RELAY_AT_ONCE_TAG: Final = b"\x03"
-EXCHANGE_TAGS: Final = frozenset({DELTA_TAG, SUMMARY_TAG, RELAY_TAG, RELAY_AT_ONCE_TAG})
+EXCHANGE_TAGS: Final = frozenset(
+    {DELTA_TAG, SUMMARY_TAG, RELAY_TAG, RELAY_AT_ONCE_TAG, LEAVING_TAG}
+)
 SUMMARY_INTERVAL_S: Final = 0.25
 # Time without a summary after which another host of a region is contacted.
 CONTACT_TTL_S: Final = 1.5
@@ -122,6 +126,8 @@
     # Called with each summary of another region and each delta, and the present time.
     _on_summary: Callable[[RegionSummary, float], None]
     _on_delta: Callable[[TopicDelta, float], None]
+    # Called with each server that another host has found to be leaving, and the present time.
+    _on_leaving_server: Callable[[ServerInstance, float], None]
     _rng: Random
     # Listed hosts of the other regions, by region and name.
     _listed: dict[str, dict[str, Address]] = field(factory=dict, init=False)
@@ -208,6 +214,12 @@
                 _log.warning("unreadable delta", size_bytes=len(data))
             else:
                 self._on_delta(delta, now_s)
+        elif data.startswith(LEAVING_TAG):
+            instance = decode_leaving_server(data)
+            if instance is None:
+                _log.warning("unreadable notice", size_bytes=len(data))
+            else:
+                self._on_leaving_server(instance, now_s)
 
     def _relay(self, data: bytes, first_host: Address | None) -> None:
         content = data[len(RELAY_TAG) :]
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -304,6 +304,7 @@
             connection,
             raw_request,
             call_id=call.call_id,
+            on_notice=services.on_server_notice,
             now_s=now_s,
         )
 
@@ -339,7 +340,13 @@
             services.in_flight[backend.name] += 1
         connection = services.connection_pool.acquire(backend, not call.route.repeatable, now_s)
         self._run_request = UpstreamRequest(
-            self, backend, connection, raw_request, call_id=call.call_id, now_s=now_s
+            self,
+            backend,
+            connection,
+            raw_request,
+            call_id=call.call_id,
+            on_notice=services.on_server_notice,
+            now_s=now_s,
         )
 
     def _run_details(
@@ -641,8 +648,7 @@
         retry_after_s: float | None = None,
     ) -> None:
         """Ends the call with an error response to the caller."""
-        default_retry_after_s = self._services.attempts.retry_after_s
-        refusal = make_refusal(self.call, reason, detail, retry_after_s or default_retry_after_s)
+        refusal = make_refusal(self.call, reason, detail, self._retry_after_s(retry_after_s, now_s))
         response_started = self.caller.response_started
         self._end(now_s, f"refused-{reason.value}", verdict=refusal.verdict, detail=detail)
         if response_started:
@@ -651,6 +657,17 @@
         else:
             send_refusal(self.caller, refusal)
 
+    def _retry_after_s(self, predicted_s: float | None, now_s: float) -> float:
+        """Returns when the caller should come back.
+
+        Args:
+            predicted_s: Time after which the load allows the call, or None if that is not known.
+            now_s: Present time.
+        """
+        services = self._services
+        pause_s = services.registry.earliest_return_s(self.call.pool.name, now_s)
+        return max(predicted_s or services.attempts.retry_after_s, pause_s or 0.0)
+
     # Completion.
 
     def _release_upstream(self, upstream: UpstreamRequest) -> None:
--- a/berylquay/relay/role_controller.py
+++ b/berylquay/relay/role_controller.py
@@ -255,6 +255,8 @@
         entry = self._services.registry.get(change.backend)
         if entry is None or entry.state is not EntryState.READY:
             return
+        if not self._services.registry.notices.accepts_requests(entry.instance):
+            return
 
         def on_report(status: int, body: bytes) -> None:
             self._engine_request = None
@@ -303,7 +305,13 @@
     ) -> UpstreamRequest:
         connection = self._services.connection_pool.acquire(entry, True, now_s)
         return UpstreamRequest(
-            _ResponseCollector(on_done), entry, connection, request, call_id="", now_s=now_s
+            _ResponseCollector(on_done),
+            entry,
+            connection,
+            request,
+            call_id="",
+            on_notice=self._services.on_server_notice,
+            now_s=now_s,
         )
 
 
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -21,6 +21,7 @@
 from berylquay.relay.connection_pool import BackendConnectionPool
 from berylquay.relay.metrics import RelayMetrics
 from berylquay.relay.pending_updates import PendingUpdates
+from berylquay.relay.upstream_request import NoticeListener
 
 
 @define
@@ -43,6 +44,8 @@
     rng: Random
     # Called with the monotonic time when work was placed at an engine.
     on_work_placed: Callable[[float], None]
+    # Called with what an answer states of its server.
+    on_server_notice: NoticeListener
     # Called with the monotonic time before work is placed, to learn the newest load.
     receive_reports: Callable[[float], None]
     admission: AdmissionOptions = field(factory=AdmissionOptions)
--- a/berylquay/relay/upstream_request.py
+++ b/berylquay/relay/upstream_request.py
@@ -1,19 +1,28 @@
 """Upstream requests: one attempt to send a request to a backend server, and its response."""
 
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from berylquay.call_verdicts import Verdict
 from berylquay.decisions.attempt_outcomes import AttemptOutcome
 from berylquay.decisions.backend_registry import BackendEntry
+from berylquay.decisions.server_notices import ServerNotice
 from berylquay.errors import TransportError
 from berylquay.net.persistent_http import PersistentConnection, RawRequest, RawResponseHead
-from berylquay.platform.request_codec import is_declared_not_executed, is_misdirected
+from berylquay.platform.request_codec import (
+    decode_server_notice,
+    is_declared_not_executed,
+    is_misdirected,
+)
 from berylquay.platform.wire_names import ATTEMPT_ID
 
 # Maximum time to establish a connection; sufficient unless two packets are lost in a row.
 CONNECT_TIMEOUT_S: Final = 0.45
 
 
+NoticeListener = Callable[[BackendEntry, ServerNotice], None]
+
+
 class UpstreamRequestHandler(Protocol):
     """Is notified of the progress of an upstream request."""
 
@@ -47,6 +56,8 @@
     ended: bool
     _handler: UpstreamRequestHandler
     _connection: PersistentConnection
+    # Called with each answer's server and what the answer states of it.
+    _on_notice: NoticeListener
     # Failure that the head of the response states, or None.
     _outcome: AttemptOutcome | None
 
@@ -58,6 +69,7 @@
         request: RawRequest,
         *,
         call_id: str,
+        on_notice: NoticeListener,
         now_s: float,
     ) -> None:
         self.backend = backend
@@ -66,6 +78,7 @@
         self.ended = False
         self._handler = handler
         self._connection = connection
+        self._on_notice = on_notice
         self._outcome = None
         connection.start_request(
             request, self, ATTEMPT_ID if call_id else b"", call_id.encode("latin-1")
@@ -101,8 +114,11 @@
         """Handles the head of the response."""
         self.head = head
         if is_misdirected(head):
+            # Another server may have answered; what it states is not of this one.
             self._outcome = AttemptOutcome.WRONG_SERVER
-        elif is_declared_not_executed(head):
+            return
+        self._on_notice(self.backend, decode_server_notice(head))
+        if is_declared_not_executed(head):
             self._outcome = AttemptOutcome.REJECTED
         elif not self.ended:
             self._handler.on_upstream_head(self, head)
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -72,6 +72,7 @@
         all_headers = [
             ("Content-Type", "text/event-stream"),
             ("Transfer-Encoding", "chunked"),
+            *self.common_headers,
             *headers,
         ]
         self._send(h11.Response(status_code=200, headers=all_headers))
@@ -79,7 +80,8 @@
 
     async def start_unframed_stream(self, headers: tuple[tuple[str, str], ...] = ()) -> None:
         """Sends the response head of a stream that ends with its connection."""
-        all_headers = [("Content-Type", "text/event-stream"), ("Connection", "close"), *headers]
+        all_headers = [("Content-Type", "text/event-stream"), ("Connection", "close")]
+        all_headers += [*self.common_headers, *headers]
         lines = "".join(f"{name}: {value}\r\n" for name, value in all_headers)
         await self.send_raw_bytes(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
 
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -47,6 +47,8 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answers one request."""
         request = exchange.request
+        if self.faults.get("leaving"):
+            exchange.common_headers = (("Server-Leaving", "1"),)
         if request.path == "/witness":
             await exchange.send_json(
                 200,
@@ -86,6 +88,10 @@
         headers = request.headers
         if self.faults.get("other_server") or headers.get("expect-instance") != self.name:
             await exchange.send_json(421, {}, (("Instance-Id", self.name),))
+        elif "pause_s" in self.faults:
+            self._write_event("paused", id=headers.get("attempt-id", ""))
+            retry_after = (("Retry-After", str(self.faults["pause_s"])),)
+            await exchange.send_json(503, {}, (*NOT_EXECUTED_HEADERS, *retry_after))
         elif self.faults.get("reject") or self._is_kv_handle_expired(headers):
             await exchange.send_json(503, {}, NOT_EXECUTED_HEADERS)
         elif headers.get("stage") == "prefill":
