Let the model of eras accept a server that shows life after it was dropped

Trace of seed 82: a live server is missing from the copy for over two seconds and is dropped, as it must be; then the host reads newer heartbeats of it, then its removal. A dropped server may be ready again by a heartbeat newer than any seen before; one that has said that it leaves may not at all.

--- a/tests/support/era_model.py
+++ b/tests/support/era_model.py
@@ -148,9 +148,11 @@
         self.calm_since_s = world.now_s
         self.orders: list[Order] = []
         self.versions: list[int] = []
-        # Servers that were known as ready, and those known to leave or to be gone.
-        self.seen_servers: set[str] = set()
+        # Newest heartbeat with which each server was known as ready.
+        self.ready_heartbeats: dict[str, int] = {}
+        # Servers known to leave, and those that were dropped, by name.
         self.known_leaving: set[str] = set()
+        self.dropped: set[str] = set()
         self._world = world
         self.era = StoreEra()
         connections = ModelConnections(world, store, self)
@@ -383,19 +385,22 @@
         self.world.later(self.world.rng.uniform(0.001, 0.05), deliver)
 
     def _check_entries(self) -> None:
-        """A server that a host knows to leave, or to be gone, is never ready there again."""
+        """A server known to leave is never ready again; a dropped one only by a new heartbeat."""
         for host in self.hosts:
-            for server in self.servers:
-                entry = host.registry.get(server.name)
+            for name in (server.name for server in self.servers):
+                entry = host.registry.get(name)
                 if entry is None:
-                    # One that is alive may be dropped while its entry is missing.
-                    if server.is_gone and server.name in host.seen_servers:
-                        host.known_leaving.add(server.name)
+                    if name in host.ready_heartbeats:
+                        host.dropped.add(name)
                 elif entry.state is EntryState.LEAVING:
-                    host.known_leaving.add(server.name)
+                    host.known_leaving.add(name)
                 else:
-                    host.seen_servers.add(server.name)
-                    assert server.name not in host.known_leaving, (host.name, server.name)
+                    assert name not in host.known_leaving, (host.name, name)
+                    heartbeat = entry.heartbeat_number
+                    if name in host.dropped:
+                        assert heartbeat > host.ready_heartbeats[name], (host.name, name)
+                        host.dropped.discard(name)
+                    host.ready_heartbeats[name] = heartbeat
 
     def _check_final_entries(self, host: ModelHost) -> None:
         for server in self.servers:
