--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -24,6 +24,9 @@
 RETRY_EXTRA: Final = 12
 LINK_DELAY_S: Final = 0.15
 EXTRA_ROUTE_PATH: Final = "/extra/"
+# Pause that a server wants, and time after which lost records are written again.
+PAUSE_S: Final = 1.5
+REWRITE_DELAY_S: Final = 0.4
 EVENTS_PER_STREAM: Final = 8
 EVENT_INTERVAL_MS: Final = 25.0
 
@@ -66,7 +69,7 @@
     def start(self) -> None:
         """Starts all processes and waits until the hosts are ready."""
         self.processes = Processes(self.directory)
-        self.store = self.processes.start_standin("store", "platform_store")
+        self.store = self.processes.start_standin("store", "platform_store", "--era", "1")
         ports = {name: free_port() for name in self._backend_names()}
         targets = {**ports, **{f"{host}-store": self.store.port for host in self.size.host_names}}
         self._proxy_ports = {name: free_port() for name in targets}
@@ -131,7 +134,7 @@
         elif kind is FaultKind.BACKEND_PAUSE:
             self.backends[name].pause()
         elif kind is FaultKind.BACKEND_ANSWERS:
-            values = {"break_after": 3, "delay_s": 0.5}
+            values = {"break_after": 3, "delay_s": 0.5, "pause_s": PAUSE_S}
             faults = {part: values.get(part, True) for part in fault.variant.split("+")}
             self.backends[name].post("/faults", faults)
         elif kind is FaultKind.BACKEND_LEAVES:
@@ -139,6 +142,12 @@
             self.drains.append((name, time.monotonic(), float("inf")))
         elif kind is FaultKind.CONFIGURATION:
             self.put_configuration(has_extra_route=not self.versions[-1].has_extra_route)
+        elif kind is FaultKind.STORE and fault.variant == "restore":
+            # The longer the fault, the older the copy; the next one may come while this one lasts.
+            self.store.post(
+                "/restore",
+                {"copy_age_s": fault.duration_s, "rewrite_delay_s": REWRITE_DELAY_S},
+            )
         elif kind is FaultKind.STORE:
             self.store.post(
                 "/faults", {fault.variant: 2 if fault.variant == "lose_answers" else True}
@@ -166,6 +175,10 @@
             self._set_link(name)
         elif kind is FaultKind.BACKEND_PAUSE:
             self.backends[name].resume()
+        elif kind is FaultKind.BACKEND_ANSWERS and fault.variant == "leaving":
+            # A server that has said that it leaves goes; another one starts in its place.
+            self.backends[name].kill()
+            self._start_backend(name, self.backends[name].port)
         elif kind is FaultKind.BACKEND_ANSWERS:
             self.backends[name].post("/faults", {})
         elif kind is FaultKind.BACKEND_LEAVES:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -13,6 +13,7 @@
     EVENTS_PER_STREAM,
     LEASE_S,
     MAX_APPLY_DELAY_S,
+    PAUSE_S,
     RETRY_EXTRA,
     RETRY_RATIO,
     RETRY_WINDOW_S,
@@ -30,6 +31,8 @@
 SETTLING_S: Final = 5.0
 # Time in which the close of a connection can cross a request that the host has not read.
 CLOSE_RACE_S: Final = 0.2
+# Requests that a server may get within a pause that it has asked for.
+MAX_SENT_IN_PAUSE: Final = 2
 # Time after the end of a pause in which orders sent before it may still arrive.
 LATE_ORDER_S: Final = 0.3
 _EVENT: Final = re.compile(rb"id: (\d+)\ndata: ([^x\n]*)x*\n\n")
@@ -41,7 +44,7 @@
 
     at_s: float
     backend: str
-    # run, prefill, cancelled or order.
+    # run, prefill, cancelled, paused or order.
     event: str
     call_id: str = ""
     holder: str = ""
@@ -101,6 +104,7 @@
         _one_holder_orders,
         _configuration_in_force,
         _leaving_servers_left_alone,
+        _statements_of_servers_heeded,
         _all_served_when_whole,
     )
     return [f"{check.__name__[1:]}: {line}" for check in checks for line in check(observations)]
@@ -279,6 +283,48 @@
                 yield f"{event.call_id} reached {name} {late_s:.2f} s too late"
 
 
+def _statements_of_servers_heeded(observations: Observations) -> Iterable[str]:
+    """A server gets nothing from a host that it told to leave it alone."""
+    hosts = {attempt.call_id: attempt.host for attempt in observations.attempts}
+    arrivals: dict[tuple[str, str], list[BackendEvent]] = defaultdict(list)
+    for event in observations.backend_events:
+        if event.event in ("run", "prefill", "paused") and event.call_id in hosts:
+            arrivals[hosts[event.call_id], event.backend].append(event)
+    sent_s = {attempt.call_id: attempt.sent_s for attempt in observations.attempts}
+    for attempt in observations.attempts:
+        name = attempt.headers.get("server-seal", "").removeprefix("seal-")
+        if "server-leaving" not in attempt.headers:
+            continue
+        for event in arrivals[attempt.host, name]:
+            is_late = sent_s[event.call_id] > attempt.ended_s + MAX_APPLY_DELAY_S
+            if is_late and not _has_started_again(observations, attempt.host, name, attempt, event):
+                yield f"{event.call_id} reached {name} after {attempt.host} knew that it leaves"
+    for (host, name), events in arrivals.items():
+        for asked in (event for event in events if event.event == "paused"):
+            from_s, until_s = asked.at_s + TOLERANCE_S, asked.at_s + PAUSE_S
+            within = [event for event in events if from_s < event.at_s <= until_s]
+            is_excused = observations.is_disturbed(
+                (*HOST_FAULTS, *LINK_FAULTS), "", asked.at_s, until_s
+            )
+            if len(within) > MAX_SENT_IN_PAUSE and not is_excused:
+                yield f"{len(within)} requests of {host} reached {name} within its pause"
+
+
+def _has_started_again(
+    observations: Observations, host: str, server: str, attempt: Attempt, event: BackendEvent
+) -> bool:
+    """Returns whether the host or the server has started again, or was paused, in between."""
+    ends_s = [
+        observations.started_s + fault.end_s
+        for fault in observations.faults
+        if fault.target == server
+        and (fault.kind is FaultKind.BACKEND_KILL or fault.variant == "leaving")
+    ]
+    return observations.is_disturbed(HOST_FAULTS, host, attempt.ended_s, event.at_s) or any(
+        attempt.ended_s <= end_s <= event.at_s for end_s in ends_s
+    )
+
+
 def _all_served_when_whole(observations: Observations) -> Iterable[str]:
     for attempt in observations.attempts:
         is_checked = attempt.sent_s >= observations.recovered_s and attempt.abandoned_s is None
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -37,10 +37,19 @@
         "break_after",
         "break_after+unframed",
         "unframed",
+        "leaving",
+        "pause_s",
         "delay_s",
     ),
     FaultKind.LINK_CUT: ("towards", "back", "both"),
-    FaultKind.STORE: ("away", "silent", "cut", "lose_answers", "drop_history"),
+    FaultKind.STORE: (
+        "away",
+        "silent",
+        "cut",
+        "lose_answers",
+        "drop_history",
+        "restore",
+    ),
 }
 # Relative probability of each kind; 1 for kinds that are not listed.
 KIND_WEIGHTS: Final = {
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -69,6 +69,11 @@
     topic: str
     content: bytes
 
+    @property
+    def key(self) -> tuple[str, bytes]:
+        """Returns the topic and, in a keyed topic, the key."""
+        return self.topic, self.content[: 1 + self.content[0]] if self.content else b""
+
 
 @define
 class PlatformStore:
@@ -207,15 +212,18 @@
             if change.at_s <= now_s - copy_age_s:
                 self.append(change.topic, change.content, change.at_s)
             elif change.topic in WRITTEN_BY_OTHERS:
-                lost[change.topic, change.content[: 1 + change.content[0]]] = change
+                lost[change.key] = change
         return list(lost.values())
 
     async def _restore(self, fields: dict[str, object]) -> None:
-        lost = self.restore(float(str(fields["copy_age_s"])), time.monotonic())
+        restored_s = time.monotonic()
+        lost = self.restore(float(str(fields["copy_age_s"])), restored_s)
         self._wake_readers()
         await asyncio.sleep(float(str(fields.get("rewrite_delay_s", 0.0))))
+        written_since = {change.key for change in self.changes if change.at_s > restored_s}
         for change in lost:
-            self.append(change.topic, change.content, time.monotonic())
+            if change.key not in written_since:
+                self.append(change.topic, change.content, time.monotonic())
 
     def append(self, topic_name: str, content: bytes, now_s: float) -> None:
         """Appends one record."""
@@ -255,8 +263,10 @@
 
 def main() -> None:
     """Runs the process that stands in for the platform's store."""
-    arguments = create_standin_parser("Stand-in for the platform's store.").parse_args()
-    run_standin(arguments, PlatformStore().handle)
+    parser = create_standin_parser("Stand-in for the platform's store.")
+    parser.add_argument("--era", type=int, help="era to state in each answer; none by default")
+    arguments = parser.parse_args()
+    run_standin(arguments, PlatformStore(era=arguments.era).handle)
 
 
 if __name__ == "__main__":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -36,6 +36,7 @@
     return evolve(COMPLETE_ATTEMPT, kind="resumable", body=body, complete=complete)
 
 
+FAILED_ATTEMPT = evolve(COMPLETE_ATTEMPT, status=502, headers={}, body=b"")
 ALL_EVENT_NUMBERS = list(range(1, EVENTS_PER_STREAM + 1))
 # Observations that break each promise, by the name of its check.
 VIOLATIONS = {
@@ -84,6 +85,14 @@
     "leaving_servers_left_alone": evolve(
         NO_VIOLATIONS, drains=[("app-0", RUN_EVENT.at_s - MAX_APPLY_DELAY_S - 0.1, float("inf"))]
     ),
+    "statements_of_servers_heeded": evolve(
+        NO_VIOLATIONS,
+        attempts=[
+            evolve(COMPLETE_ATTEMPT, headers={**SEALED_HEADERS, "server-leaving": "1"}),
+            evolve(FAILED_ATTEMPT, call_id="late", sent_s=13.0, ended_s=13.1),
+        ],
+        backend_events=[RUN_EVENT, BackendEvent(13.05, "app-0", "run", "late")],
+    ),
     "all_served_when_whole": evolve(
         NO_VIOLATIONS, recovered_s=5.0, attempts=[evolve(COMPLETE_ATTEMPT, status=504, headers={})]
     ),
@@ -119,6 +128,29 @@
     assert (lines == []) is is_accepted
 
 
+@pytest.mark.parametrize(
+    ("arrivals_s", "is_kept"),
+    [
+        ([10.1, 10.2, 10.3, 10.4], True),
+        ([10.7, 11.0], True),
+        ([10.7, 11.0, 11.3], False),
+        ([11.6, 11.7, 11.8], True),
+    ],
+)
+def test_a_server_that_wants_a_pause_gets_next_to_nothing(
+    arrivals_s: list[float], is_kept: bool
+) -> None:
+    events = [BackendEvent(10.0, "app-0", "paused", "id")]
+    attempts = []
+    for at_s in arrivals_s:
+        attempts.append(evolve(FAILED_ATTEMPT, call_id=str(at_s), sent_s=at_s, ended_s=at_s))
+        events.append(BackendEvent(at_s, "app-0", "run", str(at_s)))
+    observations = evolve(
+        NO_VIOLATIONS, attempts=[*attempts, FAILED_ATTEMPT], backend_events=events
+    )
+    assert (broken_promises(observations) == []) is is_kept
+
+
 def test_faults_excuse_only_what_they_touch() -> None:
     late = evolve(COMPLETE_ATTEMPT, ended_s=10.0 + DEADLINE_S + 0.6)
     pause = Fault(FaultKind.HOST_PAUSE, "h", 9.0, 2.0)
