Read a topic anew when other hosts keep reporting another state

Its state then differed from the others', it read on every 0.3 s, and newer records could not heal it. A host whose state differs from the reports for longer than the allowed staleness now reads the newest records again.

--- a/berylquay/decisions/shared_polling.py
+++ b/berylquay/decisions/shared_polling.py
@@ -66,6 +66,8 @@
     _reported_s: float = float("-inf")
     # Whether another host has reported a different, newer state.
     _is_behind: bool = False
+    # Monotonic time since which the reports of other hosts differ from this host's state, or None.
+    _differs_since_s: float | None = None
 
     @property
     def is_poller(self) -> bool:
@@ -103,8 +105,20 @@
         if report.state_hash == own_state_hash:
             self.confirmed_s = known_s
             self._is_behind = False
+            self._differs_since_s = None
         else:
             self._is_behind = True
+            if self._differs_since_s is None:
+                self._differs_since_s = now_s
+
+    def has_diverged(self, now_s: float) -> bool:
+        """Tells whether other hosts report another state, however often this host has read on."""
+        differs_since_s = self._differs_since_s
+        return differs_since_s is not None and now_s - differs_since_s > self.max_staleness_s
+
+    def on_snapshot(self) -> None:
+        """Records that the state was read anew, so that earlier reports say nothing about it."""
+        self._differs_since_s = None
 
     def on_newer_era(self) -> None:
         """Records that another host has seen a newer era of the store than this one."""
--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -132,6 +132,10 @@
         if self._offset is None:
             self._last_call_s = now_s
             self._store_client.read_newest(self.topic, self._page_after_key, self._on_newest)
+        elif self.polling.has_diverged(now_s):
+            # What was kept of an earlier state can't be healed by newer records.
+            self.polling.on_snapshot()
+            self._restart_from_snapshot("other hosts know another state")
         elif now_s >= self.polling.next_read_s(self._last_call_s):
             self._last_call_s = now_s
             wait_s = self._timings.long_poll_wait_s if self.polling.is_poller else 0.0
--- a/tests/test_store_era_model.py
+++ b/tests/test_store_era_model.py
@@ -10,6 +10,11 @@
 RUNS: Final = int(os.environ.get("BERYLQUAY_CASES", "40"))
 
 
-@pytest.mark.parametrize("seed", range(RUNS))
+# Seeds in which a host kept an entry that the others had dropped, and never read it again: a delta
+# of before its snapshot fitted to what it still kept for the grace period.
+DIVERGED_SEEDS: Final = (1296, 1732)
+
+
+@pytest.mark.parametrize("seed", [*range(RUNS), *DIVERGED_SEEDS])
 def test_nothing_goes_back_with_the_store(seed: int) -> None:
     EraModel(seed).run()
