Don't end a stream with an error answer to its resumption

What callers saw: a stream that had broken off went on, after its last event, with the body of an error, and was framed as complete.

Cause: whether a response may be relayed was decided by its status and the route alone, also when the caller already had the beginning of another run's stream. A 400 or a JSON answer to a resumption, and a 500 with no attempt left, went into the stream. A response to a resumption that is no event stream of the same status now fails its attempt; the stream goes on elsewhere or is broken off.

--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -462,8 +462,11 @@
     # Response.
 
     def on_upstream_head(self, upstream: UpstreamRequest, head: RawResponseHead) -> None:
-        """Prepares to relay the response."""
-        self._response.begin(head)
+        """Prepares to relay the response; an answer that does not continue a stream fails."""
+        if not self._response.begin(head):
+            upstream.cancel()
+            detail = f"status {head.status} instead of the rest of the stream"
+            self._fail_upstream(upstream, AttemptOutcome.SERVER_ERROR, detail, time.monotonic())
 
     def on_upstream_data(self, upstream: UpstreamRequest, data: bytes) -> None:
         """Relays or buffers a piece of the response body."""
--- a/berylquay/relay/response_relay.py
+++ b/berylquay/relay/response_relay.py
@@ -32,6 +32,8 @@
     _event_tracker: EventTracker
     # Head of the present attempt's response, or None before it arrives.
     _head: RawResponseHead | None
+    # Status that the caller received, or 0 before the response was started.
+    _started_status: int
     _body: ResponseBody
     # Body that is buffered, or None while the body is relayed as it arrives.
     _buffered_body: bytearray | None
@@ -52,6 +54,7 @@
         self._is_resumable = is_resumable
         self._event_tracker = EventTracker(last_event_id)
         self._head = None
+        self._started_status = 0
         self._body = OpaqueBody()
         self._buffered_body = None
 
@@ -66,14 +69,20 @@
         tracker = self._event_tracker
         return self._is_resumable and tracker.newest_id is not None and tracker.holds_whole_events
 
-    def begin(self, head: RawResponseHead) -> None:
-        """Decides whether the response is buffered or relayed as it arrives."""
+    def begin(self, head: RawResponseHead) -> bool:
+        """Decides whether the response is buffered or relayed as it arrives.
+
+        Returns False if it does not continue the event stream that the caller has begun to receive.
+        """
         self._head = head
         self._body = select_response_body(
             self._method, head, self._event_tracker, is_streaming_route=self._is_streaming_route
         )
         if not (self._is_streaming_route and head.status < FIRST_SERVER_ERROR):
             self._buffered_body = bytearray()
+        is_stream = self._body is self._event_tracker
+        continues = is_stream and head.status == self._started_status
+        return continues or not self._caller.response_started
 
     def feed(self, data: bytes) -> bool:
         """Relays or buffers a piece of the body; returns False if the caller reads too slowly."""
@@ -112,4 +121,5 @@
         if self._is_resumable:
             # The length would be wrong for a stream that another attempt continues.
             headers = [item for item in headers if item[0] != b"content-length"]
+        self._started_status = head.status
         self._caller.start_response(head.status, head.reason, headers)
--- a/tests/relay/test_answer_framing.py
+++ b/tests/relay/test_answer_framing.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.support.relay_fleet import HOST_NAME, PATHS, RelayFleet, make_configuration, wait_until
-from tests.support.scripted_backend import Ending
+from tests.support.scripted_backend import Ending, Script
 
 EVENT: Final = b"id: 1\ndata: first\n\n"
 UNFRAMED_STREAM_HEAD: Final = (
@@ -109,3 +109,33 @@
         received, was_reset = _receive_until_end(caller)
     assert received.endswith(EVENT)
     assert was_reset is not is_complete
+
+
+# Guards against an error answer to a resumption that is appended to the events of the stream, and
+# framed as its end.
+@pytest.mark.parametrize(
+    "resumption",
+    [
+        b"HTTP/1.1 500 Error\r\nAttempt-Id: <id>\r\nContent-Length: 4\r\n\r\noops",
+        b"HTTP/1.1 400 Bad\r\nAttempt-Id: <id>\r\nContent-Length: 4\r\n\r\noops",
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: <id>\r\nContent-Type: application/json\r\n"
+        b"Content-Length: 2\r\n\r\n{}",
+    ],
+)
+def test_an_error_answer_to_a_resumption_does_not_end_the_stream(
+    fleet: RelayFleet, resumption: bytes
+) -> None:
+    fleet.put_configuration(make_configuration())
+    broken = UNFRAMED_STREAM_HEAD + EVENT + b"id: 2\ndata: sec"
+    backends = [
+        fleet.add_scripted_backend(name, "lm", broken, Ending.FIN, "decode")
+        for name in ("engine-0", "engine-1")
+    ]
+    for backend in backends:
+        backend.resumption_script = Script(resumption, Ending.FIN)
+    fleet.add_host()
+    with pytest.raises(http.client.IncompleteRead) as broken_off:
+        fleet.send_request(PATHS["resumable"], "id-1")
+    assert broken_off.value.partial == EVENT
+    resumed = [request for backend in backends for request in backend.requests[-1:]]
+    assert sum(b"last-event-id: 1" in request.lower() for request in resumed) == 1
--- a/tests/support/scripted_backend.py
+++ b/tests/support/scripted_backend.py
@@ -41,6 +41,8 @@
     default_script: Script
     # Scripts by the body of the request.
     scripts: dict[bytes, Script] = field(factory=dict)
+    # Script of the requests that continue a stream, or None if they are served like all others.
+    resumption_script: Script | None = None
     # Heads and bodies of the requests that were received.
     requests: list[bytes] = field(factory=list)
     _listener: socket.socket = field(factory=socket.socket)
@@ -78,6 +80,8 @@
             self.requests.append(request)
             attempt_id = _find_header(request, b"attempt-id")
             script = self.scripts.get(request.partition(b"\r\n\r\n")[2], self.default_script)
+            if self.resumption_script and _find_header(request, b"last-event-id"):
+                script = self.resumption_script
             sock.sendall(script.answer.replace(ATTEMPT_ID_PLACEHOLDER, attempt_id))
             if script.ending is Ending.RESET:
                 # The other end reads the data first: a reset may discard what it has not read.
