Read a topic anew only after repeated reports of another state

One stray report, of a read that crossed a change, must not cost the polling host a read of all records. The sockets' stand-in of two tests gets a module of its own.

--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -179,7 +179,8 @@
         latest = self._latest_recency.get(entry.name)
         if latest is not None and entry.recency_key < latest:
             return None
-        if entry.recency_key == latest and entry.heartbeat_number and self._is_gone(entry.name):
+        is_gone = latest is not None and entry.name not in self._entries
+        if is_gone and entry.recency_key == latest and entry.heartbeat_number:
             # An older copy of the store shows a server that has left.
             return None
         self._track_recency(entry)
@@ -222,9 +223,6 @@
             return []
         return [self._drop(name) for name in sorted(self._expired_in_outage)]
 
-    def _is_gone(self, name: str) -> bool:
-        return name not in self._entries
-
     def _track_recency(self, entry: BackendEntry) -> None:
         # The least recently updated names are dropped first.
         self._latest_recency.pop(entry.name, None)
--- a/berylquay/decisions/shared_polling.py
+++ b/berylquay/decisions/shared_polling.py
@@ -66,8 +66,10 @@
     _reported_s: float = float("-inf")
     # Whether another host has reported a different, newer state.
     _is_behind: bool = False
-    # Monotonic time since which the reports of other hosts differ from this host's state, or None.
+    # Monotonic times of the first and the latest report of another state since one of this host's
+    # state or a snapshot; None without one.
     _differs_since_s: float | None = None
+    _differed_s: float = float("-inf")
 
     @property
     def is_poller(self) -> bool:
@@ -110,11 +112,13 @@
             self._is_behind = True
             if self._differs_since_s is None:
                 self._differs_since_s = now_s
+            self._differed_s = now_s
 
-    def has_diverged(self, now_s: float) -> bool:
-        """Tells whether other hosts report another state, however often this host has read on."""
-        differs_since_s = self._differs_since_s
-        return differs_since_s is not None and now_s - differs_since_s > self.max_staleness_s
+    @property
+    def has_diverged(self) -> bool:
+        """Tells whether other hosts keep reporting another state, although this host reads on."""
+        since_s = self._differs_since_s
+        return since_s is not None and self._differed_s - since_s > self.max_staleness_s
 
     def on_snapshot(self) -> None:
         """Records that the state was read anew, so that earlier reports say nothing about it."""
--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -132,9 +132,8 @@
         if self._offset is None:
             self._last_call_s = now_s
             self._store_client.read_newest(self.topic, self._page_after_key, self._on_newest)
-        elif self.polling.has_diverged(now_s):
+        elif self.polling.has_diverged:
             # What was kept of an earlier state can't be healed by newer records.
-            self.polling.on_snapshot()
             self._restart_from_snapshot("other hosts know another state")
         elif now_s >= self.polling.next_read_s(self._last_call_s):
             self._last_call_s = now_s
@@ -256,6 +255,7 @@
 
     def _restart_from_snapshot(self, reason: str) -> None:
         _log.warning("reading the newest records again", topic=self.topic, reason=reason)
+        self.polling.on_snapshot()
         self._offset, self._snapshot_end_offset, self._page_after_key, self._snapshot_records = (
             None,
             None,
--- a/tests/support/answer_fuzzing.py
+++ b/tests/support/answer_fuzzing.py
@@ -4,7 +4,6 @@
 caller receives is parsed as an HTTP client would.
 """
 
-import socket
 from random import Random
 from typing import Final
 
@@ -16,9 +15,9 @@
 from berylquay.errors import TransportError
 from berylquay.net.body_framing import BodyFraming
 from berylquay.net.persistent_http import PersistentConnection, RawRequest, RawResponseHead
-from berylquay.net.tcp_connections import Connection, ConnectionHandler, TcpConnections
 from berylquay.relay.caller_connection import CallerConnection, CallerRequest
 from berylquay.relay.response_relay import ResponseRelay
+from tests.support.fake_connections import FakeConnections
 
 REQUEST_ID: Final = b"id-1"
 ADDRESS: Final = Address("127.0.0.1", 1)
@@ -103,51 +102,6 @@
     return pieces
 
 
-class FakeConnections(TcpConnections):
-    """Records what is sent and how connections are closed; opens no socket."""
-
-    def __init__(self) -> None:
-        self.sent: dict[int, bytes] = {}
-        self.closed_with_reset: dict[int, bool] = {}
-        self._resets: set[int] = set()
-
-    def open(self, address: Address, connection_handler: ConnectionHandler) -> Connection:
-        """Returns a connection that counts as established."""
-        sock = socket.socket.__new__(socket.socket)
-        connection = Connection(address, connection_handler, sock, established=True)
-        self.sent[id(connection)] = b""
-        return connection
-
-    def send(self, connection: Connection, data: bytes) -> None:
-        """Records the data."""
-        if not connection.closed and not connection.half_closing:
-            connection.bytes_sent += len(data)
-            self.sent[id(connection)] += data
-
-    def set_reset_on_close(self, connection: Connection, enabled: bool) -> None:
-        """Records how the connection is to be closed."""
-        if enabled:
-            self._resets.add(id(connection))
-        else:
-            self._resets.discard(id(connection))
-
-    def half_close(self, connection: Connection) -> None:
-        """Records a close with FIN."""
-        connection.half_closing = True
-        self.closed_with_reset.setdefault(id(connection), False)
-
-    def close(self, connection: Connection) -> None:
-        """Records a close with FIN or a reset."""
-        connection.closed = True
-        self.closed_with_reset.setdefault(id(connection), id(connection) in self._resets)
-
-    def pause_reading(self, connection: Connection) -> None:
-        """Does nothing."""
-
-    def resume_reading(self, connection: Connection) -> None:
-        """Does nothing."""
-
-
 @define
 class AnswerPath:
     """A caller's connection, the relay of one response, and the connection to its backend."""
--- a/tests/support/era_model.py
+++ b/tests/support/era_model.py
@@ -26,7 +26,7 @@
 from berylquay.relay.store_views import BackendsView, ConfigurationView
 from berylquay.relay.topic_deltas import TopicDelta
 from standins.platform_store import PlatformStore, encode_keyed_record
-from tests.support.answer_fuzzing import FakeConnections
+from tests.support.fake_connections import FakeConnections
 from tests.support.relay_fleet import make_configuration
 
 TICK_S: Final = 0.025
