--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,8 @@
 # Ports per concurrent job. Each job has a block of its own, so that no seed takes a port that a
 # stopped process of another seed is about to bind again.
 PORTS_PER_JOB: Final = 300
+# Ports that a host needs, with its link to the store, and a little more for other processes.
+PORTS_PER_HOST: Final = 8
 # Exclusive upper limit of the seeds that are chosen at random when --seeds is absent.
 RANDOM_SEED_LIMIT: Final = 1_000_000_000
 
@@ -31,21 +33,25 @@
     parser.add_argument("--rounds", type=int, default=5, help="number of fresh seeds")
     parser.add_argument("--seconds", type=float, default=FAULT_PHASE_S, help="length of the faults")
     parser.add_argument("--jobs", type=int, default=2, help="seeds at a time")
+    parser.add_argument("--hosts", type=int, help="number of hosts; drawn by the seed if absent")
     parser.add_argument("--keep", type=Path, help="directory for the logs of broken seeds")
     parser.add_argument("--one", type=int, help=argparse.SUPPRESS)
     parser.add_argument("--job", type=int, default=0, help=argparse.SUPPRESS)
     arguments = parser.parse_args()
     if arguments.one is not None:
-        first_port = FIRST_PORT + arguments.job * PORTS_PER_JOB
-        limit_port_range(first_port, first_port + PORTS_PER_JOB)
-        _run_one(arguments.one, arguments.seconds, arguments.keep)
+        ports = max(PORTS_PER_JOB, PORTS_PER_HOST * (arguments.hosts or 0))
+        first_port = FIRST_PORT + arguments.job * ports
+        limit_port_range(first_port, first_port + ports)
+        _run_one(arguments.one, arguments.seconds, arguments.keep, arguments.hosts)
         return
     random = Random()
     seeds = _parse_seeds(arguments.seeds) or [
         random.randrange(RANDOM_SEED_LIMIT) for _ in range(arguments.rounds)
     ]
     keep = arguments.keep or Path(tempfile.mkdtemp(prefix="soak-"))
-    broken = asyncio.run(_run_all(seeds, arguments.seconds, arguments.jobs, keep))
+    options = ["--seconds", str(arguments.seconds), "--keep", str(keep)]
+    options += ["--hosts", str(arguments.hosts)] if arguments.hosts else []
+    broken = asyncio.run(_run_all(seeds, arguments.jobs, options))
     print(f"{len(seeds)} seeds, {len(broken)} with a broken promise: {broken}, logs in {keep}")
     sys.exit(1 if broken else 0)
 
@@ -58,7 +64,7 @@
     return seeds
 
 
-async def _run_all(seeds: list[int], seconds: float, jobs: int, keep: Path) -> list[int]:
+async def _run_all(seeds: list[int], jobs: int, options: list[str]) -> list[int]:
     """Runs each seed in a process of its own, so that other seeds do not delay its event loop.
 
     Returns the seeds that broke a promise, sorted.
@@ -69,10 +75,9 @@
     async def run_pending(job: int) -> None:
         while pending:
             seed = pending.pop(0)
-            command = ["-m", "soak", "--one", str(seed), "--job", str(job)]
-            command += ["--seconds", str(seconds)]
+            command = ["-m", "soak", "--one", str(seed), "--job", str(job), *options]
             process = await asyncio.create_subprocess_exec(
-                sys.executable, *command, "--keep", str(keep), stdout=subprocess.PIPE
+                sys.executable, *command, stdout=subprocess.PIPE
             )
             output, _ = await process.communicate()
             print(output.decode(), end="", flush=True)
@@ -83,10 +88,10 @@
     return sorted(broken)
 
 
-def _run_one(seed: int, seconds: float, keep: Path) -> None:
+def _run_one(seed: int, seconds: float, keep: Path, hosts: int | None) -> None:
     directory = keep / str(seed)
     directory.mkdir(parents=True, exist_ok=True)
-    result = run_seed(seed, seconds, directory)
+    result = run_seed(seed, seconds, directory, hosts)
     print(f"seed {seed}: {result.summary}")
     for line in result.violations:
         print(f"  {line}")
--- a/soak/rounds.py
+++ b/soak/rounds.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import Final
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from soak.callers import Attempt, CallerSetup, run_caller
 from soak.fleet import SoakFleet
@@ -34,16 +34,19 @@
     violations: list[str]
 
 
-def run_seed(seed: int, length_s: float, directory: Path) -> SeedResult:
+def run_seed(seed: int, length_s: float, directory: Path, hosts: int | None = None) -> SeedResult:
     """Runs a seed and checks the promises.
 
     Args:
         seed: Seed of the random numbers.
         length_s: Time span in which faults start, in seconds.
         directory: Directory for the logs and the timeline.
+        hosts: Number of hosts, or None to draw it.
     """
     rng = Random(seed)
     size = draw_size(rng)
+    if hosts is not None:
+        size = evolve(size, hosts=hosts)
     faults = draw_faults(rng, size, length_s)
     fleet = SoakFleet(directory, size)
     try:
