Don't serve a configuration that the other hosts have left behind

A process that starts while the store shows an older copy took the version in it, and served by it, until the operator's rewrite. Hosts now tell each other the version in force where they exchange anyway; one that finds in its first seconds that it began with an older one is not ready and refuses with a time to return until it has a newer. Only with a store that states eras; a host that falls behind later keeps what it has. Both tests failed with the check taken out.

--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -122,13 +122,14 @@
             rng,
             self._tell_leaving_server,
         )
-        self._configuration_view = ConfigurationView(self._on_configuration)
+        self._configuration_view = ConfigurationView(self._on_configuration, self._store_era)
         self._backends_view = BackendsView(self._services.registry, self._on_backend)
         self._make_topic_followers(connections, rng)
         self._peer_exchange = PeerExchange(
             self._services,
             options,
             (self._configuration_follower, self._backends_follower),
+            self._configuration_view,
             self._server_notice_handler.on_reported_leaving,
         )
         self._request_handler = RequestHandler(
@@ -426,6 +427,8 @@
             return "stopping"
         if self._configuration_view.table is None:
             return "no configuration is known"
+        if self._configuration_view.is_outdated(time.monotonic()):
+            return "other hosts have a newer configuration"
         if not self._backends_follower.has_snapshot:
             return "no backend server is known"
         return ""
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -142,6 +142,8 @@
     _address: Address
     # Returns the load to report; called only when a report is due.
     _get_loads: Callable[[], dict[str, EngineLoad]]
+    # Returns what each report says of topics besides this host's own reads.
+    _get_standing_reports: Callable[[], tuple[TopicReport, ...]]
     _on_report: Callable[[LoadReport], None]
     _on_report_sent: Callable[[LoadReport], None]
     # Called with each datagram of the exchange between regions.
@@ -171,6 +173,7 @@
         data_centre: str,
         address: Address,
         get_loads: Callable[[], dict[str, EngineLoad]],
+        get_standing_reports: Callable[[], tuple[TopicReport, ...]],
         on_report: Callable[[LoadReport], None],
         on_report_sent: Callable[[LoadReport], None],
         on_exchange_datagram: Callable[[bytes], None],
@@ -182,6 +185,7 @@
         self._data_centre = data_centre
         self._address = address
         self._get_loads = get_loads
+        self._get_standing_reports = get_standing_reports
         self._on_report = on_report
         self._on_report_sent = on_report_sent
         self._on_exchange_datagram = on_exchange_datagram
@@ -289,7 +293,10 @@
             tuple(pending_updates.segments[:MAX_SEGMENTS_PER_REPORT]),
             tuple(pending_updates.crashes),
             tuple(pending_updates.unresponsive),
-            tuple(topic_read.to_report(now_s) for topic_read in pending_updates.topic_reads),
+            (
+                *(topic_read.to_report(now_s) for topic_read in pending_updates.topic_reads),
+                *self._get_standing_reports(),
+            ),
         )
         del pending_updates.segments[:MAX_SEGMENTS_PER_REPORT]
         pending_updates.crashes.clear()
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -18,10 +18,13 @@
 from berylquay.relay.report_fields import AnnouncedSegment
 from berylquay.relay.server_notice_handler import encode_leaving_server
 from berylquay.relay.services import RelayServices
+from berylquay.relay.store_views import ConfigurationView
 from berylquay.relay.topic_deltas import TopicDelta, encode_delta
 from berylquay.settings.relay_settings import RelayOptions
 
 MS_PER_S: Final = 1000.0
+# Stands for a topic in reports: its state is the version of the configuration in force.
+CONFIGURATION_VERSION: Final = "configuration-version"
 _log = logbook.Logger("peer-exchange")
 
 
@@ -31,6 +34,8 @@
     _services: RelayServices
     # Followers of the store's topics, whose reads the hosts share.
     _followers: tuple[TopicFollower, ...]
+    # Configuration in force, whose version the hosts tell each other.
+    _configuration: ConfigurationView
     _gossip: LoadGossip
     _regions: RegionExchange
 
@@ -39,8 +44,10 @@
         services: RelayServices,
         options: RelayOptions,
         followers: tuple[TopicFollower, ...],
+        configuration: ConfigurationView,
         on_leaving_server: Callable[[ServerInstance, float], None],
     ) -> None:
+        self._configuration = configuration
         self._services = services
         self._followers = followers
         self._gossip = LoadGossip(
@@ -48,6 +55,7 @@
             data_centre=options.data_centre,
             address=options.peers_address,
             get_loads=services.backlog.own_loads,
+            get_standing_reports=self._version_report,
             on_report=self._on_report,
             on_report_sent=self._on_report_sent,
             on_exchange_datagram=self._on_exchange_datagram,
@@ -159,13 +167,22 @@
 
     def _apply_topic_reports(self, reports: tuple[TopicReport, ...], now_s: float) -> None:
         for report in reports:
+            if report.topic == CONFIGURATION_VERSION and report.state_hash.isdecimal():
+                self._configuration.on_peer_version(int(report.state_hash), now_s)
             for follower in self._followers:
                 if follower.topic == report.topic:
                     follower.on_peer_report(report, now_s)
 
+    def _version_report(self) -> tuple[TopicReport, ...]:
+        """Returns the version in force, if the store may come back with an older one."""
+        table = self._configuration.table
+        if table is None or not self._configuration.may_go_back:
+            return ()
+        return (TopicReport(CONFIGURATION_VERSION, str(table.version), 0),)
+
     def _topic_reports(self, now_s: float) -> tuple[TopicReport, ...]:
         """Returns reports on the topics that this host knows, as of when they were confirmed."""
-        return tuple(
+        return self._version_report() + tuple(
             TopicReport(
                 follower.topic,
                 follower.state_hash,
--- a/berylquay/relay/request_handler.py
+++ b/berylquay/relay/request_handler.py
@@ -145,6 +145,14 @@
                 caller, metadata, "no configuration is known yet", UNKNOWN_CONFIGURATION_RETRY_S
             )
             return
+        if self._configuration.is_outdated(time.monotonic()):
+            self._refuse(
+                caller,
+                metadata,
+                "other hosts have a newer configuration",
+                UNKNOWN_CONFIGURATION_RETRY_S,
+            )
+            return
         host = (request.get(b"host") or b"").decode("latin-1").partition(":")[0]
         path = request.target.decode("latin-1").partition("?")[0]
         route = table.match(host, path)
--- a/berylquay/relay/store_views.py
+++ b/berylquay/relay/store_views.py
@@ -1,18 +1,27 @@
 """A relay host's cached views of the store: the configuration in force and the backend servers."""
 
 from collections.abc import Callable
+from typing import Final
 
 import logbook
 from returns.result import Failure
 
 from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry, RegistryChange
 from berylquay.decisions.route_table import RouteTable
+from berylquay.decisions.store_era import StoreEra
 from berylquay.platform.backend_entries import decode_backend_entry
 from berylquay.platform.route_configuration import decode_configuration
 from berylquay.platform.store_client import KeyedRecord
 from berylquay.platform.wire_names import KEY_CONFIGURATION
 from berylquay.relay.follower import TopicHandler
 
+# Time for which a host may be behind others while a change spreads.
+VERSION_LAG_S: Final = 0.3
+# Time after its start within which a process may find that it has begun with an older version. One
+# that falls behind later keeps what it has in force.
+START_WINDOW_S: Final = 8.0
+# Time without a report of a newer version after which the hosts that had it are assumed to be gone.
+PEER_VERSION_TTL_S: Final = 12.0
 _log = logbook.Logger("beliefs")
 
 
@@ -23,23 +32,70 @@
     table: RouteTable | None
     # Called with each version that comes into force.
     _on_change: Callable[[RouteTable], None]
-
-    def __init__(self, on_change: Callable[[RouteTable], None]) -> None:
+    # Era of the store; a store that states none never comes back with an older version.
+    _store_era: StoreEra
+    # Monotonic time at which the first version came into force in this process, and whether a later
+    # one did.
+    _first_applied_s: float
+    _was_updated: bool
+    # Newest version that another host has in force, and monotonic times of its latest report and of
+    # the first one since which this process has had an older version.
+    _peer_version: int
+    _peer_version_heard_s: float
+    _behind_since_s: float | None
+
+    def __init__(self, on_change: Callable[[RouteTable], None], store_era: StoreEra) -> None:
         self.table = None
         self._on_change = on_change
+        self._store_era = store_era
+        self._first_applied_s = float("inf")
+        self._was_updated = False
+        self._peer_version = 0
+        self._peer_version_heard_s = float("-inf")
+        self._behind_since_s = None
+
+    @property
+    def may_go_back(self) -> bool:
+        """Returns whether the store may come back with an older version."""
+        return self._store_era.current is not None
+
+    def on_peer_version(self, version: int, now_s: float) -> None:
+        """Takes the version that another host has in force."""
+        if version >= self._peer_version:
+            self._peer_version, self._peer_version_heard_s = version, now_s
+        is_behind = self.table is not None and self.table.version < self._peer_version
+        if not is_behind:
+            self._behind_since_s = None
+        elif self._behind_since_s is None and now_s - self._first_applied_s <= START_WINDOW_S:
+            self._behind_since_s = now_s
+            _log.warning(
+                "other hosts have a newer configuration",
+                version=version,
+                in_force=None if self.table is None else self.table.version,
+            )
+
+    def is_outdated(self, now_s: float) -> bool:
+        """Tells whether this process has begun with an older version than other hosts have.
+
+        The store then shows an older copy; what it lacks is written again.
+        """
+        if not self.may_go_back or self._was_updated or self._behind_since_s is None:
+            return False
+        is_lasting = now_s - self._behind_since_s >= VERSION_LAG_S
+        return is_lasting and now_s - self._peer_version_heard_s <= PEER_VERSION_TTL_S
 
     def on_snapshot(self, records: dict[str, bytes], now_s: float) -> None:
         """Applies the newest configuration."""
         data = records.get(KEY_CONFIGURATION)
         if data is not None:
-            self._apply(data)
+            self._apply(data, now_s)
 
     def on_record(self, record: KeyedRecord, now_s: float) -> None:
         """Applies a newer configuration."""
         if record.key == KEY_CONFIGURATION and record.value is not None:
-            self._apply(record.value)
+            self._apply(record.value, now_s)
 
-    def _apply(self, data: bytes) -> None:
+    def _apply(self, data: bytes, now_s: float) -> None:
         decoded = decode_configuration(data)
         current_version = None if self.table is None else self.table.version
         if isinstance(decoded, Failure):
@@ -55,6 +111,10 @@
                 )
             return
         self.table = table
+        if current_version is None:
+            self._first_applied_s = now_s
+        else:
+            self._was_updated = True
         _log.info("configuration in force", version=table.version, before=current_version)
         self._on_change(table)
 
--- a/tests/relay/test_membership_costs.py
+++ b/tests/relay/test_membership_costs.py
@@ -81,6 +81,7 @@
 
 def make_gossip(reports: list[str]) -> LoadGossip:
     return LoadGossip(
+        get_standing_reports=lambda: (),
         host="fes-a-1",
         data_centre="fes-a",
         address=OWN_ADDRESS,
--- a/tests/relay/test_store_era.py
+++ b/tests/relay/test_store_era.py
@@ -1,6 +1,8 @@
 """A store that comes back from an older copy: single decisions, and one host process."""
 
+import json
 import statistics
+import time
 from collections.abc import Callable
 from random import Random
 from typing import Final
@@ -18,6 +20,7 @@
 from berylquay.decisions.store_era import EraCheck, StoreEra, add_era, split_era
 from berylquay.platform.store_client import AppendResult, KeyedRecord, NewestRecordsPage
 from berylquay.relay.host_list import HostList
+from berylquay.relay.store_views import ConfigurationView
 from tests.relay.test_membership_costs import OPTIONS
 from tests.support.relay_fleet import PATHS, RelayFleet, make_configuration, wait_until
 
@@ -155,10 +158,69 @@
     assert rises == [(1, 2), (2, 3)]
 
 
-def _lines(fleet: RelayFleet, message: str) -> list[dict[str, object]]:
-    return [line for line in fleet.log_lines() if line["message"] == message]
+# Guards against a process that starts in the drill and serves a configuration that the other hosts
+# have left behind.
+def test_a_host_that_starts_with_an_older_configuration_waits(fleet: RelayFleet) -> None:
+    fleet.put_configuration(make_configuration(1))
+    fleet.add_backend("app-0", "app")
+    fleet.add_host("host-0")
+    fleet.store.post("/restore", {"copy_age_s": 0.0})
+    # The copy that comes back has both hosts' entries and the first version.
+    fleet.add_host("host-1")
+    time.sleep(0.3)
+    fleet.put_configuration(make_configuration(2))
+    wait_until(lambda: _version_in_force(fleet) == 2)
+    fleet.hosts[1].kill()
+    fleet.store.post("/restore", {"copy_age_s": 0.25, "rewrite_delay_s": 0.0})
+    fleet.put("keyed.op", "config", make_configuration(1))
+    fleet.add_host("host-1", wait=False)
+    wait_until(lambda: _version_in_force(fleet, 2) == 1)
+    wait_until(lambda: not fleet.is_ready(2))
+    response = fleet.send_request(PATHS["many"], "id-1", host=2)
+    assert (response.status, float(response.headers["retry-after"])) == (503, 0.5)
+    assert fleet.is_ready(0)
+    fleet.put_configuration(make_configuration(2))
+    wait_until(lambda: fleet.is_ready(2))
+    fleet.register("app-0", "app", seq=2)
+    assert fleet.send_request(PATHS["many"], "id-2", host=2).status == 200
+    assert _version_in_force(fleet, 2) == 2
+    assert [line["version"] for line in _lines(fleet, "configuration in force")] == [1, 2]
+
+
+@pytest.mark.parametrize(
+    ("heard", "at_s", "is_outdated"),
+    [
+        # Times and versions of other hosts' reports; this host has had version 5 since 10.0 s.
+        ([(11.0, 6)], 11.2, False),
+        ([(11.0, 6)], 11.4, True),
+        ([(11.0, 6), (11.3, 5)], 11.4, True),
+        ([(11.0, 5)], 11.4, False),
+        # The hosts that had it are gone.
+        ([(11.0, 6)], 24.0, False),
+        # A host that falls behind later keeps serving.
+        ([(60.0, 6)], 61.0, False),
+    ],
+)
+def test_a_host_is_outdated_if_it_began_with_an_older_version(
+    heard: list[tuple[float, int]], at_s: float, is_outdated: bool
+) -> None:
+    view = ConfigurationView(lambda _table: None, StoreEra(1))
+    view.on_snapshot({"config": json.dumps(make_configuration(5)).encode()}, 10.0)
+    for heard_s, version in heard:
+        view.on_peer_version(version, heard_s)
+    assert view.is_outdated(at_s) is is_outdated
+    view.on_record(KeyedRecord("config", json.dumps(make_configuration(6)).encode()), at_s)
+    assert not view.is_outdated(at_s + 1.0)
+    without_eras = ConfigurationView(lambda _table: None, StoreEra())
+    without_eras.on_snapshot({"config": json.dumps(make_configuration(5)).encode()}, 10.0)
+    without_eras.on_peer_version(6, 11.0)
+    assert not without_eras.is_outdated(12.0)
+
+
+def _lines(fleet: RelayFleet, message: str, host: int = 0) -> list[dict[str, object]]:
+    return [line for line in fleet.log_lines(host) if line["message"] == message]
 
 
-def _version_in_force(fleet: RelayFleet) -> object:
-    lines = _lines(fleet, "configuration in force")
+def _version_in_force(fleet: RelayFleet, host: int = 0) -> object:
+    lines = _lines(fleet, "configuration in force", host)
     return lines[-1]["version"] if lines else None
--- a/tests/support/era_model.py
+++ b/tests/support/era_model.py
@@ -162,7 +162,9 @@
             client.on_tick(world.now_s)
             return client
 
-        self.configuration = ConfigurationView(lambda table: self.versions.append(table.version))
+        self.configuration = ConfigurationView(
+            lambda table: self.versions.append(table.version), self.era
+        )
         self.registry = BackendRegistry()
         self.backends = BackendsView(self.registry, lambda _change: None)
         timings = FollowTimings(0.0, 0.5, APPLY_S)
