--- a/berylquay/backends/upstream_attempt.py
+++ b/berylquay/backends/upstream_attempt.py
@@ -19,9 +19,8 @@
 from berylquay.decisions.calls import Attempt
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
-from berylquay.net.body_framing import BodyFraming, is_json
 from berylquay.net.http_client import STATUS_OK, HttpExchange, HttpResponseHead
-from berylquay.net.json_end import JsonEndDetector
+from berylquay.net.json_end import CUT_OFF, JsonEndDetector, is_unframed_json
 from berylquay.net.tcp_connections import TcpConnections
 
 # Header with which a backend server states that a refused request was not started.
@@ -116,7 +115,7 @@
             detail = bytes(self._body[:MAX_DETAIL_BYTES]).decode(errors="replace")
             self._fail(self._resolve_verdict(Verdict.MAY_HAVE_RUN), detail)
         elif self._is_cut_off():
-            self._fail(Verdict.MAY_HAVE_RUN, "the JSON document was cut off")
+            self._fail(Verdict.MAY_HAVE_RUN, CUT_OFF)
         else:
             self._complete(0, bytes(self._body))
 
@@ -146,11 +145,11 @@
     def _is_cut_off(self) -> bool:
         """Tells whether a JSON answer that ended with its connection lacks its end."""
         head = self._response_head
-        if head is None or head.framing is not BodyFraming.CONNECTION_END:
+        if head is None or not is_unframed_json(head.framing, head.headers.get("content-type", "")):
             return False
         end_detector = JsonEndDetector()
         end_detector.feed(bytes(self._body))
-        return is_json(head.headers.get("content-type", "")) and not end_detector.is_complete
+        return not end_detector.is_complete
 
     def _handle_stream_data(self, data: bytes) -> None:
         try:
--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -125,12 +125,13 @@
 
     def ready_in_pool(self, pool: str) -> list[BackendEntry]:
         """Returns the backend servers of a pool that accept new requests."""
+        listed, notices = self._listed_as_ready(pool), self.notices
+        if not notices.names:
+            return listed
         return [
             entry
-            for entry in self._entries.values()
-            if entry.pool == pool
-            and entry.state is EntryState.READY
-            and self.notices.accepts_requests(entry.instance)
+            for entry in listed
+            if entry.name not in notices.names or notices.accepts_requests(entry.instance)
         ]
 
     def earliest_return_s(self, pool: str, now_s: float) -> float | None:
@@ -138,12 +139,15 @@
 
         None if one accepts requests now, or if none is merely paused.
         """
-        instances = [
-            entry.instance
+        instances = [entry.instance for entry in self._listed_as_ready(pool)]
+        return self.notices.earliest_return_s(instances, now_s)
+
+    def _listed_as_ready(self, pool: str) -> list[BackendEntry]:
+        return [
+            entry
             for entry in self._entries.values()
             if entry.pool == pool and entry.state is EntryState.READY
         ]
-        return self.notices.earliest_return_s(instances, now_s)
 
     def all_entries(self) -> list[BackendEntry]:
         """Returns all entries, in any state."""
@@ -184,7 +188,8 @@
             # An older copy of the store shows a server that has left.
             return None
         self._track_recency(entry)
-        self.notices.on_instance(entry.instance)
+        if entry.name in self.notices.names:
+            self.notices.on_instance(entry.instance)
         self._expired_in_outage.discard(entry.name)
         before = self._entries.get(entry.name)
         if before == entry:
--- a/berylquay/decisions/server_notices.py
+++ b/berylquay/decisions/server_notices.py
@@ -39,44 +39,59 @@
     pause_s: float | None
 
 
+@frozen
+class _Pause:
+    """A pause, and the instance that wants it."""
+
+    instance: ServerInstance
+    # Monotonic time until which the instance gets no requests.
+    until_s: float
+
+
 @define
 class ServerNotices:
-    """Statements of all backend servers, as this host knows them."""
+    """Statements of all backend servers, as this host knows them: of one instance of each name."""
 
-    # Monotonic time at which each leaving instance became known.
-    _leaving_since_s: dict[ServerInstance, float] = field(factory=dict, init=False)
-    # Monotonic time until which each paused instance gets no requests.
-    _paused_until_s: dict[ServerInstance, float] = field(factory=dict, init=False)
+    # Names of which an instance has stated anything: what each placement asks for each server.
+    names: set[str] = field(factory=set, init=False)
+    # Leaving instances by name, the oldest statement first.
+    _leaving: dict[str, ServerInstance] = field(factory=dict, init=False)
+    # Pauses by name.
+    _pauses: dict[str, _Pause] = field(factory=dict, init=False)
 
     @property
     def leaving_count(self) -> int:
         """Returns the number of leaving instances that are remembered."""
-        return len(self._leaving_since_s)
+        return len(self._leaving)
 
     @property
     def paused_count(self) -> int:
         """Returns the number of paused instances."""
-        return len(self._paused_until_s)
+        return len(self._pauses)
 
     def is_leaving(self, instance: ServerInstance) -> bool:
         """Tells whether the instance is leaving."""
-        return instance in self._leaving_since_s
+        return self._leaving.get(instance.name) == instance
 
     def is_paused(self, instance: ServerInstance) -> bool:
         """Tells whether the instance wants no requests from this host, as of the last tick."""
-        return instance in self._paused_until_s
+        pause = self._pauses.get(instance.name)
+        return pause is not None and pause.instance == instance
 
     def accepts_requests(self, instance: ServerInstance) -> bool:
         """Tells whether nothing that the instance has stated forbids new requests."""
         return not self.is_leaving(instance) and not self.is_paused(instance)
 
-    def on_leaving(self, instance: ServerInstance, now_s: float) -> bool:
+    def on_leaving(self, instance: ServerInstance) -> bool:
         """Records that an instance is leaving; returns whether that is new."""
-        if instance in self._leaving_since_s:
+        known = self._leaving.get(instance.name)
+        if known is not None and known.started_unix_ms >= instance.started_unix_ms:
             return False
-        self._leaving_since_s[instance] = now_s
-        while len(self._leaving_since_s) > MAX_LEAVING_INSTANCES:
-            del self._leaving_since_s[next(iter(self._leaving_since_s))]
+        self._leaving.pop(instance.name, None)
+        self._leaving[instance.name] = instance
+        self.names.add(instance.name)
+        while len(self._leaving) > MAX_LEAVING_INSTANCES:
+            self._forget(next(iter(self._leaving)), self._leaving)
         return True
 
     def on_pause(
@@ -86,25 +101,35 @@
         pause_s = min(pause_s, MAX_PAUSE_S)
         spread_s = min(MAX_PAUSE_END_SPREAD_S, PAUSE_END_SPREAD_FRACTION * pause_s)
         until_s = now_s + pause_s + rng.uniform(0.0, spread_s)
-        # The earlier answer still holds if a later one states a shorter time.
-        if pause_s <= 0.0 or until_s <= self._paused_until_s.get(instance, float("-inf")):
+        if pause_s <= 0.0:
+            return None
+        earlier = self._pauses.get(instance.name)
+        if earlier is not None and earlier.instance == instance and until_s <= earlier.until_s:
+            # The earlier answer still holds if a later one states a shorter time.
             return None
-        self._paused_until_s[instance] = until_s
+        self._pauses[instance.name] = _Pause(instance, until_s)
+        self.names.add(instance.name)
         return until_s - now_s
 
     def on_tick(self, now_s: float) -> list[ServerInstance]:
         """Ends the pauses that are over and returns their instances."""
-        ended = [name for name, until_s in self._paused_until_s.items() if now_s >= until_s]
+        ended = [pause.instance for pause in self._pauses.values() if now_s >= pause.until_s]
         for instance in ended:
-            del self._paused_until_s[instance]
+            self._forget(instance.name, self._pauses)
         return ended
 
     def on_instance(self, instance: ServerInstance) -> None:
-        """Forgets other instances of the same name: a server with that name has started again."""
-        for statements in (self._leaving_since_s, self._paused_until_s):
-            for other in [other for other in statements if other.name == instance.name]:
-                if other.started_unix_ms < instance.started_unix_ms:
-                    del statements[other]
+        """Forgets what an earlier instance of the same name has stated."""
+        leaving, pause = self._leaving.get(instance.name), self._pauses.get(instance.name)
+        if leaving is not None and leaving.started_unix_ms < instance.started_unix_ms:
+            self._forget(instance.name, self._leaving)
+        if pause is not None and pause.instance.started_unix_ms < instance.started_unix_ms:
+            self._forget(instance.name, self._pauses)
+
+    def _forget(self, name: str, statements: dict[str, ServerInstance] | dict[str, _Pause]) -> None:
+        del statements[name]
+        if name not in self._leaving and name not in self._pauses:
+            self.names.discard(name)
 
     def earliest_return_s(self, instances: Iterable[ServerInstance], now_s: float) -> float | None:
         """Returns the time until the first of the instances may get requests again.
@@ -114,4 +139,4 @@
         staying = [instance for instance in instances if not self.is_leaving(instance)]
         if any(not self.is_paused(instance) for instance in staying):
             return None
-        return min((self._paused_until_s[instance] - now_s for instance in staying), default=None)
+        return min((self._pauses[each.name].until_s - now_s for each in staying), default=None)
--- a/berylquay/decisions/store_era.py
+++ b/berylquay/decisions/store_era.py
@@ -10,6 +10,8 @@
 
 from attrs import define, field
 
+from berylquay.whole_numbers import parse_whole_number
+
 # Separates the era from the rest of a topic's state hash.
 ERA_SEPARATOR: Final = ":"
 
@@ -58,7 +60,6 @@
 
 def split_era(marked_hash: str) -> tuple[int | None, str]:
     """Returns the era and the state hash of a hash that `add_era` has marked."""
-    era, separator, state_hash = marked_hash.partition(ERA_SEPARATOR)
-    if not separator or not era.isdecimal():
-        return None, marked_hash
-    return int(era), state_hash
+    marked_era, separator, state_hash = marked_hash.partition(ERA_SEPARATOR)
+    era = parse_whole_number(marked_era) if separator else None
+    return (None, marked_hash) if era is None else (era, state_hash)
--- a/berylquay/net/json_end.py
+++ b/berylquay/net/json_end.py
@@ -2,6 +2,9 @@
 
 from typing import Final
 
+from berylquay.net.body_framing import BodyFraming, is_json
+
+CUT_OFF: Final = "the JSON document was cut off"
 _OPENING: Final = frozenset(b"{[")
 _CLOSING: Final = frozenset(b"}]")
 _QUOTE: Final = ord('"')
@@ -9,6 +12,11 @@
 _WHITESPACE: Final = frozenset(b" \t\r\n")
 
 
+def is_unframed_json(framing: BodyFraming, content_type: str) -> bool:
+    """Returns whether nothing but the body's own end tells that it is complete."""
+    return framing is BodyFraming.CONNECTION_END and is_json(content_type)
+
+
 class JsonEndDetector:
     """Follows strings and brackets only: tells a document that was cut off, not a malformed one.
 
--- a/berylquay/platform/request_codec.py
+++ b/berylquay/platform/request_codec.py
@@ -11,6 +11,7 @@
 from berylquay.decisions.server_notices import ServerNotice
 from berylquay.net.persistent_http import Headers, RawRequest, RawResponseHead
 from berylquay.platform import wire_names
+from berylquay.whole_numbers import parse_whole_number
 
 MS_PER_S: Final = 1000.0
 STATUS_MISDIRECTED: Final = 421
@@ -77,12 +78,12 @@
 def decode_request_metadata(headers: Headers) -> RequestMetadata:
     """Returns the metadata in the headers; a value that can't be parsed counts as absent."""
     values = dict(headers)
-    deadline_ms = _parse_whole_number(values.get(wire_names.DEADLINE_MS))
+    deadline_ms = parse_whole_number(values.get(wire_names.DEADLINE_MS))
     return RequestMetadata(
         call_id=values.get(wire_names.ATTEMPT_ID, b"").decode("latin-1"),
         deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
         generation=_decode_generation(values),
-        last_event_id=_parse_whole_number(values.get(wire_names.LAST_EVENT_ID)),
+        last_event_id=parse_whole_number(values.get(wire_names.LAST_EVENT_ID)),
     )
 
 
@@ -91,19 +92,19 @@
     if counts is None:
         return None
     prompt_text, _, output_text = counts.partition(b",")
-    prompt_tokens = _parse_whole_number(prompt_text)
+    prompt_tokens = parse_whole_number(prompt_text)
     if prompt_tokens is None:
         return None
     segments = _decode_prompt_segments(values.get(wire_names.PROMPT_SEGMENTS, b""))
     model = values.get(wire_names.MODEL, b"").decode("latin-1")
-    return GenerationRequest(model, prompt_tokens, _parse_whole_number(output_text) or 0, segments)
+    return GenerationRequest(model, prompt_tokens, parse_whole_number(output_text) or 0, segments)
 
 
 def _decode_prompt_segments(text: bytes) -> tuple[PromptSegment, ...]:
     segments = []
     for item in text.split(b","):
         segment_id, _, tokens = item.strip().partition(b":")
-        count = _parse_whole_number(tokens)
+        count = parse_whole_number(tokens)
         if not segment_id or count is None:
             # Segments after one that can't be parsed are not known to be shared.
             break
@@ -111,11 +112,6 @@
     return tuple(segments)
 
 
-def _parse_whole_number(text: bytes | None) -> int | None:
-    text = (text or b"").strip()
-    return int(text) if text.isdigit() else None
-
-
 @frozen
 class RunDetails:
     """Data that the system adds to a request for one backend server."""
--- a/berylquay/platform/store_client.py
+++ b/berylquay/platform/store_client.py
@@ -23,6 +23,7 @@
 from berylquay.net.persistent_http import Headers, PersistentConnection, RawRequest, RawResponseHead
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.platform.wire_names import STORE_ERA
+from berylquay.whole_numbers import parse_whole_number
 
 # Timeout of a call that is not a long poll; several times the store's usual response time, and long
 # enough for a store that answers fifty times as slowly.
@@ -32,8 +33,6 @@
 MAX_READ_KB: Final = 1024
 # Maximum length of the response body of a failed call that is used as the failure's detail.
 MAX_DETAIL_BYTES: Final = 200
-# Digits of the largest era that is read.
-MAX_ERA_DIGITS: Final = 18
 STATUS_NOT_FOUND: Final = 404
 STATUS_GONE: Final = 410
 _PAGE_HEADER: Final = struct.Struct(">QQ")
@@ -215,7 +214,7 @@
 
     def on_response_head(self, head: RawResponseHead) -> None:
         """Stores the status, and the era that any answer states."""
-        era_check = self._store_era.on_answer(_decode_era(head))
+        era_check = self._store_era.on_answer(parse_whole_number(head.get(STORE_ERA)))
         # A new era makes the owners of the clients abandon their calls.
         if self._call is not None:
             self._call.status = head.status
@@ -309,11 +308,6 @@
     return KeyedRecord(key, content[key_end:] or None)
 
 
-def _decode_era(head: RawResponseHead) -> int | None:
-    value = (head.get(STORE_ERA) or b"").strip()
-    return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else None
-
-
 def _decode_newest_page(body: bytes) -> NewestRecordsPage:
     fields = json.loads(body)
     records = tuple(
--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -23,6 +23,7 @@
     decode_keyed_record,
 )
 from berylquay.relay.topic_deltas import TopicDelta
+from berylquay.whole_numbers import parse_whole_number
 
 # Wait after a failed call; the store rejects calls beyond a rate limit that all hosts share.
 FAILURE_BACKOFF: Final = Backoff(min_delay_s=0.2, max_delay_s=0.8)
@@ -171,10 +172,10 @@
             return False
         if not self._handler.state_hash():
             # The offset identifies the state of this topic.
-            _era, after_offset = split_era(delta.after_hash)
-            if not after_offset.isdecimal():
+            after_offset = parse_whole_number(split_era(delta.after_hash)[1])
+            if after_offset is None:
                 return False
-            self._offset = int(after_offset)
+            self._offset = after_offset
         self._apply_records(delta.contents, now_s)
         _log.info(
             "changes applied",
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -435,6 +435,8 @@
 
     def _metrics_page(self) -> Page:
         table = self._configuration_view.table
+        notices = self._services.registry.notices
+        self._services.metrics.on_server_notices(notices.paused_count, notices.leaving_count)
         body = self._services.metrics.render(
             self._request_handler.open_calls,
             0 if table is None else table.version,
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -21,6 +21,7 @@
 from berylquay.relay.store_views import ConfigurationView
 from berylquay.relay.topic_deltas import TopicDelta, encode_delta
 from berylquay.settings.relay_settings import RelayOptions
+from berylquay.whole_numbers import parse_whole_number
 
 MS_PER_S: Final = 1000.0
 # Stands for a topic in reports: its state is the version of the configuration in force.
@@ -45,7 +46,7 @@
         options: RelayOptions,
         followers: tuple[TopicFollower, ...],
         configuration: ConfigurationView,
-        on_leaving_server: Callable[[ServerInstance, float], None],
+        on_leaving_server: Callable[[ServerInstance], None],
     ) -> None:
         self._configuration = configuration
         self._services = services
@@ -167,8 +168,10 @@
 
     def _apply_topic_reports(self, reports: tuple[TopicReport, ...], now_s: float) -> None:
         for report in reports:
-            if report.topic == CONFIGURATION_VERSION and report.state_hash.isdecimal():
-                self._configuration.on_peer_version(int(report.state_hash), now_s)
+            if report.topic == CONFIGURATION_VERSION:
+                version = parse_whole_number(report.state_hash)
+                if version is not None:
+                    self._configuration.on_peer_version(version, now_s)
             for follower in self._followers:
                 if follower.topic == report.topic:
                     follower.on_peer_report(report, now_s)
@@ -176,7 +179,7 @@
     def _version_report(self) -> tuple[TopicReport, ...]:
         """Returns the version in force, if the store may come back with an older one."""
         table = self._configuration.table
-        if table is None or not self._configuration.may_go_back:
+        if table is None or not self._configuration.has_store_eras:
             return ()
         return (TopicReport(CONFIGURATION_VERSION, str(table.version), 0),)
 
--- a/berylquay/relay/region_exchange.py
+++ b/berylquay/relay/region_exchange.py
@@ -126,8 +126,8 @@
     # Called with each summary of another region and each delta, and the present time.
     _on_summary: Callable[[RegionSummary, float], None]
     _on_delta: Callable[[TopicDelta, float], None]
-    # Called with each server that another host has found to be leaving, and the present time.
-    _on_leaving_server: Callable[[ServerInstance, float], None]
+    # Called with each server that another host has found to be leaving.
+    _on_leaving_server: Callable[[ServerInstance], None]
     _rng: Random
     # Listed hosts of the other regions, by region and name.
     _listed: dict[str, dict[str, Address]] = field(factory=dict, init=False)
@@ -219,7 +219,7 @@
             if instance is None:
                 _log.warning("unreadable notice", size_bytes=len(data))
             else:
-                self._on_leaving_server(instance, now_s)
+                self._on_leaving_server(instance)
 
     def _relay(self, data: bytes, first_host: Address | None) -> None:
         content = data[len(RELAY_TAG) :]
--- a/berylquay/relay/response_body.py
+++ b/berylquay/relay/response_body.py
@@ -9,8 +9,8 @@
 
 from returns.result import Failure, Result, Success
 
-from berylquay.net.body_framing import BodyFraming, is_json, media_type
-from berylquay.net.json_end import JsonEndDetector
+from berylquay.net.body_framing import media_type
+from berylquay.net.json_end import CUT_OFF, JsonEndDetector, is_unframed_json
 from berylquay.net.persistent_http import RawResponseHead
 from berylquay.relay.event_stream import EventTracker
 
@@ -61,7 +61,7 @@
         """Fails if the document was cut off."""
         if self._end_detector.is_complete:
             return Success(b"")
-        return Failure("the JSON document was cut off")
+        return Failure(CUT_OFF)
 
 
 def select_response_body(
@@ -82,6 +82,6 @@
         content_type = EVENT_STREAM_TYPE
     if media_type(content_type) == EVENT_STREAM_TYPE:
         return event_tracker
-    if is_json(content_type) and head.framing is BodyFraming.CONNECTION_END:
+    if is_unframed_json(head.framing, content_type):
         return UnframedJsonBody()
     return OpaqueBody()
--- a/berylquay/relay/server_notice_handler.py
+++ b/berylquay/relay/server_notice_handler.py
@@ -8,7 +8,12 @@
 import logbook
 
 from berylquay.decisions.backend_registry import BackendEntry
-from berylquay.decisions.server_notices import ServerInstance, ServerNotice, ServerNotices
+from berylquay.decisions.server_notices import (
+    MAX_PAUSE_S,
+    ServerInstance,
+    ServerNotice,
+    ServerNotices,
+)
 from berylquay.relay.metrics import RelayMetrics
 from berylquay.relay.report_fields import FIELD_ERRORS, compress_fields, decompress_fields
 
@@ -57,30 +62,32 @@
         """Applies what an answer of a server states."""
         if not notice.is_leaving and notice.pause_s is None:
             return
-        now_s = time.monotonic()
-        if notice.is_leaving and self._notices.on_leaving(backend.instance, now_s):
+        if notice.is_leaving and self._notices.on_leaving(backend.instance):
             self._record_leaving(backend.instance, "answer")
             self._tell_others(backend.instance)
         if notice.pause_s is not None:
-            self._pause(backend.instance, notice.pause_s, now_s)
+            self._pause(backend.instance, notice.pause_s, time.monotonic())
 
-    def on_reported_leaving(self, instance: ServerInstance, now_s: float) -> None:
+    def on_reported_leaving(self, instance: ServerInstance) -> None:
         """Applies what another host has learned."""
-        if self._notices.on_leaving(instance, now_s):
+        if self._notices.on_leaving(instance):
             self._record_leaving(instance, "host")
 
     def on_tick(self, now_s: float) -> None:
         """Ends pauses that are over."""
         for instance in self._notices.on_tick(now_s):
-            _log.info("server pause ended", backend=instance.name, born=instance.started_unix_ms)
-        self._metrics.on_server_notices(self._notices.paused_count, self._notices.leaving_count)
+            _log.info(
+                "server pause ended",
+                backend=instance.name,
+                started_unix_ms=instance.started_unix_ms,
+            )
 
     def _record_leaving(self, instance: ServerInstance, source: str) -> None:
         self._metrics.on_server_notice("leaving", source)
         _log.info(
             "server is leaving",
             backend=instance.name,
-            born=instance.started_unix_ms,
+            started_unix_ms=instance.started_unix_ms,
             source=source,
         )
 
@@ -92,8 +99,8 @@
         _log.info(
             "server paused",
             backend=instance.name,
-            born=instance.started_unix_ms,
+            started_unix_ms=instance.started_unix_ms,
             source="answer",
-            stated_ms=round(min(pause_s, lasts_s) * MS_PER_S),
+            stated_ms=round(min(pause_s, MAX_PAUSE_S) * MS_PER_S),
             left_ms=round(lasts_s * MS_PER_S),
         )
--- a/berylquay/relay/store_views.py
+++ b/berylquay/relay/store_views.py
@@ -55,8 +55,8 @@
         self._behind_since_s = None
 
     @property
-    def may_go_back(self) -> bool:
-        """Returns whether the store may come back with an older version."""
+    def has_store_eras(self) -> bool:
+        """Returns whether the store states eras, so that it may come back with an older version."""
         return self._store_era.current is not None
 
     def on_peer_version(self, version: int, now_s: float) -> None:
@@ -79,7 +79,7 @@
 
         The store then shows an older copy; what it lacks is written again.
         """
-        if not self.may_go_back or self._was_updated or self._behind_since_s is None:
+        if not self.has_store_eras or self._was_updated or self._behind_since_s is None:
             return False
         is_lasting = now_s - self._behind_since_s >= VERSION_LAG_S
         return is_lasting and now_s - self._peer_version_heard_s <= PEER_VERSION_TTL_S
--- a/berylquay/relay/upstream_request.py
+++ b/berylquay/relay/upstream_request.py
@@ -18,8 +18,7 @@
 
 # Maximum time to establish a connection; sufficient unless two packets are lost in a row.
 CONNECT_TIMEOUT_S: Final = 0.45
-
-
+# Called with a backend server and what one of its answers states of it.
 NoticeListener = Callable[[BackendEntry, ServerNotice], None]
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -143,7 +143,7 @@
         elif kind is FaultKind.CONFIGURATION:
             self.put_configuration(has_extra_route=not self.versions[-1].has_extra_route)
         elif kind is FaultKind.STORE and fault.variant == "restore":
-            # The longer the fault, the older the copy; the next one may come while this one lasts.
+            # The longer the fault, the older the copy.
             self.store.post(
                 "/restore",
                 {"copy_age_s": fault.duration_s, "rewrite_delay_s": REWRITE_DELAY_S},
--- a/tests/support/raw_backend.py
+++ b/tests/support/raw_backend.py
@@ -2,15 +2,14 @@
 
 import json
 import socket
-import struct
 import time
 from collections.abc import Callable
-from threading import Thread
 from typing import Final
 
 from attrs import define, field
 
-RECEIVE_BYTES: Final = 65536
+from tests.support.raw_sockets import accept_connections, read_request, reset_on_close
+
 STREAM_RESPONSE_HEAD: Final = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 )
@@ -44,7 +43,7 @@
             self._fill_queue()
             return
         self.listener.listen(64)
-        Thread(target=self._accept_connections, daemon=True).start()
+        accept_connections(self.listener, self._serve_connection)
 
     def stop(self) -> None:
         """Closes every socket."""
@@ -59,21 +58,13 @@
             filler.connect_ex(("127.0.0.1", self.port))
             self.fillers.append(filler)
 
-    def _accept_connections(self) -> None:
-        while True:
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:
-                return
-            Thread(target=self._serve_connection, args=(sock,), daemon=True).start()
-
     def _serve_connection(self, sock: socket.socket) -> None:
         if self.behaviour == "breaks off without reading":
             # By then the request is in a socket buffer, on this side or on the other.
             time.sleep(RESET_DELAY_S)
             _reset_connection(sock)
             return
-        request = _read_request(sock)
+        request = read_request(sock)
         if not request or request.startswith(b"GET /v1/"):
             sock.close()
             return
@@ -82,28 +73,10 @@
 
 
 def _reset_connection(sock: socket.socket) -> None:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    reset_on_close(sock)
     sock.close()
 
 
-def _read_request(sock: socket.socket) -> bytes:
-    data = b""
-    while b"\r\n\r\n" not in data:
-        chunk = sock.recv(RECEIVE_BYTES)
-        if not chunk:
-            return data
-        data += chunk
-    head, _, body = data.partition(b"\r\n\r\n")
-    length = next(
-        int(line.split(b":")[1])
-        for line in head.lower().split(b"\r\n")
-        if line.startswith(b"content-length")
-    )
-    while len(body) < length:
-        body += sock.recv(RECEIVE_BYTES)
-    return head + b"\r\n\r\n" + body
-
-
 def _send_and_close(sock: socket.socket, data: bytes) -> None:
     sock.sendall(data)
     sock.close()
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -9,6 +9,7 @@
 from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry, EntryState
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.server_notices import (
+    MAX_LEAVING_INSTANCES,
     MAX_PAUSE_END_SPREAD_S,
     MAX_PAUSE_S,
     ServerInstance,
@@ -99,8 +100,8 @@
     registry = BackendRegistry()
     registry.on_entry(ENTRY)
     state_hash = registry.state_hash()
-    assert registry.notices.on_leaving(ENTRY.instance, 1.0)
-    assert not registry.notices.on_leaving(ENTRY.instance, 1.1)
+    assert registry.notices.on_leaving(ENTRY.instance)
+    assert not registry.notices.on_leaving(ENTRY.instance)
     for entry in (
         evolve(ENTRY, heartbeat_number=2),
         evolve(ENTRY, heartbeat_number=3, role=Role.PREFILL),
@@ -117,7 +118,7 @@
 def test_a_server_that_starts_again_begins_without_statements() -> None:
     registry = BackendRegistry()
     registry.on_entry(ENTRY)
-    registry.notices.on_leaving(ENTRY.instance, 1.0)
+    registry.notices.on_leaving(ENTRY.instance)
     registry.notices.on_pause(ENTRY.instance, 60.0, Random(1), 1.0)
     restarted = evolve(ENTRY, started_unix_ms=2000)
     registry.on_entry(restarted)
@@ -125,6 +126,39 @@
     assert (registry.notices.leaving_count, registry.notices.paused_count) == (0, 0)
 
 
+# Guards against a cost of each placement that grows with what servers have stated, or that counts
+# every server in the pool as one that has stated something.
+def test_only_servers_that_have_stated_something_are_asked_for() -> None:
+    registry = BackendRegistry()
+    entries = [evolve(ENTRY, name=f"s-{number}") for number in range(70)]
+    for entry in entries:
+        registry.on_entry(entry)
+    notices = registry.notices
+    assert notices.names == set()
+    notices.on_leaving(entries[0].instance)
+    notices.on_pause(entries[0].instance, 1.0, Random(1), 0.0)
+    notices.on_pause(entries[1].instance, 1.0, Random(1), 0.0)
+    assert notices.names == {"s-0", "s-1"}
+    assert registry.ready_in_pool("lm") == entries[2:]
+    notices.on_tick(2.0)
+    assert notices.names == {"s-0"}
+    assert registry.ready_in_pool("lm") == entries[1:]
+    registry.on_entry(evolve(entries[0], started_unix_ms=2000))
+    assert notices.names == set()
+    for number in range(MAX_LEAVING_INSTANCES + 5):
+        notices.on_leaving(ServerInstance(f"gone-{number}", 1))
+    assert len(notices.names) == notices.leaving_count == MAX_LEAVING_INSTANCES
+
+
+def test_an_earlier_instance_states_nothing_of_a_later_one() -> None:
+    notices = ServerNotices()
+    later = evolve(SERVER, started_unix_ms=2000)
+    assert notices.on_leaving(later)
+    assert not notices.on_leaving(SERVER)
+    assert notices.is_leaving(later)
+    assert not notices.is_leaving(SERVER)
+
+
 @pytest.mark.parametrize(
     ("paused_s", "leaving", "expected_s"),
     [
@@ -145,7 +179,7 @@
         if name in paused_s:
             registry.notices.on_pause(entry.instance, paused_s[name], Random(1), 0.0)
         if name in leaving:
-            registry.notices.on_leaving(entry.instance, 0.0)
+            registry.notices.on_leaving(entry.instance)
     return_s = registry.earliest_return_s("lm", 0.0)
     if expected_s is None:
         assert return_s is None
