--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -49,6 +49,8 @@
     role: Role | None = None
     # Start time in Unix milliseconds, which distinguishes incarnations of one name; 0 if unknown.
     started_unix_ms: int = 0
+    # Version of its software, not of the weights; versions have no order.
+    software_version: str = ""
     # Number of this heartbeat since the start; entries that differ only in it are equal.
     heartbeat_number: int = field(default=0, eq=False)
 
--- a/berylquay/decisions/relay_call.py
+++ b/berylquay/decisions/relay_call.py
@@ -53,6 +53,11 @@
     fingerprint: str
     # Parsed request for generation, or None if the pool has no engines.
     generation: GenerationRequest | None = None
+    # Id of the newest event that the caller has of the stream that it takes up; None if it begins a
+    # new one.
+    resumed_after_event: int | None = None
+    # Id of the attempt that brought the first event of that stream; empty if it is not known.
+    resumed_call_id: str = ""
     # Names of the backend servers to which the request was sent so that it could run.
     sent_to: list[str] = field(factory=list)
     # Connections that failed before a byte of the request was sent.
--- a/berylquay/platform/backend_entries.py
+++ b/berylquay/platform/backend_entries.py
@@ -37,6 +37,7 @@
         state=_STATES[_require_text(fields["state"])],
         role=None if role is None else _ROLES[_require_text(role)],
         started_unix_ms=_require_count(started_unix_ms),
+        software_version=_require_text(fields["version"]),
         # Here "seq" numbers the heartbeats; in a load report it counts accepted orders.
         heartbeat_number=_require_count(fields.get("seq", 0)),
     )
--- a/berylquay/platform/request_codec.py
+++ b/berylquay/platform/request_codec.py
@@ -49,6 +49,9 @@
     generation: GenerationRequest | None
     # Id of the newest event that the caller already has of a stream, or None.
     last_event_id: int | None
+    # Id of the caller's attempt that brought the first event of the stream that this request
+    # continues; empty if it does not say.
+    resumed_call_id: str
 
 
 @frozen
@@ -85,6 +88,7 @@
         deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
         generation=_decode_generation(values),
         last_event_id=parse_whole_number(values.get(wire_names.LAST_EVENT_ID)),
+        resumed_call_id=values.get(wire_names.RESUMES, b"").decode("latin-1"),
     )
 
 
--- a/berylquay/platform/wire_names.py
+++ b/berylquay/platform/wire_names.py
@@ -11,6 +11,8 @@
 # All segments of the prompt, not only its prefix.
 PROMPT_SEGMENTS: Final = b"prompt-prefix"
 LAST_EVENT_ID: Final = b"last-event-id"
+# With the id of the newest event: the attempt id under which the caller got the stream's first one.
+RESUMES: Final = b"resumes"
 
 # Headers of a request that only the system may set.
 EXPECT_INSTANCE: Final = b"expect-instance"
--- a/berylquay/relay/call_logging.py
+++ b/berylquay/relay/call_logging.py
@@ -49,6 +49,9 @@
             (placement.prefill_engine or placement.decode_engine).name, now_s
         ),
         returning=call.is_caller_retry,
+        software_version=placement.decode_engine.software_version,
+        resumes=call.resumed_call_id,
+        after_event=call.resumed_after_event,
     )
 
 
--- a/berylquay/relay/request_handler.py
+++ b/berylquay/relay/request_handler.py
@@ -225,6 +225,8 @@
             generation=(
                 _generation_of(request, metadata) if pool.engine_properties is not None else None
             ),
+            resumed_after_event=metadata.last_event_id if route.streaming else None,
+            resumed_call_id=metadata.resumed_call_id,
         )
         relayed = RelayedRequest(
             self._services,
--- a/berylquay/relay/store_views.py
+++ b/berylquay/relay/store_views.py
@@ -175,6 +175,7 @@
             role=None if entry is None or entry.role is None else entry.role.value,
             address=None if entry is None else str(entry.address),
             data_centre=None if entry is None else entry.data_centre,
+            software_version=None if entry is None else entry.software_version,
             beat=None if entry is None else entry.heartbeat_number,
             restarted=change.restarted,
         )
--- a/tests/relay/test_platform_decoding.py
+++ b/tests/relay/test_platform_decoding.py
@@ -31,6 +31,7 @@
     "service": "lm",
     "address": "10.0.0.1:80",
     "zone": "fes-a",
+    "version": "v1.2",
     "slots": 4,
     "state": "draining",
     "phase": "decode",
@@ -44,6 +45,7 @@
     assert (entry.name, entry.pool, entry.address) == ("i-1", "lm", Address("10.0.0.1", 80))
     assert (entry.state, entry.role) == (EntryState.LEAVING, Role.DECODE)
     assert entry.recency_key == (12, 7)
+    assert entry.software_version == "v1.2"
 
 
 @pytest.mark.parametrize(
@@ -59,7 +61,9 @@
         json.dumps({**ENTRY, "slots": True}).encode(),
         json.dumps({**ENTRY, "address": "10.0.0.1"}).encode(),
         json.dumps({**ENTRY, "address": "10.0.0.1:99999"}).encode(),
+        json.dumps({**ENTRY, "version": 2}).encode(),
         json.dumps({key: value for key, value in ENTRY.items() if key != "zone"}).encode(),
+        json.dumps({key: value for key, value in ENTRY.items() if key != "version"}).encode(),
     ],
 )
 def test_a_malformed_entry_is_rejected(data: bytes) -> None:
@@ -127,6 +131,12 @@
     assert (facts.generation.prompt_tokens, facts.generation.max_output_tokens) == (11, 4)
 
 
+def test_a_request_that_continues_a_stream_names_its_first_attempt() -> None:
+    metadata = decode_request_metadata([(b"last-event-id", b"7"), (b"resumes", b"id-1")])
+    assert (metadata.last_event_id, metadata.resumed_call_id) == (7, "id-1")
+    assert decode_request_metadata([(b"last-event-id", b"x")]).resumed_call_id == ""
+
+
 @pytest.mark.parametrize("counts", [b"many,4", b"", b"-3,4"])
 def test_malformed_token_counts_give_no_generation_request(counts: bytes) -> None:
     assert decode_request_metadata([(b"token-counts", counts)]).generation is None
--- a/tests/support/era_model.py
+++ b/tests/support/era_model.py
@@ -271,6 +271,7 @@
             "service": "lm",
             "address": "10.0.0.9:80",
             "zone": "a",
+            "version": "v1",
             "slots": 1,
             "state": self.state,
             "phase": "decode",
