Continue an answer only at the software version that began it

What callers saw: events of two software versions in one answer.

Cause: the placement of a continuation asked for the same things as that of a new prompt. The call now holds the version whose events the caller has, from the first byte relayed; the engines that decode, and servers of plain services, must have it. Prefill engines write no events and may have any version. If no engine of the version is left, the answer breaks off as before, and the caller may take it up.

Evidence: test_an_answer_is_continued_at_its_version_only failed on ('broken-0', ['v1', 'v2']) and passes.

--- a/berylquay/decisions/relay_call.py
+++ b/berylquay/decisions/relay_call.py
@@ -58,6 +58,9 @@
     resumed_after_event: int | None = None
     # Id of the attempt that brought the first event of that stream; empty if it is not known.
     resumed_call_id: str = ""
+    # Version of the software of the servers at which the caller's event stream may go on; None if it
+    # has not begun.
+    stream_version: str | None = None
     # Names of the backend servers to which the request was sent so that it could run.
     sent_to: list[str] = field(factory=list)
     # Connections that failed before a byte of the request was sent.
@@ -72,6 +75,10 @@
             return ()
         return tuple(segment.segment_id for segment in self.generation.segments[:-1])
 
+    def may_use_version(self, software_version: str) -> bool:
+        """Tells whether the events of servers with this version fit those that the caller has."""
+        return self.stream_version in (None, software_version)
+
     def remaining_s(self, now_s: float) -> float:
         """Returns the time left until the final answer is due."""
         return self.deadline_s - now_s
--- a/berylquay/relay/engine_selection.py
+++ b/berylquay/relay/engine_selection.py
@@ -98,11 +98,13 @@
         )
 
     def _healthy_engines(self, now_s: float) -> list[BackendEntry]:
-        services = self._services
+        """Returns the engines that respond, of them only decode engines that fit the stream."""
+        services, call = self._services, self._call
         return [
             engine
-            for engine in services.registry.ready_in_pool(self._call.pool.name)
+            for engine in services.registry.ready_in_pool(call.pool.name)
             if not services.health.is_backing_off(engine.name, now_s)
+            and (engine.role is Role.PREFILL or call.may_use_version(engine.software_version))
         ]
 
     def _exclude_tried(self, engines: list[BackendEntry]) -> list[BackendEntry]:
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -301,7 +301,7 @@
             return
         call, services = self.call, self._services
         server = choose_server(
-            services.registry.ready_in_pool(call.pool.name),
+            self._fitting_servers(),
             call.sent_to,
             in_flight=services.in_flight,
             health=services.health,
@@ -469,7 +469,10 @@
             self._run_first_byte_s = time.monotonic()
         if self._first_byte_s is None:
             self._record_first_byte(upstream, self._run_first_byte_s)
-        if not self._response.feed(data):
+        is_caller_ready = self._response.feed(data)
+        if self.call.route.streaming and self.caller.response_started:
+            self.call.stream_version = upstream.backend.software_version
+        if not is_caller_ready:
             upstream.set_reading_paused(paused=True)
 
     def on_upstream_complete(self, upstream: UpstreamRequest) -> None:
@@ -587,8 +590,12 @@
         return True
 
     def _has_untried_server(self) -> bool:
+        return any(server.name not in self.call.sent_to for server in self._fitting_servers())
+
+    def _fitting_servers(self) -> list[BackendEntry]:
+        """Returns the servers whose answer would fit what the caller has of a stream."""
         servers = self._services.registry.ready_in_pool(self.call.pool.name)
-        return any(server.name not in self.call.sent_to for server in servers)
+        return [server for server in servers if self.call.may_use_version(server.software_version)]
 
     def _record_failure(
         self,
--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -40,11 +40,13 @@
         headers = {"Host": HOST_NAME, "Attempt-Id": call_id, "Content-Length": "0"}
         lines = [f"{name}: {value}" for name, value in {**headers, **PROMPT_HEADERS}.items()]
         sock = fleet.connect(host)
-        head = "\r\n".join((f"POST {PATHS['resumable']} HTTP/1.1", *lines, "", ""))
+        # No two contents are alike: the host refuses one that is lost at several engines.
+        target = f"{PATHS['resumable']}{call_id}"
+        head = "\r\n".join((f"POST {target} HTTP/1.1", *lines, "", ""))
         sock.sendall(head.encode())
         stream = cls(call_id, sock)
         while b"id: 1\n" not in stream.received:
-            stream._receive()
+            assert stream._receive(), stream.received
         return stream
 
     def _receive(self) -> bool:
@@ -89,7 +91,9 @@
         "Last-Event-Id": str(after_event),
         "Resumes": stream.call_id,
     }
-    answer = fleet.send_request(PATHS["resumable"], call_id, headers=headers, host=host)
+    answer = fleet.send_request(
+        f"{PATHS['resumable']}{stream.call_id}", call_id, headers=headers, host=host
+    )
     return answer.status, call_id
 
 
