Keep a stream that a caller takes up at the software version that began it

Cause: a request that continues a stream was placed like a new one; nothing read the version of an entry or the header that names the attempt which began the stream.

The host that begins a stream tells three keepers, chosen by rendezvous hashing of the attempt's id; the host to which the caller comes back asks them, and places the call at servers of that version only.

--- a/berylquay/decisions/engine_placement.py
+++ b/berylquay/decisions/engine_placement.py
@@ -12,7 +12,6 @@
 
 from collections import Counter
 from collections.abc import Sequence
-from hashlib import blake2b
 from typing import Final, Protocol
 
 from attrs import define, field, frozen
@@ -25,6 +24,7 @@
 from berylquay.decisions.kv_transfer_costs import KVTransferCosts, KVTransferOptions
 from berylquay.decisions.prefix_cache_index import CachedPrefix, PrefixCacheIndex
 from berylquay.decisions.relay_call import GenerationRequest
+from berylquay.decisions.rendezvous import rendezvous_weight
 from berylquay.decisions.route_table import EngineProperties
 from berylquay.decisions.topology import Topology
 
@@ -608,11 +608,6 @@
         return self._topology.region_of(data_centre)
 
 
-def rendezvous_weight(segment_id: str, engine: str) -> int:
-    """Returns the rendezvous hash of a segment and an engine; the highest one is preferred."""
-    return int.from_bytes(blake2b(f"{segment_id}|{engine}".encode(), digest_size=6).digest(), "big")
-
-
 def _make_placement(
     prefill_engine: BackendEntry | None,
     decode_engine: BackendEntry,
--- a/berylquay/decisions/relay_call.py
+++ b/berylquay/decisions/relay_call.py
@@ -58,7 +58,7 @@
     resumed_after_event: int | None = None
     # Id of the attempt that brought the first event of that stream; empty if it is not known.
     resumed_call_id: str = ""
-    # Version of the software of the servers at which the caller's event stream may go on; None if it
+    # Software version of the servers at which the caller's event stream may go on; None if it
     # has not begun.
     stream_version: str | None = None
     # Names of the backend servers to which the request was sent so that it could run.
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -27,6 +27,7 @@
 from berylquay.decisions.shared_retry_budget import RetryBudgetOptions, SharedRetryBudget
 from berylquay.decisions.shutdown_schedule import ShutdownPhase, ShutdownSchedule
 from berylquay.decisions.store_era import StoreEra
+from berylquay.decisions.stream_versions import PoolVersions
 from berylquay.decisions.topology import Location, Topology
 from berylquay.net.event_loop import EventLoop
 from berylquay.net.http_client import STATUS_OK
@@ -57,6 +58,11 @@
 from berylquay.relay.server_notice_handler import LEAVING_TAG, LIMIT_TAG, ServerNoticeHandler
 from berylquay.relay.services import RelayServices
 from berylquay.relay.store_views import BackendsView, ConfigurationView
+from berylquay.relay.stream_version_exchange import (
+    STREAM_QUERY_TAG,
+    STREAM_VERSIONS_TAG,
+    StreamVersionExchange,
+)
 from berylquay.settings.relay_settings import RelayOptions, SettingsFileWatcher, read_relay_settings
 
 MS_PER_S: Final = 1000.0
@@ -143,6 +149,8 @@
                 LEAVING_TAG: self._server_notice_handler.on_leaving_datagram,
                 LIMIT_TAG: self._server_notice_handler.on_limit_datagram,
                 CRASH_REPORT_TAG: self._services.segment_crashes.on_datagram,
+                STREAM_VERSIONS_TAG: self._services.stream_versions.on_versions_datagram,
+                STREAM_QUERY_TAG: self._services.stream_versions.on_query_datagram,
             },
         )
         self._request_handler = RequestHandler(
@@ -203,6 +211,13 @@
                 save=self._save_quarantine,
                 get_group_size=lambda: self._peer_exchange.group_size,
             ),
+            stream_versions=StreamVersionExchange(
+                host=options.host,
+                address=options.peers_address,
+                get_hosts=self._group_addresses,
+                send=self._send_to_host,
+            ),
+            pool_versions=PoolVersions(),
             connection_pool=BackendConnectionPool(connections),
             metrics=metrics,
             rng=rng,
@@ -226,6 +241,12 @@
     def _send_to_group(self, data: bytes) -> None:
         self._peer_exchange.send_to_group(data)
 
+    def _group_addresses(self) -> dict[str, Address]:
+        return self._peer_exchange.group_addresses()
+
+    def _send_to_host(self, data: bytes, address: Address) -> None:
+        self._peer_exchange.send(data, address)
+
     def _receive_reports(self, now_s: float) -> None:
         self._peer_exchange.receive(now_s)
 
@@ -346,6 +367,8 @@
             services.estimates.forget_engine(change.name)
             services.prefix_cache_index.forget_engine(change.name)
             services.segment_crashes.on_server_ended(change.name, time.monotonic())
+        if change.before is not None:
+            services.pool_versions.on_entry_replaced(change.before, time.monotonic())
         self._prefill_engines_changed = True
 
     def _update_prefill_engines(self) -> None:
@@ -404,6 +427,7 @@
         self._services.segment_crashes.on_tick(now_s)
         self._quarantine_store.on_tick(now_s)
         self._request_handler.on_tick(now_s)
+        self._services.stream_versions.on_tick(now_s)
         self._peer_exchange.on_tick(now_s)
         self._check_roles(now_s)
         self._log_handler.on_tick(now_s)
@@ -417,6 +441,7 @@
         elif self._backends_follower.has_snapshot:
             registry.on_store_answered(now_s)
         self._backends_view.expire(now_s)
+        self._services.pool_versions.on_list_confirmed(self._backends_follower.confirmed_s, now_s)
 
     def _check_roles(self, now_s: float) -> None:
         table = self._configuration_view.table
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -265,6 +265,10 @@
             return
         self._send(loads, now_s)
 
+    def recipient_addresses(self) -> dict[str, Address]:
+        """Returns the addresses of all hosts that receive this one's reports, by name."""
+        return {peer.name: peer.address for peer in self._get_recipients()}
+
     def send_to_recipients(self, data: bytes) -> None:
         """Sends a datagram to all hosts that receive this one's reports."""
         for peer in self._get_recipients():
--- a/berylquay/relay/metrics.py
+++ b/berylquay/relay/metrics.py
@@ -31,6 +31,8 @@
     _leaving_servers: Gauge
     # Prompt segments that were quarantined, by how this host learned it.
     _quarantined_segments: Counter
+    # Streams that callers took up again, by how their version was found.
+    _streams_taken_up: Counter
     # Log lines dropped to limit their volume, or because standard output failed.
     _dropped_lines: Gauge
 
@@ -71,6 +73,11 @@
             "Prompt segments that were found to crash engines",
             registry=registry,
         )
+        self._streams_taken_up = Counter(
+            "berylquay_relay_streams_taken_up_total",
+            "Streams that callers took up again",
+            registry=registry,
+        )
         self._dropped_lines = Gauge(
             "berylquay_relay_dropped_log_lines", "Log lines dropped", registry=registry
         )
@@ -98,6 +105,10 @@
         """Counts a prompt segment that was quarantined."""
         self._quarantined_segments.inc({"source": source})
 
+    def on_stream_taken_up(self, source: str) -> None:
+        """Counts a stream that a caller took up, by how its version was found."""
+        self._streams_taken_up.inc({"source": source})
+
     def on_server_notices(self, paused: int, leaving: int) -> None:
         """Records how many servers are paused and leaving."""
         self._paused_servers.set({}, paused)
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -115,6 +115,14 @@
         self._gossip.send_to_recipients(data)
         self._regions.send_to_regions(data, time.monotonic())
 
+    def group_addresses(self) -> dict[str, Address]:
+        """Returns the addresses of the hosts that exchange load reports with this one, by name."""
+        return self._gossip.recipient_addresses()
+
+    def send(self, data: bytes, address: Address) -> None:
+        """Sends a datagram to one host."""
+        self._gossip.send(data, address)
+
     def send_to_group(self, data: bytes) -> None:
         """Sends a datagram to the hosts that exchange load reports with this one."""
         self._gossip.send_to_recipients(data)
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -46,6 +46,7 @@
 from berylquay.relay.response_relay import FIRST_SERVER_ERROR, ResponseRelay
 from berylquay.relay.segment_announcements import SegmentAnnouncements
 from berylquay.relay.services import RelayServices
+from berylquay.relay.stream_lookup import LookupState, StreamLookup
 from berylquay.relay.upstream_request import UpstreamRequest
 
 CONNECT_TIMED_OUT: Final = "the connection was not established in time"
@@ -90,6 +91,8 @@
     # Open request to the backend server that runs the call, or None.
     _run_request: UpstreamRequest | None
     _placement: Placement | None
+    # Search for the software version of the stream that the call continues, while it lasts.
+    _stream_lookup: StreamLookup | None
     # Whether the call is queued at this host until an engine has little work.
     _queued: bool
     # KV cache that a prefill engine keeps for this call and that was not sent to a decode engine.
@@ -130,6 +133,7 @@
         self._prefill_request = None
         self._run_request = None
         self._placement = None
+        self._stream_lookup = None
         self._queued = False
         self._pending_kv_handle = None
         self._prefill_attempts = 0
@@ -149,11 +153,27 @@
     def start(self, now_s: float) -> None:
         """Places and sends the call, queues it, or refuses it."""
         self._services.retry_budget.on_call(self.call.pool.name, now_s)
+        if self.call.resumed_after_event is None:
+            self._begin(now_s)
+        else:
+            lookup = StreamLookup(self._services, self.call, now_s)
+            self._on_lookup(lookup, lookup.start(now_s), now_s)
+
+    def _begin(self, now_s: float) -> None:
         if self.call.generation is not None:
             self._place_generation(now_s, is_first_placement=True)
         else:
             self._send_to_server(now_s)
 
+    def _on_lookup(self, lookup: StreamLookup, state: LookupState, now_s: float) -> None:
+        """Begins, or goes on waiting for the version of the stream that the caller takes up."""
+        self._stream_lookup = lookup if state is LookupState.PENDING else None
+        if state is LookupState.FOUND:
+            self._begin(now_s)
+        elif state is LookupState.FAILED:
+            detail = "the software version of the stream is not known"
+            self._refuse(RefusalReason.NO_BACKEND, detail, now_s)
+
     def cancel(self, now_s: float) -> None:
         """Cancels all work for a caller that has disconnected."""
         if not self.ended:
@@ -170,6 +190,9 @@
                 upstream.cancel()
                 self._fail_upstream(upstream, AttemptOutcome.NOT_SENT, CONNECT_TIMED_OUT, now_s)
                 return
+        if self._stream_lookup is not None:
+            self._on_lookup(self._stream_lookup, self._stream_lookup.on_tick(now_s), now_s)
+            return
         if self._queued:
             self._place_generation(now_s, is_first_placement=True)
             return
@@ -234,7 +257,7 @@
             generation, may_disaggregate=self._may_disaggregate_prefill(now_s), now_s=now_s
         )
         if placement is None:
-            self._refuse(RefusalReason.NO_BACKEND, "no engine makes tokens", now_s)
+            self._refuse_without_engine(now_s)
             return
         # A prompt that the decode engine prefills after all is a heavy load for it: admit it again.
         needs_admission = is_first_placement or (
@@ -425,7 +448,7 @@
                 generation, upstream.backend, planned, now_s
             )
         if generation is None or decode_engine is None:
-            self._refuse(RefusalReason.NO_BACKEND, "no engine makes tokens", now_s)
+            self._refuse_without_engine(now_s)
             return
         self._expected_first_event_delay_s = self._services.placement.kv_transfer_to_first_event_s(
             generation, upstream.backend, decode_engine, now_s
@@ -470,11 +493,22 @@
         if self._first_byte_s is None:
             self._record_first_byte(upstream, self._run_first_byte_s)
         is_caller_ready = self._response.feed(data)
-        if self.call.route.streaming and self.caller.response_started:
-            self.call.stream_version = upstream.backend.software_version
+        if self.caller.response_started:
+            self._record_stream_begun(upstream.backend)
         if not is_caller_ready:
             upstream.set_reading_paused(paused=True)
 
+    def _record_stream_begun(self, backend: BackendEntry) -> None:
+        """Records the version of the server whose events the caller has received first."""
+        call = self.call
+        if not call.route.streaming or call.stream_version is not None:
+            return
+        call.stream_version = backend.software_version
+        if call.route.resumable:
+            self._services.stream_versions.on_stream_begun(
+                call.call_id, backend.software_version, time.monotonic()
+            )
+
     def on_upstream_complete(self, upstream: UpstreamRequest) -> None:
         """Ends the response, or tries another backend server after a failure."""
         now_s = time.monotonic()
@@ -642,6 +676,12 @@
             now_s=now_s,
         )
 
+    def _refuse_without_engine(self, now_s: float) -> None:
+        detail = "no engine makes tokens"
+        if self.call.stream_version is not None:
+            detail += f" at version {self.call.stream_version}, where the stream began"
+        self._refuse(RefusalReason.NO_BACKEND, detail, now_s)
+
     def _refuse_after_failure(self, outcome: AttemptOutcome, detail: str, now_s: float) -> None:
         reason = (
             RefusalReason.OVERLOADED
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -17,12 +17,14 @@
 from berylquay.decisions.prefix_cache_index import PrefixCacheIndex
 from berylquay.decisions.relay_admission import AdmissionOptions
 from berylquay.decisions.shared_retry_budget import SharedRetryBudget
+from berylquay.decisions.stream_versions import PoolVersions
 from berylquay.decisions.topology import Topology
 from berylquay.net.persistent_http import PersistentConnection
 from berylquay.relay.connection_pool import BackendConnectionPool
 from berylquay.relay.metrics import RelayMetrics
 from berylquay.relay.pending_updates import PendingUpdates
 from berylquay.relay.segment_crash_handler import SegmentCrashHandler
+from berylquay.relay.stream_version_exchange import StreamVersionExchange
 from berylquay.relay.upstream_request import NoticeListener, UpstreamRequest
 
 
@@ -43,6 +45,9 @@
     crash_history: CrashHistory
     # Crashes of engines, by the prompt segments that they were answering.
     segment_crashes: SegmentCrashHandler
+    # Software versions at which callers' streams began, and those that pools have had.
+    stream_versions: StreamVersionExchange
+    pool_versions: PoolVersions
     connection_pool: BackendConnectionPool
     metrics: RelayMetrics
     rng: Random
