--- a/tests/support/relay_fleet.py
+++ b/tests/support/relay_fleet.py
@@ -123,15 +123,32 @@
         self.put("keyed.servers", name, {**entry, **changes})
 
     def add_host(
-        self, name: str = "host-0", *, wait: bool = True, retry_extra: int = RETRY_EXTRA
+        self,
+        name: str = "host-0",
+        *,
+        wait: bool = True,
+        retry_extra: int = RETRY_EXTRA,
+        partition_file: Path | None = None,
     ) -> Process:
-        """Starts a relay host and, if `wait` is true, waits until it is ready."""
+        """Starts a relay host.
+
+        Args:
+            name: Name of the host.
+            wait: Whether to wait until it is ready.
+            retry_extra: Retries that it may make besides its ratio.
+            partition_file: State of its connections, for `partitioned_host`; None if they are not
+                to be broken.
+        """
         ports = [free_port() for _ in range(4)]
         settings = self.processes.directory / f"{name}.ini"
         settings.write_text(
             make_host_file(name, ports, self.store.port, retry_extra), encoding="utf-8"
         )
-        process = self.processes.start(name, "berylquay.relay", ports[0], str(settings))
+        module, arguments = "berylquay.relay", [str(settings)]
+        if partition_file is not None:
+            module = "tests.support.partitioned_host"
+            arguments.insert(0, str(partition_file))
+        process = self.processes.start(name, module, ports[0], *arguments)
         self.hosts.append(process)
         self.ready_ports.append(ports[1])
         if wait:
