Serve callers by way of another host while the paths to all servers are lost

Cause: a host had no way to a server but its own connection, and blamed the servers for its failure.

A host to which connections fail at two servers with none that succeeds in between takes its own path for the cause. Until one of its own succeeds again, its connections go through another host, below HTTP: a WebSocket to the address of the hosts' reports carries the connection's bytes. Nothing is sent before the gateway has reached the server, an answer is complete only with the message that says so, and a gateway refuses servers that are leaving or have asked it for a pause.

--- a/berylquay/decisions/backend_health.py
+++ b/berylquay/decisions/backend_health.py
@@ -71,6 +71,12 @@
         self._update_failure_rate(health, 1.0)
         return backoff_s
 
+    def end_backoffs(self) -> None:
+        """Ends all backoffs, as it was not the servers that failed."""
+        for health in self._health_by_name.values():
+            health.connect_failures = 0
+            health.backoff_until_s = 0.0
+
     def on_reported_unresponsive(self, name: str, now_s: float) -> None:
         """Records a report from another host that a backend server is unresponsive.
 
--- a/berylquay/net/persistent_http.py
+++ b/berylquay/net/persistent_http.py
@@ -15,7 +15,7 @@
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
 from berylquay.net.body_framing import BodyFraming, framing_of
-from berylquay.net.tcp_connections import Connection, TcpConnections
+from berylquay.net.tcp_connections import Connection, ConnectionHandler
 
 Headers = list[tuple[bytes, bytes]]
 # Largest response head (status line and headers) that is accepted.
@@ -50,6 +50,25 @@
         return framing_of({name.decode("latin-1") for name, _ in self.headers})
 
 
+class Transport(Protocol):
+    """Opens connections and sends data, as `TcpConnections` does."""
+
+    def open(self, address: Address, connection_handler: ConnectionHandler) -> Connection:
+        """Starts connecting and returns at once."""
+
+    def send(self, connection: Connection, data: bytes) -> None:
+        """Sends data."""
+
+    def close(self, connection: Connection) -> None:
+        """Closes the connection without calling its handler."""
+
+    def pause_reading(self, connection: Connection) -> None:
+        """Stops reading until `resume_reading`."""
+
+    def resume_reading(self, connection: Connection) -> None:
+        """Resumes reading."""
+
+
 class ResponseHandler(Protocol):
     """Callbacks for the response to a request; none is called after `close`."""
 
@@ -92,7 +111,7 @@
     _on_idle: "Callable[[PersistentConnection], None]"
     # Called when the connection was closed by either end or could not be established.
     _on_ended: "Callable[[PersistentConnection], None]"
-    _connections: TcpConnections
+    _connections: Transport
     # Requests whose responses are complete, excluding one after which the connection was closed.
     completed_requests: int = 0
     # Monotonic time at which the connection last became idle; set and used by its owner.
@@ -100,6 +119,10 @@
     # Time for which the server keeps an idle connection open (from its `Keep-Alive` header), or
     # None if it did not state one.
     keep_alive_timeout_s: float | None = None
+    # Whether the connection has ever been established, and whether an attempt to establish it has
+    # failed.
+    was_established: bool = False
+    has_failed_to_connect: bool = False
     _protocol: h11.Connection = field(init=False)
     _connection: Connection = field(init=False)
     _pending: _PendingRequest | None = field(default=None, init=False)
@@ -109,6 +132,11 @@
         self._protocol = _new_protocol()
         self._connection = self._connections.open(self.address, self)
 
+    @property
+    def transport(self) -> Transport:
+        """Returns what the connection was opened with."""
+        return self._connections
+
     @property
     def closed(self) -> bool:
         """Returns whether the connection is closed."""
@@ -164,6 +192,7 @@
 
     def on_connected(self) -> None:
         """Sends the request that was started before the connection was established, if any."""
+        self.was_established = True
         if self._pending is not None and not self._pending.sent:
             self._send_request()
 
@@ -177,6 +206,7 @@
 
     def on_disconnected(self, detail: str) -> None:
         """Completes a response delimited by the end of the connection, or fails the request."""
+        self.has_failed_to_connect = not self.was_established
         if self._pending is not None and self._connection.peer_closed_cleanly:
             self._feed_parser(b"")
         pending, self._pending = self._pending, None
--- a/berylquay/relay/call_logging.py
+++ b/berylquay/relay/call_logging.py
@@ -109,6 +109,7 @@
         end=outcome.value,
         detail=detail,
         framing=upstream.framing,
+        gateway=None if upstream.gateway is None else upstream.gateway.gateway,
         after_ms=to_ms(now_s - upstream.started_s),
         failure_rate=round(failure_rate, 3),
         paused_ms=to_ms(backoff_s),
--- a/berylquay/relay/connection_pool.py
+++ b/berylquay/relay/connection_pool.py
@@ -7,6 +7,9 @@
 from berylquay.decisions.backend_registry import BackendEntry
 from berylquay.net.persistent_http import PersistentConnection
 from berylquay.net.tcp_connections import TcpConnections
+from berylquay.relay.gateway_transport import GatewayTransport
+from berylquay.relay.path_monitor import PathMonitor
+from berylquay.relay.upstream_request import CONNECT_TIMEOUT_S
 
 # Time for which an idle connection may be reused if the backend server states no keep-alive
 # timeout; shorter than the idle timeout of any known backend server.
@@ -24,18 +27,34 @@
     open_count: int = 0
 
 
+@define(eq=False)
+class _Opening:
+    """A connection of this host's own that is being established."""
+
+    backend: str
+    connection: PersistentConnection
+    opened_s: float
+
+
 class BackendConnectionPool:
     """Opens connections to backend servers and keeps the idle ones."""
 
     _connections: TcpConnections
+    # Tells whether this host reaches the servers itself, and opens connections through gateways.
+    _path_monitor: PathMonitor
     # Connections by the backend server's name.
     _by_backend: dict[str, _BackendConnections]
+    # Connections of this host's own of which it is not yet known whether they are established.
+    _opening: list[_Opening]
     # Monotonic time of the last tick or `acquire`.
     _now_s: float
 
-    def __init__(self, connections: TcpConnections) -> None:
+    def __init__(self, connections: TcpConnections, path_monitor: PathMonitor) -> None:
         self._connections = connections
+        self._path_monitor = path_monitor
+        path_monitor.on_change = self.close_all_idle
         self._by_backend = {}
+        self._opening = []
         self._now_s = 0.0
 
     def open_count(self, name: str) -> int:
@@ -44,7 +63,12 @@
         return 0 if backend_connections is None else backend_connections.open_count
 
     def acquire(
-        self, backend: BackendEntry, require_new: bool, now_s: float
+        self,
+        backend: BackendEntry,
+        require_new: bool,
+        now_s: float,
+        *,
+        may_use_gateway: bool = True,
     ) -> PersistentConnection:
         """Returns a connection for one request.
 
@@ -53,6 +77,7 @@
             require_new: Whether to open a new connection in any case, since a request on one that
                 the backend server is just closing would have an unknown outcome.
             now_s: Present monotonic time.
+            may_use_gateway: Whether the request may come from another host.
         """
         self._now_s = now_s
         backend_connections = self._by_backend.setdefault(backend.name, _BackendConnections())
@@ -62,13 +87,24 @@
                 return connection
             connection.close()
         backend_connections.open_count += 1
+        gateway = None
+        if may_use_gateway and self._path_monitor.paths.is_cut_off:
+            gateway = self._path_monitor.open_gateway(backend, now_s)
+        return self._open(backend, gateway, now_s)
+
+    def _open(
+        self, backend: BackendEntry, gateway: GatewayTransport | None, now_s: float
+    ) -> PersistentConnection:
         name = backend.name
-        return PersistentConnection(
+        connection = PersistentConnection(
             backend.address,
             lambda connection: self._return_idle(name, connection),
             lambda _connection: self._on_connection_ended(name),
-            self._connections,
+            self._connections if gateway is None else gateway,
         )
+        if gateway is None:
+            self._opening.append(_Opening(name, connection, now_s))
+        return connection
 
     def close_idle(self, name: str) -> None:
         """Closes the idle connections to a backend server that is gone or was restarted."""
@@ -78,9 +114,15 @@
                 connection.close()
             backend_connections.idle = []
 
+    def close_all_idle(self) -> None:
+        """Closes all idle connections, as the path to the servers has changed."""
+        for name in list(self._by_backend):
+            self.close_idle(name)
+
     def on_tick(self, now_s: float) -> None:
         """Closes connections that have been idle for too long."""
         self._now_s = now_s
+        self._check_opening(now_s)
         for name, backend_connections in list(self._by_backend.items()):
             reusable = []
             for connection in backend_connections.idle:
@@ -94,6 +136,19 @@
             if not backend_connections.open_count:
                 del self._by_backend[name]
 
+    def _check_opening(self, now_s: float) -> None:
+        """Passes on which connections were established, and which failed."""
+        opening, self._opening = self._opening, []
+        for each in opening:
+            if each.connection.was_established:
+                self._path_monitor.on_connected(now_s)
+            elif each.connection.has_failed_to_connect or (
+                now_s - each.opened_s > CONNECT_TIMEOUT_S
+            ):
+                self._path_monitor.on_connect_failed(each.backend, now_s)
+            elif not each.connection.closed:
+                self._opening.append(each)
+
     def _is_reusable(self, connection: PersistentConnection, now_s: float) -> bool:
         reuse_timeout_s = DEFAULT_REUSE_TIMEOUT_S
         if connection.keep_alive_timeout_s is not None:
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -45,10 +45,12 @@
 from berylquay.relay.connection_pool import BackendConnectionPool
 from berylquay.relay.crash_reports import CRASH_REPORT_TAG
 from berylquay.relay.follower import FollowTimings, TopicFollower
+from berylquay.relay.gateway_server import GatewayServer
 from berylquay.relay.host_list import HostList
 from berylquay.relay.log_handler import StdoutLogHandler
 from berylquay.relay.metrics import RelayMetrics
 from berylquay.relay.pages import Page, PageConnection
+from berylquay.relay.path_monitor import PathMonitor
 from berylquay.relay.peer_exchange import PeerExchange
 from berylquay.relay.prefill_requests import cancel_overdue_releases
 from berylquay.relay.quarantine_store import QuarantineStore
@@ -109,6 +111,8 @@
     _role_controller: RoleController
     _host_list: HostList
     _quarantine_store: QuarantineStore
+    # Lends other hosts this one's paths to the backend servers.
+    _gateway_server: GatewayServer
     # Era of the store, as its answers state it.
     _store_era: StoreEra
     # Whether an entry has changed since the placement was told the prefill engines.
@@ -163,6 +167,9 @@
         self._role_controller = self._make_role_controller(connections)
         self._quarantine_store = self._make_quarantine_store(connections, rng)
         self._store_era.add_listener(self._on_store_era)
+        self._gateway_server = GatewayServer(
+            connections, self._services.registry, self._services.path_monitor, rng
+        )
         self._listen(connections)
         Ticker().register(self._loop)
         self.register(self._loop)
@@ -188,9 +195,19 @@
         )
         health = BackendHealth(HealthOptions())
         metrics = RelayMetrics()
+        registry = BackendRegistry()
+        path_monitor = PathMonitor(
+            connections,
+            registry,
+            health,
+            topology=topology,
+            metrics=metrics,
+            rng=rng,
+            get_hosts=self._group_places,
+        )
         crash_history = CrashHistory(CrashHistoryLimits(retention_s=CRASH_RETENTION_S))
         return RelayServices(
-            registry=BackendRegistry(),
+            registry=registry,
             health=health,
             retry_budget=SharedRetryBudget(_retry_budget_options(options)),
             backlog=backlog,
@@ -218,7 +235,8 @@
                 send=self._send_to_host,
             ),
             pool_versions=PoolVersions(),
-            connection_pool=BackendConnectionPool(connections),
+            connection_pool=BackendConnectionPool(connections, path_monitor),
+            path_monitor=path_monitor,
             metrics=metrics,
             rng=rng,
             on_work_placed=self._notify_work_placed,
@@ -244,6 +262,9 @@
     def _group_addresses(self) -> dict[str, Address]:
         return self._peer_exchange.group_addresses()
 
+    def _group_places(self) -> dict[str, tuple[Address, str]]:
+        return self._peer_exchange.group_places()
+
     def _send_to_host(self, data: bytes, address: Address) -> None:
         self._peer_exchange.send(data, address)
 
@@ -329,6 +350,9 @@
         TcpListener(
             self._loop, connections, options.callers_address, self._request_handler.make_connection
         ).register(self._loop)
+        TcpListener(
+            self._loop, connections, options.peers_address, self._gateway_server.make_tunnel
+        ).register(self._loop)
         TcpListener(
             self._loop,
             connections,
@@ -421,6 +445,8 @@
         self._services.registry.notices.limits.host_count = host_count
         self._update_prefill_engines()
         self._services.connection_pool.on_tick(now_s)
+        self._services.path_monitor.on_tick(self._request_handler.open_calls > 0, now_s)
+        self._gateway_server.on_tick(now_s)
         cancel_overdue_releases(self._services, now_s)
         self._server_notice_handler.on_tick(now_s)
         self._services.crash_history.expire(now_s)
@@ -449,7 +475,8 @@
             self._backends_follower.has_snapshot
             and not self._backends_follower.consecutive_failures
         )
-        if table is not None and is_registry_current and self._shutdown_schedule is None:
+        may_order = is_registry_current and not self._services.path_monitor.paths.is_cut_off
+        if table is not None and may_order and self._shutdown_schedule is None:
             self._role_controller.has_served = self._request_handler.has_served
             self._role_controller.on_tick(table, now_s)
 
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -265,6 +265,14 @@
             return
         self._send(loads, now_s)
 
+    def recipient_places(self) -> dict[str, tuple[Address, str]]:
+        """Returns address and data centre of all hosts that receive reports, by name."""
+        return {
+            peer.name: (peer.address, peer.data_centre)
+            for peer in self._get_recipients()
+            if peer.has_reported
+        }
+
     def recipient_addresses(self) -> dict[str, Address]:
         """Returns the addresses of all hosts that receive this one's reports, by name."""
         return {peer.name: peer.address for peer in self._get_recipients()}
--- a/berylquay/relay/metrics.py
+++ b/berylquay/relay/metrics.py
@@ -33,6 +33,8 @@
     _quarantined_segments: Counter
     # Streams that callers took up again, by how their version was found.
     _streams_taken_up: Counter
+    # 1 while no server is reachable by a connection of this host's own, else 0.
+    _cut_off: Gauge
     # Log lines dropped to limit their volume, or because standard output failed.
     _dropped_lines: Gauge
 
@@ -78,6 +80,11 @@
             "Streams that callers took up again",
             registry=registry,
         )
+        self._cut_off = Gauge(
+            "berylquay_relay_cut_off",
+            "Whether the paths to all servers are lost",
+            registry=registry,
+        )
         self._dropped_lines = Gauge(
             "berylquay_relay_dropped_log_lines", "Log lines dropped", registry=registry
         )
@@ -109,6 +116,10 @@
         """Counts a stream that a caller took up, by how its version was found."""
         self._streams_taken_up.inc({"source": source})
 
+    def on_cut_off(self, *, is_cut_off: bool) -> None:
+        """Records whether the host has lost its paths to all servers."""
+        self._cut_off.set({}, int(is_cut_off))
+
     def on_server_notices(self, paused: int, leaving: int) -> None:
         """Records how many servers are paused and leaving."""
         self._paused_servers.set({}, paused)
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -119,6 +119,10 @@
         """Returns the addresses of the hosts that exchange load reports with this one, by name."""
         return self._gossip.recipient_addresses()
 
+    def group_places(self) -> dict[str, tuple[Address, str]]:
+        """Returns address and data centre of the hosts that have reported to this one, by name."""
+        return self._gossip.recipient_places()
+
     def send(self, data: bytes, address: Address) -> None:
         """Sends a datagram to one host."""
         self._gossip.send(data, address)
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -187,7 +187,7 @@
             return
         for upstream in (self._run_request, self._prefill_request):
             if upstream is not None and upstream.is_stuck_connecting(now_s):
-                upstream.cancel()
+                upstream.give_up_connecting()
                 self._fail_upstream(upstream, AttemptOutcome.NOT_SENT, CONNECT_TIMED_OUT, now_s)
                 return
         if self._stream_lookup is not None:
@@ -238,8 +238,10 @@
     def _abandon_stalled(self, upstream: UpstreamRequest, detail: str, now_s: float) -> None:
         """Cancels a stalled upstream request and backs off from its engine for a while."""
         upstream.cancel()
-        self._services.health.on_unreachable(upstream.backend.name, now_s)
-        self._services.pending_updates.unresponsive.add(upstream.backend.name)
+        services, name = self._services, upstream.backend.name
+        if upstream.gateway is not None or not services.path_monitor.paths.is_cut_off:
+            services.health.on_unreachable(name, now_s)
+            services.pending_updates.unresponsive.add(name)
         self._fail_upstream(upstream, AttemptOutcome.CONNECTION_LOST, detail, now_s)
 
     def on_caller_writable(self) -> None:
@@ -492,6 +494,7 @@
             self._run_first_byte_s = time.monotonic()
         if self._first_byte_s is None:
             self._record_first_byte(upstream, self._run_first_byte_s)
+        self._services.path_monitor.paths.has_new_data = True
         is_caller_ready = self._response.feed(data)
         if self.caller.response_started:
             self._record_stream_begun(upstream.backend)
@@ -642,8 +645,10 @@
         services, call = self._services, self.call
         name = upstream.backend.name
         backoff_s = 0.0
+        gateway = upstream.gateway
         if outcome is AttemptOutcome.NOT_SENT:
-            backoff_s = services.health.on_unreachable(name, now_s)
+            if gateway is None or not gateway.has_gateway_failed:
+                backoff_s = services.health.on_unreachable(name, now_s)
         elif outcome in (AttemptOutcome.CONNECTION_LOST, AttemptOutcome.SERVER_ERROR):
             services.health.on_failed(name)
         if outcome is AttemptOutcome.CONNECTION_LOST:
--- a/berylquay/relay/role_controller.py
+++ b/berylquay/relay/role_controller.py
@@ -305,7 +305,8 @@
         on_done: Callable[[int, bytes], None],
         now_s: float,
     ) -> UpstreamRequest:
-        connection = self._services.acquire_connection(entry, True, now_s)
+        # An order by way of another host would look like that of a second holder.
+        connection = self._services.acquire_connection(entry, True, now_s, may_use_gateway=False)
         return UpstreamRequest(
             EngineResponseCollector(on_done),
             entry,
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -22,6 +22,7 @@
 from berylquay.net.persistent_http import PersistentConnection
 from berylquay.relay.connection_pool import BackendConnectionPool
 from berylquay.relay.metrics import RelayMetrics
+from berylquay.relay.path_monitor import PathMonitor
 from berylquay.relay.pending_updates import PendingUpdates
 from berylquay.relay.segment_crash_handler import SegmentCrashHandler
 from berylquay.relay.stream_version_exchange import StreamVersionExchange
@@ -49,6 +50,8 @@
     stream_versions: StreamVersionExchange
     pool_versions: PoolVersions
     connection_pool: BackendConnectionPool
+    # Whether this host reaches the servers by connections of its own.
+    path_monitor: PathMonitor
     metrics: RelayMetrics
     rng: Random
     # Called with the monotonic time when work was placed at an engine.
@@ -69,7 +72,12 @@
     pending_updates: PendingUpdates = field(factory=PendingUpdates)
 
     def acquire_connection(
-        self, backend: BackendEntry, require_new: bool, now_s: float
+        self,
+        backend: BackendEntry,
+        require_new: bool,
+        now_s: float,
+        *,
+        may_use_gateway: bool = True,
     ) -> PersistentConnection:
         """Returns a connection for one request, which counts against the server's limit.
 
@@ -77,6 +85,9 @@
             backend: Backend server to connect to.
             require_new: Whether to open a new connection in any case.
             now_s: Present time.
+            may_use_gateway: Whether the request may come from another host.
         """
         self.registry.notices.limits.on_request_sent(backend.instance, now_s)
-        return self.connection_pool.acquire(backend, require_new, now_s)
+        return self.connection_pool.acquire(
+            backend, require_new, now_s, may_use_gateway=may_use_gateway
+        )
--- a/berylquay/relay/upstream_request.py
+++ b/berylquay/relay/upstream_request.py
@@ -15,6 +15,7 @@
     is_misdirected,
 )
 from berylquay.platform.wire_names import ATTEMPT_ID
+from berylquay.relay.gateway_transport import GatewayTransport
 
 # Maximum time to establish a connection; sufficient unless two packets are lost in a row.
 CONNECT_TIMEOUT_S: Final = 0.45
@@ -94,6 +95,18 @@
         """Tells whether the backend server may have begun to run what was sent."""
         return self._outcome is None and self._connection.verdict is Verdict.MAY_HAVE_RUN
 
+    @property
+    def gateway(self) -> GatewayTransport | None:
+        """Returns the way through another host that the connection takes, or None."""
+        transport = self._connection.transport
+        return transport if isinstance(transport, GatewayTransport) else None
+
+    def give_up_connecting(self) -> None:
+        """Cancels the request, as its connection was not established in time."""
+        if self.gateway is not None:
+            self.gateway.give_up_connecting()
+        self.cancel()
+
     def is_stuck_connecting(self, now_s: float) -> bool:
         """Tells whether establishing the connection has timed out."""
         is_connecting = not self.ended and not self._connection.connected
@@ -117,7 +130,10 @@
             # Another server may have answered; what it states is not of this one.
             self._outcome = AttemptOutcome.WRONG_SERVER
             return
-        self._on_notice(self.backend, decode_server_notice(head), self.started_s)
+        notice = decode_server_notice(head)
+        self._on_notice(self.backend, notice, self.started_s)
+        if notice.pause_s is not None and self.gateway is not None:
+            self.gateway.pass_on_pause(notice.pause_s)
         if is_declared_not_executed(head):
             self._outcome = AttemptOutcome.REJECTED
         elif not self.ended:
--- /dev/null
+++ b/tests/relay/test_gateways.py
@@ -0,0 +1,154 @@
+"""Answers that reach a host without a path of its own by way of another host."""
+
+import socket
+import time
+from pathlib import Path
+
+import pytest
+
+from berylquay.decisions.server_instance import ServerInstance
+from berylquay.relay.tunnel_messages import (
+    MAX_DATA_BYTES,
+    OPENED,
+    decode_message,
+    decode_open,
+    encode_data,
+    encode_event,
+    encode_open,
+)
+from tests.relay.test_partitioned_hosts import Partition
+from tests.relay.test_stream_versions import OpenStream
+from tests.support.relay_fleet import PATHS, RelayFleet, make_configuration, wait_until
+
+EVENTS = 20
+# The host that is cut off, and the one that it uses as its gateway.
+CUT, GATEWAY = 0, 1
+
+
+def start_cut_host(fleet: RelayFleet, directory: Path) -> None:
+    """Starts two hosts, and cuts the first one off from all servers."""
+    fleet.put_configuration(make_configuration())
+    for name in ("app-0", "app-1"):
+        fleet.add_backend(name, "app")
+    fleet.add_backend("decode-0", "lm", "decode", "--events", str(EVENTS), "--interval-ms", "40")
+    partition = Partition.make(directory / "partition.json")
+    partition.ports = [process.port for process in fleet.backends.values()]
+    partition.set_mode("")
+    fleet.add_host("host-0", partition_file=partition.file)
+    fleet.add_host("host-1")
+    wait_until(lambda: has_line(fleet, CUT, "host discovered"))
+    partition.set_mode("refuse")
+    numbers = iter(range(1000))
+
+    def is_served_again() -> bool:
+        call_id = f"first-{next(numbers)}"
+        answer = fleet.send_request(PATHS["once"] + call_id, call_id, call_id.encode(), host=CUT)
+        return has_line(fleet, CUT, "paths to servers lost") and answer.status == 200
+
+    wait_until(is_served_again)
+
+
+def has_line(fleet: RelayFleet, host: int, message: str) -> bool:
+    return any(line["message"] == message for line in fleet.log_lines(host))
+
+
+def is_complete(received: bytes) -> bool:
+    return received.endswith(b"0\r\n\r\n")
+
+
+# Guards against an answer that ends early with its gateway, or its server, and looks complete.
+# Without length and chunks, a server that ends between two events can't be told from a complete one.
+@pytest.mark.parametrize(
+    ("framing", "lost"),
+    [
+        ("chunked", "gateway"),
+        ("chunked", "server"),
+        ("chunked", "nothing"),
+        ("unframed", "gateway"),
+        ("unframed", "nothing"),
+    ],
+)
+def test_an_answer_is_complete_only_if_the_server_ended_it(
+    fleet: RelayFleet, tmp_path: Path, framing: str, lost: str
+) -> None:
+    start_cut_host(fleet, tmp_path)
+    engine = fleet.backends["decode-0"]
+    engine.post("/faults", {"unframed": True} if framing == "unframed" else {})
+    stream = OpenStream.begin(fleet, "stream", CUT)
+    if lost == "gateway":
+        fleet.hosts[GATEWAY].kill()
+    elif lost == "server":
+        engine.kill()
+    newest = stream.read_to_end() if lost != "nothing" else read_to_last_chunk(stream)
+    assert is_complete(stream.received) is (lost == "nothing")
+    assert (newest == EVENTS) is (lost == "nothing")
+
+
+def read_to_last_chunk(stream: OpenStream) -> int:
+    """Reads a complete answer; its connection stays open."""
+    stream.sock.settimeout(5.0)
+    while not is_complete(stream.received):
+        stream.received += stream.sock.recv(65536)
+    return stream.received.count(b"\nid: ")
+
+
+# Guards against work that goes on at an engine after the caller of a tunnelled request has left.
+def test_the_engine_stops_when_the_caller_leaves(fleet: RelayFleet, tmp_path: Path) -> None:
+    start_cut_host(fleet, tmp_path)
+    OpenStream.begin(fleet, "stream", CUT).sock.close()
+    wait_until(lambda: fleet.get_witness("decode-0", "cancelled") == ["stream"], 0.6)
+
+
+# Guards against requests of the gateway to a server that has asked for a pause in a tunnel.
+def test_a_pause_stated_in_a_tunnel_binds_the_gateway(fleet: RelayFleet, tmp_path: Path) -> None:
+    start_cut_host(fleet, tmp_path)
+    for name in ("app-0", "app-1"):
+        fleet.backends[name].post("/faults", {"pause_s": 2})
+    deadline_s = time.monotonic() + 1.0
+    while time.monotonic() < deadline_s and not has_line(fleet, CUT, "server paused"):
+        fleet.send_request(PATHS["many"], f"id-{time.monotonic()}", host=CUT)
+    paused = {
+        str(line["backend"]) for line in fleet.log_lines(CUT) if line["message"] == "server paused"
+    }
+    assert paused
+    for name in ("app-0", "app-1"):
+        fleet.backends[name].post("/faults", {})
+    time.sleep(0.1)
+    before = len(fleet.runs(*paused))
+    for number in range(20):
+        fleet.send_request(PATHS["many"], f"direct-{number}", str(number).encode(), host=GATEWAY)
+    assert len(fleet.runs(*paused)) == before
+
+
+# Guards against a host that fails, or keeps a connection open, when a tunnel gets other bytes.
+@pytest.mark.parametrize(
+    "data", [b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 200, b"", b"\x00" * 70_000, b"{}"]
+)
+def test_bytes_that_open_no_tunnel_are_dropped(fleet: RelayFleet, data: bytes) -> None:
+    fleet.put_configuration(make_configuration())
+    fleet.add_backend("app-0", "app")
+    fleet.add_host()
+    settings = (fleet.processes.directory / "host-0.ini").read_text(encoding="utf-8")
+    port = int(settings.partition("peers = 127.0.0.1:")[2].split()[0])
+    with socket.create_connection(("127.0.0.1", port), timeout=3.0) as sock:
+        sock.sendall(data)
+        try:
+            while sock.recv(4096):
+                pass
+        except ConnectionResetError:
+            # Closed with bytes that were not read.
+            sock.close()
+    assert fleet.send_request(PATHS["once"], "id-1").status == 200
+
+
+def test_messages_of_a_tunnel() -> None:
+    instance = ServerInstance("i-1", 7)
+    assert decode_open(encode_open(instance)) == instance
+    assert decode_message(encode_event(OPENED)) == (OPENED, "")
+    data = bytes(range(256)) * (MAX_DATA_BYTES // 100)
+    parts = [decode_message(message) for message in encode_data(data)]
+    assert b"".join(part for part in parts if isinstance(part, bytes)) == data
+    for malformed in (b"", b"\xff", b"\x81", encode_event("other", "x")[:-1], b"\x05"):
+        assert decode_message(malformed) is None
+        assert decode_open(malformed) is None
+    assert decode_open(encode_event(OPENED)) is None
