Trace two tests that failed once beside load: both read a log line that may not be there

test_gateways waited for 'host discovered', which a host that read the other in the store's list does not write (kept log: five lines, no discovery). test_store_era read 'configuration in force' right after an answer; the kept log has the line 17 ms before the answer's, but lines are written at the next tick. The first wait is dropped, as the test then waits for an answer by way of the other host; the second waits for the same final state. test_stream_versions had the first weakness too.

--- a/tests/relay/test_gateways.py
+++ b/tests/relay/test_gateways.py
@@ -36,7 +36,6 @@
     partition.set_mode("")
     fleet.add_host("host-0", partition_file=partition.file)
     fleet.add_host("host-1")
-    wait_until(lambda: has_line(fleet, CUT, "host discovered"))
     partition.set_mode("refuse")
     numbers = iter(range(1000))
 
@@ -57,7 +56,7 @@
 
 
 # Guards against an answer that ends early with its gateway, or its server, and looks complete.
-# Without length and chunks, a server that ends between two events can't be told from a complete one.
+# Without length and chunks, a server lost between two events looks like one that is done.
 @pytest.mark.parametrize(
     ("framing", "lost"),
     [
--- a/tests/relay/test_store_era.py
+++ b/tests/relay/test_store_era.py
@@ -183,7 +183,8 @@
     wait_until(lambda: fleet.is_ready(2))
     fleet.register("app-0", "app", seq=2)
     assert fleet.send_request(PATHS["many"], "id-2", host=2).status == 200
-    assert _version_in_force(fleet, 2) == 2
+    # Log lines are written at the next tick, which may come after the answer.
+    wait_until(lambda: _version_in_force(fleet, 2) == 2)
     assert [line["version"] for line in _lines(fleet, "configuration in force")] == [1, 2]
 
 
--- a/tests/relay/test_stream_versions.py
+++ b/tests/relay/test_stream_versions.py
@@ -7,13 +7,15 @@
 
 from attrs import define, field
 
-from tests.support.relay_fleet import HOST_NAME, PATHS, RelayFleet, make_configuration, wait_until
+from tests.support.relay_fleet import HOST_NAME, PATHS, RelayFleet, make_configuration
 
 VERSIONS = {"decode-0": "v1", "decode-1": "v2", "decode-2": "v1", "decode-3": "v2"}
 STREAMS = 16
 # At the engines' pace a stream takes two seconds.
 EVENTS = 40
 EVENT_INTERVAL_MS = 50
+# Longer than the interval between two reports of an idle host.
+REPORT_INTERVAL_S = 1.5
 PROMPT_HEADERS = {"Token-Counts": "20,40", "Deadline-Ms": "3500"}
 
 
@@ -69,10 +71,6 @@
         )
 
 
-def count_discovered(fleet: RelayFleet, host: int) -> int:
-    return [line["message"] for line in fleet.log_lines(host)].count("host discovered")
-
-
 def version_of_run(fleet: RelayFleet, call_id: str) -> list[str]:
     """Returns the versions of the engines that have run an attempt."""
     return [
@@ -102,8 +100,8 @@
     start_engines(fleet)
     for number in range(3):
         fleet.add_host(f"host-{number}")
-    # Each host knows those that were started before it from the store's list.
-    wait_until(lambda: [count_discovered(fleet, host) for host in range(3)] == [2, 1, 0])
+    # The hosts know each other by the store's list or by their reports.
+    time.sleep(REPORT_INTERVAL_S)
     streams = [OpenStream.begin(fleet, f"stream-{number}") for number in range(STREAMS)]
     # The host that has begun the streams is lost, with what it knows of them.
     fleet.hosts[0].kill()
