Let a stopping gateway finish its tunnels, and refuse new ones

A stopping host refuses new tunnels, so that the other host takes another gateway, and does not count as idle while tunnels are open.

Evidence: test_a_gateway_that_stops_finishes_its_tunnels failed on the commit before and passes.

--- a/berylquay/relay/gateway_server.py
+++ b/berylquay/relay/gateway_server.py
@@ -42,6 +42,8 @@
     registry: BackendRegistry
     path_monitor: PathMonitor
     rng: Random
+    # Whether new tunnels are refused, as this host is stopping.
+    is_stopping: bool
     _tunnels: set["ServedTunnel"]
 
     def __init__(
@@ -55,8 +57,14 @@
         self.registry = registry
         self.path_monitor = path_monitor
         self.rng = rng
+        self.is_stopping = False
         self._tunnels = set()
 
+    @property
+    def open_tunnels(self) -> int:
+        """Returns how many tunnels have not ended."""
+        return len(self._tunnels)
+
     def make_tunnel(self) -> "ServedTunnel | None":
         """Returns the handler of another host's connection, or None if there are too many."""
         if len(self._tunnels) >= MAX_TUNNELS:
@@ -160,6 +168,8 @@
     ) -> tuple[str, str] | None:
         """Returns why a server may not be reached through this host, or None if it may."""
         notices = self._gateway.registry.notices
+        if self._gateway.is_stopping:
+            return GATEWAY_REFUSED, "the gateway is stopping"
         if self._gateway.path_monitor.paths.is_cut_off:
             return GATEWAY_REFUSED, "the gateway has no path to the servers either"
         if entry is None or entry.instance != instance:
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -486,11 +486,14 @@
             self._shutdown_schedule = ShutdownSchedule(message.now_s, self._options.bounds.grace_s)
             _log.info("stop", open_calls=self._request_handler.open_calls)
             self._request_handler.stop_keep_alive()
+            self._gateway_server.is_stopping = True
             self._host_list.remove_entry()
 
     def _advance_shutdown(self, schedule: ShutdownSchedule, now_s: float) -> None:
         is_idle = (
-            not self._request_handler.open_calls and not self._request_handler.open_connections
+            not self._request_handler.open_calls
+            and not self._request_handler.open_connections
+            and not self._gateway_server.open_tunnels
         )
         phase = schedule.phase(is_idle, now_s)
         if phase is ShutdownPhase.FINISHING:
--- a/tests/relay/test_gateways.py
+++ b/tests/relay/test_gateways.py
@@ -1,13 +1,18 @@
 """Answers that reach a host without a path of its own by way of another host."""
 
 import socket
+import subprocess
 import time
 from pathlib import Path
 
 import pytest
 
 from berylquay.decisions.server_instance import ServerInstance
+from berylquay.decisions.shutdown_schedule import MIN_SHUTDOWN_S
+from berylquay.peers.security_layer import PlaintextLayer
+from berylquay.peers.websocket import PeerWebSocket
 from berylquay.relay.tunnel_messages import (
+    GATEWAY_REFUSED,
     MAX_DATA_BYTES,
     OPENED,
     decode_message,
@@ -91,6 +96,45 @@
     return stream.received.count(b"\nid: ")
 
 
+def peers_port(fleet: RelayFleet, host: str) -> int:
+    settings = (fleet.processes.directory / f"{host}.ini").read_text(encoding="utf-8")
+    return int(settings.partition("peers = 127.0.0.1:")[2].split()[0])
+
+
+def open_tunnel(port: int, server: ServerInstance) -> tuple[socket.socket, object]:
+    """Opens a tunnel as another host does; returns its socket and the gateway's first message."""
+    sock = socket.create_connection(("127.0.0.1", port), timeout=3.0)
+    websocket = PeerWebSocket(PlaintextLayer(), server_side=False)
+    sock.sendall(websocket.take_outgoing())
+    messages: list[bytes] = []
+    while not websocket.is_open:
+        messages += websocket.receive(sock.recv(4096))
+    websocket.send(encode_open(server))
+    sock.sendall(websocket.take_outgoing())
+    while not messages:
+        messages += websocket.receive(sock.recv(4096))
+    return sock, decode_message(messages[0])
+
+
+# Guards against a planned stop of a gateway that breaks off answers of the hosts that use it.
+def test_a_gateway_that_stops_finishes_its_tunnels(fleet: RelayFleet) -> None:
+    fleet.put_configuration(make_configuration())
+    fleet.add_backend("app-0", "app")
+    host = fleet.add_host()
+    port, server = peers_port(fleet, "host-0"), ServerInstance("app-0", 1000)
+    sock, message = open_tunnel(port, server)
+    assert message == (OPENED, "")
+    host.popen.terminate()
+    wait_until(lambda: has_line(fleet, CUT, "stop"))
+    newer_sock, message = open_tunnel(port, server)
+    assert message == (GATEWAY_REFUSED, "the gateway is stopping")
+    newer_sock.close()
+    with pytest.raises(subprocess.TimeoutExpired):
+        host.popen.wait(timeout=MIN_SHUTDOWN_S + 1.0)
+    sock.close()
+    assert host.popen.wait(timeout=1.5) == 0
+
+
 # Guards against work that goes on at an engine after the caller of a tunnelled request has left.
 def test_the_engine_stops_when_the_caller_leaves(fleet: RelayFleet, tmp_path: Path) -> None:
     start_cut_host(fleet, tmp_path)
@@ -127,8 +171,7 @@
     fleet.put_configuration(make_configuration())
     fleet.add_backend("app-0", "app")
     fleet.add_host()
-    settings = (fleet.processes.directory / "host-0.ini").read_text(encoding="utf-8")
-    port = int(settings.partition("peers = 127.0.0.1:")[2].split()[0])
+    port = peers_port(fleet, "host-0")
     with socket.create_connection(("127.0.0.1", port), timeout=3.0) as sock:
         sock.sendall(data)
         try:
