Let a slow host read what the server sent before it closed its side of a tunnel

Found by reading the diff: once the server had ended, the next tick ended the tunnel too if it was older than its time to open, and dropped what the other host had not read yet; the caller got a broken-off answer. A gateway now waits until the other host closes. It also gives up a server that hangs before the other host gives up the gateway, which would otherwise be blamed.

--- a/berylquay/relay/gateway_server.py
+++ b/berylquay/relay/gateway_server.py
@@ -30,6 +30,9 @@
 from berylquay.relay.upstream_request import CONNECT_TIMEOUT_S
 
 MAX_TUNNELS: Final = 400
+# Time to open a tunnel; the other host, which gives up after its own time-out, learns before that
+# that the server is to blame.
+OPEN_TIMEOUT_S: Final = CONNECT_TIMEOUT_S * 2.0 / 3.0
 # Bytes that one side has not accepted yet, above which the other side is not read.
 MAX_UNSENT_BYTES: Final = 262144
 _log = logbook.Logger("gateway")
@@ -94,6 +97,8 @@
     # Connection to the server and its entry, or None before the tunnel is opened.
     _server: Connection | None
     _entry: BackendEntry | None
+    # Whether the server's connection has ended and the other host has yet to read the rest.
+    _is_draining: bool
     _has_ended: bool
 
     def __init__(self, gateway: GatewayServer) -> None:
@@ -102,6 +107,7 @@
         self._started_s = time.monotonic()
         self._server = None
         self._entry = None
+        self._is_draining = False
         self._has_ended = False
 
     # Handler of the connection to the other host.
@@ -132,8 +138,10 @@
     def on_tick(self, now_s: float) -> None:
         """Ends a tunnel that is not opened in time, and applies back pressure."""
         server = self._server
+        if self._is_draining:
+            return
         if server is None or not server.established:
-            if now_s - self._started_s > CONNECT_TIMEOUT_S:
+            if now_s - self._started_s > OPEN_TIMEOUT_S:
                 if server is not None and self._entry is not None:
                     self._on_connect_failed("the connection was not established in time")
                 self.end()
@@ -232,6 +240,7 @@
             self.end()
             return
         self._server = None
+        self._is_draining = True
         self._gateway.connections.half_close(self.connection)
 
     def _on_connect_failed(self, detail: str) -> None:
--- a/tests/relay/test_gateways.py
+++ b/tests/relay/test_gateways.py
@@ -4,14 +4,24 @@
 import subprocess
 import time
 from pathlib import Path
+from random import Random
+from unittest.mock import Mock
 
 import pytest
 
+from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry, EntryState
+from berylquay.decisions.fleet import Address
 from berylquay.decisions.server_instance import ServerInstance
+from berylquay.decisions.server_paths import ServerPaths
 from berylquay.decisions.shutdown_schedule import MIN_SHUTDOWN_S
+from berylquay.net.event_loop import EventLoop
+from berylquay.net.tcp_connections import Connection, ConnectionHandler, TcpConnections
 from berylquay.peers.security_layer import PlaintextLayer
 from berylquay.peers.websocket import PeerWebSocket
+from berylquay.relay.gateway_server import GatewayServer
+from berylquay.relay.path_monitor import PathMonitor
 from berylquay.relay.tunnel_messages import (
+    END,
     GATEWAY_REFUSED,
     MAX_DATA_BYTES,
     OPENED,
@@ -101,8 +111,8 @@
     return int(settings.partition("peers = 127.0.0.1:")[2].split()[0])
 
 
-def open_tunnel(port: int, server: ServerInstance) -> tuple[socket.socket, object]:
-    """Opens a tunnel as another host does; returns its socket and the gateway's first message."""
+def open_tunnel(port: int, server: ServerInstance) -> tuple[socket.socket, PeerWebSocket, object]:
+    """Opens a tunnel as another host does; returns it and the gateway's first message."""
     sock = socket.create_connection(("127.0.0.1", port), timeout=3.0)
     websocket = PeerWebSocket(PlaintextLayer(), server_side=False)
     sock.sendall(websocket.take_outgoing())
@@ -113,7 +123,7 @@
     sock.sendall(websocket.take_outgoing())
     while not messages:
         messages += websocket.receive(sock.recv(4096))
-    return sock, decode_message(messages[0])
+    return sock, websocket, decode_message(messages[0])
 
 
 # Guards against a planned stop of a gateway that breaks off answers of the hosts that use it.
@@ -122,11 +132,11 @@
     fleet.add_backend("app-0", "app")
     host = fleet.add_host()
     port, server = peers_port(fleet, "host-0"), ServerInstance("app-0", 1000)
-    sock, message = open_tunnel(port, server)
+    sock, _, message = open_tunnel(port, server)
     assert message == (OPENED, "")
     host.popen.terminate()
     wait_until(lambda: has_line(fleet, CUT, "stop"))
-    newer_sock, message = open_tunnel(port, server)
+    newer_sock, _, message = open_tunnel(port, server)
     assert message == (GATEWAY_REFUSED, "the gateway is stopping")
     newer_sock.close()
     with pytest.raises(subprocess.TimeoutExpired):
@@ -135,6 +145,58 @@
     assert host.popen.wait(timeout=1.5) == 0
 
 
+class RecordingConnections(TcpConnections):
+    """Connections that exist in name only; what is sent waits to be read."""
+
+    def __init__(self) -> None:
+        super().__init__(EventLoop())
+
+    def open(self, address: Address, connection_handler: ConnectionHandler) -> Connection:
+        return Connection(address, connection_handler, socket.socket())
+
+    def send(self, connection: Connection, data: bytes) -> None:
+        connection.unsent.append(data)
+
+    def half_close(self, connection: Connection) -> None:
+        connection.half_closing = True
+
+    def close(self, connection: Connection) -> None:
+        connection.closed = True
+
+
+# Guards against a gateway that drops the rest of an answer when the server has closed.
+def test_a_slow_host_gets_all_that_the_server_sent() -> None:
+    connections, registry = RecordingConnections(), BackendRegistry()
+    address = Address("127.0.0.1", 80)
+    registry.on_entry(BackendEntry("app-0", "app", address, "a", 4, EntryState.READY))
+    monitor = Mock(PathMonitor)
+    monitor.paths = ServerPaths()
+    gateway = GatewayServer(connections, registry, monitor, Random(1))
+    tunnel = gateway.make_tunnel()
+    assert tunnel is not None
+    tunnel.connection = connections.open(address, tunnel)
+    client = PeerWebSocket(PlaintextLayer(), server_side=False)
+    tunnel.on_data_received(client.take_outgoing())
+    client.receive(b"".join(tunnel.connection.unsent))
+    client.send(encode_open(ServerInstance("app-0", 0)))
+    tunnel.on_data_received(client.take_outgoing())
+    server = tunnel._server
+    assert server is not None
+    server.established = True
+    tunnel.on_server_connected()
+    tunnel.connection.unsent.clear()
+    tunnel.on_server_data(b"answer")
+    server.peer_closed_cleanly = True
+    tunnel.on_server_disconnected("closed by the other end")
+    # The host reads long after the time that a tunnel may take to open.
+    gateway.on_tick(time.monotonic() + 60.0)
+    assert not tunnel.connection.closed
+    messages = client.receive(b"".join(tunnel.connection.unsent))
+    assert [decode_message(message) for message in messages] == [b"answer", (END, "")]
+    tunnel.on_disconnected("closed by the other end")
+    assert gateway.open_tunnels == 0
+
+
 # Guards against work that goes on at an engine after the caller of a tunnelled request has left.
 def test_the_engine_stops_when_the_caller_leaves(fleet: RelayFleet, tmp_path: Path) -> None:
     start_cut_host(fleet, tmp_path)
