--- a/berylquay/relay/gateway_server.py
+++ b/berylquay/relay/gateway_server.py
@@ -119,8 +119,8 @@
         """Opens the tunnel, or forwards data to the server."""
         try:
             messages = self._websocket.receive(data)
-        except WebSocketError:
-            self.end()
+        except WebSocketError as error:
+            self._abandon(str(error))
             return
         self._flush()
         for message in messages:
@@ -144,7 +144,7 @@
             if now_s - self._started_s > OPEN_TIMEOUT_S:
                 if server is not None and self._entry is not None:
                     self._on_connect_failed("the connection was not established in time")
-                self.end()
+                self._abandon("not opened in time")
             return
         self._balance(self.connection, server)
         self._balance(server, self.connection)
@@ -161,7 +161,7 @@
 
     def _open(self, instance: ServerInstance | None) -> None:
         if instance is None:
-            self.end()
+            self._abandon("the first message does not open a tunnel")
             return
         entry = self._gateway.registry.get(instance.name)
         refusal = self._refusal(entry, instance)
@@ -195,6 +195,11 @@
         self._send(encode_event(event, detail))
         # Not closed at once, so that the message arrives; the other host closes.
 
+    def _abandon(self, detail: str) -> None:
+        """Ends the tunnel, as the other end did not keep to the protocol or has gone."""
+        _log.info("tunnel abandoned", peer=str(self.connection.address), detail=detail)
+        self.end()
+
     def _forward(self, data: bytes) -> None:
         message = decode_message(data)
         if isinstance(message, bytes) and self._server is not None:
@@ -202,14 +207,14 @@
         elif isinstance(message, tuple) and message[0] == PAUSE and self._entry is not None:
             self._record_pause(self._entry, message[1])
         else:
-            self.end()
+            self._abandon("unreadable message")
 
     def _record_pause(self, entry: BackendEntry, pause_text: str) -> None:
         """Keeps the pause that the server has asked for: for it, the request came from here."""
         try:
             pause_s = float(pause_text)
         except ValueError:
-            self.end()
+            self._abandon("unreadable pause")
             return
         now_s = time.monotonic()
         self._gateway.registry.notices.on_pause(entry.instance, pause_s, self._gateway.rng, now_s)
--- a/tests/relay/test_gateways.py
+++ b/tests/relay/test_gateways.py
@@ -243,6 +243,9 @@
             # Closed with bytes that were not read.
             sock.close()
     assert fleet.send_request(PATHS["once"], "id-1").status == 200
+    # What breaks the protocol is logged; the rest ends with its connection.
+    if data.startswith(b"GET") or data.startswith(b"\xff"):
+        wait_until(lambda: has_line(fleet, 0, "tunnel abandoned"))
 
 
 def test_messages_of_a_tunnel() -> None:
