Import only what a relay host needs at its start

Callers of a fleet whose hosts were all killed got no connection for as long as the hosts imported modules. The relay imported the messages of berylquayd, and with them its configuration state, calls and deployments, for the sake of the two messages Tick and StopRequested, and the codec of the peer links for one constant. The two messages are in net/process_messages.py now.

Ruled out: modules compiled anew at each start (the .pyc files are there).

--- a/bench/authority_costs.py
+++ b/bench/authority_costs.py
@@ -16,7 +16,7 @@
 from circuits import BaseComponent, handler
 
 from berylquay.backends.load_poller import LoadPoller
-from berylquay.component_messages import LoadReported, MembershipRead, RecordsRead, Tick
+from berylquay.component_messages import LoadReported, MembershipRead, RecordsRead
 from berylquay.decisions.controller_lease import Authority, LeaseManager, LeaseTiming
 from berylquay.decisions.deployment import Configuration, Deployment, ModelSpec, PoolSpec
 from berylquay.decisions.engine_orders import EngineState
@@ -35,6 +35,7 @@
 from berylquay.decisions.order_controller import OrderController
 from berylquay.net.event_loop import EventLoop
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.net.ticker import Ticker
 from berylquay.standalone.records import LogRecord, encode_records
--- a/bench/links.py
+++ b/bench/links.py
@@ -21,10 +21,11 @@
 from circuits.core.events import started
 from circuits.core.pollers import EPoll
 
-from berylquay.component_messages import MembershipRead, Tick
+from berylquay.component_messages import MembershipRead
 from berylquay.decisions.fleet import Address, EntryHost, MembershipView
 from berylquay.decisions.peering import DialScheduler, PeeringLimits
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.net.ticker import Ticker
 from berylquay.peers.codec import encode_payload
--- a/berylquay/authority/controller.py
+++ b/berylquay/authority/controller.py
@@ -20,9 +20,7 @@
     RecordAppendFailed,
     RecordsRead,
     RoleChangeRequested,
-    StopRequested,
     StreamFollowRequested,
-    Tick,
 )
 from berylquay.decisions.controller_lease import LeaseManager
 from berylquay.decisions.order_commands import (
@@ -32,6 +30,7 @@
 )
 from berylquay.decisions.order_controller import OrderController
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import StopRequested, Tick
 from berylquay.peers.payloads import DrainAcknowledgement
 
 FIRST_OFFSET: Final = 1
--- a/berylquay/authority/drain_notice_handler.py
+++ b/berylquay/authority/drain_notice_handler.py
@@ -12,10 +12,10 @@
     DrainApplied,
     PeerReceived,
     PeerSendRequested,
-    Tick,
 )
 from berylquay.decisions.host_drains import HostDrains
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 from berylquay.peers.payloads import DrainNotice
 
 
--- a/berylquay/backends/backend_prober.py
+++ b/berylquay/backends/backend_prober.py
@@ -5,11 +5,12 @@
 
 from circuits import BaseComponent, handler
 
-from berylquay.component_messages import MembershipRead, ProbeEnded, ProbeRequested, Tick
+from berylquay.component_messages import MembershipRead, ProbeEnded, ProbeRequested
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
 from berylquay.net.http_client import HttpExchange, HttpRequest, HttpResponseHead
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 from berylquay.net.tcp_connections import TcpConnections
 
 # Time within which a probe must be answered.
--- a/berylquay/backends/call_dispatcher.py
+++ b/berylquay/backends/call_dispatcher.py
@@ -22,13 +22,13 @@
     PeerLinkChanged,
     PeerReceived,
     ProbeEnded,
-    Tick,
     TokensArrived,
     TokensForCaller,
     TokensForCallers,
 )
 from berylquay.decisions.call_tracker import CallCommand, CallTracker
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 from berylquay.peers.payloads import CrashReport
 
 _log = logbook.Logger("dispatch")
--- a/berylquay/backends/engine_order_client.py
+++ b/berylquay/backends/engine_order_client.py
@@ -11,7 +11,7 @@
 
 from berylquay.authority.send_request import ORDERS_PATH, SendRequest, encode_send_request
 from berylquay.call_verdicts import Verdict
-from berylquay.component_messages import EngineStateRead, OrderOutcomeKnown, Tick
+from berylquay.component_messages import EngineStateRead, OrderOutcomeKnown
 from berylquay.decisions.engine_orders import (
     EngineState,
     Order,
@@ -25,6 +25,7 @@
 )
 from berylquay.net.http_client import STATUS_OK, HttpRequest, make_json_request
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.standalone.json_exchange import ExchangeOutcome, JsonExchange
 
--- a/berylquay/backends/load_poller.py
+++ b/berylquay/backends/load_poller.py
@@ -7,11 +7,12 @@
 from circuits import BaseComponent, handler
 from returns.result import Failure
 
-from berylquay.component_messages import LoadReported, MembershipRead, Tick
+from berylquay.component_messages import LoadReported, MembershipRead
 from berylquay.decisions.fleet import BackendServer, LoadReport, Role
 from berylquay.decisions.load_polling import PollSchedule
 from berylquay.net.http_client import STATUS_OK, HttpRequest
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.standalone.json_exchange import ExchangeOutcome, JsonExchange
 
--- a/berylquay/callers/request_handler.py
+++ b/berylquay/callers/request_handler.py
@@ -32,13 +32,13 @@
     CallReceived,
     CallRefused,
     ConfigurationInForce,
-    Tick,
     TokensForCaller,
     TokensForCallers,
 )
 from berylquay.decisions.calls import Call
 from berylquay.decisions.deployment import Configuration
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 
 # Retry-After of a host that is stopping; the caller should then use another host.
 STOPPING_RETRY_AFTER_S: Final = 1.0
--- a/berylquay/callers/request_limits.py
+++ b/berylquay/callers/request_limits.py
@@ -10,8 +10,8 @@
 from berylquay.callers.connection_meter import VIOLATION_STATUS, ConnectionMeter, RequestViolation
 from berylquay.callers.responses import refusal_body
 from berylquay.callers.server import HttpServer
-from berylquay.component_messages import Tick
 from berylquay.net.message_bus import BUS
+from berylquay.net.process_messages import Tick
 from berylquay.settings.host_options import CallerLimits
 
 
--- a/berylquay/component_messages.py
+++ b/berylquay/component_messages.py
@@ -2,7 +2,8 @@
 
 Each message is an attrs class; it is the single argument of the circuits event that is named after
 it (see `berylquay.net.message_bus`). Components own their sockets and state and communicate only
-by these messages. Docstrings of messages start with `sender -> receivers`.
+by these messages. Docstrings of messages start with `sender -> receivers`. The messages that every
+program has are in `berylquay.net.process_messages`.
 """
 
 from attrs import frozen
@@ -19,13 +20,6 @@
 from berylquay.standalone.records import LogRecord, NewRecord
 
 
-@frozen
-class Tick:
-    """ticker -> all: the monotonic time, posted at a regular interval."""
-
-    now_s: float
-
-
 @frozen
 class CallReceived:
     """callers -> dispatch, idempotency: a validated request was received.
@@ -352,13 +346,6 @@
     draining: bool
 
 
-@frozen
-class StopRequested:
-    """daemon -> all: stop this host gracefully; it reports itself as not ready from now on."""
-
-    now_s: float
-
-
 @frozen
 class AdmissionClosed:
     """graceful_shutdown -> callers: refuse new requests from now on; those in flight continue."""
--- a/berylquay/graceful_shutdown.py
+++ b/berylquay/graceful_shutdown.py
@@ -3,8 +3,9 @@
 import logbook
 from circuits import BaseComponent, handler
 
-from berylquay.component_messages import AdmissionClosed, AnswersDrained, StopRequested, Tick
+from berylquay.component_messages import AdmissionClosed, AnswersDrained
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import StopRequested, Tick
 
 _log = logbook.Logger("lifecycle")
 
--- a/berylquay/health_pages.py
+++ b/berylquay/health_pages.py
@@ -5,9 +5,10 @@
 from circuits import BaseComponent, Event, handler
 from circuits.web.wrappers import Request, Response
 
-from berylquay.component_messages import ConfigurationInForce, MembershipRead, StopRequested
+from berylquay.component_messages import ConfigurationInForce, MembershipRead
 from berylquay.host_metrics import HostMetrics
 from berylquay.net.message_bus import BUS
+from berylquay.net.process_messages import StopRequested
 
 HEALTH_CHANNEL: Final = "health"
 STATUS_OK: Final = 200
--- a/berylquay/idempotency/component.py
+++ b/berylquay/idempotency/component.py
@@ -17,11 +17,11 @@
     PeerReceived,
     RecordsRead,
     StreamFollowRequested,
-    Tick,
 )
 from berylquay.decisions.idempotency import IdempotencyCommand, IdempotencyController
 from berylquay.decisions.key_claims import CLAIMS_STREAM
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 
 
 class IdempotencyComponent(BaseComponent):
--- a/berylquay/net/event_loop.py
+++ b/berylquay/net/event_loop.py
@@ -6,8 +6,8 @@
 import logbook
 from circuits.core.pollers import EPoll
 
-from berylquay.component_messages import StopRequested
 from berylquay.net.message_bus import post
+from berylquay.net.process_messages import StopRequested
 
 _log = logbook.Logger("loop")
 
--- a/berylquay/net/ticker.py
+++ b/berylquay/net/ticker.py
@@ -6,8 +6,8 @@
 from circuits import BaseComponent, handler
 from circuits.core.events import generate_events
 
-from berylquay.component_messages import Tick
 from berylquay.net.message_bus import post
+from berylquay.net.process_messages import Tick
 
 TICK_INTERVAL_S: Final = 0.025
 
--- a/berylquay/peers/codec.py
+++ b/berylquay/peers/codec.py
@@ -11,10 +11,9 @@
 from returns.result import Failure, Result, Success
 
 from berylquay.peers.payloads import PeerPayload
+from berylquay.peers.websocket import MAX_MESSAGE_BYTES
 
 ENVELOPE_VERSION: Final = 1
-# Maximum number of bytes of a message, checked before it is decoded.
-MAX_MESSAGE_BYTES: Final = 262144
 _ENVELOPE_LENGTH: Final = 3
 
 
--- a/berylquay/peers/peer_links.py
+++ b/berylquay/peers/peer_links.py
@@ -17,7 +17,6 @@
     PeerLinkChanged,
     PeerReceived,
     PeerSendRequested,
-    Tick,
 )
 from berylquay.decisions.fleet import EntryHost
 from berylquay.decisions.peering import (
@@ -27,6 +26,7 @@
     keeps_own_link,
 )
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 from berylquay.net.tcp_connections import Connection, TcpConnections
 from berylquay.peers.codec import CodecError, decode_payload
 from berylquay.peers.payloads import Heartbeat, Hello, PeerPayload
--- a/berylquay/peers/websocket.py
+++ b/berylquay/peers/websocket.py
@@ -10,9 +10,10 @@
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
-from berylquay.peers.codec import MAX_MESSAGE_BYTES
 from berylquay.peers.security_layer import SecurityLayer, SecurityLayerError
 
+# Maximum number of bytes of a message, checked before it is decoded.
+MAX_MESSAGE_BYTES: Final = 262144
 _URI: Final = "ws://peer/berylquay"
 _CLOSE_POLICY_VIOLATION: Final = 1008
 
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -11,7 +11,6 @@
 from circuits import BaseComponent, handler
 from returns.result import Failure
 
-from berylquay.component_messages import StopRequested, Tick
 from berylquay.decisions.backend_health import BackendHealth, HealthOptions
 from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry, RegistryChange
 from berylquay.decisions.crash_history import CrashHistory, CrashHistoryLimits
@@ -32,6 +31,7 @@
 from berylquay.net.event_loop import EventLoop
 from berylquay.net.http_client import STATUS_OK
 from berylquay.net.message_bus import BUS
+from berylquay.net.process_messages import StopRequested, Tick
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.net.tcp_listener import TcpListener
 from berylquay.net.ticker import Ticker
--- a/berylquay/relay/tunnel_messages.py
+++ b/berylquay/relay/tunnel_messages.py
@@ -10,7 +10,7 @@
 import cbor2
 
 from berylquay.decisions.server_instance import ServerInstance
-from berylquay.peers.codec import MAX_MESSAGE_BYTES
+from berylquay.peers.websocket import MAX_MESSAGE_BYTES
 from berylquay.relay.report_fields import FIELD_ERRORS
 
 # Data in one message; the rest follows in the next ones.
--- a/berylquay/standalone/configuration_manager.py
+++ b/berylquay/standalone/configuration_manager.py
@@ -27,7 +27,6 @@
     RecordAppendUnsettled,
     RecordsRead,
     StreamFollowRequested,
-    Tick,
 )
 from berylquay.decisions.configuration_snapshots import (
     SnapshotSchedule,
@@ -55,6 +54,7 @@
     decide_without_append,
 )
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 from berylquay.peers.payloads import ConfigurationOffer, ConfigurationRequest, Heartbeat
 from berylquay.standalone.records import NewRecord
 
--- a/berylquay/standalone/log_client.py
+++ b/berylquay/standalone/log_client.py
@@ -22,7 +22,6 @@
     RecordAppendUnsettled,
     RecordsRead,
     StreamFollowRequested,
-    Tick,
 )
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.pending_appends import (
@@ -35,6 +34,7 @@
 from berylquay.decisions.stream_reads import PageOffsets, ReadAttempt, StreamReadScheduler
 from berylquay.net.http_client import STATUS_OK, HttpRequest
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.standalone.json_exchange import ExchangeOutcome, JsonExchange, JsonResponse
 from berylquay.standalone.records import LogRecord, decode_records, encode_records
--- a/berylquay/standalone/membership_poller.py
+++ b/berylquay/standalone/membership_poller.py
@@ -7,7 +7,7 @@
 from circuits import BaseComponent, handler
 from returns.result import Failure
 
-from berylquay.component_messages import MembershipRead, Tick
+from berylquay.component_messages import MembershipRead
 from berylquay.decisions.fleet import (
     Address,
     BackendKind,
@@ -18,6 +18,7 @@
 )
 from berylquay.net.http_client import STATUS_OK, HttpRequest
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.standalone.json_exchange import ExchangeOutcome, JsonExchange
 
--- a/berylquay/standalone/weight_store_client.py
+++ b/berylquay/standalone/weight_store_client.py
@@ -9,11 +9,12 @@
 from circuits import BaseComponent, handler
 from returns.result import Failure
 
-from berylquay.component_messages import Tick, WeightsLookedUp, WeightsLookupRequested
+from berylquay.component_messages import WeightsLookedUp, WeightsLookupRequested
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.weight_lookups import WeightLookups, WeightsInfo, WeightsKey
 from berylquay.net.http_client import STATUS_OK, HttpRequest
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.standalone.json_exchange import ExchangeOutcome, JsonExchange, JsonResponse
 
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -19,13 +19,13 @@
     PeerLinkChanged,
     PeerReceived,
     PeerSendRequested,
-    Tick,
 )
 from berylquay.decisions.fleet import Address, EntryHost, MembershipView
 from berylquay.decisions.peering import DialScheduler, PeeringLimits
 from berylquay.net.message_bus import BUS, post
+from berylquay.net.process_messages import Tick
 from berylquay.net.tcp_connections import TcpConnections
-from berylquay.peers.codec import MAX_MESSAGE_BYTES, encode_payload
+from berylquay.peers.codec import encode_payload
 from berylquay.peers.payloads import DrainNotice, Heartbeat, Hello
 from berylquay.peers.peer_links import HostIdentity, PeerLinks
 from berylquay.peers.security_layer import (
@@ -33,6 +33,7 @@
     create_security_layer_factory,
     make_plaintext_layer,
 )
+from berylquay.peers.websocket import MAX_MESSAGE_BYTES
 from berylquay.settings.host_options import PeerOptions, PeerTls
 from examples.processes import free_port
 from tests.support.certificates import CertificateAuthority
