Spread prompts over engines of similar cost while other hosts place prompts too

The level rule distributes what all hosts are placing, the unseen part estimated from the own rate, and draws the engine by its part. No further question to an engine. Off unless [placement] spread_load says yes.

--- a/berylquay/decisions/engine_placement.py
+++ b/berylquay/decisions/engine_placement.py
@@ -22,6 +22,7 @@
 from berylquay.decisions.engine_estimates import EngineEstimates
 from berylquay.decisions.fleet import Role
 from berylquay.decisions.kv_transfer_costs import KVTransferCosts, KVTransferOptions
+from berylquay.decisions.load_spreading import LoadSpreading
 from berylquay.decisions.prefix_cache_index import CachedPrefix, PrefixCacheIndex
 from berylquay.decisions.relay_call import GenerationRequest
 from berylquay.decisions.rendezvous import rendezvous_weight
@@ -189,6 +190,8 @@
     _prefix_cache_index: PrefixCacheIndex
     _estimates: EngineEstimates
     _health: BackendHealth
+    # Spreads prompts that several hosts place at the same moment; None to use the best engine.
+    _spreading: LoadSpreading | None = None
     _transfers: KVTransferCosts = field(init=False)
     # Shortest objective of the pool's routes.
     _shortest_objective_s: float = field(default=0.0, init=False)
@@ -232,13 +235,13 @@
         )
         decode_engines = [engine for engine in engines if engine.role is not Role.PREFILL]
         sources = self._copy_sources(generation, engines, copy_sources, now_s)
-        best: tuple[float, Placement] | None = None
-        for engine in decode_engines:
-            source = sources.get(engine.data_centre)
-            best = _cheaper(
-                best, self._colocated_option(generation, engine, source, safe_ms, now_s)
+        options = [
+            self._colocated_option(
+                generation, engine, sources.get(engine.data_centre), safe_ms, now_s
             )
-        if best is None:
+            for engine in decode_engines
+        ]
+        if not options:
             return None
         costs = self._decode_engine_costs_ms(generation, decode_engines, now_s)
         preferred = self._preferred_prefill_engine(generation, engines)
@@ -260,10 +263,35 @@
                     safe_ms=safe_ms,
                     now_s=now_s,
                 )
-                best = _cheaper(
-                    best, self._with_short_prompt_penalty(option, engine, has_relaxed_objective)
+                options.append(
+                    self._with_short_prompt_penalty(option, engine, has_relaxed_objective)
                 )
-        return best[1]
+        return self._choose(options, now_s)
+
+    def on_group_size(self, host_count: int) -> None:
+        """Sets the number of hosts that place prompts at the same engines, this one included."""
+        if self._spreading is not None:
+            self._spreading.host_count = host_count
+
+    def on_placed(self, placement: Placement, now_s: float) -> None:
+        """Records that this host has sent a prompt where it was placed."""
+        if self._spreading is not None:
+            self._spreading.on_placed(self._prefill_work_ms(placement), now_s)
+
+    def _choose(self, options: Sequence[tuple[float, Placement]], now_s: float) -> Placement:
+        """Returns the placement with the least cost, or one near it if other hosts place too."""
+        best = min(range(len(options)), key=lambda index: options[index][0])
+        if self._spreading is not None:
+            work_ms = self._prefill_work_ms(options[best][1])
+            best = self._spreading.choose([cost_ms for cost_ms, _ in options], work_ms, now_s)
+        return options[best][1]
+
+    def _prefill_work_ms(self, placement: Placement) -> float:
+        """Returns how long the prompt occupies the engine that prefills it."""
+        options = self._options
+        is_disaggregated = placement.prefill_engine is not None
+        rate = options.prefill_tokens_per_ms if is_disaggregated else options.decode_tokens_per_ms
+        return placement.prefill_cost_tokens / rate
 
     def is_crowded(self, placement: Placement, objective_left_s: float, now_s: float) -> bool:
         """Tells whether a placement is a reason to consider engines of other regions.
@@ -632,9 +660,3 @@
         ranked.append((seen[engine.data_centre], engine.data_centre, engine.name))
         seen[engine.data_centre] += 1
     return [name for _, _, name in sorted(ranked)]
-
-
-def _cheaper(
-    best: tuple[float, Placement] | None, other: tuple[float, Placement]
-) -> tuple[float, Placement]:
-    return other if best is None or other[0] < best[0] else best
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -19,6 +19,7 @@
 from berylquay.decisions.engine_placement import PlacementOptions, PredictivePlacementPolicy
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.load_sharing_scope import LoadSharingScope
+from berylquay.decisions.load_spreading import LoadSpreading
 from berylquay.decisions.prefix_cache_index import PrefixCacheIndex
 from berylquay.decisions.route_table import RouteTable
 from berylquay.decisions.segment_crash_history import SegmentCrashHistory, SegmentCrashLimits
@@ -86,6 +87,9 @@
 # Time for which request contents in flight when a server was lost are remembered: long enough for
 # several attempts of a caller.
 CRASH_RETENTION_S: Final = 20.0
+# Age of what this host knows of work that another one has placed: the interval between reports, and
+# the time until they are read, at a tick or before a placement.
+LOAD_REPORT_AGE_S: Final = 0.05
 _log = logbook.Logger("host")
 
 
@@ -214,7 +218,13 @@
             prefix_cache_index=prefix_cache_index,
             estimates=estimates,
             placement=PredictivePlacementPolicy(
-                PlacementOptions(), topology, backlog, prefix_cache_index, estimates, health
+                PlacementOptions(),
+                topology,
+                backlog,
+                prefix_cache_index,
+                estimates,
+                health,
+                LoadSpreading(rng, LOAD_REPORT_AGE_S) if options.spread_load else None,
             ),
             topology=topology,
             load_sharing_scope=LoadSharingScope(topology),
@@ -443,6 +453,7 @@
         self._services.retry_budget.on_host_count(host_count)
         self._services.live_host_count = host_count
         self._services.registry.notices.limits.host_count = host_count
+        self._services.placement.on_group_size(self._peer_exchange.group_size)
         self._update_prefill_engines()
         self._services.connection_pool.on_tick(now_s)
         self._services.path_monitor.on_tick(self._request_handler.open_calls > 0, now_s)
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -354,6 +354,7 @@
             request.method, request.target, request.headers, request.body, details
         )
         services.backlog.add_prompt(engine.name, call.call_id, placement.prefill_cost_tokens)
+        services.placement.on_placed(placement, now_s)
         self._announcements.on_prefill_placed(engine.name, placement, now_s)
         services.on_work_placed(now_s)
         connection = services.acquire_connection(engine, False, now_s)
@@ -394,6 +395,7 @@
                 services.backlog.add_prompt(
                     backend.name, call.call_id, placement.prefill_cost_tokens
                 )
+                services.placement.on_placed(placement, now_s)
                 self._announcements.on_prefill_placed(backend.name, placement, now_s)
             services.on_work_placed(now_s)
         else:
--- a/berylquay/settings/relay_settings.py
+++ b/berylquay/settings/relay_settings.py
@@ -60,6 +60,8 @@
     max_sockets: int
     bounds: OperatingLimits
     log_level: str
+    # Whether prompts are spread over engines of similar cost while other hosts place prompts too.
+    spread_load: bool = False
 
 
 class SettingsFileWatcher:
@@ -128,6 +130,7 @@
         max_sockets=reader.count("limits", "max_sockets"),
         bounds=_read_operating_limits(reader),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
+        spread_load=reader.choice("placement", "spread_load", ("yes", "no"), "no") == "yes",
     )
 
 
