Identify tenants by their callers' keys

The platform gives its customers keys. Until now a host passed the field Authorization on to the servers and knew no caller.

With `tenants` in the configuration, a request needs one known Bearer key, except on keyless routes; otherwise the answer is 401, before any work. The server gets `Tenant` as set by the host and neither Authorization nor the caller's own Tenant, in runs, prefill calls, retries and continuations. The key is checked again before each send. A tenant's priority takes precedence over the route's. Keys are held as keyed digests. Malformed tenants refuse the whole version. Without `tenants` nothing changes.

--- a/berylquay/call_verdicts.py
+++ b/berylquay/call_verdicts.py
@@ -31,6 +31,8 @@
     BACKEND_FAILED = "backend-failed"
     # The idempotency key has been used already, or may have been.
     DUPLICATE = "duplicate"
+    # The caller's key is not, or no longer, valid.
+    UNAUTHORIZED = "unauthorized"
     # Requests with the same content have crashed backend servers.
     QUARANTINED = "quarantined"
     # This host is shutting down.
--- a/berylquay/callers/responses.py
+++ b/berylquay/callers/responses.py
@@ -14,6 +14,7 @@
 
 _STATUS_BY_REASON: Final = {
     RefusalReason.INVALID: 400,
+    RefusalReason.UNAUTHORIZED: 401,
     RefusalReason.DEADLINE: 504,
     RefusalReason.OVERLOADED: 429,
     RefusalReason.NO_BACKEND: 503,
--- a/berylquay/decisions/relay_call.py
+++ b/berylquay/decisions/relay_call.py
@@ -53,6 +53,12 @@
     fingerprint: str
     # Parsed request for generation, or None if the pool has no engines.
     generation: GenerationRequest | None = None
+    # Name of the tenant whose key the caller has sent, or None.
+    tenant: str | None = None
+    # Priority rank of the tenant, or None if the route's applies.
+    tenant_rank: int | None = None
+    # Whether the configuration has tenants, so that servers get no key of the caller.
+    hides_key: bool = False
     # Id of the newest event that the caller has of the stream that it takes up; None if it begins a
     # new one.
     resumed_after_event: int | None = None
@@ -68,6 +74,11 @@
     # Whether the request may have run.
     may_have_run: bool = False
 
+    @property
+    def rank(self) -> int:
+        """Returns the priority rank: that of the tenant takes precedence over the route's."""
+        return self.route.rank if self.tenant_rank is None else self.tenant_rank
+
     @property
     def shared_segment_ids(self) -> tuple[str, ...]:
         """Returns the ids of the prompt's segments that other requests may share, in order."""
--- a/berylquay/decisions/route_table.py
+++ b/berylquay/decisions/route_table.py
@@ -6,6 +6,8 @@
 
 from attrs import field, frozen
 
+from berylquay.decisions.tenants.keys import TenantKeys
+
 LOWEST_RANK: Final = 9
 # Shortest time without an event after which callers abandon a stream, by the platform's rules.
 MIN_STALL_TIMEOUT_S: Final = 2.0
@@ -88,6 +90,8 @@
     rank: int
     # Longest gap between events with which a stream is still on time; 0 if it is no stream.
     max_event_gap_s: float = 0.0
+    # Whether its requests need no key where the configuration has tenants.
+    keyless: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -131,6 +135,8 @@
     pools: dict[str, Pool]
     # Limits on what callers send.
     request_limits: CallerRequestLimits = field(factory=CallerRequestLimits)
+    # Keys of the tenants, or None if the configuration has none and requests need no key.
+    tenant_keys: TenantKeys | None = None
 
     def match(self, host: str, path: str) -> Route | None:
         """Returns the route of a request, or None if there is none."""
@@ -141,7 +147,11 @@
 
 
 def make_route_table(
-    version: int, routes: list[Route], pools: list[Pool], request_limits: CallerRequestLimits
+    version: int,
+    routes: list[Route],
+    pools: list[Pool],
+    request_limits: CallerRequestLimits,
+    tenant_keys: TenantKeys | None = None,
 ) -> RouteTable:
     """Returns the table, with the routes of each HTTP host name, longest prefix first.
 
@@ -158,4 +168,5 @@
         },
         {pool.name: pool for pool in pools},
         request_limits,
+        tenant_keys,
     )
--- a/berylquay/platform/request_codec.py
+++ b/berylquay/platform/request_codec.py
@@ -10,6 +10,7 @@
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.relay_call import GenerationRequest, PromptSegment
 from berylquay.decisions.server_notices import ServerNotice
+from berylquay.decisions.tenants.keys import KeyFault
 from berylquay.net.persistent_http import Headers, RawRequest, RawResponseHead
 from berylquay.platform import wire_names
 from berylquay.whole_numbers import parse_whole_number
@@ -33,6 +34,8 @@
         b"expect",
     }
 )
+_IDENTITY_HEADERS: Final = frozenset({wire_names.AUTHORIZATION, wire_names.TENANT})
+_KEY_SCHEME: Final = b"bearer"
 _OVERWRITTEN_HEADERS: Final = frozenset({wire_names.DEADLINE_MS}) | wire_names.SYSTEM_HEADERS
 JSON_HEADER: Final = (b"content-type", b"application/json")
 
@@ -92,6 +95,24 @@
     )
 
 
+def decode_caller_key(headers: Headers) -> bytes | KeyFault:
+    """Returns the key in the headers of a caller's request, or why there is not exactly one."""
+    values = [value for name, value in headers if name == wire_names.AUTHORIZATION]
+    if not values:
+        return KeyFault.MISSING
+    if len(values) > 1:
+        return KeyFault.SEVERAL
+    scheme, _, key = values[0].partition(b" ")
+    if not scheme:
+        return KeyFault.EMPTY
+    if scheme.lower() != _KEY_SCHEME:
+        return KeyFault.SCHEME
+    key = key.strip()
+    if not key:
+        return KeyFault.EMPTY
+    return key if len(key.split()) == 1 else KeyFault.SEVERAL
+
+
 def _decode_generation(values: dict[bytes, bytes]) -> GenerationRequest | None:
     counts = values.get(wire_names.TOKEN_COUNTS)
     if counts is None:
@@ -134,6 +155,10 @@
     # Engine from which cached prefix segments are copied before the rest of the prompt is
     # prefilled, or None.
     copy_source: Address | None = None
+    # Whether the caller's key and its own `Tenant` are removed.
+    hides_key: bool = False
+    # Name of the caller's tenant, or None if it sent no key.
+    tenant: str | None = None
 
 
 def encode_run_request(
@@ -204,6 +229,8 @@
     dropped = _HOP_BY_HOP_HEADERS | _OVERWRITTEN_HEADERS | _headers_named_by_connection(headers)
     if details.last_event_id is not None:
         dropped |= {wire_names.LAST_EVENT_ID}
+    if details.hides_key:
+        dropped |= _IDENTITY_HEADERS
     forwarded = [(name, value) for name, value in headers if name not in dropped]
     remaining_ms = max(1, int(details.remaining_s * MS_PER_S))
     forwarded += [
@@ -212,6 +239,8 @@
     ]
     if body or any(name == b"content-length" for name, _ in headers):
         forwarded.append((b"content-length", str(len(body)).encode()))
+    if details.tenant is not None:
+        forwarded.append((wire_names.TENANT, details.tenant.encode("ascii")))
     if details.urgency is not None:
         forwarded.append((wire_names.URGENCY, str(details.urgency).encode()))
     if details.kv_cache_handle is not None:
--- a/berylquay/platform/route_configuration.py
+++ b/berylquay/platform/route_configuration.py
@@ -1,6 +1,7 @@
 """Decodes the operator's JSON configuration into a route table."""
 
 import json
+import secrets
 from collections.abc import Mapping
 from typing import Final
 
@@ -17,10 +18,14 @@
     WeightedPool,
     make_route_table,
 )
+from berylquay.decisions.tenants.keys import Tenant, TenantKeys
 
 KIND_STREAMING: Final = "streaming"
 KIND_IDEMPOTENT: Final = "idempotent"
 
+# Of this process only, so that no digest of a key can be compared with that of another process.
+_KEY_DIGEST_SECRET: Final = secrets.token_bytes(32)
+
 JsonObject = Mapping[str, object]
 
 
@@ -44,12 +49,55 @@
                     for item in _list_field(fields, "services")
                 ],
                 _decode_caller_limits(_require_object(fields.get("limits", {}), "limits")),
+                _decode_tenants(fields),
             )
         )
-    except (ValueError, RecursionError) as error:
+    except (ValueError, OverflowError, RecursionError) as error:
         return Failure(str(error))
 
 
+def _decode_tenants(fields: JsonObject) -> TenantKeys | None:
+    """Returns the tenants' keys, or None without the field `tenants`.
+
+    An empty list is no absence of tenants: it refuses every key. No error names a key.
+    """
+    if "tenants" not in fields:
+        return None
+    items = [_require_object(item, "a tenant") for item in _list_field(fields, "tenants")]
+    tenants = [(_decode_tenant(item), _decode_keys(item)) for item in items]
+    names: set[str] = set()
+    for tenant, _keys in tenants:
+        if tenant.name in names:
+            raise FieldError(f"several tenants are named {tenant.name!r}")
+        names.add(tenant.name)
+    return TenantKeys(tenants, _KEY_DIGEST_SECRET)
+
+
+def _decode_tenant(fields: JsonObject) -> Tenant:
+    name = _text_field(fields, "name")
+    # Servers receive the name as the value of a header.
+    if not name or name != name.strip() or not name.isascii() or not name.isprintable():
+        raise FieldError(f"the tenant's name {name!r} is not a valid header value")
+    if "priority" not in fields:
+        return Tenant(name)
+    priority = _number_field(fields, "priority")
+    if not priority.is_integer():
+        raise FieldError(f"the priority of tenant {name!r} is not a whole number")
+    return Tenant(name, _clamp_rank(int(priority)))
+
+
+def _decode_keys(fields: JsonObject) -> list[str]:
+    keys = []
+    for key in _list_field(fields, "apiKeys"):
+        # Callers can send no other key in the field `Authorization`.
+        if not isinstance(key, str) or not key or not key.isascii() or not key.isprintable():
+            raise FieldError(f"tenant {fields.get('name')!r} has a key that is not valid")
+        if " " in key:
+            raise FieldError(f"tenant {fields.get('name')!r} has a key with a space")
+        keys.append(key)
+    return keys
+
+
 def _decode_route(fields: JsonObject) -> Route:
     kind = _text_field(fields, "kind")
     resumable = fields.get("resumable") is True
@@ -68,10 +116,15 @@
         timeout_s=timeout_ms / 1000.0,
         objective_s=(objective_ms or timeout_ms) / 1000.0,
         max_event_gap_s=_number_field(fields, "gapTargetMs", 0.0) / 1000.0,
-        rank=min(LOWEST_RANK, max(0, _integer_field(fields, "priority", LOWEST_RANK))),
+        rank=_clamp_rank(_integer_field(fields, "priority", LOWEST_RANK)),
+        keyless=fields.get("keyless") is True,
     )
 
 
+def _clamp_rank(priority: int) -> int:
+    return min(LOWEST_RANK, max(0, priority))
+
+
 def _decode_weighted_pools(fields: JsonObject) -> tuple[WeightedPool, ...]:
     # A route names one service, or a list of weighted services under the key "backends".
     weighted = fields.get("backends")
--- a/berylquay/platform/store_client.py
+++ b/berylquay/platform/store_client.py
@@ -44,8 +44,9 @@
     """A record of a topic that retains the newest value of each key."""
 
     key: str
-    # Value, or None if the key was deleted.
-    value: bytes | None
+    # Value, or None if the key was deleted. Not in the text of an object: a configuration has keys
+    # of callers.
+    value: bytes | None = field(repr=False)
 
 
 @frozen
--- a/berylquay/platform/wire_names.py
+++ b/berylquay/platform/wire_names.py
@@ -13,11 +13,15 @@
 LAST_EVENT_ID: Final = b"last-event-id"
 # With the id of the newest event: the attempt id under which the caller got the stream's first one.
 RESUMES: Final = b"resumes"
+# Carries the key of a tenant, which only hosts read.
+AUTHORIZATION: Final = b"authorization"
 
 # Headers of a request that only the system may set.
 EXPECT_INSTANCE: Final = b"expect-instance"
 EXPECT_VERSION: Final = b"expect-version"
 URGENCY: Final = b"urgency-level"
+# Name of the tenant whose key the caller has sent; reserved where the configuration has tenants.
+TENANT: Final = b"tenant"
 STAGE: Final = b"stage"
 STAGE_PREFILL: Final = b"prefill"
 # Address of the engine that retains the KV cache, and the handle there.
@@ -39,6 +43,7 @@
 )
 
 # Headers of a response.
+WWW_AUTHENTICATE: Final = b"www-authenticate"
 NOT_EXECUTED: Final = b"not-executed"
 # "1" in all responses of a backend server that is leaving.
 SERVER_LEAVING: Final = b"server-leaving"
--- a/berylquay/relay/caller_connection.py
+++ b/berylquay/relay/caller_connection.py
@@ -34,7 +34,8 @@
 
     method: bytes
     target: bytes
-    headers: Headers
+    # Not in the text of an object, since they may contain the caller's key.
+    headers: Headers = field(repr=False)
     body: bytes
     # Monotonic time at which the head was received.
     received_s: float
@@ -98,10 +99,10 @@
     phase: ConnectionPhase = field(default=ConnectionPhase.IDLE, init=False)
     # Whether to close the connection once it is idle; responses then carry `Connection: close`.
     close_after_response: bool = field(default=False, init=False)
-    _protocol: h11.Connection = field(init=False)
+    _protocol: h11.Connection = field(init=False, repr=False)
     # Monotonic time at which the present phase began.
     _phase_started_s: float = field(init=False)
-    _request_head: h11.Request | None = field(default=None, init=False)
+    _request_head: h11.Request | None = field(default=None, init=False, repr=False)
     _head_received_s: float = field(default=0.0, init=False)
     _body_chunks: list[bytes] = field(factory=list, init=False)
     _body_bytes: int = field(default=0, init=False)
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -39,6 +39,7 @@
     log_quarantined_content,
     log_transfer,
 )
+from berylquay.relay.caller_authentication import CallerAuthenticator, KeyRefusal
 from berylquay.relay.caller_connection import CallerConnection, CallerRequest
 from berylquay.relay.engine_selection import EngineSelection
 from berylquay.relay.prefill_requests import PrefillResponseCollector, release_kv_cache
@@ -84,6 +85,8 @@
     # Tells the other hosts which segments engines cache because of this call.
     _announcements: SegmentAnnouncements
     _caller_request: CallerRequest
+    # Checks the caller's key again before each send.
+    _authenticator: CallerAuthenticator
     # Called once when the request has ended.
     _on_ended: Callable[["RelayedRequest"], None]
     # Open request for a disaggregated prefill, or None.
@@ -119,6 +122,7 @@
         request: CallerRequest,
         call: RelayCall,
         *,
+        authenticator: CallerAuthenticator,
         last_event_id: int | None,
         on_ended: Callable[["RelayedRequest"], None],
     ) -> None:
@@ -129,6 +133,7 @@
         self._announcements = SegmentAnnouncements(services, call)
         self.caller = caller
         self._caller_request = request
+        self._authenticator = authenticator
         self._on_ended = on_ended
         self._prefill_request = None
         self._run_request = None
@@ -341,7 +346,24 @@
 
     # Sending.
 
+    def _refuse_if_key_removed(self, now_s: float) -> bool:
+        """Refuses the call if the newest configuration lacks its key; tells whether it did."""
+        call = self.call
+        identity = self._authenticator.identify(call.route, self._caller_request.headers, now_s)
+        if isinstance(identity, KeyRefusal):
+            if identity.may_be_outdated:
+                detail = "the configuration may be outdated"
+                self._refuse(RefusalReason.PLATFORM_UNAVAILABLE, detail, now_s)
+            else:
+                self._refuse(RefusalReason.UNAUTHORIZED, identity.detail, now_s)
+            return True
+        if identity.hides_key:
+            call.tenant, call.tenant_rank, call.hides_key = identity.tenant, identity.rank, True
+        return False
+
     def _send_prefill(self, engine: BackendEntry, placement: Placement, now_s: float) -> None:
+        if self._refuse_if_key_removed(now_s):
+            return
         call, services = self.call, self._services
         if self._prefill_attempts:
             services.retry_budget.spend(call.pool.name, now_s)
@@ -370,6 +392,8 @@
     def _send_run(
         self, backend: BackendEntry, kv_handle: KVCacheHandle | None, now_s: float
     ) -> None:
+        if self._refuse_if_key_removed(now_s):
+            return
         call, services = self.call, self._services
         if call.sent_to:
             services.retry_budget.spend(call.pool.name, now_s)
@@ -419,8 +443,16 @@
         call = self.call
         urgency = None
         if call.generation is not None:
-            urgency = min(LOWEST_URGENCY, HIGHEST_URGENCY + URGENCY_PER_RANK * call.route.rank)
-        return RunDetails(backend.name, call.remaining_s(now_s), urgency, kv_handle, last_event_id)
+            urgency = min(LOWEST_URGENCY, HIGHEST_URGENCY + URGENCY_PER_RANK * call.rank)
+        return RunDetails(
+            backend.name,
+            call.remaining_s(now_s),
+            urgency,
+            kv_handle,
+            last_event_id,
+            hides_key=call.hides_key,
+            tenant=call.tenant,
+        )
 
     # Disaggregated prefill.
 
--- a/berylquay/relay/request_handler.py
+++ b/berylquay/relay/request_handler.py
@@ -12,13 +12,18 @@
 from berylquay.decisions.route_table import CallerRequestLimits, Pool, Route, RouteTable
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.platform.request_codec import RequestMetadata, decode_request_metadata
+from berylquay.relay.caller_authentication import (
+    CallerAuthenticator,
+    CallerIdentity,
+    KeyRefusal,
+)
 from berylquay.relay.caller_connection import (
     BAD_REQUEST,
     SERVICE_UNAVAILABLE,
     CallerConnection,
     CallerRequest,
 )
-from berylquay.relay.refusals import send_error
+from berylquay.relay.refusals import send_error, send_unauthorized
 from berylquay.relay.relayed_request import RelayedRequest
 from berylquay.relay.services import RelayServices
 from berylquay.relay.store_views import ConfigurationView
@@ -64,6 +69,8 @@
     _longest_deadlines_s: dict[str, float]
     # Returns the monotonic time at which the newest configuration was last confirmed.
     _configuration_confirmed_s: Callable[[], float]
+    # Checks callers' keys.
+    _authenticator: CallerAuthenticator
     # Whether each connection is closed after its next response.
     _closing_connections: bool
     # Whether new requests are refused.
@@ -88,6 +95,9 @@
         self._body_bytes = 0
         self._longest_deadlines_s = {}
         self._configuration_confirmed_s = configuration_confirmed_s
+        self._authenticator = CallerAuthenticator(
+            configuration, configuration_confirmed_s, options.max_configuration_age_s
+        )
         self._closing_connections = False
         self._refusing_requests = False
         self.has_served = False
@@ -157,20 +167,8 @@
         route = table.match(host, path)
         if route is None:
             self._refuse_unrouted(caller, metadata, table)
-            return
-        pool = table.pools.get(route.pick_pool(self._services.rng))
-        if pool is None:
-            self._refuse(
-                caller,
-                metadata,
-                "the route's service is not defined",
-                UNKNOWN_CONFIGURATION_RETRY_S,
-            )
-            return
-        if not metadata.call_id:
-            send_error(caller, BAD_REQUEST, "the request has no id")
-            return
-        self._start_request(caller, request, metadata, route, pool)
+        else:
+            self._on_routed_request(caller, request, metadata, route, table)
 
     def on_caller_disconnected(self, caller: CallerConnection) -> None:
         """Cancels the work for a caller that has disconnected."""
@@ -204,6 +202,32 @@
         """Releases memory that was reserved for a request body."""
         self._body_bytes -= size_bytes
 
+    def _on_routed_request(
+        self,
+        caller: CallerConnection,
+        request: CallerRequest,
+        metadata: RequestMetadata,
+        route: Route,
+        table: RouteTable,
+    ) -> None:
+        identity = self._authenticator.identify(route, request.headers, time.monotonic())
+        if isinstance(identity, KeyRefusal):
+            self._refuse_key(caller, metadata, identity, table)
+            return
+        pool = table.pools.get(route.pick_pool(self._services.rng))
+        if pool is None:
+            self._refuse(
+                caller,
+                metadata,
+                "the route's service is not defined",
+                UNKNOWN_CONFIGURATION_RETRY_S,
+            )
+            return
+        if not metadata.call_id:
+            send_error(caller, BAD_REQUEST, "the request has no id")
+            return
+        self._start_request(caller, request, metadata, route, pool, identity=identity)
+
     def _start_request(
         self,
         caller: CallerConnection,
@@ -211,6 +235,8 @@
         metadata: RequestMetadata,
         route: Route,
         pool: Pool,
+        *,
+        identity: CallerIdentity,
     ) -> None:
         now_s = time.monotonic()
         deadline_s = route.timeout_s if metadata.deadline_s is None else metadata.deadline_s
@@ -225,6 +251,9 @@
             generation=(
                 _generation_of(request, metadata) if pool.engine_properties is not None else None
             ),
+            tenant=identity.tenant,
+            tenant_rank=identity.rank,
+            hides_key=identity.hides_key,
             resumed_after_event=metadata.last_event_id if route.streaming else None,
             resumed_call_id=metadata.resumed_call_id,
         )
@@ -233,6 +262,7 @@
             caller,
             request,
             call,
+            authenticator=self._authenticator,
             last_event_id=metadata.last_event_id,
             on_ended=self._on_request_ended,
         )
@@ -266,6 +296,23 @@
         )
         send_error(caller, NOT_FOUND, "no route")
 
+    def _refuse_key(
+        self,
+        caller: CallerConnection,
+        metadata: RequestMetadata,
+        refusal: KeyRefusal,
+        table: RouteTable,
+    ) -> None:
+        if refusal.may_be_outdated:
+            self._refuse(
+                caller, metadata, "the configuration may be outdated", UNKNOWN_CONFIGURATION_RETRY_S
+            )
+            return
+        _log.info(
+            "key refused", id=metadata.call_id, cause=refusal.fault.value, version=table.version
+        )
+        send_unauthorized(caller, refusal.detail)
+
     def _refuse(
         self,
         caller: CallerConnection,
