Let keys come and go, also where a host may have missed a version

A host that was frozen, or that is cut off from the store while others read a newer version, went on under a key that the newer version had removed. Texts of parser errors quoted malformed header lines with keys in them, in the log and in the 400.

With tenants, hosts tell each other the version in force. One that has missed a newer version for 0.4 of configuration_apply_ms answers 503 to keys, as does one that was frozen for that long, until its view is confirmed (at most 1.5 s; an outage of the store alone refuses no known key). A refused configuration is logged once. Parser errors are not quoted.

--- a/berylquay/relay/caller_authentication.py
+++ b/berylquay/relay/caller_authentication.py
@@ -1,16 +1,22 @@
 """Authentication of callers: which tenant's key a request carries, by the newest configuration."""
 
+import time
 from collections.abc import Callable
 from typing import Final
 
-from attrs import frozen
+from attrs import define, field, frozen
 
+from berylquay.decisions.freeze_guard import FreezeGuard
 from berylquay.decisions.route_table import Route
 from berylquay.decisions.tenants.keys import KeyFault
 from berylquay.net.persistent_http import Headers
 from berylquay.platform.request_codec import decode_caller_key
 from berylquay.relay.store_views import ConfigurationView
 
+# Time for which a newer version may be in force at other hosts, and the longest gap between ticks
+# that is not a freeze, as fractions of the time within which a version must be in force.
+MAX_LAG_FRACTION: Final = 0.4
+MAX_TICK_GAP_FRACTION: Final = 0.4
 DETAILS: Final = {
     KeyFault.MISSING: "the request has no key",
     KeyFault.SCHEME: "the request has no key of the scheme Bearer",
@@ -36,14 +42,14 @@
 class KeyRefusal:
     """Why a request is not served."""
 
-    fault: KeyFault
-    # Whether a newer configuration may have the key, so that the caller should retry.
-    may_be_outdated: bool = False
+    # What is wrong with the key, or None if this host may not decide about it now: a newer
+    # configuration may have added or removed it, so that the caller should retry.
+    fault: KeyFault | None
 
     @property
     def detail(self) -> str:
         """Returns an explanation for the caller."""
-        return DETAILS[self.fault]
+        return "the configuration may be outdated" if self.fault is None else DETAILS[self.fault]
 
 
 # The identity of callers where the configuration has no tenants.
@@ -52,7 +58,7 @@
 _KEYLESS: Final = CallerIdentity(None, None, hides_key=True)
 
 
-@frozen
+@define
 class CallerAuthenticator:
     """Checks keys against the configuration in force."""
 
@@ -61,6 +67,15 @@
     _configuration_confirmed_s: Callable[[], float]
     # Time since then after which a key that is not known may be a new one.
     _max_configuration_age_s: float
+    _freeze_guard: FreezeGuard = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Starts to watch for freezes."""
+        self._freeze_guard = FreezeGuard(self._max_configuration_age_s * MAX_TICK_GAP_FRACTION)
+
+    def on_tick(self, now_s: float) -> None:
+        """Notices a freeze of the host, during which keys may have been removed."""
+        self._freeze_guard.observe(time.clock_gettime(time.CLOCK_BOOTTIME), now_s)
 
     def identify(self, route: Route, headers: Headers, now_s: float) -> CallerIdentity | KeyRefusal:
         """Returns whom a request is from, or why it is not served."""
@@ -76,5 +91,20 @@
         tenant = keys.find(key)
         if tenant is None:
             age_s = now_s - self._configuration_confirmed_s()
-            return KeyRefusal(KeyFault.UNKNOWN, age_s > self._max_configuration_age_s)
+            is_outdated = age_s > self._max_configuration_age_s or self._has_missed_version(now_s)
+            return KeyRefusal(None if is_outdated else KeyFault.UNKNOWN)
+        if self._has_missed_version(now_s):
+            return KeyRefusal(None)
         return CallerIdentity(tenant.name, tenant.rank, hides_key=True)
+
+    def _has_missed_version(self, now_s: float) -> bool:
+        """Tells whether there may be a newer version, which may have added or removed a key.
+
+        An outage of the store alone is no reason: the configuration in force then remains.
+        """
+        # A request may be read before the first tick after a freeze.
+        self.on_tick(now_s)
+        if self._freeze_guard.must_confirm(self._configuration_confirmed_s(), now_s):
+            return True
+        max_lag_s = self._max_configuration_age_s * MAX_LAG_FRACTION
+        return self._configuration.lacks_newer_version(max_lag_s, now_s)
--- a/berylquay/relay/caller_connection.py
+++ b/berylquay/relay/caller_connection.py
@@ -19,6 +19,7 @@
 LINGER_TIMEOUT_S: Final = 1.0
 # First HTTP version whose bodies can be sent in chunks.
 FIRST_CHUNKED_VERSION: Final = b"1.1"
+MALFORMED_REQUEST: Final = "the request is malformed"
 CONNECTION_CLOSE_HEADER: Final = (b"connection", b"close")
 
 BAD_REQUEST: Final = 400
@@ -63,6 +64,9 @@
     def on_connection_ended(self, caller: "CallerConnection") -> None:
         """Called once when the connection has ended."""
 
+    def may_show_input(self) -> bool:
+        """Tells whether an error text may contain what the caller has sent."""
+
     def reserve_body(self, size_bytes: int) -> bool:
         """Reserves memory for a body; returns False if there is not enough."""
 
@@ -137,7 +141,7 @@
         try:
             self._protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
-            self._reject_request(BAD_REQUEST, str(error))
+            self._reject_request(BAD_REQUEST, self._describe(error))
             return
         if self.phase is ConnectionPhase.SERVING:
             if len(self._protocol.trailing_data[0]) > MAX_PIPELINED_BYTES:
@@ -243,7 +247,8 @@
                     return
         except h11.RemoteProtocolError as error:
             too_large = error.error_status_hint == HEAD_TOO_LARGE
-            self._reject_request(HEAD_TOO_LARGE if too_large else BAD_REQUEST, str(error))
+            status = HEAD_TOO_LARGE if too_large else BAD_REQUEST
+            self._reject_request(status, self._describe(error))
 
     def _handle_event(self, event: object) -> bool:
         if isinstance(event, h11.Request):
@@ -303,6 +308,10 @@
         self._enter_phase(ConnectionPhase.SERVING)
         self._handler.on_request(self, request)
 
+    def _describe(self, error: h11.RemoteProtocolError) -> str:
+        # The texts quote malformed lines.
+        return str(error) if self._handler.may_show_input() else MALFORMED_REQUEST
+
     def _reject_request(self, status: int, detail: str) -> None:
         self._handler.on_request_rejected(self, status, detail)
         self.close_after_response = True
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -196,9 +196,9 @@
                     follower.on_peer_report(report, now_s)
 
     def _version_report(self) -> tuple[TopicReport, ...]:
-        """Returns the version in force, if the store may come back with an older one."""
+        """Returns the version in force, if other hosts must know it."""
         table = self._configuration.table
-        if table is None or not self._configuration.has_store_eras:
+        if table is None or not self._configuration.reports_version:
             return ()
         return (TopicReport(CONFIGURATION_VERSION, str(table.version), 0),)
 
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -351,11 +351,11 @@
         call = self.call
         identity = self._authenticator.identify(call.route, self._caller_request.headers, now_s)
         if isinstance(identity, KeyRefusal):
-            if identity.may_be_outdated:
-                detail = "the configuration may be outdated"
-                self._refuse(RefusalReason.PLATFORM_UNAVAILABLE, detail, now_s)
-            else:
-                self._refuse(RefusalReason.UNAUTHORIZED, identity.detail, now_s)
+            is_undecided = identity.fault is None
+            reason = (
+                RefusalReason.PLATFORM_UNAVAILABLE if is_undecided else RefusalReason.UNAUTHORIZED
+            )
+            self._refuse(reason, identity.detail, now_s)
             return True
         if identity.hides_key:
             call.tenant, call.tenant_rank, call.hides_key = identity.tenant, identity.rank, True
--- a/berylquay/relay/request_handler.py
+++ b/berylquay/relay/request_handler.py
@@ -135,6 +135,7 @@
 
     def on_tick(self, now_s: float) -> None:
         """Checks the time limits of all calls and connections."""
+        self._authenticator.on_tick(now_s)
         for relayed in list(self._open_requests.values()):
             relayed.on_tick(now_s)
         for caller in list(self._callers):
@@ -191,6 +192,11 @@
         """Removes a connection that has ended."""
         self._callers.discard(caller)
 
+    def may_show_input(self) -> bool:
+        """Tells whether an error text may contain what a caller has sent, which may be a key."""
+        table = self._configuration.table
+        return table is None or table.tenant_keys is None
+
     def reserve_body(self, size_bytes: int) -> bool:
         """Reserves memory for a request body; returns False if the limit would be exceeded."""
         if self._body_bytes + size_bytes > self._options.body_memory_bytes:
@@ -303,10 +309,8 @@
         refusal: KeyRefusal,
         table: RouteTable,
     ) -> None:
-        if refusal.may_be_outdated:
-            self._refuse(
-                caller, metadata, "the configuration may be outdated", UNKNOWN_CONFIGURATION_RETRY_S
-            )
+        if refusal.fault is None:
+            self._refuse(caller, metadata, refusal.detail, UNKNOWN_CONFIGURATION_RETRY_S)
             return
         _log.info(
             "key refused", id=metadata.call_id, cause=refusal.fault.value, version=table.version
--- a/berylquay/relay/store_views.py
+++ b/berylquay/relay/store_views.py
@@ -43,6 +43,11 @@
     _peer_version: int
     _peer_version_heard_s: float
     _behind_since_s: float | None
+    # Monotonic time since which another host has had a newer version than this process.
+    _newer_since_s: float | None
+    # Hash of the content that was refused last, if nothing was applied since. It is logged once,
+    # although it may be read again.
+    _refused_hash: int | None
 
     def __init__(self, on_change: Callable[[RouteTable], None], store_era: StoreEra) -> None:
         self.table = None
@@ -53,17 +58,32 @@
         self._peer_version = 0
         self._peer_version_heard_s = float("-inf")
         self._behind_since_s = None
+        self._newer_since_s = None
+        self._refused_hash = None
 
     @property
     def has_store_eras(self) -> bool:
         """Returns whether the store states eras, so that it may come back with an older version."""
         return self._store_era.current is not None
 
+    @property
+    def reports_version(self) -> bool:
+        """Returns whether other hosts must know the version in force.
+
+        They must if the store may come back with an older one, or if a newer one may remove keys.
+        """
+        has_tenants = self.table is not None and self.table.tenant_keys is not None
+        return self.has_store_eras or has_tenants
+
     def on_peer_version(self, version: int, now_s: float) -> None:
         """Takes the version that another host has in force."""
         if version >= self._peer_version:
             self._peer_version, self._peer_version_heard_s = version, now_s
         is_behind = self.table is not None and self.table.version < self._peer_version
+        if not is_behind:
+            self._newer_since_s = None
+        elif self._newer_since_s is None:
+            self._newer_since_s = now_s
         if not is_behind:
             self._behind_since_s = None
         elif self._behind_since_s is None and now_s - self._first_applied_s <= START_WINDOW_S:
@@ -84,6 +104,16 @@
         is_lasting = now_s - self._behind_since_s >= VERSION_LAG_S
         return is_lasting and now_s - self._peer_version_heard_s <= PEER_VERSION_TTL_S
 
+    def lacks_newer_version(self, max_lag_s: float, now_s: float) -> bool:
+        """Tells whether another host has had a newer version for longer than `max_lag_s`.
+
+        Not after this process has read and refused a newer one: what it has then remains.
+        """
+        if self._newer_since_s is None or self._refused_hash is not None:
+            return False
+        is_heard = now_s - self._peer_version_heard_s <= PEER_VERSION_TTL_S
+        return is_heard and now_s - self._newer_since_s > max_lag_s
+
     def on_snapshot(self, records: dict[str, bytes], now_s: float) -> None:
         """Applies the newest configuration."""
         data = records.get(KEY_CONFIGURATION)
@@ -99,10 +129,13 @@
         decoded = decode_configuration(data)
         current_version = None if self.table is None else self.table.version
         if isinstance(decoded, Failure):
-            _log.error(
-                "unreadable configuration", detail=decoded.failure(), in_force=current_version
-            )
+            if hash(data) != self._refused_hash:
+                _log.error(
+                    "unreadable configuration", detail=decoded.failure(), in_force=current_version
+                )
+            self._refused_hash = hash(data)
             return
+        self._refused_hash = None
         table = decoded.unwrap()
         if current_version is not None and table.version <= current_version:
             if table.version < current_version:
@@ -111,6 +144,7 @@
                 )
             return
         self.table = table
+        self._newer_since_s = None
         if current_version is None:
             self._first_applied_s = now_s
         else:
--- a/tests/support/answer_fuzzing.py
+++ b/tests/support/answer_fuzzing.py
@@ -190,6 +190,10 @@
     def on_connection_ended(self, caller: CallerConnection) -> None:
         """Does nothing."""
 
+    def may_show_input(self) -> bool:
+        """Shows errors in full."""
+        return True
+
     def reserve_body(self, size_bytes: int) -> bool:
         """Grants all memory."""
         return True
