--- a/berylquay/relay/caller_connection.py
+++ b/berylquay/relay/caller_connection.py
@@ -19,6 +19,7 @@
 LINGER_TIMEOUT_S: Final = 1.0
 # First HTTP version whose bodies can be sent in chunks.
 FIRST_CHUNKED_VERSION: Final = b"1.1"
+MALFORMED_REQUEST: Final = "the request is malformed"
 CONNECTION_CLOSE_HEADER: Final = (b"connection", b"close")
 
 BAD_REQUEST: Final = 400
@@ -34,7 +35,8 @@
 
     method: bytes
     target: bytes
-    headers: Headers
+    # Not in the text of an object, since they may contain the caller's key.
+    headers: Headers = field(repr=False)
     body: bytes
     # Monotonic time at which the head was received.
     received_s: float
@@ -62,6 +64,9 @@
     def on_connection_ended(self, caller: "CallerConnection") -> None:
         """Called once when the connection has ended."""
 
+    def may_show_input(self) -> bool:
+        """Tells whether an error text may contain what the caller has sent."""
+
     def reserve_body(self, size_bytes: int) -> bool:
         """Reserves memory for a body; returns False if there is not enough."""
 
@@ -98,10 +103,10 @@
     phase: ConnectionPhase = field(default=ConnectionPhase.IDLE, init=False)
     # Whether to close the connection once it is idle; responses then carry `Connection: close`.
     close_after_response: bool = field(default=False, init=False)
-    _protocol: h11.Connection = field(init=False)
+    _protocol: h11.Connection = field(init=False, repr=False)
     # Monotonic time at which the present phase began.
     _phase_started_s: float = field(init=False)
-    _request_head: h11.Request | None = field(default=None, init=False)
+    _request_head: h11.Request | None = field(default=None, init=False, repr=False)
     _head_received_s: float = field(default=0.0, init=False)
     _body_chunks: list[bytes] = field(factory=list, init=False)
     _body_bytes: int = field(default=0, init=False)
@@ -136,7 +141,7 @@
         try:
             self._protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
-            self._reject_request(BAD_REQUEST, str(error))
+            self._reject_request(BAD_REQUEST, self._describe(error))
             return
         if self.phase is ConnectionPhase.SERVING:
             if len(self._protocol.trailing_data[0]) > MAX_PIPELINED_BYTES:
@@ -242,7 +247,8 @@
                     return
         except h11.RemoteProtocolError as error:
             too_large = error.error_status_hint == HEAD_TOO_LARGE
-            self._reject_request(HEAD_TOO_LARGE if too_large else BAD_REQUEST, str(error))
+            status = HEAD_TOO_LARGE if too_large else BAD_REQUEST
+            self._reject_request(status, self._describe(error))
 
     def _handle_event(self, event: object) -> bool:
         if isinstance(event, h11.Request):
@@ -302,6 +308,10 @@
         self._enter_phase(ConnectionPhase.SERVING)
         self._handler.on_request(self, request)
 
+    def _describe(self, error: h11.RemoteProtocolError) -> str:
+        # The texts quote malformed lines.
+        return str(error) if self._handler.may_show_input() else MALFORMED_REQUEST
+
     def _reject_request(self, status: int, detail: str) -> None:
         self._handler.on_request_rejected(self, status, detail)
         self.close_after_response = True
