Send no call of a duty whose connection took too long

Cause: a host that was suspended while it connected would have sent the call after its claim had ended and another host had taken over.

Change: the call is sent only once the connection is established, and only within 0.5 s of a clock that also runs while the host is suspended.

Result: tests/relay/test_duty_client.py passes, with a case of each.

--- a/berylquay/platform/duty_client.py
+++ b/berylquay/platform/duty_client.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import time
 from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import Final
@@ -31,10 +32,14 @@
     USAGE_WINDOW,
 )
 
-# Timeout of a call.
+# Timeout of a call, with the time to connect.
 CALL_TIMEOUT_S: Final = 1.0
-# Time from the sending of a call without a response in which it may still be carried out.
-UNANSWERED_CALL_S: Final = 2.0
+# Time to connect after which a call is not sent any more. A host that was suspended while it
+# connected would otherwise send the call long after its claim has ended.
+CONNECT_TIMEOUT_S: Final = 0.5
+# Time from the sending of a call without a response in which it may still be carried out; the
+# operating system delivers it for up to `TCP_USER_TIMEOUT_MS`.
+UNANSWERED_CALL_S: Final = 3.0
 # Idle time after which a connection is not used again: the API may close it at any moment, and a
 # call that is lost with it counts as one that may have been carried out.
 MAX_IDLE_S: Final = 1.0
@@ -66,8 +71,11 @@
 
     path: str
     fencing_number: int
-    sent_s: float
+    request: RawRequest
+    # Time of the client's clock at which the call was begun.
+    begun_s: float
     on_result: Callable[[DutyOutcome], None]
+    is_sent: bool = False
     status: int = 0
 
 
@@ -79,17 +87,26 @@
     _call_interval_s: float
     _connection: PersistentConnection | None
     _call: _PendingCall | None
-    # By path, the newest call that may still be carried out: fencing number, and monotonic time
-    # until which that is so.
+    # Monotonic clock that also runs while the host is suspended.
+    _clock: Callable[[], float]
+    # By path, the newest call that may still be carried out: fencing number, and time until which
+    # that is so.
     _unanswered: dict[str, tuple[int, float]]
     # Monotonic time of the last tick, and before which no call is sent.
     _now_s: float
     _next_call_s: float
     _consecutive_failures: int
 
-    def __init__(self, connections: TcpConnections, address: Address, calls_per_s: float) -> None:
+    def __init__(
+        self,
+        connections: TcpConnections,
+        address: Address,
+        calls_per_s: float,
+        clock: Callable[[], float] | None = None,
+    ) -> None:
         self._connections = connections
         self._address = address
+        self._clock = _boot_clock_s if clock is None else clock
         self._call_interval_s = 1.0 / calls_per_s
         self._connection = None
         self._call = None
@@ -114,13 +131,19 @@
             fencing_number: Fencing number of the call to send.
         """
         unanswered_number, until_s = self._unanswered.get(path, (fencing_number, 0.0))
-        return unanswered_number == fencing_number or self._now_s >= until_s
+        return unanswered_number == fencing_number or self._clock() >= until_s
 
     def on_tick(self, now_s: float) -> None:
-        """Fails a call that has exceeded its timeout."""
+        """Sends a call once its connection is established; fails one that takes too long."""
         self._now_s = now_s
-        if self._call is not None and now_s - self._call.sent_s >= CALL_TIMEOUT_S:
-            self._fail("no answer in time", may_have_run=self._may_have_run())
+        call = self._call
+        if call is None:
+            return
+        elapsed_s = self._clock() - call.begun_s
+        if elapsed_s >= CALL_TIMEOUT_S:
+            self._fail("no answer in time", may_have_run=call.is_sent)
+        elif not call.is_sent:
+            self._send_if_connected(call, elapsed_s)
 
     def report_usage(
         self,
@@ -198,33 +221,38 @@
             (DUTY_HOLDER, holder.encode()),
             (FENCE_TOKEN, str(fencing_number).encode()),
         ]
-        self._call = _PendingCall(path, fencing_number, self._now_s, on_result)
+        request = RawRequest(b"POST", path.encode(), headers, body)
+        self._call = _PendingCall(path, fencing_number, request, self._clock(), on_result)
         self._next_call_s = self._now_s + self._call_interval_s
-        connection = self._usable_connection()
-        connection.start_request(RawRequest(b"POST", path.encode(), headers, body), self)
+        self._ensure_connection()
+        self._send_if_connected(self._call, 0.0)
 
-    def _usable_connection(self) -> PersistentConnection:
+    def _send_if_connected(self, call: _PendingCall, elapsed_s: float) -> None:
+        connection = self._connection
+        if connection is None or connection.closed or elapsed_s >= CONNECT_TIMEOUT_S:
+            self._fail("not connected", may_have_run=False)
+        elif connection.connected:
+            call.is_sent = True
+            connection.start_request(call.request, self)
+
+    def _ensure_connection(self) -> None:
         connection = self._connection
         if connection is not None and self._now_s - connection.idle_since_s > MAX_IDLE_S:
             connection.close()
         if connection is None or connection.closed:
-            connection = self._connection = PersistentConnection(
+            self._connection = PersistentConnection(
                 self._address, self._on_idle, _ignore_connection_event, self._connections
             )
-        return connection
 
     def _on_idle(self, connection: PersistentConnection) -> None:
         connection.idle_since_s = self._now_s
 
-    def _may_have_run(self) -> bool:
-        return self._connection is not None and self._connection.verdict is Verdict.MAY_HAVE_RUN
-
     def _fail(self, detail: str, *, may_have_run: bool) -> None:
         call = self._call
         if call is None:
             return
         if may_have_run:
-            self._unanswered[call.path] = (call.fencing_number, call.sent_s + UNANSWERED_CALL_S)
+            self._unanswered[call.path] = (call.fencing_number, call.begun_s + UNANSWERED_CALL_S)
         if self._connection is not None:
             # A connection whose response was abandoned can't carry another call.
             self._connection.close()
@@ -258,3 +286,7 @@
 
 def _ignore_connection_event(_connection: PersistentConnection) -> None:
     """Does nothing: the client tracks the state of its connection itself."""
+
+
+def _boot_clock_s() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/tests/relay/test_duty_client.py
+++ b/tests/relay/test_duty_client.py
@@ -18,9 +18,11 @@
     def __init__(self) -> None:
         super().__init__()
         self.opened: list[Connection] = []
+        self.accepts = True
 
     def open(self, address: Address, connection_handler: ConnectionHandler) -> Connection:
         connection = super().open(address, connection_handler)
+        connection.established = self.accepts
         self.opened.append(connection)
         return connection
 
@@ -35,9 +37,16 @@
 
     def __init__(self) -> None:
         self.connections = ApiConnections()
-        self.client = DutyClient(self.connections, Address("10.0.0.1", 80), calls_per_s=10.0)
+        self.now_s = 0.0
+        self.client = DutyClient(
+            self.connections, Address("10.0.0.1", 80), 10.0, clock=lambda: self.now_s
+        )
         self.outcomes: list[DutyOutcome] = []
-        self.client.on_tick(1.0)
+        self.tick(1.0)
+
+    def tick(self, now_s: float) -> None:
+        self.now_s = now_s
+        self.client.on_tick(now_s)
 
     def report(self, fencing_number: int = 7) -> None:
         self.client.report_usage("h-1", fencing_number, 3, {"t": 4}, self.outcomes.append)
@@ -47,7 +56,7 @@
     api = Api()
     api.report()
     api.connections.answer(200)
-    api.client.on_tick(1.2)
+    api.tick(1.2)
     api.client.order_servers("h-1", 9, "lm", "a", 6, spot=True, on_result=api.outcomes.append)
     assert len(api.connections.opened) == 1
     sent = api.connections.sent[id(api.connections.opened[0])]
@@ -65,7 +74,7 @@
     now_s = 1.0
     for status in (200, 409, 429, 400, 503):
         now_s += 5.0
-        api.client.on_tick(now_s)
+        api.tick(now_s)
         assert not api.client.busy
         api.report()
         api.connections.answer(status)
@@ -83,9 +92,9 @@
     api.report()
     api.connections.answer(200)
     assert api.client.busy
-    api.client.on_tick(1.09)
+    api.tick(1.09)
     assert api.client.busy
-    api.client.on_tick(1.11)
+    api.tick(1.11)
     assert not api.client.busy
 
 
@@ -94,14 +103,14 @@
     api = Api()
     api.report(7)
     timed_out_s = 1.0 + CALL_TIMEOUT_S
-    api.client.on_tick(timed_out_s)
+    api.tick(timed_out_s)
     assert api.outcomes == [DutyOutcome.FAILED]
-    api.client.on_tick(timed_out_s + 0.2)
+    api.tick(timed_out_s + 0.2)
     assert not api.client.busy
     assert api.client.may_send(USAGE_PATH, 7)
     assert not api.client.may_send(USAGE_PATH, 8)
     assert api.client.may_send(SCALE_PATH, 8)
-    api.client.on_tick(1.0 + UNANSWERED_CALL_S)
+    api.tick(1.0 + UNANSWERED_CALL_S)
     assert api.client.may_send(USAGE_PATH, 8)
 
 
@@ -110,6 +119,34 @@
     api = Api()
     api.report()
     api.connections.answer(200)
-    api.client.on_tick(4.0)
+    api.tick(4.0)
     api.report()
     assert len(api.connections.opened) == 2
+
+
+def test_a_host_that_was_suspended_while_connecting_does_not_send_the_call() -> None:
+    """Guards against a call that goes out after another host has taken over the duty."""
+    api = Api()
+    api.connections.accepts = False
+    api.report()
+    api.now_s += 5.0
+    connection = api.connections.opened[0]
+    connection.established = True
+    connection.handler.on_connected()
+    api.tick(api.now_s)
+    assert api.outcomes == [DutyOutcome.FAILED]
+    assert api.connections.sent[id(connection)] == b""
+    assert api.client.may_send(USAGE_PATH, 8)
+
+
+def test_a_call_is_sent_once_the_connection_is_established() -> None:
+    api = Api()
+    api.connections.accepts = False
+    api.report()
+    api.tick(1.1)
+    connection = api.connections.opened[0]
+    connection.established = True
+    connection.handler.on_connected()
+    api.tick(1.2)
+    api.connections.answer(200)
+    assert api.outcomes == [DutyOutcome.ACCEPTED]
