Count calls by tenant and refused keys, and measure the look-up

Operators could see neither how many keys are in force nor why one is refused.

Metrics of tenants (the 20 largest, and the others together), refused keys by cause, tenants and keys in force; the log lines `key refused`, `configuration in force` and `call ended` state them. Without tenants neither the metrics page nor the lines change. `python -m bench keys` measures the check.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,6 +4,7 @@
 import sys
 from typing import Final
 
+from bench.keys import measure_key_costs
 from bench.knob import WEIGHTS, plot_curves, weight_curve
 from bench.policies import POLICY_SETS
 from bench.scenarios import read_fleet, read_scenarios
@@ -38,6 +39,8 @@
     slopes.set_defaults(run=_slopes)
     sizes = commands.add_parser("sizes", help="measure bytes and memory of control messages")
     sizes.set_defaults(run=_sizes)
+    keys = commands.add_parser("keys", help="measure processor time per check of a caller's key")
+    keys.set_defaults(run=_keys)
     return parser.parse_args()
 
 
@@ -79,6 +82,13 @@
         sys.stdout.write(f"| {size.label} | {size.value:.1f} {size.unit} |\n")
 
 
+def _keys(_arguments: argparse.Namespace) -> None:
+    sys.stdout.write("| tenants | known key us | unknown key us | request us | decode ms |\n")
+    for row in measure_key_costs():
+        cells = (row.find_us, row.find_unknown_us, row.identify_us, row.decode_ms)
+        sys.stdout.write(f"| {row.tenants} | " + " | ".join(f"{x:.2f}" for x in cells) + " |\n")
+
+
 def _is_selected(name: str, names: list[str] | None) -> bool:
     return not names or name in names
 
--- a/berylquay/decisions/tenants/keys.py
+++ b/berylquay/decisions/tenants/keys.py
@@ -47,9 +47,9 @@
 
     # Number of tenants, including those without a key.
     tenant_count: int
-    # Secret of the digests. With it, the time of a look-up depends on bytes that no caller can
-    # choose or predict, so it reveals nothing of a key.
-    _secret: bytes
+    # Hash keyed with a secret: the time of a look-up depends on digests that no caller can choose
+    # or predict, so it reveals nothing of a key. Copying it is faster than keying a new one.
+    _hash: blake2b
     _tenants: dict[bytes, Tenant]
 
     def __init__(self, keys_by_tenant: Iterable[tuple[Tenant, Iterable[str]]], secret: bytes):
@@ -63,7 +63,7 @@
             DuplicateKeyError: Two tenants have one key.
         """
         self.tenant_count = 0
-        self._secret = secret
+        self._hash = blake2b(digest_size=DIGEST_BYTES, key=secret)
         self._tenants = {}
         for tenant, keys in keys_by_tenant:
             self.tenant_count += 1
@@ -90,4 +90,9 @@
         return len(other._tenants.keys() - self._tenants.keys())
 
     def _digest(self, key: bytes) -> bytes:
-        return blake2b(key, digest_size=DIGEST_BYTES, key=self._secret).digest()
+        digest = self._hash.copy()
+        digest.update(key)
+        return digest.digest()
+
+
+NO_KEYS: Final = TenantKeys((), b"")
--- a/berylquay/relay/call_logging.py
+++ b/berylquay/relay/call_logging.py
@@ -143,6 +143,7 @@
         newest_event=response.newest_event_id,
         left_ms=to_ms(call.remaining_s(now_s)),
         returning=call.is_caller_retry,
+        **({"tenant": call.tenant} if call.hides_key else {}),
     )
 
 
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -382,6 +382,7 @@
         ]
         engine_properties = next(iter(pools.values()), None)
         self._services.placement.on_pool(engine_properties, min(objectives, default=0.0))
+        self._services.metrics.tenants.on_configuration(table.tenant_keys)
 
     def _on_backend(self, change: RegistryChange) -> None:
         services = self._services
--- a/berylquay/relay/metrics.py
+++ b/berylquay/relay/metrics.py
@@ -5,6 +5,8 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from berylquay.relay.tenant_metrics import TenantMetrics
+
 LATENCY_BUCKETS_S: Final = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0)
 
 
@@ -37,8 +39,11 @@
     _cut_off: Gauge
     # Log lines dropped to limit their volume, or because standard output failed.
     _dropped_lines: Gauge
+    # Metrics of tenants and their keys.
+    tenants: TenantMetrics
 
     def __init__(self) -> None:
+        self.tenants = TenantMetrics()
         self._registry = registry = Registry()
         self._calls = Counter("berylquay_relay_calls_total", "Final answers", registry=registry)
         self._attempts = Counter(
@@ -143,7 +148,7 @@
         self._configuration_version.set({}, configuration_version)
         self._dropped_lines.set({}, dropped_lines)
         content, _headers = render(self._registry, ["text/plain"])
-        return content
+        return content + self.tenants.render()
 
     def _histogram(self, name: str, description: str) -> Histogram:
         return Histogram(
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -68,6 +68,8 @@
 MAX_PREFILL_ATTEMPTS: Final = 2
 # Stage of an attempt that generates the answer.
 RUN_STAGE: Final = "run"
+# Outcome of a call that a backend server has answered.
+ANSWERED: Final = "answered"
 HIGHEST_URGENCY: Final = 1
 LOWEST_URGENCY: Final = 9
 
@@ -352,6 +354,8 @@
         identity = self._authenticator.identify(call.route, self._caller_request.headers, now_s)
         if isinstance(identity, KeyRefusal):
             is_undecided = identity.fault is None
+            cause = "outdated" if is_undecided else "removed"
+            self._services.metrics.tenants.on_key_refused(cause)
             reason = (
                 RefusalReason.PLATFORM_UNAVAILABLE if is_undecided else RefusalReason.UNAUTHORIZED
             )
@@ -568,7 +572,7 @@
         self._services.metrics.on_attempt_ended(self.call.pool.name, "answered")
         self._response.send_rest(body_end.unwrap())
         # The call ends first: ending the response may bring the caller's next request.
-        outcome = "failed-at-backend" if failed else "answered"
+        outcome = "failed-at-backend" if failed else ANSWERED
         self._end(CallEnd(outcome, upstream.backend.name, framing=upstream.framing), now_s)
         self.caller.end_response()
 
@@ -782,6 +786,9 @@
         self._queued = False
         self._cancel_upstreams(now_s)
         self._services.metrics.on_call_ended(call.route.name, end.outcome, now_s - call.received_s)
+        if call.tenant is not None:
+            was_answered = end.outcome == ANSWERED
+            self._services.metrics.tenants.on_call_ended(call.tenant, was_answered=was_answered)
         first_byte_delay_s = (
             None if self._first_byte_s is None else self._first_byte_s - call.received_s
         )
--- a/berylquay/relay/request_handler.py
+++ b/berylquay/relay/request_handler.py
@@ -309,11 +309,18 @@
         refusal: KeyRefusal,
         table: RouteTable,
     ) -> None:
+        cause = "outdated" if refusal.fault is None else refusal.fault.value
+        self._services.metrics.tenants.on_key_refused(cause)
         if refusal.fault is None:
             self._refuse(caller, metadata, refusal.detail, UNKNOWN_CONFIGURATION_RETRY_S)
             return
+        age_s = time.monotonic() - self._configuration_confirmed_s()
         _log.info(
-            "key refused", id=metadata.call_id, cause=refusal.fault.value, version=table.version
+            "key refused",
+            id=metadata.call_id,
+            cause=cause,
+            version=table.version,
+            confirmed_ms=round(age_s * 1000.0),
         )
         send_unauthorized(caller, refusal.detail)
 
--- a/berylquay/relay/store_views.py
+++ b/berylquay/relay/store_views.py
@@ -9,6 +9,7 @@
 from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry, RegistryChange
 from berylquay.decisions.route_table import RouteTable
 from berylquay.decisions.store_era import StoreEra
+from berylquay.decisions.tenants.keys import NO_KEYS, TenantKeys
 from berylquay.platform.backend_entries import decode_backend_entry
 from berylquay.platform.route_configuration import decode_configuration
 from berylquay.platform.store_client import KeyedRecord
@@ -143,16 +144,35 @@
                     "outdated configuration", version=table.version, in_force=current_version
                 )
             return
+        previous_keys = None if self.table is None else self.table.tenant_keys
         self.table = table
         self._newer_since_s = None
         if current_version is None:
             self._first_applied_s = now_s
         else:
             self._was_updated = True
-        _log.info("configuration in force", version=table.version, before=current_version)
+        _log.info(
+            "configuration in force",
+            version=table.version,
+            before=current_version,
+            **_describe_keys(previous_keys, table.tenant_keys),
+        )
         self._on_change(table)
 
 
+def _describe_keys(before: TenantKeys | None, after: TenantKeys | None) -> dict[str, int]:
+    """Returns numbers of tenants and keys for logs; nothing if there are and were none."""
+    if before is None and after is None:
+        return {}
+    before, after = before or NO_KEYS, after or NO_KEYS
+    return {
+        "tenants": after.tenant_count,
+        "keys": after.key_count,
+        "keys_added": before.count_missing(after),
+        "keys_removed": after.count_missing(before),
+    }
+
+
 class BackendsView(TopicHandler):
     """The backend servers registered in the store."""
 
--- a/tests/relay/test_tenant_calls.py
+++ b/tests/relay/test_tenant_calls.py
@@ -1,5 +1,6 @@
 """Calls with keys through relay host processes."""
 
+import http.client
 import json
 from functools import partial
 from pathlib import Path
@@ -7,6 +8,7 @@
 
 import pytest
 
+from berylquay.decisions.tenants.call_counts import LARGEST_TENANTS, TenantCallCounts
 from tests.relay.test_gateways import CUT, start_cut_host
 from tests.relay.test_relay_calls import LONG_PROMPT, SHORT_PROMPT
 from tests.support.relay_fleet import (
@@ -188,3 +190,66 @@
     assert app_fleet.send_request(PATHS["once"], "id-1", b"b", headers).status == 200
     (received,) = server_headers(app_fleet)
     assert (received["tenant"], received["authorization"]) == ("own", f"Bearer {KEY}")
+
+
+def metrics_of(fleet: RelayFleet) -> dict[str, float]:
+    """Returns the first host's metrics of tenants and keys."""
+    settings = (fleet.processes.directory / "host-0.ini").read_text(encoding="utf-8")
+    port = int(settings.partition("metrics = 127.0.0.1:")[2].split()[0])
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+    connection.request("GET", "/metrics")
+    lines = connection.getresponse().read().decode().splitlines()
+    connection.close()
+    samples = [line.rpartition(" ") for line in lines if not line.startswith("#")]
+    return {
+        name.removeprefix("berylquay_relay_"): float(value)
+        for name, _, value in samples
+        if name.startswith(("berylquay_relay_tenant", "berylquay_relay_key"))
+    }
+
+
+# Guards against refusals and tenants that operators can't see, and against changed metrics where
+# there are none.
+def test_metrics_and_log_lines_of_tenants(app_fleet: RelayFleet) -> None:
+    assert metrics_of(app_fleet) == {}
+    put_tenants(app_fleet, 2)
+    for call_id, key in (("a", KEY), ("b", KEY), ("c", OTHER_KEY), ("d", "wrong")):
+        app_fleet.send_request(
+            PATHS["once"], call_id, call_id.encode(), {"Authorization": f"Bearer {key}"}
+        )
+    app_fleet.send_request(PATHS["once"], "e")
+    assert metrics_of(app_fleet) == {
+        "tenants": 2,
+        "tenant_keys": 2,
+        'tenant_calls{tenant="hule930"}': 2,
+        'tenant_calls{tenant="fida11"}': 1,
+        'tenant_calls{tenant=""}': 0,
+        'tenant_calls_answered{tenant="hule930"}': 2,
+        'tenant_calls_answered{tenant="fida11"}': 1,
+        'tenant_calls_answered{tenant=""}': 0,
+        'key_refusals_total{cause="unknown"}': 1,
+        'key_refusals_total{cause="missing"}': 1,
+    }
+    wait_until(lambda: any(line.get("id") == "e" for line in app_fleet.log_lines()))
+    lines = app_fleet.log_lines()
+    assert next(line for line in lines if line.get("id") == "a")["tenant"] == "hule930"
+    refused = next(line for line in lines if line.get("id") == "d")
+    assert (refused["message"], refused["cause"], refused["version"]) == (
+        "key refused",
+        "unknown",
+        2,
+    )
+    in_force = [line for line in lines if line["message"] == "configuration in force"]
+    assert "tenants" not in in_force[0]
+    assert (in_force[1]["tenants"], in_force[1]["keys_added"]) == (2, 2)
+
+
+# Guards against a time series for each of thousands of tenants.
+def test_only_the_largest_tenants_have_figures_of_their_own() -> None:
+    counts = TenantCallCounts()
+    for number in range(4900):
+        for _ in range(2 if number < LARGEST_TENANTS else 1):
+            counts.on_call_ended(f"t{number}", was_answered=number % 2 == 0)
+    largest = counts.largest()
+    assert [each.tenant for each in largest] == [f"t{n}" for n in range(LARGEST_TENANTS)] + [""]
+    assert (largest[-1].calls, largest[-1].answered) == (4880, 2440)
