Reuse a server's connection only after a response that echoes its request's id

Cause: a late second copy of a response without Attempt-Id was taken for the response to the next request on the connection, and so were copies of responses to requests without an id. Change: the pool closes a connection whose response did not echo the id of its request.

--- a/berylquay/net/persistent_http.py
+++ b/berylquay/net/persistent_http.py
@@ -100,6 +100,8 @@
     sent: bool = False
     # Whether the response being read belongs to another request and is discarded.
     has_foreign_response: bool = False
+    # Whether the response echoes the request id.
+    is_echoed: bool = False
 
 
 @define(eq=False)
@@ -112,6 +114,9 @@
     # Called when the connection was closed by either end or could not be established.
     _on_ended: "Callable[[PersistentConnection], None]"
     _connections: Transport
+    # Whether the connection is reused only after a response that echoes the request's id. A second
+    # copy of any other response can't be told from the response to the next request.
+    reuse_requires_echo: bool = False
     # Requests whose responses are complete, excluding one after which the connection was closed.
     completed_requests: int = 0
     # Monotonic time at which the connection last became idle; set and used by its owner.
@@ -246,6 +251,7 @@
             head = RawResponseHead(event.status_code, event.reason, list(event.headers))
             echoed = head.get(pending.id_header) if pending.id_header else None
             pending.has_foreign_response = echoed is not None and echoed != pending.request_id
+            pending.is_echoed = echoed is not None and echoed == pending.request_id
             if not pending.has_foreign_response:
                 self._update_keep_alive_timeout(head)
                 pending.handler.on_response_head(head)
@@ -286,6 +292,7 @@
             and not self._protocol.trailing_data[0]
             and not self._connection.unsent
             and not self._connection.closed
+            and (pending.is_echoed or not self.reuse_requires_echo)
         )
         if reusable:
             self._protocol.start_next_cycle()
--- a/berylquay/relay/connection_pool.py
+++ b/berylquay/relay/connection_pool.py
@@ -101,6 +101,7 @@
             lambda connection: self._return_idle(name, connection),
             lambda _connection: self._on_connection_ended(name),
             self._connections if gateway is None else gateway,
+            reuse_requires_echo=True,
         )
         if gateway is None:
             self._opening.append(_Opening(name, connection, now_s))
