Add a failing test of HEAD requests that are refused

Cause: the body of an error response to HEAD makes h11 raise within the handler; the caller has the head, and the connection then serves no further request.

--- a/tests/relay/test_relay_framing.py
+++ b/tests/relay/test_relay_framing.py
@@ -68,3 +68,30 @@
     caller = app_fleet.connect()
     caller.sendall(HEAD.encode())
     assert caller.recv(4096).startswith(b"HTTP/1.1 408")
+
+
+# Guards against a connection that hangs once HEAD was refused, since that response has no body.
+@pytest.mark.parametrize(
+    ("request_text", "status"),
+    [
+        ("HEAD /nowhere HTTP/1.1\r\nHost: calls.example\r\nAttempt-Id: i\r\n\r\n", 404),
+        (HEAD.replace("POST", "HEAD") + "\r\n", 400),
+        (HEAD.replace("POST", "HEAD") + "Content-Length: 99999999\r\n\r\n", 413),
+    ],
+    ids=["unknown-route", "no-id", "too-large"],
+)
+def test_a_connection_goes_on_after_head_was_refused(
+    app_fleet: RelayFleet, request_text: str, status: int
+) -> None:
+    caller = app_fleet.connect()
+    caller.settimeout(2.0)
+    caller.sendall(request_text.encode())
+    received = caller.recv(4096)
+    assert received.startswith(f"HTTP/1.1 {status}".encode())
+    assert received.endswith(b"\r\n\r\n")
+    if status == 413:
+        # The rest of the request is not read: the host closes.
+        assert not caller.recv(4096)
+        return
+    caller.sendall(f"{HEAD}Attempt-Id: id-1\r\nContent-Length: 5\r\n\r\nfirst".encode())
+    assert b"first" in _receive_responses(caller, 1)
