Send no body with an error response to HEAD

Cause: h11 raises on a body after a HEAD request, within the handler, and the connection hung. Change: CallerConnection.send_response leaves the body out. Measured: tests/relay/test_relay_framing.py and test_late_copies.py, 27 passed.

--- a/berylquay/relay/caller_connection.py
+++ b/berylquay/relay/caller_connection.py
@@ -19,6 +19,7 @@
 LINGER_TIMEOUT_S: Final = 1.0
 # First HTTP version whose bodies can be sent in chunks.
 FIRST_CHUNKED_VERSION: Final = b"1.1"
+HEAD_METHOD: Final = b"HEAD"
 CONNECTION_CLOSE_HEADER: Final = (b"connection", b"close")
 
 BAD_REQUEST: Final = 400
@@ -153,10 +154,11 @@
         self._handler.on_connection_ended(self)
 
     def send_response(self, status: int, reason: bytes, headers: Headers, body: bytes) -> None:
-        """Sends a complete response with its content length."""
+        """Sends a complete response with its content length; one to HEAD has no body."""
         headers_with_length = [*headers, (b"content-length", str(len(body)).encode())]
         self.start_response(status, reason, headers_with_length)
-        self.send_body(body)
+        if self._request_head is None or self._request_head.method != HEAD_METHOD:
+            self.send_body(body)
         self.end_response()
 
     def start_response(self, status: int, reason: bytes, headers: Headers) -> None:
@@ -257,6 +259,7 @@
         return False
 
     def _handle_head(self, head: h11.Request) -> bool:
+        self._request_head = head
         header_names = {name for name, _ in head.headers}
         if _head_bytes(head) > self._limits.max_header_bytes:
             self._reject_request(HEAD_TOO_LARGE, "the head is larger than allowed")
@@ -270,7 +273,6 @@
         if int(content_length) > self._limits.max_body_bytes:
             self._reject_request(BODY_TOO_LARGE, "the body is larger than allowed")
             return False
-        self._request_head = head
         self._head_received_s = self._clock()
         self._enter_phase(ConnectionPhase.BODY)
         return True
