Serve requests that arrive while a host stops

Cause: at a stop, each idle connection was closed at the next tick, also one whose request was about to follow its handshake; a stream that began before the stop ended with a close that its head had not announced; connections that waited in the accept queue were reset at the end of the process. Change: idle connections stay open while requests are accepted, then for 1 s; a close is announced first; the accept queue is emptied before the process ends.

--- a/berylquay/net/tcp_listener.py
+++ b/berylquay/net/tcp_listener.py
@@ -54,6 +54,17 @@
         self._accepting = True
         poller.addReader(self, self._sock)
 
+    @property
+    def is_accepting(self) -> bool:
+        """Returns whether the listening socket is open."""
+        return self._accepting
+
+    def accept_rest_and_close(self) -> None:
+        """Accepts the connections that wait, which closing would reset, and closes the socket."""
+        while self._accepting and self._accept_next():
+            pass
+        self.close()
+
     def close(self) -> None:
         """Closes the listening socket; connections already accepted stay open."""
         if self._accepting:
@@ -66,14 +77,20 @@
         if not self._accepting or sock is not self._sock:
             return
         for _ in range(ACCEPTS_PER_TURN):
-            try:
-                accepted_sock, peer = self._sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            if not self._accept_next():
                 return
-            except OSError as error:
-                _log.warning("can't accept", error=error.strerror or str(error))
-                return
-            self._adopt(accepted_sock, Address(peer[0], peer[1]))
+
+    def _accept_next(self) -> bool:
+        """Accepts one connection; returns whether there was one."""
+        try:
+            accepted_sock, peer = self._sock.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return False
+        except OSError as error:
+            _log.warning("can't accept", error=error.strerror or str(error))
+            return False
+        self._adopt(accepted_sock, Address(peer[0], peer[1]))
+        return True
 
     def _adopt(self, accepted_sock: socket.socket, peer: Address) -> None:
         connection_handler = self._make_handler()
--- a/berylquay/relay/caller_connection.py
+++ b/berylquay/relay/caller_connection.py
@@ -17,6 +17,9 @@
 SLOW_CALLER_BUFFER_BYTES: Final = 262144
 # Time to wait for the caller to close the connection after this end has closed its side.
 LINGER_TIMEOUT_S: Final = 1.0
+# Idle time after which a stopping host closes a connection. A request follows the handshake of its
+# connection within less; closing at once would cut it off without a response.
+STOPPING_IDLE_TIMEOUT_S: Final = 1.0
 # First HTTP version whose bodies can be sent in chunks.
 FIRST_CHUNKED_VERSION: Final = b"1.1"
 HEAD_METHOD: Final = b"HEAD"
@@ -97,8 +100,10 @@
     # Set once the connection was accepted.
     connection: Connection = field(init=False)
     phase: ConnectionPhase = field(default=ConnectionPhase.IDLE, init=False)
-    # Whether to close the connection once it is idle; responses then carry `Connection: close`.
+    # Whether to close the connection after a response, which then carries `Connection: close`.
     close_after_response: bool = field(default=False, init=False)
+    # Whether to close the connection once it has been idle for `STOPPING_IDLE_TIMEOUT_S`.
+    closes_when_idle: bool = field(default=False, init=False)
     _protocol: h11.Connection = field(init=False)
     # Monotonic time at which the present phase began.
     _phase_started_s: float = field(init=False)
@@ -189,7 +194,9 @@
             return
         self._set_reset_on_close(enabled=False)
         self._reset_request()
-        if self.close_after_response or self._protocol.our_state is not h11.DONE:
+        # h11 tells whether the head has announced the end of the connection. If the stop began after
+        # the head was sent, the caller may send another request, whose response announces it.
+        if self._protocol.our_state is not h11.DONE:
             self.close_gracefully()
             return
         if self._protocol.their_state is not h11.DONE:
@@ -224,7 +231,10 @@
             self._is_caller_slow = False
             self._handler.on_caller_writable(self)
         if self.phase is ConnectionPhase.IDLE:
-            if elapsed_s > self._limits.idle_timeout_s or self.close_after_response:
+            idle_timeout_s = self._limits.idle_timeout_s
+            if self.closes_when_idle:
+                idle_timeout_s = min(idle_timeout_s, STOPPING_IDLE_TIMEOUT_S)
+            if elapsed_s > idle_timeout_s:
                 self.close_gracefully()
         elif self.phase in (ConnectionPhase.HEAD, ConnectionPhase.BODY):
             if elapsed_s > self._limits.header_timeout_s:
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -117,6 +117,7 @@
     _store_era: StoreEra
     # Whether an entry has changed since the placement was told the prefill engines.
     _prefill_engines_changed: bool
+    _callers_listener: TcpListener
     # Schedule of the requested shutdown, or None.
     _shutdown_schedule: ShutdownSchedule | None
 
@@ -347,7 +348,7 @@
         options = self._options
         ready_pages = {READY_PATH.encode(): self._ready_page}
         metrics_pages = {METRICS_PATH: self._metrics_page}
-        TcpListener(
+        self._callers_listener = TcpListener(
             self._loop, connections, options.callers_address, self._request_handler.make_connection
         ).register(self._loop)
         TcpListener(
@@ -498,6 +499,9 @@
         phase = schedule.phase(is_idle, now_s)
         if phase is ShutdownPhase.FINISHING:
             self._request_handler.refuse_new_requests()
+        elif phase is ShutdownPhase.ENDED and self._callers_listener.is_accepting:
+            # Connections that were not accepted yet are served before the process ends.
+            self._callers_listener.accept_rest_and_close()
         elif phase is ShutdownPhase.ENDED:
             after_s = round(now_s - schedule.requested_s, 3)
             _log.info("stopped", open_calls=self._request_handler.open_calls, after_s=after_s)
--- a/berylquay/relay/request_handler.py
+++ b/berylquay/relay/request_handler.py
@@ -110,18 +110,24 @@
         limits = CallerRequestLimits() if table is None else table.request_limits
         caller = CallerConnection(self._connections, self, limits, time.monotonic)
         caller.close_after_response = self._closing_connections
+        caller.closes_when_idle = self._refusing_requests
         self._callers.add(caller)
         return caller
 
     def stop_keep_alive(self) -> None:
-        """Closes each connection after its next response, so that callers move to other hosts."""
+        """Closes each connection after its next response, so that callers move to other hosts.
+
+        Idle connections stay open meanwhile: a request may be on its way.
+        """
         self._closing_connections = True
         for caller in self._callers:
             caller.close_after_response = True
 
     def refuse_new_requests(self) -> None:
-        """Refuses new requests from now on."""
+        """Refuses new requests from now on, and closes connections that are idle."""
         self._refusing_requests = True
+        for caller in self._callers:
+            caller.closes_when_idle = True
 
     def on_tick(self, now_s: float) -> None:
         """Checks the time limits of all calls and connections."""
