Continue streams at their version after the loss of all hosts

The versions of each pool with a resumable route are now recorded in keyed.pool-versions, by conditional appends. A host reads the records once when it knows the list of servers. Streams begin at recorded versions while these have servers. While a pool has several versions, the first host of each group writes the versions of streams to stream-versions every 0.1 s; a host that can't learn a version from the others reads them.

PoolVersions became PoolVersionHistory; its tests only use the new name.

--- a/berylquay/decisions/stream_versions.py
+++ b/berylquay/decisions/stream_versions.py
@@ -11,7 +11,6 @@
 
 from attrs import define, field
 
-from berylquay.decisions.backend_registry import BackendEntry
 from berylquay.decisions.rendezvous import rendezvous_weight
 
 # Time for which the version of a stream is kept; callers give a stream up long before.
@@ -53,49 +52,6 @@
             del self._versions[call_id]
 
 
-class PoolVersions:
-    """Versions of the servers that each pool has had of late."""
-
-    # Monotonic time since which this host knows the list of servers without a gap, or None.
-    _known_since_s: float | None
-    # Monotonic time at which a server was last known to have a version, by pool and version.
-    _last_listed_s: dict[tuple[str, str], float]
-
-    def __init__(self) -> None:
-        self._known_since_s = None
-        self._last_listed_s = {}
-
-    def on_list_confirmed(self, confirmed_s: float, now_s: float) -> None:
-        """Records when the list of servers was last known to be current."""
-        if now_s - confirmed_s > MAX_LIST_AGE_S:
-            self._known_since_s = None
-        elif self._known_since_s is None:
-            self._known_since_s = now_s
-
-    def on_entry_replaced(self, entry: BackendEntry, now_s: float) -> None:
-        """Records the version of an entry that was changed or removed."""
-        self._last_listed_s[entry.pool, entry.software_version] = now_s
-
-    def only_version(self, pool: str, listed: Iterable[BackendEntry], now_s: float) -> str | None:
-        """Returns the one version that a stream of the pool can have begun at, or None.
-
-        Args:
-            pool: Name of the pool.
-            listed: Entries of the pool's servers.
-            now_s: Present time.
-        """
-        since_s = now_s - STREAM_RETENTION_S
-        if self._known_since_s is None or self._known_since_s > since_s:
-            return None
-        versions = {entry.software_version for entry in listed}
-        versions |= {
-            version
-            for (listed_pool, version), last_s in self._last_listed_s.items()
-            if listed_pool == pool and last_s > since_s
-        }
-        return versions.pop() if len(versions) == 1 else None
-
-
 def choose_keepers(call_id: str, hosts: Iterable[str], count: int) -> list[str]:
     """Returns the hosts that keep the version of a stream; all hosts choose the same ones.
 
--- a/berylquay/platform/store_client.py
+++ b/berylquay/platform/store_client.py
@@ -35,6 +35,7 @@
 MAX_DETAIL_BYTES: Final = 200
 STATUS_NOT_FOUND: Final = 404
 STATUS_GONE: Final = 410
+STATUS_PRECONDITION_FAILED: Final = 412
 _PAGE_HEADER: Final = struct.Struct(">QQ")
 _RECORD_LENGTH: Final = struct.Struct(">I")
 
@@ -102,6 +103,11 @@
         """Returns whether the requested records have been deleted."""
         return self.status == STATUS_GONE
 
+    @property
+    def has_other_end_offset(self) -> bool:
+        """Returns whether a conditional append found the topic to end at another offset."""
+        return self.status == STATUS_PRECONDITION_FAILED
+
     @property
     def is_topic_missing(self) -> bool:
         """Returns whether the topic does not exist yet."""
@@ -168,9 +174,10 @@
         offset: int,
         long_poll_wait_s: float,
         on_result: Callable[[RecordPage | StoreFailure], None],
+        max_kb: int = MAX_READ_KB,
     ) -> None:
         """Requests records from an offset; waits up to `long_poll_wait_s` if there are none."""
-        target = f"/log-read?topic={topic}&part=0&source={offset}&maxKb={MAX_READ_KB}"
+        target = f"/log-read?topic={topic}&part=0&source={offset}&maxKb={max_kb}"
         if long_poll_wait_s > 0.0:
             target += f"&waitMs={int(long_poll_wait_s * 1000.0)}"
 
--- a/berylquay/platform/wire_names.py
+++ b/berylquay/platform/wire_names.py
@@ -61,6 +61,8 @@
 # Topics that only this project uses.
 TOPIC_HOSTS: Final = "keyed.hosts"
 TOPIC_QUARANTINES: Final = "keyed.quarantines"
+TOPIC_POOL_VERSIONS: Final = "keyed.pool-versions"
+TOPIC_STREAM_VERSIONS: Final = "stream-versions"
 TOPIC_AUTHORITY: Final = "authority"
 
 # Path of the load balancer's readiness check.
--- a/berylquay/relay/engine_selection.py
+++ b/berylquay/relay/engine_selection.py
@@ -100,12 +100,18 @@
     def _healthy_engines(self, now_s: float) -> list[BackendEntry]:
         """Returns the engines that respond, of them only decode engines that fit the stream."""
         services, call = self._services, self._call
-        return [
+        engines = [
             engine
             for engine in services.registry.ready_in_pool(call.pool.name)
             if not services.health.is_backing_off(engine.name, now_s)
             and (engine.role is Role.PREFILL or call.may_use_version(engine.software_version))
         ]
+        recorded = [
+            engine
+            for engine in engines
+            if engine.role is Role.PREFILL or services.may_begin_at(call, engine.software_version)
+        ]
+        return recorded if _decode_engines(recorded) else engines
 
     def _exclude_tried(self, engines: list[BackendEntry]) -> list[BackendEntry]:
         """Leaves out engines that have run the call, or all others if no attempt is left."""
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -19,6 +19,7 @@
 from berylquay.decisions.engine_placement import PlacementOptions, PredictivePlacementPolicy
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.load_sharing_scope import LoadSharingScope
+from berylquay.decisions.pool_version_history import PoolVersionHistory
 from berylquay.decisions.prefix_cache_index import PrefixCacheIndex
 from berylquay.decisions.route_table import RouteTable
 from berylquay.decisions.segment_crash_history import SegmentCrashHistory, SegmentCrashLimits
@@ -26,7 +27,6 @@
 from berylquay.decisions.shared_retry_budget import RetryBudgetOptions, SharedRetryBudget
 from berylquay.decisions.shutdown_schedule import ShutdownPhase, ShutdownSchedule
 from berylquay.decisions.store_era import StoreEra
-from berylquay.decisions.stream_versions import PoolVersions
 from berylquay.decisions.topology import Location, Topology
 from berylquay.net.event_loop import EventLoop
 from berylquay.net.http_client import STATUS_OK
@@ -52,6 +52,7 @@
 from berylquay.relay.pages import Page, PageConnection
 from berylquay.relay.path_monitor import PathMonitor
 from berylquay.relay.peer_exchange import PeerExchange
+from berylquay.relay.pool_version_store import PoolVersionStore
 from berylquay.relay.prefill_requests import cancel_overdue_releases
 from berylquay.relay.quarantine_store import QuarantineStore
 from berylquay.relay.request_handler import RequestHandler, RequestHandlerOptions
@@ -65,6 +66,12 @@
     STREAM_VERSION_TAG,
     StreamVersionExchange,
 )
+from berylquay.relay.stream_version_store import StreamVersionStore
+from berylquay.relay.version_datagrams import (
+    VERSION_RECORD_TAG,
+    PoolRecordNotice,
+    decode_version_datagram,
+)
 from berylquay.settings.relay_settings import RelayOptions, SettingsFileWatcher, read_relay_settings
 
 MS_PER_S: Final = 1000.0
@@ -155,6 +162,7 @@
                 CRASH_REPORT_TAG: self._services.segment_crashes.on_datagram,
                 STREAM_VERSION_TAG: self._services.stream_versions.on_version_datagram,
                 STREAM_QUERY_TAG: self._services.stream_versions.on_query_datagram,
+                VERSION_RECORD_TAG: self._on_version_datagram,
             },
         )
         self._request_handler = RequestHandler(
@@ -196,6 +204,7 @@
         health = BackendHealth(HealthOptions())
         metrics = RelayMetrics()
         registry = BackendRegistry()
+        pool_versions = PoolVersionHistory()
         path_monitor = PathMonitor(
             connections,
             registry,
@@ -233,8 +242,33 @@
                 address=options.peers_address,
                 get_hosts=self._group_addresses,
                 send=self._send_to_host,
+                find_stored=self._find_stored_stream,
+                on_unknown=self._on_unknown_stream,
+            ),
+            pool_versions=pool_versions,
+            pool_version_store=PoolVersionStore(
+                history=pool_versions,
+                registry=registry,
+                store_client=StoreClient(connections, options.store_address, self._store_era),
+                metrics=metrics,
+                rng=rng,
+                unix_ms=lambda: round(time.time() * MS_PER_S),
+                is_first_of_group=self._is_first_of_group,
+                send_to_group=self._send_to_group,
+                on_read=self._on_pool_versions_read,
+            ),
+            stream_version_store=StreamVersionStore(
+                history=pool_versions,
+                append_client=StoreClient(connections, options.store_address, self._store_era),
+                read_client=StoreClient(connections, options.store_address, self._store_era),
+                metrics=metrics,
+                rng=rng,
+                first_host=self._first_host_address,
+                get_group_size=lambda: self._peer_exchange.group_size,
+                send=self._send_to_host,
+                ask=self._ask_for_stream,
+                reply=self._reply_with_stream,
             ),
-            pool_versions=PoolVersions(),
             connection_pool=BackendConnectionPool(connections, path_monitor),
             path_monitor=path_monitor,
             metrics=metrics,
@@ -244,6 +278,42 @@
             receive_reports=self._receive_reports,
         )
 
+    def _is_first_of_group(self, now_s: float) -> bool:
+        return self._peer_exchange.is_first_of_group(now_s)
+
+    def _first_host_address(self, now_s: float) -> Address | None:
+        return self._peer_exchange.first_host_address(now_s)
+
+    def _find_stored_stream(self, call_id: str) -> str | None:
+        return self._services.stream_version_store.ledger.find(call_id)
+
+    def _on_unknown_stream(self, call_id: str, reply_to: Address, now_s: float) -> None:
+        self._services.stream_version_store.on_unknown_query(call_id, reply_to, now_s)
+
+    def _ask_for_stream(self, call_id: str, address: Address) -> None:
+        self._services.stream_versions.ask_host(call_id, address)
+
+    def _reply_with_stream(self, call_id: str, reply_to: Address) -> None:
+        self._services.stream_versions.reply(call_id, reply_to)
+
+    def _on_pool_versions_read(self, now_s: float) -> None:
+        """Reads streams in advance if callers may continue them at one of several versions."""
+        services = self._services
+        if any(
+            services.pool_versions.has_several(pool, now_s)
+            for pool in services.pool_version_store.pools
+        ):
+            services.stream_version_store.request_read(now_s)
+
+    def _on_version_datagram(self, data: bytes, now_s: float) -> None:
+        notice = decode_version_datagram(data)
+        if notice is None:
+            _log.warning("unreadable versions", size_bytes=len(data))
+        elif isinstance(notice, PoolRecordNotice):
+            self._services.pool_version_store.on_notice(notice, now_s)
+        else:
+            self._services.stream_version_store.on_notice(notice, now_s)
+
     def _notify_work_placed(self, now_s: float) -> None:
         self._peer_exchange.on_work_placed(now_s)
 
@@ -380,6 +450,13 @@
             for route in routes
             if any(share.pool in pools for share in route.weighted_pools)
         ]
+        self._services.pool_version_store.pools = frozenset(
+            share.pool
+            for routes in table.by_host.values()
+            for route in routes
+            if route.streaming and route.resumable
+            for share in route.weighted_pools
+        )
         engine_properties = next(iter(pools.values()), None)
         self._services.placement.on_pool(engine_properties, min(objectives, default=0.0))
 
@@ -393,6 +470,7 @@
             services.segment_crashes.on_server_ended(change.name, time.monotonic())
         if change.before is not None:
             services.pool_versions.on_entry_replaced(change.before, time.monotonic())
+        services.pool_version_store.on_entries_changed()
         self._prefill_engines_changed = True
 
     def _update_prefill_engines(self) -> None:
@@ -409,6 +487,7 @@
         now_s = time.monotonic()
         self._services.metrics.on_store_era(era, has_risen=before is not None)
         self._role_controller.on_store_era(era)
+        self._services.pool_versions.on_store_era(era)
         if before is None:
             return
         followers = (self._configuration_follower, self._backends_follower)
@@ -422,6 +501,8 @@
         for follower in followers:
             follower.on_new_era(now_s)
         self._host_list.on_new_era(now_s)
+        self._services.pool_version_store.on_new_era()
+        self._services.stream_version_store.on_new_era(now_s)
         self._quarantine_store.on_new_era(
             self._services.segment_crashes.quarantined_segments(now_s), now_s
         )
@@ -454,6 +535,8 @@
         self._quarantine_store.on_tick(now_s)
         self._request_handler.on_tick(now_s)
         self._services.stream_versions.on_tick(now_s)
+        self._services.pool_version_store.on_tick(now_s)
+        self._services.stream_version_store.on_tick(now_s)
         self._peer_exchange.on_tick(now_s)
         self._check_roles(now_s)
         self._log_handler.on_tick(now_s)
--- a/berylquay/relay/metrics.py
+++ b/berylquay/relay/metrics.py
@@ -80,6 +80,21 @@
             "Streams that callers took up again",
             registry=registry,
         )
+        self._pool_versions_written = Counter(
+            "berylquay_relay_pool_versions_written_total",
+            "Records of a pool's software versions written to the store",
+            registry=registry,
+        )
+        self._stream_versions_written = Counter(
+            "berylquay_relay_stream_versions_written_total",
+            "Streams whose software version was written to the store",
+            registry=registry,
+        )
+        self._stream_versions_read = Counter(
+            "berylquay_relay_stream_versions_read_total",
+            "Streams whose software version was read in the store",
+            registry=registry,
+        )
         self._cut_off = Gauge(
             "berylquay_relay_cut_off",
             "Whether the paths to all servers are lost",
@@ -116,6 +131,18 @@
         """Counts a stream that a caller took up, by how its version was found."""
         self._streams_taken_up.inc({"source": source})
 
+    def on_pool_versions_written(self, pool: str) -> None:
+        """Counts a record of a pool's software versions that was written."""
+        self._pool_versions_written.inc({"pool": pool})
+
+    def on_stream_versions_written(self, streams: int) -> None:
+        """Counts streams whose software version was written."""
+        self._stream_versions_written.add({}, streams)
+
+    def on_stream_versions_read(self, streams: int) -> None:
+        """Counts streams whose software version was read."""
+        self._stream_versions_read.add({}, streams)
+
     def on_cut_off(self, *, is_cut_off: bool) -> None:
         """Records whether the host has lost its paths to all servers."""
         self._cut_off.set({}, int(is_cut_off))
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -92,6 +92,10 @@
         """Tells whether this host is the first of those that exchange load reports."""
         return self._gossip.rank_among_recipients(now_s)[0] == 0
 
+    def first_host_address(self, now_s: float) -> Address | None:
+        """Returns the address of the first host of the group, or None if it is this one."""
+        return self._gossip.first_live_before(now_s)
+
     def update_host_count(self, listed_host_count: int) -> int:
         """Sets the number of hosts in the store's list; returns that of the whole fleet."""
         self._gossip.listed_host_count = listed_host_count
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -508,8 +508,11 @@
             return
         call.stream_version = backend.software_version
         if call.route.resumable:
-            self._services.stream_versions.on_stream_begun(
-                call.call_id, backend.software_version, time.monotonic()
+            services, now_s = self._services, time.monotonic()
+            version = backend.software_version
+            services.stream_versions.on_stream_begun(call.call_id, version, now_s)
+            services.stream_version_store.on_stream_begun(
+                call.pool.name, call.call_id, version, now_s
             )
 
     def on_upstream_complete(self, upstream: UpstreamRequest) -> None:
@@ -631,8 +634,16 @@
 
     def _fitting_servers(self) -> list[BackendEntry]:
         """Returns the servers whose answer would fit what the caller has of a stream."""
-        servers = self._services.registry.ready_in_pool(self.call.pool.name)
-        return [server for server in servers if self.call.may_use_version(server.software_version)]
+        call, services = self.call, self._services
+        servers = [
+            server
+            for server in services.registry.ready_in_pool(call.pool.name)
+            if call.may_use_version(server.software_version)
+        ]
+        recorded = [
+            server for server in servers if services.may_begin_at(call, server.software_version)
+        ]
+        return recorded or servers
 
     def _record_failure(
         self,
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -14,18 +14,21 @@
 from berylquay.decisions.engine_estimates import EngineEstimates
 from berylquay.decisions.engine_placement import PredictivePlacementPolicy
 from berylquay.decisions.load_sharing_scope import LoadSharingScope
+from berylquay.decisions.pool_version_history import PoolVersionHistory
 from berylquay.decisions.prefix_cache_index import PrefixCacheIndex
 from berylquay.decisions.relay_admission import AdmissionOptions
+from berylquay.decisions.relay_call import RelayCall
 from berylquay.decisions.shared_retry_budget import SharedRetryBudget
-from berylquay.decisions.stream_versions import PoolVersions
 from berylquay.decisions.topology import Topology
 from berylquay.net.persistent_http import PersistentConnection
 from berylquay.relay.connection_pool import BackendConnectionPool
 from berylquay.relay.metrics import RelayMetrics
 from berylquay.relay.path_monitor import PathMonitor
 from berylquay.relay.pending_updates import PendingUpdates
+from berylquay.relay.pool_version_store import PoolVersionStore
 from berylquay.relay.segment_crash_handler import SegmentCrashHandler
 from berylquay.relay.stream_version_exchange import StreamVersionExchange
+from berylquay.relay.stream_version_store import StreamVersionStore
 from berylquay.relay.upstream_request import NoticeListener, UpstreamRequest
 
 
@@ -48,7 +51,10 @@
     segment_crashes: SegmentCrashHandler
     # Software versions at which callers' streams began, and those that pools have had.
     stream_versions: StreamVersionExchange
-    pool_versions: PoolVersions
+    pool_versions: PoolVersionHistory
+    # The same in the store, for hosts that all start anew.
+    pool_version_store: PoolVersionStore
+    stream_version_store: StreamVersionStore
     connection_pool: BackendConnectionPool
     # Whether this host reaches the servers by connections of its own.
     path_monitor: PathMonitor
@@ -71,6 +77,15 @@
     # Updates to send to the other hosts.
     pending_updates: PendingUpdates = field(factory=PendingUpdates)
 
+    def may_begin_at(self, call: RelayCall, software_version: str) -> bool:
+        """Tells whether a stream that may be continued later may begin at servers of a version.
+
+        The caller of this method prefers these servers, and uses others if there are none.
+        """
+        if not (call.route.resumable and call.route.streaming) or call.stream_version is not None:
+            return True
+        return software_version in self.pool_versions.recorded_versions(call.pool.name)
+
     def acquire_connection(
         self,
         backend: BackendEntry,
--- a/berylquay/relay/stream_lookup.py
+++ b/berylquay/relay/stream_lookup.py
@@ -11,8 +11,10 @@
 # Time after which all hosts are asked, not the keepers alone. A reply takes a round trip between
 # regions and up to a tick on each side.
 ASK_ALL_AFTER_S: Final = 0.12
-# Time after which the lookup is abandoned.
+# Time after which the lookup is abandoned, unless this host or the first one of its group is about
+# to read versions in the store.
 LOOKUP_TIMEOUT_S: Final = 0.35
+READ_TIMEOUT_S: Final = 1.0
 MS_PER_S: Final = 1000.0
 _log = logbook.Logger("exchange")
 
@@ -32,19 +34,27 @@
     _services: RelayServices
     _call: RelayCall
     _started_s: float
-    _has_asked_all: bool
+    # Monotonic time from which all hosts are asked.
+    _next_ask_s: float
+    # Whether the store was read, or a read was requested, for this lookup.
+    _uses_store: bool
 
     def __init__(self, services: RelayServices, call: RelayCall, now_s: float) -> None:
         self._services = services
         self._call = call
         self._started_s = now_s
-        self._has_asked_all = False
+        self._next_ask_s = now_s + ASK_ALL_AFTER_S
+        self._uses_store = False
 
     def start(self, now_s: float) -> LookupState:
         """Returns the version if this host knows it; otherwise asks the keepers of the stream."""
         state = self._finish_if_known("own", now_s)
-        if state is LookupState.PENDING and self._call.resumed_call_id:
-            self._services.stream_versions.ask(self._call.resumed_call_id)
+        call_id = self._call.resumed_call_id
+        if state is LookupState.PENDING and call_id:
+            self._services.stream_versions.ask(call_id)
+            if self._only_version(now_s) is None:
+                self._uses_store = True
+                self._services.stream_version_store.request_read(now_s, call_id)
         return state
 
     def on_tick(self, now_s: float) -> LookupState:
@@ -54,23 +64,36 @@
             return state
         elapsed_s = now_s - self._started_s
         if elapsed_s >= LOOKUP_TIMEOUT_S:
-            return self._finish_without_reply(now_s)
-        if elapsed_s >= ASK_ALL_AFTER_S and not self._has_asked_all:
-            self._has_asked_all = True
+            version = self._only_version(now_s)
+            if version is None and elapsed_s < READ_TIMEOUT_S and self._is_read_pending():
+                return LookupState.PENDING
+            return self._finish(version, "none" if version is None else "only-version", now_s)
+        if now_s >= self._next_ask_s:
+            self._next_ask_s = float("inf")
             if self._call.resumed_call_id:
                 self._services.stream_versions.ask_all(self._call.resumed_call_id)
         return LookupState.PENDING
 
+    def _is_read_pending(self) -> bool:
+        """Tells whether a read that is not complete may still show the version."""
+        services = self._services
+        if services.pool_version_store.is_read_missing:
+            return True
+        return self._uses_store and services.stream_version_store.is_read_pending(self._started_s)
+
     def _finish_if_known(self, source: str, now_s: float) -> LookupState:
-        version = self._services.stream_versions.versions.find(self._call.resumed_call_id)
+        call_id, services = self._call.resumed_call_id, self._services
+        version = services.stream_versions.versions.find(call_id)
+        if version is None:
+            version = services.stream_version_store.ledger.find(call_id)
+            source = "store"
         return LookupState.PENDING if version is None else self._finish(version, source, now_s)
 
-    def _finish_without_reply(self, now_s: float) -> LookupState:
-        """Uses the only version that the pool has had, if there is no other."""
+    def _only_version(self, now_s: float) -> str | None:
+        """Returns the only version that the pool has had, or None."""
         services, pool = self._services, self._call.pool.name
         listed = [entry for entry in services.registry.all_entries() if entry.pool == pool]
-        version = services.pool_versions.only_version(pool, listed, now_s)
-        return self._finish(version, "none" if version is None else "only-version", now_s)
+        return services.pool_versions.only_version(pool, listed, now_s)
 
     def _finish(self, version: str | None, source: str, now_s: float) -> LookupState:
         call = self._call
--- a/berylquay/relay/stream_version_exchange.py
+++ b/berylquay/relay/stream_version_exchange.py
@@ -61,6 +61,14 @@
     # Returns the addresses of the other hosts that may be keepers, by name.
     _get_hosts: Callable[[], dict[str, Address]]
     _send: Callable[[bytes, Address], None]
+    # Returns the version of a stream from what was written to the store, or None.
+    _find_stored: Callable[[str], str | None] = lambda _call_id: None
+    # Called with a stream's id and where to reply, if another host asks and this one can't tell.
+    _on_unknown: Callable[[str, Address, float], None] = lambda _call_id, _reply_to, _now_s: None
+
+    def find(self, call_id: str) -> str | None:
+        """Returns the version at which a stream began, or None if it is not known."""
+        return self.versions.find(call_id) or self._find_stored(call_id)
 
     def on_stream_begun(self, call_id: str, software_version: str, now_s: float) -> None:
         """Records the version at which this host has begun a caller's stream, and tells keepers.
@@ -81,6 +89,18 @@
             if keeper in hosts:
                 self._send(query, hosts[keeper])
 
+    def ask_host(self, call_id: str, address: Address) -> None:
+        """Asks one host."""
+        self._send(encode_stream_query(self._address, call_id), address)
+
+    def reply(self, call_id: str, reply_to: Address) -> bool:
+        """Sends the version of a stream to another host; tells whether it is known."""
+        software_version = self.find(call_id)
+        if software_version is None:
+            return False
+        self._send(encode_stream_version(call_id, software_version), reply_to)
+        return True
+
     def ask_all(self, call_id: str) -> None:
         """Asks all hosts: those that were told may have known other hosts than this one does."""
         query = encode_stream_query(self._address, call_id)
@@ -95,16 +115,15 @@
         else:
             self.versions.record(*decoded, now_s)
 
-    def on_query_datagram(self, data: bytes, _now_s: float) -> None:
+    def on_query_datagram(self, data: bytes, now_s: float) -> None:
         """Replies to another host if the version that it asks for is known."""
         query = decode_stream_query(data)
         if query is None:
             _log.warning("unreadable stream query", size_bytes=len(data))
             return
         reply_to, call_id = query
-        software_version = self.versions.find(call_id)
-        if software_version is not None:
-            self._send(encode_stream_version(call_id, software_version), reply_to)
+        if not self.reply(call_id, reply_to):
+            self._on_unknown(call_id, reply_to, now_s)
 
     def on_tick(self, now_s: float) -> None:
         """Forgets streams that callers do not take up any more."""
--- a/tests/relay/test_stream_version_exchange.py
+++ b/tests/relay/test_stream_version_exchange.py
@@ -7,12 +7,12 @@
 
 from berylquay.decisions.backend_registry import BackendEntry, EntryState
 from berylquay.decisions.fleet import Address, Role
+from berylquay.decisions.pool_version_history import PoolVersionHistory
 from berylquay.decisions.stream_versions import (
     KEEPERS,
     MAX_KEPT_STREAMS,
     MAX_LIST_AGE_S,
     STREAM_RETENTION_S,
-    PoolVersions,
     StreamVersions,
     choose_keepers,
 )
@@ -197,7 +197,7 @@
     confirmed_until_s: float,
     expected: str | None,
 ) -> None:
-    pool_versions = PoolVersions()
+    pool_versions = PoolVersionHistory()
     entries = [make_entry(version) for version in listed]
     pool_versions.on_list_confirmed(0.0, 0.0)
     assert pool_versions.only_version("lm", entries, 1.0) is None
@@ -209,7 +209,7 @@
 
 
 def test_after_a_gap_in_the_list_no_version_counts_as_the_only_one() -> None:
-    pool_versions = PoolVersions()
+    pool_versions = PoolVersionHistory()
     pool_versions.on_list_confirmed(0.0, 0.0)
     pool_versions.on_list_confirmed(50.0, 51.0 + MAX_LIST_AGE_S)
     for now_s in (60.0, 100.0, 59.0 + STREAM_RETENTION_S):
--- a/tests/support/relay_fleet.py
+++ b/tests/support/relay_fleet.py
@@ -155,6 +155,24 @@
             wait_until(lambda: self.is_ready(len(self.hosts) - 1))
         return process
 
+    def kill_hosts(self, *hosts: int) -> None:
+        """Kills hosts at the same time, without giving them a chance to stop."""
+        for host in hosts:
+            self.hosts[host].popen.kill()
+        for host in hosts:
+            self.hosts[host].popen.wait()
+
+    def restart_hosts(self, *hosts: int) -> None:
+        """Starts killed hosts again, and waits until all are ready."""
+        for host in hosts:
+            killed = self.hosts[host]
+            settings = self.processes.directory / f"{killed.name}.ini"
+            self.hosts[host] = self.processes.start(
+                killed.name, "berylquay.relay", killed.port, str(settings)
+            )
+        for host in hosts:
+            wait_until(lambda host=host: self.is_ready(host))  # type: ignore[misc]
+
     def is_ready(self, host: int = 0) -> bool:
         """Returns whether a host answers its readiness check with status 200."""
         connection = http.client.HTTPConnection("127.0.0.1", self.ready_ports[host], timeout=5)
