Count requests by tenant and window, and report the sums under a claim

Cause: the platform expects a report of each tenant's requests for each window of 5 s, from one host at a time.

Change: hosts count what begins to run and send the sums to the first three live hosts by name. One of these writes the sums to the topic `usage` and sends what the first record of the window says. Calls have no tenant yet, so nothing is counted until they do.

--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -35,6 +35,7 @@
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.net.tcp_listener import TcpListener
 from berylquay.net.ticker import Ticker
+from berylquay.platform.duty_client import DutyClient
 from berylquay.platform.store_client import StoreClient
 from berylquay.platform.wire_names import (
     READY_PATH,
@@ -65,6 +66,8 @@
     STREAM_VERSION_TAG,
     StreamVersionExchange,
 )
+from berylquay.relay.usage_messages import USAGE_TAG
+from berylquay.relay.usage_reporter import UsageReporter, make_usage_reporter
 from berylquay.settings.relay_settings import RelayOptions, SettingsFileWatcher, read_relay_settings
 
 MS_PER_S: Final = 1000.0
@@ -111,6 +114,9 @@
     _role_controller: RoleController
     _host_list: HostList
     _quarantine_store: QuarantineStore
+    # Client of the platform's API for duties, and the reports of usage; None where not expected.
+    _duty_client: DutyClient | None
+    _usage_reporter: UsageReporter | None
     # Lends other hosts this one's paths to the backend servers.
     _gateway_server: GatewayServer
     # Era of the store, as its answers state it.
@@ -155,6 +161,7 @@
                 CRASH_REPORT_TAG: self._services.segment_crashes.on_datagram,
                 STREAM_VERSION_TAG: self._services.stream_versions.on_version_datagram,
                 STREAM_QUERY_TAG: self._services.stream_versions.on_query_datagram,
+                USAGE_TAG: self._on_usage_datagram,
             },
         )
         self._request_handler = RequestHandler(
@@ -166,6 +173,7 @@
         )
         self._role_controller = self._make_role_controller(connections)
         self._quarantine_store = self._make_quarantine_store(connections, rng)
+        self._make_duties(connections, rng)
         self._store_era.add_listener(self._on_store_era)
         self._gateway_server = GatewayServer(
             connections, self._services.registry, self._services.path_monitor, rng
@@ -332,6 +340,30 @@
             host_rank=lambda: self._peer_exchange.host_rank,
         )
 
+    def _make_duties(self, connections: TcpConnections, rng: Random) -> None:
+        self._duty_client = self._usage_reporter = None
+        options = self._options
+        if options.duties is None:
+            return
+        self._duty_client = DutyClient(
+            connections, options.duties.address, options.duties.calls_per_s
+        )
+        if options.duties.reports_usage:
+            self._usage_reporter = make_usage_reporter(
+                options,
+                options.duties,
+                store_client=StoreClient(connections, options.store_address, self._store_era),
+                client=self._duty_client,
+                peer_exchange=self._peer_exchange,
+                metrics=self._services.metrics,
+                rng=rng,
+            )
+            self._services.on_request_began = self._usage_reporter.on_request_began
+
+    def _on_usage_datagram(self, data: bytes, now_s: float) -> None:
+        if self._usage_reporter is not None:
+            self._usage_reporter.on_datagram(data, now_s)
+
     def _configuration_confirmed_s(self) -> float:
         return self._configuration_follower.confirmed_s
 
@@ -409,6 +441,8 @@
         now_s = time.monotonic()
         self._services.metrics.on_store_era(era, has_risen=before is not None)
         self._role_controller.on_store_era(era)
+        if self._usage_reporter is not None:
+            self._usage_reporter.on_store_era(era)
         if before is None:
             return
         followers = (self._configuration_follower, self._backends_follower)
@@ -456,6 +490,7 @@
         self._services.stream_versions.on_tick(now_s)
         self._peer_exchange.on_tick(now_s)
         self._check_roles(now_s)
+        self._advance_duties(now_s)
         self._log_handler.on_tick(now_s)
         if self._shutdown_schedule is not None:
             self._advance_shutdown(self._shutdown_schedule, now_s)
@@ -480,6 +515,12 @@
             self._role_controller.has_served = self._request_handler.has_served
             self._role_controller.on_tick(table, now_s)
 
+    def _advance_duties(self, now_s: float) -> None:
+        if self._duty_client is not None:
+            self._duty_client.on_tick(now_s)
+        if self._usage_reporter is not None:
+            self._usage_reporter.on_tick(now_s)
+
     @handler("StopRequested")
     def _on_stop_requested(self, message: StopRequested) -> None:
         if self._shutdown_schedule is None:
@@ -501,6 +542,8 @@
         elif phase is ShutdownPhase.ENDED:
             after_s = round(now_s - schedule.requested_s, 3)
             _log.info("stopped", open_calls=self._request_handler.open_calls, after_s=after_s)
+            if self._usage_reporter is not None:
+                self._usage_reporter.send_last_counts()
             self._loop.stop()
 
     def _on_hangup(self, _signal: int, _frame: object) -> None:
--- a/berylquay/relay/metrics.py
+++ b/berylquay/relay/metrics.py
@@ -33,6 +33,8 @@
     _quarantined_segments: Counter
     # Streams that callers took up again, by how their version was found.
     _streams_taken_up: Counter
+    # Calls that reported usage, by outcome.
+    _usage_reports: Counter
     # 1 while no server is reachable by a connection of this host's own, else 0.
     _cut_off: Gauge
     # Log lines dropped to limit their volume, or because standard output failed.
@@ -80,6 +82,11 @@
             "Streams that callers took up again",
             registry=registry,
         )
+        self._usage_reports = Counter(
+            "berylquay_relay_usage_reports_total",
+            "Calls that reported the usage of a window",
+            registry=registry,
+        )
         self._cut_off = Gauge(
             "berylquay_relay_cut_off",
             "Whether the paths to all servers are lost",
@@ -116,6 +123,10 @@
         """Counts a stream that a caller took up, by how its version was found."""
         self._streams_taken_up.inc({"source": source})
 
+    def on_usage_reported(self, outcome: str) -> None:
+        """Counts a call that reported the usage of a window."""
+        self._usage_reports.inc({"outcome": outcome})
+
     def on_cut_off(self, *, is_cut_off: bool) -> None:
         """Records whether the host has lost its paths to all servers."""
         self._cut_off.set({}, int(is_cut_off))
--- a/berylquay/relay/region_exchange.py
+++ b/berylquay/relay/region_exchange.py
@@ -32,6 +32,7 @@
 from berylquay.relay.server_notice_handler import LEAVING_TAG, LIMIT_TAG
 from berylquay.relay.stream_version_exchange import STREAM_QUERY_TAG, STREAM_VERSION_TAG
 from berylquay.relay.topic_deltas import DELTA_TAG, TopicDelta, decode_delta
+from berylquay.relay.usage_messages import USAGE_TAG
 
 # First byte of a summary's datagram, and of one that the first host of the receiving region is to
 # pass on in its region. The second is used once by a host that is not the first one itself.
@@ -49,6 +50,7 @@
         LIMIT_TAG,
         STREAM_VERSION_TAG,
         STREAM_QUERY_TAG,
+        USAGE_TAG,
     }
 )
 SUMMARY_INTERVAL_S: Final = 0.25
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -111,6 +111,8 @@
     _run_first_byte_s: float | None
     # Engine that prefills the prompt as part of the run and whose backlog includes it, or None.
     _run_prefill_engine: str | None
+    # Whether the call was counted as one that began to run at a server.
+    _is_usage_counted: bool
 
     def __init__(
         self,
@@ -149,6 +151,7 @@
         self._first_byte_s = None
         self._run_first_byte_s = None
         self._run_prefill_engine = None
+        self._is_usage_counted = False
 
     def start(self, now_s: float) -> None:
         """Places and sends the call, queues it, or refuses it."""
@@ -485,6 +488,8 @@
             upstream.cancel()
             detail = f"status {head.status} instead of the rest of the stream"
             self._fail_upstream(upstream, AttemptOutcome.SERVER_ERROR, detail, time.monotonic())
+        if self.call.generation is None:
+            self._count_usage()
 
     def on_upstream_data(self, upstream: UpstreamRequest, data: bytes) -> None:
         """Relays or buffers a piece of the response body."""
@@ -494,6 +499,8 @@
             self._run_first_byte_s = time.monotonic()
         if self._first_byte_s is None:
             self._record_first_byte(upstream, self._run_first_byte_s)
+        if upstream.head is not None and upstream.head.status < FIRST_REDIRECTION:
+            self._count_usage()
         self._services.path_monitor.paths.has_new_data = True
         is_caller_ready = self._response.feed(data)
         if self.caller.response_started:
@@ -501,6 +508,16 @@
         if not is_caller_ready:
             upstream.set_reading_paused(paused=True)
 
+    def _count_usage(self) -> None:
+        """Counts the call once, as one that began to run at a server."""
+        # For the lead: becomes `self.call.tenant` once calls have that field.
+        tenant = getattr(self.call, "tenant", None)
+        on_request_began = self._services.on_request_began
+        if tenant is None or on_request_began is None or self._is_usage_counted:
+            return
+        self._is_usage_counted = True
+        on_request_began(tenant)
+
     def _record_stream_begun(self, backend: BackendEntry) -> None:
         """Records the version of the server whose events the caller has received first."""
         call = self.call
@@ -645,6 +662,9 @@
         services, call = self._services, self.call
         name = upstream.backend.name
         backoff_s = 0.0
+        if outcome is AttemptOutcome.CONNECTION_LOST and call.generation is None:
+            # The request may have run although its answer was lost.
+            self._count_usage()
         gateway = upstream.gateway
         if outcome is AttemptOutcome.NOT_SENT:
             if gateway is None or not gateway.has_gateway_failed:
@@ -763,6 +783,8 @@
             self._services.backlog.remove_prompt(prefill_request.backend.name, self.call.call_id)
             self._prefill_request = None
         if run_request is not None:
+            if run_request.may_have_run and self.call.generation is None:
+                self._count_usage()
             run_request.cancel()
             self._release_upstream(run_request)
         if self._pending_kv_handle is not None:
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -60,6 +60,8 @@
     on_server_notice: NoticeListener
     # Called with the monotonic time before work is placed, to learn the newest load.
     receive_reports: Callable[[float], None]
+    # Called with the tenant when a request begins to run at a server; None without usage reports.
+    on_request_began: Callable[[str], None] | None = None
     admission: AdmissionOptions = field(factory=AdmissionOptions)
     attempts: AttemptLimits = field(factory=AttemptLimits)
     # Hosts of the whole fleet that are known, this one included.
