--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -36,6 +36,7 @@
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.net.tcp_listener import TcpListener
 from berylquay.net.ticker import Ticker
+from berylquay.platform.duty_client import DutyClient
 from berylquay.platform.store_client import StoreClient
 from berylquay.platform.wire_names import (
     READY_PATH,
@@ -68,6 +69,8 @@
     StreamVersionExchange,
 )
 from berylquay.relay.stream_version_store import StreamVersionStore
+from berylquay.relay.usage_messages import USAGE_TAG
+from berylquay.relay.usage_reporter import UsageReporter, make_usage_reporter
 from berylquay.relay.version_datagrams import (
     VERSION_RECORD_TAG,
     PoolRecordNotice,
@@ -122,6 +125,9 @@
     _role_controller: RoleController
     _host_list: HostList
     _quarantine_store: QuarantineStore
+    # Client of the platform's API for duties, and the reports of usage; None where not expected.
+    _duty_client: DutyClient | None
+    _usage_reporter: UsageReporter | None
     # Lends other hosts this one's paths to the backend servers.
     _gateway_server: GatewayServer
     # Era of the store, as its answers state it.
@@ -168,6 +174,7 @@
                 STREAM_VERSION_TAG: self._services.stream_versions.on_version_datagram,
                 STREAM_QUERY_TAG: self._services.stream_versions.on_query_datagram,
                 VERSION_RECORD_TAG: self._on_version_datagram,
+                USAGE_TAG: self._on_usage_datagram,
             },
         )
         self._request_handler = RequestHandler(
@@ -179,6 +186,7 @@
         )
         self._role_controller = self._make_role_controller(connections)
         self._quarantine_store = self._make_quarantine_store(connections, rng)
+        self._make_duties(connections, rng)
         self._store_era.add_listener(self._on_store_era)
         self._gateway_server = GatewayServer(
             connections, self._services.registry, self._services.path_monitor, rng
@@ -413,6 +421,30 @@
             host_rank=lambda: self._peer_exchange.host_rank,
         )
 
+    def _make_duties(self, connections: TcpConnections, rng: Random) -> None:
+        self._duty_client = self._usage_reporter = None
+        options = self._options
+        if options.duties is None:
+            return
+        self._duty_client = DutyClient(
+            connections, options.duties.address, options.duties.calls_per_s
+        )
+        if options.duties.reports_usage:
+            self._usage_reporter = make_usage_reporter(
+                options,
+                options.duties,
+                store_client=StoreClient(connections, options.store_address, self._store_era),
+                client=self._duty_client,
+                peer_exchange=self._peer_exchange,
+                metrics=self._services.metrics,
+                rng=rng,
+            )
+            self._services.on_request_began = self._usage_reporter.on_request_began
+
+    def _on_usage_datagram(self, data: bytes, now_s: float) -> None:
+        if self._usage_reporter is not None:
+            self._usage_reporter.on_datagram(data, now_s)
+
     def _configuration_confirmed_s(self) -> float:
         return self._configuration_follower.confirmed_s
 
@@ -500,6 +532,8 @@
         self._services.metrics.on_store_era(era, has_risen=before is not None)
         self._role_controller.on_store_era(era)
         self._services.pool_versions.on_store_era(era)
+        if self._usage_reporter is not None:
+            self._usage_reporter.on_store_era(era)
         if before is None:
             return
         followers = (self._configuration_follower, self._backends_follower)
@@ -552,6 +586,7 @@
         self._services.stream_version_store.on_tick(now_s)
         self._peer_exchange.on_tick(now_s)
         self._check_roles(now_s)
+        self._advance_duties(now_s)
         self._log_handler.on_tick(now_s)
         if self._shutdown_schedule is not None:
             self._advance_shutdown(self._shutdown_schedule, now_s)
@@ -576,6 +611,12 @@
             self._role_controller.has_served = self._request_handler.has_served
             self._role_controller.on_tick(table, now_s)
 
+    def _advance_duties(self, now_s: float) -> None:
+        if self._duty_client is not None:
+            self._duty_client.on_tick(now_s)
+        if self._usage_reporter is not None:
+            self._usage_reporter.on_tick(now_s)
+
     @handler("StopRequested")
     def _on_stop_requested(self, message: StopRequested) -> None:
         if self._shutdown_schedule is None:
@@ -600,6 +641,8 @@
         elif phase is ShutdownPhase.ENDED:
             after_s = round(now_s - schedule.requested_s, 3)
             _log.info("stopped", open_calls=self._request_handler.open_calls, after_s=after_s)
+            if self._usage_reporter is not None:
+                self._usage_reporter.send_last_counts()
             self._loop.stop()
 
     def _on_hangup(self, _signal: int, _frame: object) -> None:
--- a/tests/relay/test_claimant.py
+++ b/tests/relay/test_claimant.py
@@ -6,7 +6,13 @@
 from attrs import define, field
 
 from berylquay.decisions.order_claims import ClaimStep, ClaimTimes
-from berylquay.platform.store_client import AppendResult, RecordPage, StoreClient, StoreFailure
+from berylquay.platform.store_client import (
+    MAX_READ_KB,
+    AppendResult,
+    RecordPage,
+    StoreClient,
+    StoreFailure,
+)
 from berylquay.relay.claimant import Claimant
 
 TIMES = ClaimTimes(validity_s=2.0, in_flight_grace_s=5.0)
@@ -44,6 +50,7 @@
         offset: int,
         long_poll_wait_s: float,
         on_result: Callable[[RecordPage | StoreFailure], None],
+        max_kb: int = MAX_READ_KB,
     ) -> None:
         records = self.log.records
         on_result(RecordPage(tuple(records[offset:]), offset, len(records)))
