--- a/berylquay/decisions/duties/usage_schedule.py
+++ b/berylquay/decisions/duties/usage_schedule.py
@@ -49,13 +49,17 @@
     complete_id: int | None
     # Whether this host hears of less than half of the fleet.
     is_isolated: bool
+    # Whether the newest claim is this host's, so that no other one may claim yet.
+    is_holder: bool
     # Whether this host's calls to the API fail, so that the next collector should try.
     yields: bool
 
     @property
     def effective_rank(self) -> int:
         """Returns the rank by which this host acts."""
-        return self.rank + (YIELDING_RANKS if self.yields else 0)
+        if self.yields:
+            return self.rank + YIELDING_RANKS
+        return 0 if self.is_holder else self.rank
 
 
 class UsageAction(Enum):
@@ -72,12 +76,15 @@
     """Records and reports of recent windows, as far as one process knows them."""
 
     window_s: float
+    due_s: float
     # First window that this process has counted from its start, and the earliest one to report.
     _first_whole_id: int
     _earliest_id: int
     records: dict[int, UsageRecord] = field(factory=dict, init=False)
     # Windows that the API has accepted or refused for good.
     done: set[int] = field(factory=set, init=False)
+    # First window whose record can't have been lost when the store came back from an older copy.
+    _first_safe_id: int = field(default=0, init=False)
 
     def window_of(self, true_s: float) -> int:
         """Returns the window of a true time, in seconds since 1970."""
@@ -91,6 +98,10 @@
         """Takes a record of the topic; only the first one of a window counts."""
         self.records.setdefault(window_id, UsageRecord(counts, is_own))
 
+    def on_store_restored(self, true_s: float) -> None:
+        """Records that records of windows that have ended may be lost from the topic."""
+        self._first_safe_id = self.window_of(true_s)
+
     def next_action(self, view: CollectorView, true_s: float) -> tuple[int, UsageAction] | None:
         """Returns the oldest window to act on and what to do, or None."""
         for window_id in self.open_ids(true_s):
@@ -117,7 +128,19 @@
         """Returns the ended windows that are not known to be reported, oldest first."""
         present_id = self.window_of(true_s)
         earliest_id = max(self._earliest_id, present_id - KEPT_WINDOWS)
-        return [known for known in range(earliest_id, present_id) if known not in self.done]
+        return [
+            window_id
+            for window_id in range(earliest_id, present_id)
+            if window_id not in self.done and not self._is_given_up(window_id, true_s)
+        ]
+
+    def _is_given_up(self, window_id: int, true_s: float) -> bool:
+        """Tells whether a window is overdue, and may have a lost record with other counts."""
+        return (
+            window_id < self._first_safe_id
+            and window_id not in self.records
+            and true_s > self.end_s(window_id) + self.due_s
+        )
 
     def drop_before(self, window_id: int) -> None:
         """Forgets the windows before this one."""
--- a/berylquay/relay/usage_reporter.py
+++ b/berylquay/relay/usage_reporter.py
@@ -65,9 +65,10 @@
 SOURCE_TTL_S: Final = 3.0
 # Least validity of a claim with which a call is sent.
 MIN_VALIDITY_S: Final = CALL_TIMEOUT_S + 0.05
-# Calls that fail in a row before another collector should try, and time for which it should.
-FAILURES_TO_YIELD: Final = 3
-YIELD_S: Final = 30.0
+# Time for which all calls fail before another collector should try, and time for which it should.
+# Meanwhile the API may be down for all, and a claim of another collector costs a takeover's delay.
+FAILING_TO_YIELD_S: Final = 8.0
+YIELD_S: Final = 15.0
 # Time for which the sums of a window are not computed again while its record can't be written.
 SUMS_TTL_S: Final = 1.0
 _log = logbook.Logger("usage")
@@ -114,6 +115,11 @@
     _options: UsageOptions
     _links: UsageLinks
     _claimant: Claimant
+    _claim_times: ClaimTimes
+    # Holder of the newest claim that was read or made, and when.
+    _newest_claim: tuple[str, float]
+    # Era of the store, or None if it is not known.
+    _era: int | None
     _clocks: UsageClocks
     _metrics: RelayMetrics | None
     _rng: Random
@@ -140,7 +146,7 @@
     _next_send_s: float
     _next_ask_s: float
     _next_read_s: float
-    _consecutive_failures: int
+    _failing_since_s: float | None
     _yields_until_s: float
 
     def __init__(
@@ -153,10 +159,11 @@
     ) -> None:
         self._options = options
         self._links = links
+        self._claim_times = ClaimTimes(CLAIM_DURATION_S, options.lease_s + CALL_DELAY_S)
         self._claimant = Claimant(
             TOPIC_USAGE,
             options.incarnation,
-            ClaimTimes(CLAIM_DURATION_S, options.lease_s + CALL_DELAY_S),
+            self._claim_times,
             links.store_client,
             rng,
             listener=self,
@@ -170,6 +177,8 @@
         self._collected = CollectedUsage()
         self._collector_choice = CollectorChoice(options.host)
         self._schedule = None
+        self._newest_claim = ("", float("-inf"))
+        self._era = None
         self._last_collectors = frozenset()
         self._sources_heard_s = {}
         self._answered_s = {}
@@ -180,7 +189,7 @@
         self._next_ask_s = float("-inf")
         self._next_step_s = float("-inf")
         self._next_read_s = float("-inf")
-        self._consecutive_failures = 0
+        self._failing_since_s = None
         self._yields_until_s = float("-inf")
 
     def on_request_began(self, tenant: str) -> None:
@@ -191,6 +200,9 @@
     def on_store_era(self, era: int) -> None:
         """Gives up a claim of a former era; what was read before is known further on."""
         self._claimant.on_store_era(era)
+        before, self._era = self._era, era
+        if before is not None and self._schedule is not None:
+            self._schedule.on_store_restored(self._true_s())
 
     def on_tick(self, now_s: float) -> None:
         """Sends counts, and takes the next step of a report, when due.
@@ -322,6 +334,7 @@
 
     def on_claim(self, holder: str, payload: bytes, offset: int, now_s: float) -> None:
         """Takes a record of the topic; the first one of a window fixes its counts."""
+        self._newest_claim = (holder, self._clocks.boot_s())
         if self._schedule is None:
             return
         try:
@@ -351,6 +364,7 @@
             rank,
             complete_id=unrecorded_id if self._is_complete(unrecorded_id, clock_s) else None,
             is_isolated=self._is_isolated(clock_s),
+            is_holder=self._is_holder(clock_s),
             yields=clock_s < self._yields_until_s,
         )
         action = schedule.next_action(view, true_s)
@@ -404,12 +418,15 @@
             after_s=round(self._true_s() - schedule.end_s(window_id), 3),
         )
         if outcome in (DutyOutcome.FAILED, DutyOutcome.RATE_LIMITED):
-            self._consecutive_failures += 1
-            if self._consecutive_failures >= FAILURES_TO_YIELD:
-                self._consecutive_failures = 0
-                self._yields_until_s = self._clocks.boot_s() + YIELD_S
+            clock_s = self._clocks.boot_s()
+            if self._failing_since_s is None:
+                self._failing_since_s = clock_s
+            elif clock_s - self._failing_since_s >= FAILING_TO_YIELD_S:
+                self._failing_since_s = None
+                self._yields_until_s = clock_s + YIELD_S
             return
-        self._consecutive_failures = 0
+        self._failing_since_s = None
+        self._yields_until_s = float("-inf")
         schedule.done.add(window_id)
 
     def _record_payload(self, window_id: int, clock_s: float) -> bytes:
@@ -432,6 +449,11 @@
             is_final=True,
         )
 
+    def _is_holder(self, clock_s: float) -> bool:
+        holder, claimed_s = self._newest_claim
+        is_recent = clock_s - claimed_s < self._claim_times.takeover_delay_s
+        return holder == self._options.incarnation and is_recent
+
     def _is_complete(self, window_id: int | None, clock_s: float) -> bool:
         return window_id is not None and self._collected.is_complete(
             window_id, self._live_sources(clock_s)
@@ -461,7 +483,9 @@
         present_id = int(true_s // window_s)
         # Windows whose reports may still be due: no host may have been there to report them.
         due_windows = int(self._options.due_s // window_s)
-        return UsageSchedule(window_s, present_id + 1, present_id - due_windows)
+        return UsageSchedule(
+            window_s, self._options.due_s, present_id + 1, present_id - due_windows
+        )
 
     def _is_kept(self, window_id: int) -> bool:
         """Tells whether a window is a recent one; a host's clock may be wrong by far."""
--- a/tests/support/era_model.py
+++ b/tests/support/era_model.py
@@ -55,9 +55,9 @@
         """Calls the action after a delay."""
         heapq.heappush(self._later, (self.now_s + delay_s, next(self._numbers), action))
 
-    def advance(self) -> None:
+    def advance(self, tick_s: float = TICK_S) -> None:
         """Advances by one tick."""
-        self.now_s += TICK_S
+        self.now_s += tick_s
         while self._later and self._later[0][0] <= self.now_s:
             heapq.heappop(self._later)[2]()
 
