Do not wait for calls of a duty that were answered, nor claim while one is open

Cause: after the API was away for 5 s, a report came 10.85 s after its window's end: a refused call delayed the next claim's calls beyond its validity.

Change: only a call without a response delays calls with another number, and no claim is made while one is open.

--- a/berylquay/platform/duty_client.py
+++ b/berylquay/platform/duty_client.py
@@ -120,15 +120,15 @@
         """Tells whether no call can be sent now: one is in flight, or the next is not due yet."""
         return self._call is not None or self._now_s < self._next_call_s
 
-    def may_send(self, path: str, fencing_number: int) -> bool:
-        """Tells whether the API can't receive a call with a higher fencing number before.
+    def may_send(self, path: str, fencing_number: int | None) -> bool:
+        """Tells whether no older call with another fencing number may still be carried out.
 
-        A call that is sent while it returns False could be overtaken by an older call without a
-        response, which has another fencing number.
+        A call that is sent while it returns False could be carried out before such a call, whose
+        lower fencing number would then come after the higher one.
 
         Args:
             path: `USAGE_PATH` or `SCALE_PATH`.
-            fencing_number: Fencing number of the call to send.
+            fencing_number: Fencing number of the call to send; None for that of the next claim.
         """
         unanswered_number, until_s = self._unanswered.get(path, (fencing_number, 0.0))
         return unanswered_number == fencing_number or self._clock() >= until_s
@@ -191,11 +191,8 @@
         if self._call is None:
             return
         status = self._call.status
-        if status >= FIRST_SERVER_ERROR:
-            self._fail(f"status {status}", may_have_run=True)
-            return
         outcome = _outcome_of(status)
-        if outcome is DutyOutcome.RATE_LIMITED:
+        if outcome in (DutyOutcome.RATE_LIMITED, DutyOutcome.FAILED):
             self._back_off()
         else:
             self._consecutive_failures = 0
@@ -248,6 +245,7 @@
         connection.idle_since_s = self._now_s
 
     def _fail(self, detail: str, *, may_have_run: bool) -> None:
+        """Ends the call without a response."""
         call = self._call
         if call is None:
             return
@@ -274,7 +272,9 @@
 
 
 def _outcome_of(status: int) -> DutyOutcome:
-    """Returns the outcome that a status below 500 states."""
+    """Returns the outcome that a status states."""
+    if status >= FIRST_SERVER_ERROR:
+        return DutyOutcome.FAILED
     if status == STATUS_OK:
         return DutyOutcome.ACCEPTED
     if status == STATUS_CONFLICT:
--- a/berylquay/relay/usage_reporter.py
+++ b/berylquay/relay/usage_reporter.py
@@ -382,7 +382,8 @@
         record = schedule.records[window_id]
         fencing_number = claimant.fencing_number()
         if fencing_number is None:
-            claimant.advance(_encode_record(window_id, record.counts), now_s)
+            if client.may_send(USAGE_PATH, None):
+                claimant.advance(_encode_record(window_id, record.counts), now_s)
             return
         can_send = (
             self._reporting_id is None
--- a/tests/relay/test_duty_client.py
+++ b/tests/relay/test_duty_client.py
@@ -109,6 +109,7 @@
     assert not api.client.busy
     assert api.client.may_send(USAGE_PATH, 7)
     assert not api.client.may_send(USAGE_PATH, 8)
+    assert not api.client.may_send(USAGE_PATH, None)
     assert api.client.may_send(SCALE_PATH, 8)
     api.tick(1.0 + UNANSWERED_CALL_S)
     assert api.client.may_send(USAGE_PATH, 8)
--- a/tests/support/usage_model.py
+++ b/tests/support/usage_model.py
@@ -35,6 +35,7 @@
 LEASE_S: Final = 3.0
 HOSTS: Final = 5
 MAX_ERROR: Final = 0.05
+DATAGRAM_LOSS: Final = 0.03
 MAX_FAULT_S: Final = 8.0
 # Most time after its sending at which a call is still carried out.
 MAX_CALL_DELAY_S: Final = 2.0
@@ -44,10 +45,13 @@
 class UsageWorld(World):
     """Virtual time; `has_faults` until the quiet time."""
 
+    # Whether no faults are drawn at all.
+    is_calm = False
+
     @property
     def has_faults(self) -> bool:
         """Tells whether faults may occur."""
-        return self.now_s < LENGTH_S - QUIET_S
+        return not self.is_calm and self.now_s < LENGTH_S - QUIET_S
 
 
 class LateConnections(FakeConnections):
@@ -181,8 +185,9 @@
 class UsageModel:
     """One seeded run."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, *, is_calm: bool = False) -> None:
         self.world = UsageWorld(seed)
+        self.world.is_calm = is_calm
         self.store = ModelStore(self.world)
         self.api = ModelApi(self.world)
         self.started = 0
@@ -201,7 +206,7 @@
         """Delivers a datagram, if it is not lost."""
         receiver = list(self.hosts.values())[address.port]
         is_apart = sender.is_apart or receiver.is_apart
-        if not is_apart and self.world.rng.random() >= 0.03:
+        if not is_apart and self.world.rng.random() >= DATAGRAM_LOSS:
             delay_s = self.world.rng.uniform(0.001, 0.02)
             self.world.later(delay_s, lambda: receiver.inbox.append(data))
 
@@ -216,7 +221,7 @@
             self.world.advance(TICK_S)
             if self.world.has_faults:
                 self._draw_faults()
-            else:
+            elif not self.world.is_calm:
                 self._end_faults()
             for host in self.hosts.values():
                 if not host.is_frozen and not host.is_dead:
@@ -276,6 +281,18 @@
             host.is_dead = True
             self.world.later(rng.uniform(0.3, 8.0), lambda: self._restart(host.name))
 
+    def fail(self, target: object, name: str, begin_s: float, end_s: float) -> None:
+        """Sets an attribute of a host, the store or the API for some time."""
+        self.world.later(begin_s, lambda: setattr(target, name, True))
+        self.world.later(end_s, lambda: setattr(target, name, False))
+
+    def kill(self, names: list[str], at_s: float, returns_s: float) -> None:
+        """Kills hosts, and starts them again."""
+        for name in names:
+            host = self.hosts[name]
+            self.world.later(at_s, lambda host=host: setattr(host, "is_dead", True))  # type: ignore[misc]
+            self.world.later(returns_s, lambda name=name: self._restart(name))  # type: ignore[misc]
+
     def _draw_fault(self, target: object, name: str, probability: float) -> None:
         """Begins a fault with this probability, and ends it after some seconds."""
         if self.world.rng.random() < probability:
