Contain unexpected errors, and refuse numbers and addresses out of range in datagrams

Cause: circuits drops the rest of a handler that raises, so one failing step ended each tick, and an error in a connection's handler left its connection open. Reports with a port, load, segment or age out of range made such errors at each tick or placement for as long as their host counted as live. Change: UnexpectedErrors runs the steps of a tick, each datagram and each connection handler; an error ends that connection or message, with one bounded line (2/s) and the counter berylquay_relay_unexpected_errors_total. Ports, IPv4 addresses, counts and times are checked when they are decoded; the store client treats deep or infinite JSON as unreadable.

--- a/berylquay/net/tcp_connections.py
+++ b/berylquay/net/tcp_connections.py
@@ -15,6 +15,7 @@
 from circuits.core.pollers import BasePoller
 
 from berylquay.decisions.fleet import Address
+from berylquay.net.unexpected_errors import UnexpectedErrors
 
 MAX_RECEIVE_BYTES: Final = 65536
 # Time after which the kernel closes a connection whose data or keep-alive probes the peer has not
@@ -23,6 +24,7 @@
 # Idle time before the first keep-alive probe, and interval between probes.
 KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_INTERVAL_S: Final = 1
+UNEXPECTED_ERROR: Final = "unexpected error"
 _CONNECT_IN_PROGRESS: Final = (errno.EINPROGRESS, errno.EWOULDBLOCK)
 
 
@@ -81,9 +83,12 @@
     _poller: BasePoller
     # Open connections by socket.
     _connections_by_sock: dict[socket.socket, Connection]
+    # Records errors that handlers raise; each ends its connection only.
+    errors: UnexpectedErrors
 
-    def __init__(self, poller: BasePoller) -> None:
+    def __init__(self, poller: BasePoller, errors: UnexpectedErrors | None = None) -> None:
         super().__init__()
+        self.errors = errors or UnexpectedErrors()
         self._poller = poller
         self._connections_by_sock = {}
 
@@ -179,7 +184,8 @@
         if connection.closed:
             return
         self.close(connection)
-        connection.handler.on_disconnected(detail)
+        component = type(connection.handler).__name__
+        self.errors.run(component, connection.handler.on_disconnected, detail)
 
     def _send_now(self, connection: Connection, data: bytes) -> bytes:
         try:
@@ -220,7 +226,9 @@
             return False
         connection.established = True
         self._poller.addReader(self, connection.sock)
-        connection.handler.on_connected()
+        component = type(connection.handler).__name__
+        if not self.errors.run(component, connection.handler.on_connected):
+            self._end_connection(connection, UNEXPECTED_ERROR)
         return not connection.closed
 
     @handler("_read")
@@ -237,7 +245,9 @@
             return
         if data:
             if not connection.half_closing:
-                connection.handler.on_data_received(data)
+                component = type(connection.handler).__name__
+                if not self.errors.run(component, connection.handler.on_data_received, data):
+                    self._end_connection(connection, UNEXPECTED_ERROR)
         else:
             connection.peer_closed_cleanly = True
             self._end_connection(connection, "closed by the other end")
--- a/berylquay/platform/store_client.py
+++ b/berylquay/platform/store_client.py
@@ -35,6 +35,13 @@
 MAX_DETAIL_BYTES: Final = 200
 STATUS_NOT_FOUND: Final = 404
 STATUS_GONE: Final = 410
+_DECODE_ERRORS: Final = (
+    struct.error,
+    binascii.Error,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 _PAGE_HEADER: Final = struct.Struct(">QQ")
 _RECORD_LENGTH: Final = struct.Struct(">I")
 
@@ -245,7 +252,7 @@
             return
         try:
             result = call.decode(bytes(call.body))
-        except (ValueError, KeyError, TypeError, struct.error, binascii.Error) as error:
+        except (ValueError, LookupError, TypeError, *_DECODE_ERRORS) as error:
             result = StoreFailure(f"unreadable answer: {error!r}", 0, may_have_happened=True)
         call.on_result(result)
 
@@ -311,7 +318,7 @@
 def _decode_newest_page(body: bytes) -> NewestRecordsPage:
     fields = json.loads(body)
     records = tuple(
-        KeyedRecord(item["key"], base64.b64decode(item["value"])) for item in fields["items"]
+        KeyedRecord(str(item["key"]), base64.b64decode(item["value"])) for item in fields["items"]
     )
     return NewestRecordsPage(records, fields["hasMore"] is True, int(fields["endOffset"]))
 
@@ -336,7 +343,7 @@
     if status == STATUS_GONE:
         try:
             first_offset = int(json.loads(body)["firstOffset"])
-        except (ValueError, KeyError, TypeError, RecursionError):
+        except (ValueError, LookupError, TypeError, *_DECODE_ERRORS):
             detail = f"no first offset: {detail}"
     return StoreFailure(detail, status, may_have_happened=False, first_offset=first_offset)
 
--- a/berylquay/relay/caller_connection.py
+++ b/berylquay/relay/caller_connection.py
@@ -194,8 +194,8 @@
             return
         self._set_reset_on_close(enabled=False)
         self._reset_request()
-        # h11 tells whether the head has announced the end of the connection. If the stop began after
-        # the head was sent, the caller may send another request, whose response announces it.
+        # h11 knows whether the head has announced the end of the connection. If the stop began
+        # after the head was sent, the caller may send another request, whose response announces it.
         if self._protocol.our_state is not h11.DONE:
             self.close_gracefully()
             return
--- a/berylquay/relay/crash_reports.py
+++ b/berylquay/relay/crash_reports.py
@@ -5,7 +5,12 @@
 from attrs import define, field, frozen
 
 from berylquay.decisions.segment_crash_history import LostAttempt, Quarantine
-from berylquay.relay.report_fields import FIELD_ERRORS, compress_fields, decompress_fields
+from berylquay.relay.report_fields import (
+    FIELD_ERRORS,
+    compress_fields,
+    decode_time_ms,
+    decompress_fields,
+)
 
 # First byte of the datagram.
 CRASH_REPORT_TAG: Final = b"\x05"
@@ -86,7 +91,7 @@
 
 def _decode_quarantine(item: object) -> Quarantine:
     segment, remaining_ms = _as_list(item)
-    return Quarantine(str(segment), int(str(remaining_ms)) / MS_PER_S)
+    return Quarantine(str(segment), decode_time_ms(remaining_ms) / MS_PER_S)
 
 
 def _as_list(value: object) -> list[object]:
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -35,6 +35,7 @@
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.net.tcp_listener import TcpListener
 from berylquay.net.ticker import Ticker
+from berylquay.net.unexpected_errors import UnexpectedErrors
 from berylquay.platform.store_client import StoreClient
 from berylquay.platform.wire_names import (
     READY_PATH,
@@ -102,6 +103,8 @@
     _reload_requested: bool
     _request_handler: RequestHandler
     _services: RelayServices
+    # Records errors that were not expected; the process goes on.
+    _errors: UnexpectedErrors
     _configuration_view: ConfigurationView
     _configuration_follower: TopicFollower
     _backends_view: BackendsView
@@ -132,10 +135,12 @@
         self._loop = EventLoop()
         self._shutdown_schedule = None
         self._prefill_engines_changed = False
-        connections = TcpConnections(self._loop).register(self._loop)
+        self._errors = UnexpectedErrors()
+        connections = TcpConnections(self._loop, self._errors).register(self._loop)
         rng = Random()
         self._store_era = StoreEra()
         self._services = self._make_services(connections, rng)
+        self._errors.on_error = self._services.metrics.on_unexpected_error
         self._server_notice_handler = ServerNoticeHandler(
             self._services.registry.notices,
             self._services.metrics,
@@ -243,6 +248,7 @@
             on_work_placed=self._notify_work_placed,
             on_server_notice=self._on_server_notice,
             receive_reports=self._receive_reports,
+            errors=self._errors,
         )
 
     def _notify_work_placed(self, now_s: float) -> None:
@@ -435,31 +441,36 @@
     @handler("Tick")
     def _on_tick(self, message: Tick) -> None:
         now_s = message.now_s
-        self._peer_exchange.receive(now_s)
-        self._peer_exchange.follow_topics(now_s)
-        self._host_list.on_tick(now_s)
-        self._reload_if_changed(now_s)
-        self._update_store_state(now_s)
+        # An error in one step must not keep the others from running, tick after tick.
+        run, services = self._errors.run, self._services
+        run("peers", self._peer_exchange.receive, now_s)
+        run("topics", self._peer_exchange.follow_topics, now_s)
+        run("host-list", self._host_list.on_tick, now_s)
+        run("settings", self._reload_if_changed, now_s)
+        run("store", self._update_store_state, now_s)
+        run("host-count", self._update_host_count)
+        run("prefill-engines", self._update_prefill_engines)
+        run("connections", services.connection_pool.on_tick, now_s)
+        run("paths", services.path_monitor.on_tick, self._request_handler.open_calls > 0, now_s)
+        run("gateway", self._gateway_server.on_tick, now_s)
+        run("releases", cancel_overdue_releases, services, now_s)
+        run("notices", self._server_notice_handler.on_tick, now_s)
+        run("crashes", services.crash_history.expire, now_s)
+        run("segment-crashes", services.segment_crashes.on_tick, now_s)
+        run("quarantines", self._quarantine_store.on_tick, now_s)
+        run("requests", self._request_handler.on_tick, now_s)
+        run("stream-versions", services.stream_versions.on_tick, now_s)
+        run("peers", self._peer_exchange.on_tick, now_s)
+        run("roles", self._check_roles, now_s)
+        run("log", self._log_handler.on_tick, now_s)
+        if self._shutdown_schedule is not None:
+            self._advance_shutdown(self._shutdown_schedule, now_s)
+
+    def _update_host_count(self) -> None:
         host_count = self._peer_exchange.update_host_count(self._host_list.listed_host_count)
         self._services.retry_budget.on_host_count(host_count)
         self._services.live_host_count = host_count
         self._services.registry.notices.limits.host_count = host_count
-        self._update_prefill_engines()
-        self._services.connection_pool.on_tick(now_s)
-        self._services.path_monitor.on_tick(self._request_handler.open_calls > 0, now_s)
-        self._gateway_server.on_tick(now_s)
-        cancel_overdue_releases(self._services, now_s)
-        self._server_notice_handler.on_tick(now_s)
-        self._services.crash_history.expire(now_s)
-        self._services.segment_crashes.on_tick(now_s)
-        self._quarantine_store.on_tick(now_s)
-        self._request_handler.on_tick(now_s)
-        self._services.stream_versions.on_tick(now_s)
-        self._peer_exchange.on_tick(now_s)
-        self._check_roles(now_s)
-        self._log_handler.on_tick(now_s)
-        if self._shutdown_schedule is not None:
-            self._advance_shutdown(self._shutdown_schedule, now_s)
 
     def _update_store_state(self, now_s: float) -> None:
         registry = self._services.registry
@@ -481,6 +492,13 @@
             self._role_controller.has_served = self._request_handler.has_served
             self._role_controller.on_tick(table, now_s)
 
+    @handler("exception", channel="*")
+    def _on_exception(
+        self, _error_type: type, error: BaseException, _traceback: list[str], **_context: object
+    ) -> None:
+        """Records an error that circuits has caught in a handler, in place of its own output."""
+        self._errors.record("event", error)
+
     @handler("StopRequested")
     def _on_stop_requested(self, message: StopRequested) -> None:
         if self._shutdown_schedule is None:
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -18,11 +18,13 @@
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.load_sharing_scope import LoadSharingScope
 from berylquay.decisions.shared_polling import TopicReport
+from berylquay.net.unexpected_errors import UnexpectedErrors
 from berylquay.relay.pending_updates import PendingUpdates
 from berylquay.relay.region_exchange import EXCHANGE_TAGS
 from berylquay.relay.report_fields import (
     FIELD_ERRORS,
     AnnouncedSegment,
+    decode_address,
     decode_loads,
     decode_segments,
     decode_topic_reports,
@@ -109,7 +111,7 @@
         return LoadReport(
             str(host),
             str(data_centre),
-            Address(str(ip), int(port)),
+            decode_address(ip, port),
             decode_loads(loads),
             decode_segments(segments),
             tuple((str(fingerprint), str(backend)) for fingerprint, backend in crashes),
@@ -159,6 +161,8 @@
     # hosts for which they were determined.
     _recipients: list[_Peer] | None
     _recipients_host_count: int
+    # Records errors that datagrams cause.
+    _errors: UnexpectedErrors
     # Updates to send with the next reports.
     _pending_updates: PendingUpdates
     _last_loads: dict[str, EngineLoad]
@@ -180,7 +184,9 @@
         clock: Callable[[], float],
         scope: LoadSharingScope,
         pending_updates: PendingUpdates,
+        errors: UnexpectedErrors | None = None,
     ) -> None:
+        self._errors = errors or UnexpectedErrors()
         self._host = host
         self._data_centre = data_centre
         self._address = address
@@ -286,7 +292,7 @@
         """Sends a datagram."""
         try:
             self._sock.sendto(data, (address.ip, address.port))
-        except OSError as error:
+        except (OSError, OverflowError) as error:
             # The next report or summary replaces this one; a lost delta makes the recipient read.
             _log.debug("report not sent", peer=str(address), detail=str(error))
 
@@ -346,7 +352,7 @@
             except OSError as error:
                 _log.debug("receiving a report failed", detail=str(error))
                 return
-            self._handle_datagram(data)
+            self._errors.run("datagram", self._handle_datagram, data)
 
     def _handle_datagram(self, data: bytes) -> None:
         if data[:1] in EXCHANGE_TAGS:
--- a/berylquay/relay/metrics.py
+++ b/berylquay/relay/metrics.py
@@ -35,6 +35,8 @@
     _streams_taken_up: Counter
     # 1 while no server is reachable by a connection of this host's own, else 0.
     _cut_off: Gauge
+    # Unexpected errors, by the component in which they were raised.
+    _unexpected_errors: Counter
     # Log lines dropped to limit their volume, or because standard output failed.
     _dropped_lines: Gauge
 
@@ -85,6 +87,11 @@
             "Whether the paths to all servers are lost",
             registry=registry,
         )
+        self._unexpected_errors = Counter(
+            "berylquay_relay_unexpected_errors_total",
+            "Errors that were not expected; each ended one connection, message or step",
+            registry=registry,
+        )
         self._dropped_lines = Gauge(
             "berylquay_relay_dropped_log_lines", "Log lines dropped", registry=registry
         )
@@ -120,6 +127,10 @@
         """Records whether the host has lost its paths to all servers."""
         self._cut_off.set({}, int(is_cut_off))
 
+    def on_unexpected_error(self, component: str) -> None:
+        """Counts an error that was not expected."""
+        self._unexpected_errors.inc({"component": component})
+
     def on_server_notices(self, paused: int, leaving: int) -> None:
         """Records how many servers are paused and leaving."""
         self._paused_servers.set({}, paused)
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -62,6 +62,7 @@
             clock=time.monotonic,
             scope=services.load_sharing_scope,
             pending_updates=services.pending_updates,
+            errors=services.errors,
         )
         self._regions = RegionExchange(
             topology=services.topology,
--- a/berylquay/relay/region_exchange.py
+++ b/berylquay/relay/region_exchange.py
@@ -22,6 +22,7 @@
     FIELD_ERRORS,
     AnnouncedSegment,
     compress_fields,
+    decode_address,
     decode_loads,
     decode_segments,
     decode_topic_reports,
@@ -105,7 +106,7 @@
         return RegionSummary(
             str(region),
             str(host),
-            Address(str(ip), int(port)),
+            decode_address(ip, port),
             decode_loads(loads),
             decode_topic_reports(topic_reports),
             decode_segments(segments),
--- a/berylquay/relay/request_handler.py
+++ b/berylquay/relay/request_handler.py
@@ -131,10 +131,13 @@
 
     def on_tick(self, now_s: float) -> None:
         """Checks the time limits of all calls and connections."""
-        for relayed in list(self._open_requests.values()):
-            relayed.on_tick(now_s)
+        errors = self._services.errors
+        for caller, relayed in list(self._open_requests.items()):
+            if not errors.run("call", relayed.on_tick, now_s):
+                self._abandon(caller)
         for caller in list(self._callers):
-            caller.on_tick(now_s)
+            if not errors.run("caller", caller.on_tick, now_s):
+                self._abandon(caller)
 
     # CallerConnectionHandler.
 
@@ -210,6 +213,16 @@
         """Releases memory that was reserved for a request body."""
         self._body_bytes -= size_bytes
 
+    def _abandon(self, caller: CallerConnection) -> None:
+        """Ends a connection after an unexpected error; its caller may have got nothing."""
+        errors = self._services.errors
+        relayed = self._open_requests.get(caller)
+        if relayed is not None:
+            errors.run("call", relayed.cancel, time.monotonic())
+        self._open_requests.pop(caller, None)
+        errors.run("caller", caller.abort)
+        self._callers.discard(caller)
+
     def _start_request(
         self,
         caller: CallerConnection,
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -20,6 +20,7 @@
 from berylquay.decisions.stream_versions import PoolVersions
 from berylquay.decisions.topology import Topology
 from berylquay.net.persistent_http import PersistentConnection
+from berylquay.net.unexpected_errors import UnexpectedErrors
 from berylquay.relay.connection_pool import BackendConnectionPool
 from berylquay.relay.metrics import RelayMetrics
 from berylquay.relay.path_monitor import PathMonitor
@@ -68,6 +69,8 @@
     in_flight: Counter[str] = field(factory=Counter)
     # Requests to free a KV cache that have not ended.
     open_releases: list[UpstreamRequest] = field(factory=list)
+    # Records errors that were not expected.
+    errors: UnexpectedErrors = field(factory=UnexpectedErrors)
     # Updates to send to the other hosts.
     pending_updates: PendingUpdates = field(factory=PendingUpdates)
 
--- a/berylquay/relay/stream_version_exchange.py
+++ b/berylquay/relay/stream_version_exchange.py
@@ -12,7 +12,12 @@
 
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.stream_versions import KEEPERS, StreamVersions, choose_keepers
-from berylquay.relay.report_fields import FIELD_ERRORS, compress_fields, decompress_fields
+from berylquay.relay.report_fields import (
+    FIELD_ERRORS,
+    compress_fields,
+    decode_address,
+    decompress_fields,
+)
 
 # First byte of a datagram with the version of a stream, and of one that asks for it.
 STREAM_VERSION_TAG: Final = b"\x07"
@@ -45,7 +50,7 @@
     """Returns where to send the reply, and the stream's id; None if the datagram is no query."""
     try:
         ip, port, call_id = decompress_fields(data[len(STREAM_QUERY_TAG) :])
-        return Address(str(ip), int(str(port))), str(call_id)
+        return decode_address(ip, port), str(call_id)
     except FIELD_ERRORS:
         return None
 
--- a/berylquay/relay/topic_deltas.py
+++ b/berylquay/relay/topic_deltas.py
@@ -10,7 +10,12 @@
 from attrs import frozen
 
 from berylquay.decisions.shared_polling import TopicReport
-from berylquay.relay.report_fields import FIELD_ERRORS, compress_fields, decompress_fields
+from berylquay.relay.report_fields import (
+    FIELD_ERRORS,
+    compress_fields,
+    decode_time_ms,
+    decompress_fields,
+)
 
 # First byte of a delta's datagram; load reports begin with the head of a CBOR array.
 DELTA_TAG: Final = b"\x00"
@@ -52,6 +57,8 @@
         records = tuple(content for content in contents if isinstance(content, bytes))
         if len(records) < len(contents):
             return None
-        return TopicDelta(str(topic), str(before_hash), str(after_hash), int(str(age_ms)), records)
+        return TopicDelta(
+            str(topic), str(before_hash), str(after_hash), decode_time_ms(age_ms), records
+        )
     except FIELD_ERRORS:
         return None
--- a/tests/relay/test_malformed_messages.py
+++ b/tests/relay/test_malformed_messages.py
@@ -4,7 +4,6 @@
 import socket
 import time
 import zlib
-from collections.abc import Callable
 from typing import Final
 
 import cbor2
@@ -20,7 +19,7 @@
 
 TAGS: Final = (*(bytes([tag]) for tag in range(0x0D)), b"\x8a", b"\xff")
 DATAGRAMS: Final = 2000
-ABSURD: Final = (
+ABSURD: Final[tuple[object, ...]] = (
     None,
     -1,
     10**400,
@@ -44,7 +43,7 @@
 )
 # Fields of the right types: a port and an address to which nothing can be sent.
 REPORT_FIELDS: Final = [FORMAT_VERSION, "host-x", "fes-a", "127.0.0.1", 9, {}, [], [], [], []]
-ABSURD_REPORTS: Final = {
+ABSURD_REPORTS: Final[dict[str, dict[int, object]]] = {
     "port": {4: 70_000},
     "negative-port": {4: -1},
     "address": {3: "no address"},
@@ -176,20 +175,18 @@
     components: list[str] = []
     connections.errors.on_error = components.append
     handlers = [FailingHandler(), FailingHandler()]
-    pairs = [socket.socketpair() for _ in handlers]
-    for handler, (own, _) in zip(handlers, pairs, strict=True):
-        connections.adopt(own, Address("127.0.0.1", 1), handler)
-    pairs[0][1].sendall(b"fail")
-    pairs[1][1].sendall(b"go on")
-    run_until(loop, lambda: bool(handlers[0].ends))
-    assert pairs[0][1].recv(1) == b""
-    assert not handlers[1].ends
+    peers = []
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        for handler in handlers:
+            peers.append(socket.create_connection(listener.getsockname(), timeout=2.0))
+            connections.adopt(listener.accept()[0], Address("127.0.0.1", 1), handler)
+    loop.start()
+    try:
+        peers[1].sendall(b"go on")
+        peers[0].sendall(b"fail")
+        assert peers[0].recv(1) == b""
+        wait_until(lambda: bool(handlers[0].ends))
+        assert not handlers[1].ends
+    finally:
+        loop.stop()
     assert components == ["FailingHandler", "FailingHandler"]
-
-
-def run_until(loop: EventLoop, condition: Callable[[], bool]) -> None:
-    for _ in range(200):
-        loop.tick(0.01)
-        if condition():
-            return
-    raise TimeoutError
