--- a/berylquay/relay/request_handler.py
+++ b/berylquay/relay/request_handler.py
@@ -141,11 +141,14 @@
 
     def on_tick(self, now_s: float) -> None:
         """Checks the time limits of all calls and connections."""
-        self._authenticator.on_tick(now_s)
-        for relayed in list(self._open_requests.values()):
-            relayed.on_tick(now_s)
+        errors = self._services.errors
+        errors.run("keys", self._authenticator.on_tick, now_s)
+        for caller, relayed in list(self._open_requests.items()):
+            if not errors.run("call", relayed.on_tick, now_s):
+                self._abandon(caller)
         for caller in list(self._callers):
-            caller.on_tick(now_s)
+            if not errors.run("caller", caller.on_tick, now_s):
+                self._abandon(caller)
 
     # CallerConnectionHandler.
 
@@ -240,6 +243,16 @@
             return
         self._start_request(caller, request, metadata, route, pool, identity=identity)
 
+    def _abandon(self, caller: CallerConnection) -> None:
+        """Ends a connection after an unexpected error; its caller may have got nothing."""
+        errors = self._services.errors
+        relayed = self._open_requests.get(caller)
+        if relayed is not None:
+            errors.run("call", relayed.cancel, time.monotonic())
+        self._open_requests.pop(caller, None)
+        errors.run("caller", caller.abort)
+        self._callers.discard(caller)
+
     def _start_request(
         self,
         caller: CallerConnection,
