--- a/berylquay/relay/stream_lookup.py
+++ b/berylquay/relay/stream_lookup.py
@@ -36,7 +36,8 @@
     _started_s: float
     # Monotonic time from which all hosts are asked.
     _next_ask_s: float
-    # Whether the store was read, or a read was requested, for this lookup.
+    # Whether it was decided if streams are read in the store for this lookup, and whether they are.
+    _has_decided: bool
     _uses_store: bool
 
     def __init__(self, services: RelayServices, call: RelayCall, now_s: float) -> None:
@@ -44,7 +45,7 @@
         self._call = call
         self._started_s = now_s
         self._next_ask_s = now_s + ASK_ALL_AFTER_S
-        self._uses_store = False
+        self._has_decided = self._uses_store = False
 
     def start(self, now_s: float) -> LookupState:
         """Returns the version if this host knows it; otherwise asks the keepers of the stream."""
@@ -52,9 +53,7 @@
         call_id = self._call.resumed_call_id
         if state is LookupState.PENDING and call_id:
             self._services.stream_versions.ask(call_id)
-            if self._only_version(now_s) is None:
-                self._uses_store = True
-                self._services.stream_version_store.request_read(now_s, call_id)
+            self._request_read_if_needed(now_s)
         return state
 
     def on_tick(self, now_s: float) -> LookupState:
@@ -62,6 +61,7 @@
         state = self._finish_if_known("host", now_s)
         if state is not LookupState.PENDING:
             return state
+        self._request_read_if_needed(now_s)
         elapsed_s = now_s - self._started_s
         if elapsed_s >= LOOKUP_TIMEOUT_S:
             version = self._only_version(now_s)
@@ -74,6 +74,16 @@
                 self._services.stream_versions.ask_all(self._call.resumed_call_id)
         return LookupState.PENDING
 
+    def _request_read_if_needed(self, now_s: float) -> None:
+        """Has the store read if the pool has had several versions, once that is known."""
+        services, call_id = self._services, self._call.resumed_call_id
+        if self._has_decided or not call_id or services.pool_version_store.is_read_missing:
+            return
+        self._has_decided = True
+        if self._only_version(now_s) is None:
+            self._uses_store = True
+            services.stream_version_store.request_read(now_s, call_id)
+
     def _is_read_pending(self) -> bool:
         """Tells whether a read that is not complete may still show the version."""
         services = self._services
--- a/tests/support/era_model.py
+++ b/tests/support/era_model.py
@@ -45,6 +45,8 @@
 class World:
     """Virtual time and everything that happens later."""
 
+    tick_s = TICK_S
+
     def __init__(self, seed: int) -> None:
         self.rng = Random(seed)
         self.now_s = 0.0
@@ -57,17 +59,21 @@
 
     def advance(self) -> None:
         """Advances by one tick."""
-        self.now_s += TICK_S
+        self.now_s += self.tick_s
         while self._later and self._later[0][0] <= self.now_s:
             heapq.heappop(self._later)[2]()
 
 
 class ModelStore:
-    """The stand-in's state, answering requests as bytes; `is_away` while it is down."""
+    """The stand-in's state, answering requests as bytes.
+
+    `is_away` while it is down, `refuses_appends` while only reads are answered.
+    """
 
     def __init__(self, world: World) -> None:
         self.state = PlatformStore(era=1)
         self.is_away = False
+        self.refuses_appends = False
         self._world = world
 
     def put(self, topic: str, key: str, value: object) -> None:
@@ -81,7 +87,7 @@
         method, target = head.split(b" ")[:2]
         parts = urlsplit(target.decode())
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        if self.is_away:
+        if self.is_away or (self.refuses_appends and parts.path == "/log-append"):
             status, answer = 503, b"{}"
         elif parts.path == "/log-newest":
             status, answer = 200, json.dumps(self.state.newest_page(query)).encode()
