Test usage reports with host processes and a stand-in of the API

Cause: the wiring into a relay host needs tests of its own: what is counted, that reports go on after a kill, and that a planned stop loses no counts.

--- a/tests/support/relay_fleet.py
+++ b/tests/support/relay_fleet.py
@@ -129,6 +129,8 @@
         wait: bool = True,
         retry_extra: int = RETRY_EXTRA,
         partition_file: Path | None = None,
+        module: str = "berylquay.relay",
+        more_settings: str = "",
     ) -> Process:
         """Starts a relay host.
 
@@ -138,13 +140,14 @@
             retry_extra: Retries that it may make besides its ratio.
             partition_file: State of its connections, for `partitioned_host`; None if they are not
                 to be broken.
+            module: Module to run instead of the relay's.
+            more_settings: Sections to add to its settings file.
         """
         ports = [free_port() for _ in range(4)]
         settings = self.processes.directory / f"{name}.ini"
-        settings.write_text(
-            make_host_file(name, ports, self.store.port, retry_extra), encoding="utf-8"
-        )
-        module, arguments = "berylquay.relay", [str(settings)]
+        text = make_host_file(name, ports, self.store.port, retry_extra) + more_settings
+        settings.write_text(text, encoding="utf-8")
+        arguments = [str(settings)]
         if partition_file is not None:
             module = "tests.support.partitioned_host"
             arguments.insert(0, str(partition_file))
