--- a/berylquay/relay/usage_messages.py
+++ b/berylquay/relay/usage_messages.py
@@ -1,6 +1,7 @@
 """Datagrams between hosts about usage: counts for the collectors, and their answers."""
 
 from collections.abc import Iterator, Mapping
+from math import isfinite
 from typing import Any, Final
 
 from attrs import frozen
@@ -74,7 +75,7 @@
     try:
         kind, *fields = decompress_fields(data[len(USAGE_TAG) :])
         return _decode_counts(fields) if kind == _COUNTS else _decode_answer(fields)
-    except FIELD_ERRORS:
+    except (*FIELD_ERRORS, OverflowError):
         return None
 
 
@@ -83,7 +84,7 @@
     return UsageCounts(
         str(host),
         str(incarnation),
-        float(time_s),
+        _decode_time(time_s),
         int(window_id),
         bool(is_final),
         int(total),
@@ -91,9 +92,18 @@
     )
 
 
+def _decode_time(value: object) -> float:
+    """Returns a finite time; raises one of `FIELD_ERRORS` for other values."""
+    if not isinstance(value, float | int) or not isfinite(value):
+        raise ValueError(value)
+    return float(value)
+
+
 def _decode_answer(fields: list[Any]) -> CollectorAnswer:
     host, time_s, done = fields
-    return CollectorAnswer(str(host), float(time_s), tuple(int(window_id) for window_id in done))
+    return CollectorAnswer(
+        str(host), _decode_time(time_s), tuple(int(window_id) for window_id in done)
+    )
 
 
 def _split(counts: Mapping[str, int]) -> Iterator[dict[str, int]]:
--- a/berylquay/relay/usage_reporter.py
+++ b/berylquay/relay/usage_reporter.py
@@ -52,7 +52,7 @@
 END_SPREAD_PER_HOST_S: Final = 0.002
 MAX_END_SPREAD_S: Final = 0.6
 # Time after a window's end for which its counts are sent again.
-SEND_AGAIN_S: Final = 2.0
+SEND_AGAIN_S: Final = 1.5
 # Interval between messages to hosts that may be gone.
 ASK_INTERVAL_S: Final = 2.0
 # Interval between checks of what to send and to report, and between reads of the topic while a
@@ -71,6 +71,15 @@
 YIELD_S: Final = 15.0
 # Time for which the sums of a window are not computed again while its record can't be written.
 SUMS_TTL_S: Final = 1.0
+# Raised by records that are not JSON of the expected form.
+RECORD_ERRORS: Final = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 _log = logbook.Logger("usage")
 
 
@@ -341,7 +350,7 @@
             fields = json.loads(payload)
             window_id = int(fields[USAGE_WINDOW])
             counts = {str(name): int(count) for name, count in fields[USAGE_COUNTS].items()}
-        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        except RECORD_ERRORS as error:
             _log.warning("unreadable usage record", holder=holder, offset=offset, detail=str(error))
             return
         is_own = holder == self._options.incarnation
