--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -31,6 +31,15 @@
 REWRITE_DELAY_S: Final = 0.4
 EVENTS_PER_STREAM: Final = 8
 EVENT_INTERVAL_MS: Final = 25.0
+# Reports of windows that are shorter than the platform's, so that a seed has several.
+DUTY_SETTINGS: Final = """
+[duties]
+address = 127.0.0.1:{port}
+names = usage_report
+calls_per_s = 50
+usage_window_s = 2
+usage_due_s = 10
+"""
 
 
 @define
@@ -51,6 +60,7 @@
     processes: Processes = field(init=False)
     store: Process = field(init=False)
     proxy: Process = field(init=False)
+    duty_api: Process = field(init=False)
     hosts: dict[str, Process] = field(factory=dict)
     # Port of each host's readiness endpoint, which the load balancer polls.
     readiness_ports: dict[str, int] = field(factory=dict)
@@ -72,6 +82,7 @@
         """Starts all processes and waits until the hosts are ready."""
         self.processes = Processes(self.directory)
         self.store = self.processes.start_standin("store", "platform_store", "--era", "1")
+        self.duty_api = self.processes.start_standin("duties", "duty_api")
         ports = {name: free_port() for name in self._backend_names()}
         targets = {**ports, **{f"{host}-store": self.store.port for host in self.size.host_names}}
         self._proxy_ports = {name: free_port() for name in targets}
@@ -210,6 +221,12 @@
             if name not in disturbed and self._current_role(name) != self._listed_roles.get(name):
                 self._register(name)
 
+    def broken_duty_rules(self) -> list[str]:
+        """Returns the rules that calls to the platform's API for duties have broken."""
+        broken = self.duty_api.get("/calls")["broken"]
+        assert isinstance(broken, list)
+        return [f"duties: {rule}" for rule in broken]
+
     def record_exits(self) -> None:
         """Records the hosts that no longer run."""
         for name, process in self.hosts.items():
@@ -269,6 +286,7 @@
     def _start_host(self, name: str) -> None:
         store_port = self._proxy_ports[f"{name}-store"]
         text = make_host_file(name, self._ports[name], store_port, RETRY_EXTRA)
+        text += DUTY_SETTINGS.format(port=self.duty_api.port)
         self._settings_path(name).write_text(text, encoding="utf-8")
         self.stop_requested_s.pop(name, None)
         self.hosts[name] = self.processes.start(
--- a/soak/rounds.py
+++ b/soak/rounds.py
@@ -53,11 +53,13 @@
         fleet.start()
         observations = asyncio.run(_run_traffic(fleet, faults, length_s, rng))
         fleet.record_exits()
+        broken_duty_rules = fleet.broken_duty_rules()
     finally:
         fleet.stop()
     violations = (
         broken_promises(observations)
         + fleet.unexpected_exits
+        + broken_duty_rules
         + _find_log_errors(directory, size.host_names)
     )
     _write_timeline(directory, observations)
