Decode how a pool may be scaled, and spot servers

Cause: orders of servers need the limits and prices of a pool, and must tell spot servers from the others. Change: `scaling` of a pool; `spot` and `leaves_ms` of an entry; the registry knows when a server is reclaimed. The hash of a list without spot servers is that of the release before.

--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -17,6 +17,7 @@
 # Time after the store's recovery within which a live backend server registers again.
 RECOVERY_GRACE_S: Final = 2.0
 STATE_HASH_BYTES: Final = 8
+MS_PER_S: Final = 1000.0
 HASH_MODULUS: Final = 256**STATE_HASH_BYTES
 # Most names whose recency is tracked: the largest fleet, with several replacements of each server.
 MAX_TRACKED_NAMES: Final = 50000
@@ -53,6 +54,11 @@
     software_version: str = ""
     # Number of this heartbeat since the start; entries that differ only in it are equal.
     heartbeat_number: int = field(default=0, eq=False)
+    # Whether the platform may reclaim it with a few seconds of notice.
+    spot: bool = field(default=False, repr=False)
+    # Time from this heartbeat until it is reclaimed, or None. It differs between heartbeats, so
+    # entries that differ only in it are equal.
+    leaves_ms: int | None = field(default=None, eq=False, repr=False)
 
     @property
     def instance(self) -> ServerInstance:
@@ -102,6 +108,8 @@
     notices: ServerNotices
     # Entries by name, as read in the store.
     _entries: dict[str, BackendEntry]
+    # Monotonic time at which each server that announced it is reclaimed, by instance.
+    _leaves_at_s: dict[ServerInstance, float]
     # Recency key of the latest entry of each name, also of names that are gone, so that a heartbeat
     # that the store applies late changes nothing.
     _latest_recency: dict[str, tuple[int, int]]
@@ -118,6 +126,7 @@
         self.notices = ServerNotices()
         self._hash_sum = 0
         self._entries = {}
+        self._leaves_at_s = {}
         self._latest_recency = {}
         self._expired_in_outage = set()
         self._store_unreachable = False
@@ -138,6 +147,21 @@
             if entry.name not in notices.names or notices.accepts_requests(entry.instance)
         ]
 
+    def on_leaves_ms(self, entry: BackendEntry, now_s: float) -> None:
+        """Records when a server is reclaimed; entries that arrive late do not postpone it."""
+        if entry.leaves_ms is not None:
+            leaves_at_s = now_s + entry.leaves_ms / MS_PER_S
+            before_s = self._leaves_at_s.get(entry.instance, leaves_at_s)
+            self._leaves_at_s[entry.instance] = min(before_s, leaves_at_s)
+
+    def without_leaving_before(
+        self, entries: list[BackendEntry], end_s: float
+    ) -> list[BackendEntry]:
+        """Returns the servers that are not reclaimed before work that is expected to end then."""
+        if not self._leaves_at_s:
+            return entries
+        return [entry for entry in entries if self._leaves_at_s.get(entry.instance, end_s) >= end_s]
+
     def earliest_return_s(self, pool: str, now_s: float) -> float | None:
         """Returns the time until a server of the pool accepts requests again.
 
@@ -193,6 +217,8 @@
             return None
         self._entries[entry.name] = entry
         if before is not None:
+            if before.instance != entry.instance:
+                self._leaves_at_s.pop(before.instance, None)
             self._add_to_hash(-_hash_entry(before))
         self._add_to_hash(_hash_entry(entry))
         return RegistryChange(entry.name, before, entry)
@@ -212,6 +238,8 @@
     def on_snapshot(self, entries: list[BackendEntry], now_s: float) -> list[RegistryChange]:
         """Applies the newest entry of every backend server and returns the changes."""
         changes = [self.on_entry(entry) for entry in entries]
+        for entry in entries:
+            self.on_leaves_ms(entry, now_s)
         known = {entry.name for entry in entries}
         missing = [name for name in self._entries if name not in known]
         changes += [self.on_removed(name, now_s) for name in missing]
@@ -237,6 +265,7 @@
     def _drop(self, name: str) -> RegistryChange:
         self._expired_in_outage.discard(name)
         entry = self._entries.pop(name)
+        self._leaves_at_s.pop(entry.instance, None)
         self._add_to_hash(-_hash_entry(entry))
         return RegistryChange(name, entry, None)
 
@@ -245,6 +274,9 @@
 
 
 def _hash_entry(entry: BackendEntry) -> int:
-    """Returns the hash of all fields but the heartbeat number."""
-    text = repr(entry.without_heartbeat_number()).encode()
+    """Returns the hash of all fields but the heartbeat number and the time left.
+
+    Entries of on-demand servers have the hash that hosts without knowledge of spot servers compute.
+    """
+    text = repr(entry.without_heartbeat_number()).encode() + (b"spot" if entry.spot else b"")
     return int.from_bytes(blake2b(text, digest_size=STATE_HASH_BYTES).digest(), "big")
--- a/berylquay/decisions/route_table.py
+++ b/berylquay/decisions/route_table.py
@@ -1,5 +1,6 @@
 """Routes: which pool of backend servers a request goes to, and how it may be retried."""
 
+from collections.abc import Mapping
 from enum import Enum
 from random import Random
 from typing import Final
@@ -48,6 +49,21 @@
     role_change_s: float
 
 
+@frozen
+class ScalingProperties:
+    """Limits, prices and boot time of the servers that may be ordered for a pool."""
+
+    # Fewest and most servers in each data centre, on-demand and spot servers together.
+    min_servers: int
+    max_servers: int
+    # Time from an order until a new server serves.
+    boot_s: float
+    # Price of a spot server as a fraction of that of an on-demand server.
+    spot_price: float
+    # Price of an on-demand server by data centre; empty if the prices are not known.
+    prices: Mapping[str, float] = field(factory=dict)
+
+
 @frozen
 class Pool:
     """A pool of backend servers."""
@@ -58,6 +74,8 @@
     max_connections: int
     # Properties of its engines, or None for a plain service.
     engine_properties: EngineProperties | None = None
+    # How servers may be ordered for it, or None if their number is fixed.
+    scaling: ScalingProperties | None = None
 
 
 @frozen
--- a/berylquay/platform/backend_entries.py
+++ b/berylquay/platform/backend_entries.py
@@ -40,9 +40,17 @@
         software_version=_require_text(fields["version"]),
         # Here "seq" numbers the heartbeats; in a load report it counts accepted orders.
         heartbeat_number=_require_count(fields.get("seq", 0)),
+        spot=fields.get("spot") is True,
+        leaves_ms=_decode_leaves_ms(fields),
     )
 
 
+def _decode_leaves_ms(fields: dict[str, object]) -> int | None:
+    # Written in either spelling; other fields of the platform are in camel case.
+    leaves_ms = fields.get("leaves_ms", fields.get("leavesMs"))
+    return None if leaves_ms is None else _require_count(leaves_ms)
+
+
 def _require_text(value: object) -> str:
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is not a string")
--- a/berylquay/platform/route_configuration.py
+++ b/berylquay/platform/route_configuration.py
@@ -14,6 +14,7 @@
     RepeatRule,
     Route,
     RouteTable,
+    ScalingProperties,
     WeightedPool,
     make_route_table,
 )
@@ -87,16 +88,33 @@
 
 
 def _decode_pool(fields: JsonObject) -> Pool:
-    engine = fields.get("engine")
+    engine, scaling = fields.get("engine"), fields.get("scaling")
     return Pool(
         name=_text_field(fields, "name"),
         max_connections=_integer_field(fields, "maxConns", 0),
         engine_properties=(
             None if not engine else _decode_engine_properties(_require_object(engine, "engine"))
         ),
+        scaling=None if not scaling else _decode_scaling(_require_object(scaling, "scaling")),
     )
 
 
+def _decode_scaling(fields: JsonObject) -> ScalingProperties:
+    prices = _require_object(fields.get("zonePrices", {}), "zonePrices")
+    scaling = ScalingProperties(
+        min_servers=_integer_field(fields, "min", 0),
+        max_servers=_integer_field(fields, "max"),
+        boot_s=_number_field(fields, "bootS", 0.0),
+        spot_price=_number_field(fields, "spotPrice", 1.0),
+        prices={data_centre: _number_field(prices, data_centre) for data_centre in prices},
+    )
+    if not 0 <= scaling.min_servers <= scaling.max_servers:
+        raise FieldError("scaling needs 0 <= min <= max")
+    if min((scaling.boot_s, scaling.spot_price, *scaling.prices.values())) < 0.0:
+        raise FieldError("scaling has a negative time or price")
+    return scaling
+
+
 def _decode_engine_properties(fields: JsonObject) -> EngineProperties:
     return EngineProperties(
         slots=_integer_field(fields, "slots"),
--- a/berylquay/relay/store_views.py
+++ b/berylquay/relay/store_views.py
@@ -150,6 +150,8 @@
         else:
             entry = self._decode(record.key, record.value)
             change = None if entry is None else self._registry.on_entry(entry)
+            if entry is not None:
+                self._registry.on_leaves_ms(entry, now_s)
         if change is not None:
             self._notify_change(change)
 
--- a/tests/relay/test_backend_registry.py
+++ b/tests/relay/test_backend_registry.py
@@ -21,6 +21,9 @@
     heartbeat_number=1,
 )
 
+# Hash of the list that holds only ENTRY, computed by the release before spot servers.
+HASH_BEFORE_SPOT_SERVERS = "aa66e92b21971b84"
+
 
 def test_a_heartbeat_alone_is_no_change() -> None:
     registry = BackendRegistry()
@@ -88,3 +91,26 @@
         ("i-1", True),
         ("i-2", False),
     }
+
+
+def test_entries_without_spot_fields_keep_their_hash() -> None:
+    """Guards against hosts of two releases that read the whole list again at each report."""
+    registry = BackendRegistry()
+    registry.on_entry(ENTRY)
+    assert registry.state_hash() == HASH_BEFORE_SPOT_SERVERS
+    registry.on_entry(evolve(ENTRY, spot=True))
+    assert registry.state_hash() != HASH_BEFORE_SPOT_SERVERS
+
+
+def test_no_work_that_would_end_too_late_is_sent_to_a_server_that_is_reclaimed() -> None:
+    """Guards against work that is lost when a spot server is reclaimed."""
+    registry = BackendRegistry()
+    entry = evolve(ENTRY, leaves_ms=2000)
+    registry.on_entry(entry)
+    registry.on_leaves_ms(entry, 10.0)
+    # A copy of the same heartbeat that arrives late.
+    registry.on_leaves_ms(entry, 11.0)
+    assert registry.without_leaving_before([entry], 12.0) == [entry]
+    assert registry.without_leaving_before([entry], 12.1) == []
+    registry.on_removed(entry.name, 13.0)
+    assert registry.without_leaving_before([entry], 99.0) == [entry]
--- a/tests/relay/test_platform_decoding.py
+++ b/tests/relay/test_platform_decoding.py
@@ -205,3 +205,38 @@
     assert deletion is not None and deletion.value is None
     assert decode_keyed_record(b"") is None
     assert decode_keyed_record(b"\x09abc") is None
+
+
+SCALING = {"min": 1, "max": 15, "bootS": 4.0, "spotPrice": 0.18, "zonePrices": {"fes-a": 0.85}}
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"max": "15"}, {"max": 0}, {"spotPrice": -1}, {"zonePrices": {"fes-a": "0.85"}}],
+)
+def test_malformed_scaling_refuses_the_version(changes: dict[str, object]) -> None:
+    """Guards against orders by limits or prices that were misread."""
+    fields = make_configuration()
+    services = [{"name": "lm", "maxConns": 1, "scaling": {**SCALING, **changes}}]
+    decoded = decode_configuration(json.dumps({**fields, "services": services}).encode())
+    assert isinstance(decoded, Failure)
+
+
+def test_scaling_of_a_pool_is_decoded() -> None:
+    fields = make_configuration()
+    services = [{"name": "lm", "maxConns": 1, "scaling": SCALING}, {"name": "app", "maxConns": 1}]
+    table = decode_configuration(json.dumps({**fields, "services": services}).encode()).unwrap()
+    scaling = table.pools["lm"].scaling
+    assert scaling is not None
+    assert (scaling.min_servers, scaling.max_servers, scaling.boot_s) == (1, 15, 4.0)
+    assert (scaling.spot_price, scaling.prices) == (0.18, {"fes-a": 0.85})
+    assert table.pools["app"].scaling is None
+
+
+def test_a_spot_server_and_the_time_until_it_is_reclaimed_are_decoded() -> None:
+    """Guards against counting spot servers as on-demand ones."""
+    plain = decode_backend_entry("i-1", json.dumps(ENTRY).encode()).unwrap()
+    assert (plain.spot, plain.leaves_ms) == (False, None)
+    fields = {**ENTRY, "spot": True, "leaves_ms": 2400}
+    entry = decode_backend_entry("i-1", json.dumps(fields).encode()).unwrap()
+    assert (entry.spot, entry.leaves_ms) == (True, 2400)
