--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,6 +6,7 @@
 
 from bench.knob import WEIGHTS, plot_curves, weight_curve
 from bench.policies import POLICY_SETS
+from bench.scaling import scaling_table
 from bench.scenarios import read_fleet, read_scenarios
 from bench.sizes import measure_sizes
 from bench.slopes import measure_slopes
@@ -38,6 +39,9 @@
     slopes.set_defaults(run=_slopes)
     sizes = commands.add_parser("sizes", help="measure bytes and memory of control messages")
     sizes.set_defaults(run=_sizes)
+    scaling = commands.add_parser("scaling", help="compare cost and served share of scaling")
+    scaling.add_argument("--seed", type=int, default=1)
+    scaling.set_defaults(run=_scaling)
     return parser.parse_args()
 
 
@@ -79,6 +83,10 @@
         sys.stdout.write(f"| {size.label} | {size.value:.1f} {size.unit} |\n")
 
 
+def _scaling(arguments: argparse.Namespace) -> None:
+    sys.stdout.write(scaling_table(arguments.seed) + "\n")
+
+
 def _is_selected(name: str, names: list[str] | None) -> bool:
     return not names or name in names
 
--- /dev/null
+++ b/tests/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the scaling of pools."""
