Share claims to act among duties, and add a client of the platform's API for duties

Cause: usage reports and orders of servers need the same claims in the store as orders of role changes, with a payload that the next holder reads.

Change: `Claimant` has the store calls of `RoleController`, which now uses it; records of role orders are as before.

--- a/berylquay/decisions/order_claims.py
+++ b/berylquay/decisions/order_claims.py
@@ -74,9 +74,14 @@
     # Monotonic time from before the pending append was sent, or None if none is pending.
     _append_sent_s: float | None = field(default=None, init=False)
 
-    def next_step(self, now_s: float) -> ClaimStep:
-        """Returns the next step towards sending an order."""
-        if now_s < self._valid_until_s:
+    def next_step(self, now_s: float, *, renews: bool = False) -> ClaimStep:
+        """Returns the next step towards sending an order.
+
+        Args:
+            now_s: Present time.
+            renews: Whether a new claim is needed although the present one may still be valid.
+        """
+        if now_s < self._valid_until_s and not renews:
             return ClaimStep.ORDER
         if self._append_sent_s is not None:
             return ClaimStep.WAIT
@@ -93,6 +98,10 @@
         """Returns the fencing number for orders, or None without a valid claim."""
         return self._fencing_number if now_s < self._valid_until_s else None
 
+    def remaining_s(self, now_s: float) -> float:
+        """Returns for how long the claim remains valid; 0 without a valid claim."""
+        return max(0.0, self._valid_until_s - now_s)
+
     def on_read(self, holders: list[str], next_offset: int, at_end: bool, now_s: float) -> None:
         """Applies claims that were read from the topic.
 
--- a/berylquay/platform/wire_names.py
+++ b/berylquay/platform/wire_names.py
@@ -62,6 +62,23 @@
 TOPIC_HOSTS: Final = "keyed.hosts"
 TOPIC_QUARANTINES: Final = "keyed.quarantines"
 TOPIC_AUTHORITY: Final = "authority"
+TOPIC_USAGE: Final = "usage"
+TOPIC_SCALING: Final = "scaling"
+
+# Paths, headers and fields of calls to the platform's API for duties.
+USAGE_PATH: Final = "/usage"
+SCALE_PATH: Final = "/scale"
+DUTY_HOLDER: Final = b"duty-holder"
+FENCE_TOKEN: Final = b"fence-token"
+USAGE_WINDOW: Final = "windowId"
+USAGE_COUNTS: Final = "counts"
+SCALE_SERVICE: Final = "service"
+SCALE_ZONE: Final = "zone"
+SCALE_DESIRED: Final = "desired"
+SCALE_SPOT: Final = "spot"
+# Duties as the settings name them.
+DUTY_USAGE: Final = "usage_report"
+DUTY_SCALING: Final = "autoscale"
 
 # Path of the load balancer's readiness check.
 READY_PATH: Final = "/ready"
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -277,6 +277,10 @@
         """Returns the addresses of all hosts that receive this one's reports, by name."""
         return {peer.name: peer.address for peer in self._get_recipients()}
 
+    def peer_addresses(self) -> dict[str, Address]:
+        """Returns the addresses of all other hosts that are known to be alive, by name."""
+        return {peer.name: peer.address for peer in self._peers.values()}
+
     def send_to_recipients(self, data: bytes) -> None:
         """Sends a datagram to all hosts that receive this one's reports."""
         for peer in self._get_recipients():
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -119,6 +119,13 @@
         """Returns the addresses of the hosts that exchange load reports with this one, by name."""
         return self._gossip.recipient_addresses()
 
+    def fleet_addresses(self) -> dict[str, Address]:
+        """Returns the addresses of the other hosts of the fleet, of all regions, by name.
+
+        Hosts of another region are those of the store's list if the regions exchange summaries.
+        """
+        return {**self._regions.listed_addresses(), **self._gossip.peer_addresses()}
+
     def group_places(self) -> dict[str, tuple[Address, str]]:
         """Returns address and data centre of the hosts that have reported to this one, by name."""
         return self._gossip.recipient_places()
--- a/berylquay/relay/region_exchange.py
+++ b/berylquay/relay/region_exchange.py
@@ -165,6 +165,10 @@
         if region != self._topology.location.region:
             self._listed.setdefault(region, {})[host] = address
 
+    def listed_addresses(self) -> dict[str, Address]:
+        """Returns the addresses of the listed hosts of the other regions, by name."""
+        return {host: address for hosts in self._listed.values() for host, address in hosts.items()}
+
     def region_rank(self, now_s: float) -> int:
         """Returns how many regions that were heard of sort before this one by name."""
         own = self._topology.location.region
--- a/berylquay/relay/role_controller.py
+++ b/berylquay/relay/role_controller.py
@@ -9,7 +9,7 @@
 
 from berylquay.decisions.attempt_outcomes import AttemptOutcome
 from berylquay.decisions.backend_registry import BackendEntry, EntryState
-from berylquay.decisions.order_claims import ClaimStep, ClaimTimes, OrderClaims
+from berylquay.decisions.order_claims import ClaimStep, ClaimTimes
 from berylquay.decisions.role_split import (
     RoleSplitOptions,
     StabilisationWindow,
@@ -26,9 +26,9 @@
     encode_order_request,
     encode_report_request,
 )
-from berylquay.platform.store_client import AppendResult, RecordPage, StoreClient, StoreFailure
+from berylquay.platform.store_client import StoreClient
 from berylquay.platform.wire_names import TOPIC_AUTHORITY
-from berylquay.relay.follower import FAILURE_BACKOFF
+from berylquay.relay.claimant import Claimant
 from berylquay.relay.services import RelayServices
 from berylquay.relay.upstream_request import UpstreamRequest
 
@@ -93,8 +93,7 @@
     """Keeps the engines' roles split as planned, on behalf of all hosts."""
 
     _services: RelayServices
-    _store_client: StoreClient
-    _claims: OrderClaims
+    _claimant: Claimant
     _holder: str
     _options: RoleSplitOptions
     # Returns how many live hosts sort before this one by name.
@@ -108,8 +107,6 @@
     # Whether this host has served a request.
     has_served: bool
     _next_check_s: float
-    _next_claim_s: float
-    _claim_failures: int
 
     def __init__(
         self,
@@ -121,8 +118,8 @@
         host_rank: Callable[[], int],
     ) -> None:
         self._services = services
-        self._store_client = store_client
-        self._claims = OrderClaims(ClaimTimes(CLAIM_DURATION_S, lease_s + ORDER_DELAY_S), holder)
+        times = ClaimTimes(CLAIM_DURATION_S, lease_s + ORDER_DELAY_S)
+        self._claimant = Claimant(TOPIC_AUTHORITY, holder, times, store_client, services.rng)
         self._holder = holder
         self._options = RoleSplitOptions()
         self._host_rank = host_rank
@@ -131,17 +128,14 @@
         self._engine_request = None
         self.has_served = False
         self._next_check_s = float("-inf")
-        self._next_claim_s = float("-inf")
-        self._claim_failures = 0
 
     def on_store_era(self, era: int) -> None:
         """Gives up a claim of a former era; orders sent under it may still be carried out."""
-        self._store_client.abandon_call()
-        self._claims.on_store_era(era, claim_clock_s())
+        self._claimant.on_store_era(era)
 
     def on_tick(self, table: RouteTable, now_s: float) -> None:
         """Checks the plan at intervals, and takes the next step of an order."""
-        self._store_client.on_tick(now_s)
+        self._claimant.on_tick(now_s)
         if self._engine_request is not None:
             if (
                 not self._engine_request.ended
@@ -200,59 +194,11 @@
 
     def _advance_order(self, changes: Sequence[RoleChange], now_s: float) -> bool:
         """Takes the next step towards an order; returns whether it has begun to order."""
-        if self._store_client.busy or now_s < self._next_claim_s:
-            return False
-        step = self._claims.next_step(claim_clock_s())
-        if step is ClaimStep.READ:
-            self._store_client.read(
-                TOPIC_AUTHORITY, self._claims.next_offset, 0.0, self._on_claims_read
-            )
-        elif step is ClaimStep.APPEND:
-            self._claims.on_append_sent(claim_clock_s())
-            self._store_client.append(
-                TOPIC_AUTHORITY,
-                [self._holder.encode()],
-                self._on_appended,
-                expected_end_offset=self._claims.next_offset,
-            )
-        elif step is ClaimStep.ORDER:
+        step = self._claimant.advance(b"", now_s)
+        if step is ClaimStep.ORDER:
             self._begin_order(changes[0], now_s)
         return step is ClaimStep.ORDER
 
-    def _on_claims_read(self, result: RecordPage | StoreFailure) -> None:
-        if isinstance(result, RecordPage):
-            holders = [content.decode("utf-8", "replace") for content in result.contents]
-            at_end = result.next_offset >= result.end_offset
-            self._claims.on_read(holders, result.next_offset, at_end, claim_clock_s())
-        elif result.records_gone:
-            self._claims.on_records_gone(result.first_offset, claim_clock_s())
-        elif result.is_topic_missing:
-            # Nobody has claimed yet: the first append creates the topic.
-            self._claims.on_read([], 0, True, claim_clock_s())
-        else:
-            self._on_claim_failure(result)
-
-    def _on_appended(self, result: AppendResult | StoreFailure) -> None:
-        if isinstance(result, AppendResult):
-            self._claim_failures = 0
-            self._claims.on_claimed(result.offset)
-            term = self._claims.fencing_number(claim_clock_s())
-            _log.info("authority claimed", holder=self._holder, term=term)
-            return
-        self._claims.on_claim_failed()
-        self._on_claim_failure(result)
-
-    def _on_claim_failure(self, failure: StoreFailure) -> None:
-        self._claim_failures += 1
-        delay_s = FAILURE_BACKOFF.delay_s(self._claim_failures, self._services.rng)
-        self._next_claim_s = time.monotonic() + delay_s
-        _log.info(
-            "authority claim failed",
-            status=failure.status,
-            detail=failure.detail,
-            may_have_happened=failure.may_have_happened,
-        )
-
     def _begin_order(self, change: RoleChange, now_s: float) -> None:
         entry = self._services.registry.get(change.backend)
         if entry is None or entry.state is not EntryState.READY:
@@ -272,7 +218,7 @@
         self._engine_request = self._send_engine_request(entry, request, on_report, now_s)
 
     def _send_order(self, entry: BackendEntry, change: RoleChange, accepted_orders: int) -> None:
-        term = self._claims.fencing_number(claim_clock_s())
+        term = self._claimant.fencing_number()
         if term is None:
             _log.info("no order: the claim has ended", backend=entry.name)
             return
@@ -316,8 +262,3 @@
             on_notice=self._services.on_server_notice,
             now_s=now_s,
         )
-
-
-def claim_clock_s() -> float:
-    """Returns the time of a monotonic clock that also runs while the host is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/berylquay/settings/ini_reader.py
+++ b/berylquay/settings/ini_reader.py
@@ -42,6 +42,10 @@
         """Returns a finite number that is at least 0."""
         return self._read(section, key, default, "a number of at least 0", _parse_number)
 
+    def positive_number(self, section: str, key: str, default: float | None = None) -> float:
+        """Returns a finite number above 0."""
+        return self._read(section, key, default, "a number above 0", _parse_positive_number)
+
     def count(self, section: str, key: str, default: int | None = None) -> int:
         """Returns an integer that is at least 0."""
         return self._read(section, key, default, "a whole number of at least 0", _parse_count)
@@ -125,7 +129,7 @@
 
 def parse_placeholder(parse: Callable[[str], T]) -> T:
     """Returns any value of `parse`'s type, so that reading continues after an error."""
-    for text in ("", "0", "no", "0.0.0.0:0"):
+    for text in ("", "0", "1", "no", "0.0.0.0:0"):
         try:
             return parse(text)
         except ValueError:
@@ -140,6 +144,13 @@
     return value
 
 
+def _parse_positive_number(found: str) -> float:
+    value = _parse_number(found)
+    if not value:
+        raise ValueError(found)
+    return value
+
+
 def _parse_count(found: str) -> int:
     value = int(found)
     if value < 0:
--- a/berylquay/settings/relay_settings.py
+++ b/berylquay/settings/relay_settings.py
@@ -9,6 +9,7 @@
 
 from berylquay.decisions.fleet import Address
 from berylquay.errors import SettingsError
+from berylquay.platform.wire_names import DUTY_SCALING, DUTY_USAGE
 from berylquay.settings.ini_reader import IniReader, read_ini_file
 
 BYTES_PER_MB: Final = 1_000_000
@@ -38,6 +39,21 @@
     lease_s: float
 
 
+@frozen
+class DutyOptions:
+    """The platform's API for duties of one host at a time, and the duties that it expects."""
+
+    address: Address
+    # Whether the requests of each tenant are reported, and whether servers are ordered.
+    reports_usage: bool
+    orders_servers: bool
+    # Most calls a second that the API accepts.
+    calls_per_s: float
+    # Length of a window of usage, and time after its end at which its report is due.
+    usage_window_s: float
+    usage_due_s: float
+
+
 @frozen
 class RelayOptions:
     """All settings of a relay host."""
@@ -60,6 +76,8 @@
     max_sockets: int
     bounds: OperatingLimits
     log_level: str
+    # None where the platform has no API for duties.
+    duties: DutyOptions | None = None
 
 
 class SettingsFileWatcher:
@@ -128,6 +146,20 @@
         max_sockets=reader.count("limits", "max_sockets"),
         bounds=_read_operating_limits(reader),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
+        duties=_read_duties(reader) if parser.has_section("duties") else None,
+    )
+
+
+def _read_duties(reader: IniReader) -> DutyOptions:
+    section = "duties"
+    names = reader.text_list(section, "names")
+    return DutyOptions(
+        address=reader.address(section, "address"),
+        reports_usage=DUTY_USAGE in names,
+        orders_servers=DUTY_SCALING in names,
+        calls_per_s=reader.positive_number(section, "calls_per_s"),
+        usage_window_s=reader.positive_number(section, "usage_window_s"),
+        usage_due_s=reader.number(section, "usage_due_s"),
     )
 
 
--- a/tests/relay/test_deploy_files.py
+++ b/tests/relay/test_deploy_files.py
@@ -4,7 +4,8 @@
 import tomllib
 from pathlib import Path
 
-from berylquay.settings.relay_settings import read_relay_settings
+from berylquay.decisions.fleet import Address
+from berylquay.settings.relay_settings import DutyOptions, RelayOptions, read_relay_settings
 
 DEPLOY = Path(__file__).parents[2] / "deploy"
 VALUES = {
@@ -17,22 +18,58 @@
     "portRange.0": "7380",
     "platform.address": "10.200.1.7:8142",
 }
-REGIONS = "fes-a = fes\ntanja-a = tanja"
+# Lists and maps of the platform: the key and the value of each item.
+SECTIONS = {
+    "zones": {"fes-a": "fes", "tanja-a": "tanja"},
+    "cloud.duties": {"0": "usage_report", "1": "autoscale"},
+}
+DUTY_API = {"cloud.address": "10.200.0.13:8128"}
 
 
-def render(template: str) -> str:
-    """Renders the template as the platform does, with 5 for values not listed in `VALUES`."""
-    with_regions = re.sub(r"\{\{#zones\}\}.*\{\{/zones\}\}", REGIONS, template, flags=re.DOTALL)
-    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: VALUES.get(match[1], "5"), with_regions)
+def render(template: str, values: dict[str, str]) -> str:
+    """Renders the template as the platform does, with 5 for values that are not listed."""
+    for name, items in SECTIONS.items():
+        section = re.search(_section_pattern(name), template, flags=re.DOTALL)
+        assert section is not None
+        lines = [
+            section[1].replace("{{@}}", key).replace("{{.}}", value) for key, value in items.items()
+        ]
+        template = template.replace(section[0], "".join(lines))
+    kept = r"\1" if "cloud.address" in values else ""
+    template = re.sub(_section_pattern("cloud.address"), kept, template, flags=re.DOTALL)
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: values.get(match[1], "5"), template)
 
 
-def test_the_template_renders_valid_settings(tmp_path: Path) -> None:
+def _section_pattern(name: str) -> str:
+    return rf"\{{\{{#{name}\}}\}}\n(.*)\{{\{{/{name}\}}\}}\n"
+
+
+def read_template(tmp_path: Path, values: dict[str, str]) -> RelayOptions:
     file = tmp_path / "host.ini"
-    file.write_text(render((DEPLOY / "host.ini").read_text(encoding="utf-8")), encoding="utf-8")
-    options = read_relay_settings(str(file)).unwrap()
+    template = (DEPLOY / "host.ini").read_text(encoding="utf-8")
+    file.write_text(render(template, values), encoding="utf-8")
+    return read_relay_settings(str(file)).unwrap()
+
+
+def test_the_template_renders_valid_settings(tmp_path: Path) -> None:
+    options = read_template(tmp_path, VALUES)
     assert options.host == "front-1"
     assert options.regions == {"fes-a": "fes", "tanja-a": "tanja"}
     assert str(options.peers_address) == "10.0.0.1:7380"
+    assert options.duties is None
+
+
+def test_the_template_names_the_duties_where_the_platform_has_an_api(tmp_path: Path) -> None:
+    """Guards against a host that carries out no duty because its settings name none."""
+    options = read_template(tmp_path, VALUES | DUTY_API)
+    assert options.duties == DutyOptions(
+        Address("10.200.0.13", 8128),
+        reports_usage=True,
+        orders_servers=True,
+        calls_per_s=5.0,
+        usage_window_s=5.0,
+        usage_due_s=5.0,
+    )
 
 
 def test_the_role_names_the_metrics_port_of_the_settings() -> None:
