Order servers to match demand, on behalf of all hosts

Cause: no host orders servers where the platform offers that duty. Change: hosts report their demand to the first three by name; the first of them plans, writes the plan as a claim to the store, and orders it through the platform's API. Settings [scaling], metrics by data centre, one log line a decision. Servers that are reclaimed get no work that would end too late.

--- a/berylquay/decisions/scaling/plan.py
+++ b/berylquay/decisions/scaling/plan.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final
 
-from attrs import evolve, frozen
+from attrs import define, evolve, frozen
 
 # Part of the price by which servers that are present already count as cheaper, so that equal prices
 # do not replace one server by another.
@@ -62,6 +62,8 @@
     """A data centre in which a pool may have servers."""
 
     data_centre: str
+    # Its place in the sequence of zones.
+    index: int
     # Price of an on-demand server.
     price: float
     # Limits on both kinds together.
@@ -86,68 +88,79 @@
         zones: Data centres with their limits.
         spot_price: Price of a spot server as a fraction of that of an on-demand server.
     """
-    best: tuple[int, float, int, dict[str, ServerCounts]] | None = None
+    units = sorted(unit for zone in zones for unit in _units(zone, spot_price))
+    best: tuple[tuple[int, float, int], _Filling] | None = None
     highest = max((min(zone.max_spot, zone.max_servers) for zone in zones), default=0)
     for spot_limit in range(highest + 1):
-        counts = _fill(need, zones, spot_price, spot_limit)
-        missing = _missing(need, counts)
+        filling = _fill(need, zones, units, spot_limit)
         cost = sum(
-            zone.price
-            * (counts[zone.data_centre].on_demand + counts[zone.data_centre].spot * spot_price)
-            for zone in zones
+            zone.price * (on_demand + spot * spot_price)
+            for zone, on_demand, spot in zip(zones, filling.on_demand, filling.spot, strict=True)
         )
         # Rounded, so that equal costs are equal: the lower limit spreads the servers better.
-        option = (missing, round(cost, 6), spot_limit, counts)
-        if best is None or option[:3] < best[:3]:
-            best = option
-    return {} if best is None else best[3]
-
-
-def _missing(need: Need, counts: Mapping[str, ServerCounts]) -> int:
-    total = sum(count.total for count in counts.values())
-    most_spot = max((count.spot for count in counts.values()), default=0)
-    return max(0, need.total - total, need.after_loss + most_spot - total)
+        option = (filling.missing(need), round(cost, 6), spot_limit)
+        if best is None or option < best[0]:
+            best = (option, filling)
+    if best is None:
+        return {}
+    filling = best[1]
+    return {
+        zone.data_centre: ServerCounts(on_demand, spot)
+        for zone, on_demand, spot in zip(zones, filling.on_demand, filling.spot, strict=True)
+    }
+
+
+# A server that can be added: price, how many of its kind are there before it, data centre, index of
+# the zone, and whether it is a spot server. Sorted, the cheapest and best spread come first.
+_Unit = tuple[float, int, str, int, bool]
+
+
+def _units(zone: ScalingZone, spot_price: float) -> list[_Unit]:
+    """Returns all servers that a zone can have."""
+    units = []
+    for spot, price, most, present in (
+        (True, zone.price * spot_price, zone.max_spot, zone.ordered.spot),
+        (False, zone.price, zone.max_on_demand, zone.ordered.on_demand),
+    ):
+        for number in range(min(most, zone.max_servers)):
+            discount = PRESENT_DISCOUNT if number < present else 0.0
+            units.append((price * (1.0 - discount), number, zone.data_centre, zone.index, spot))
+    return units
+
+
+@define
+class _Filling:
+    """Servers of each zone, in the order of the zones."""
+
+    on_demand: list[int]
+    spot: list[int]
+
+    def missing(self, need: Need) -> int:
+        """Returns how many servers are missing."""
+        total = sum(self.on_demand) + sum(self.spot)
+        most_spot = max(self.spot, default=0)
+        return max(0, need.total - total, need.after_loss + most_spot - total)
 
 
 def _fill(
-    need: Need, zones: Sequence[ScalingZone], spot_price: float, spot_limit: int
-) -> dict[str, ServerCounts]:
+    need: Need, zones: Sequence[ScalingZone], units: Sequence[_Unit], spot_limit: int
+) -> _Filling:
     """Adds the cheapest servers until there are enough, with limited spot servers in each zone."""
-    counts = {zone.data_centre: _minimum(zone, spot_limit) for zone in zones}
-    while _missing(need, counts):
-        options = [
-            option for zone in zones for option in _one_more(zone, counts, spot_price, spot_limit)
-        ]
-        if not options:
+    spot = [min(zone.min_servers, spot_limit, zone.max_spot) for zone in zones]
+    on_demand = [
+        min(zone.min_servers - own_spot, zone.max_on_demand)
+        for zone, own_spot in zip(zones, spot, strict=True)
+    ]
+    filling = _Filling(on_demand, spot)
+    missing = filling.missing(need)
+    for _, number, _, index, is_spot in units:
+        if not missing:
             break
-        _, _, data_centre, count = min(options, key=lambda option: option[:3])
-        counts[data_centre] = count
-    return counts
-
-
-def _minimum(zone: ScalingZone, spot_limit: int) -> ServerCounts:
-    spot = min(zone.min_servers, spot_limit, zone.max_spot)
-    return ServerCounts(min(zone.min_servers - spot, zone.max_on_demand), spot)
-
-
-def _one_more(
-    zone: ScalingZone, counts: Mapping[str, ServerCounts], spot_price: float, spot_limit: int
-) -> list[tuple[float, int, str, ServerCounts]]:
-    """Returns the servers that can be added in a zone: price, number there, and the new counts."""
-    count = counts[zone.data_centre]
-    if count.total >= zone.max_servers:
-        return []
-    options = []
-    if count.spot < min(spot_limit, zone.max_spot):
-        price = zone.price * spot_price
-        if count.spot < zone.ordered.spot:
-            price *= 1.0 - PRESENT_DISCOUNT
-        more = evolve(count, spot=count.spot + 1)
-        options.append((price, count.spot, zone.data_centre, more))
-    if count.on_demand < zone.max_on_demand:
-        price = zone.price
-        if count.on_demand < zone.ordered.on_demand:
-            price *= 1.0 - PRESENT_DISCOUNT
-        more = evolve(count, on_demand=count.on_demand + 1)
-        options.append((price, count.on_demand, zone.data_centre, more))
-    return options
+        counts = spot if is_spot else on_demand
+        is_present = number < counts[index]
+        is_full = on_demand[index] + spot[index] >= zones[index].max_servers
+        if is_present or is_full or (is_spot and number >= spot_limit):
+            continue
+        counts[index] += 1
+        missing = filling.missing(need)
+    return filling
--- a/berylquay/decisions/scaling/planner.py
+++ b/berylquay/decisions/scaling/planner.py
@@ -52,6 +52,9 @@
     # Time beyond the boot time after which servers that were ordered and are not ready count as
     # missing.
     missing_margin_s: float = 4.0
+    # Time after which servers that were given up and are still ready are given up again: the host
+    # that planned it may have ended before it ordered. Doubles each time.
+    surplus_s: float = 8.0
     # Time for which spot servers are not ordered where some are being reclaimed.
     reclaim_backoff_s: float = 4.0
     # Windows of the forecast's level and trend.
@@ -116,8 +119,13 @@
     base: int
     # Numbers that were ordered last, or are to be ordered, by data centre.
     ordered: dict[str, ServerCounts]
-    # Servers that were registered as ready at the last decision.
-    _last_ready: Mapping[str, ServerCounts]
+    # Cheapest plan, and what it was made from.
+    _plan_inputs: tuple[Need, list[ScalingZone], float] | None
+    _plan: dict[str, ServerCounts]
+    # What was ordered since the start, rather than present.
+    _touched: set[OrderKey]
+    # Servers that were registered as ready at the last decision, by data centre.
+    last_ready: Mapping[str, ServerCounts]
     # Numbers that the platform has accepted; None if that is not known.
     _accepted: dict[OrderKey, int | None]
     _times: ScalingTimes
@@ -132,6 +140,8 @@
     # Since when fewer servers would be enough, and the most that were needed since, by key.
     _lower_since: dict[OrderKey, tuple[float, int]]
     _refusals: dict[OrderKey, _Refusal]
+    # Where more servers are ready than were ordered: when to order again, and the interval.
+    _surplus: dict[OrderKey, tuple[float, float]]
     # Time of the last rise that was ordered, by key; servers boot after it.
     _raised_s: dict[OrderKey, float]
     _last_reduction_s: float
@@ -142,7 +152,10 @@
         self.base = 0
         self.ordered = {}
         self._accepted = {}
-        self._last_ready = {}
+        self.last_ready = {}
+        self._touched = set()
+        self._plan_inputs = None
+        self._plan = {}
         self._times = times or ScalingTimes()
         self._capacity = capacity or CapacityOptions()
         windows_s = (self._times.level_window_s, self._times.trend_window_s)
@@ -154,8 +167,27 @@
         self._lower_since = {}
         self._refusals = {}
         self._raised_s = {}
+        self._surplus = {}
         self._last_reduction_s = float("-inf")
 
+    def on_base(self, base: int) -> None:
+        """Sets how many servers to keep until load was seen, as another host has planned."""
+        self.base = min(base, sum(count.total for count in self.ordered.values()))
+
+    def on_new_era(self) -> None:
+        """Orders everything again: the newest orders may be lost from the store."""
+        self._accepted = dict.fromkeys(self._accepted)
+
+    def _include_registered(self, ready: Mapping[str, ServerCounts]) -> None:
+        """Takes in servers of the start that register late, of which none was ordered."""
+        for data_centre, count in ready.items():
+            key = (data_centre, False)
+            ordered = self.ordered.get(data_centre, ServerCounts())
+            if key not in self._touched and count.on_demand > ordered.on_demand:
+                self.base += count.on_demand - ordered.on_demand
+                self.ordered[data_centre] = evolve(ordered, on_demand=count.on_demand)
+                self._accepted[key] = count.on_demand
+
     def on_present(self, counts: Mapping[str, ServerCounts]) -> None:
         """Starts from the servers that are present, of which none was ordered."""
         for data_centre, count in counts.items():
@@ -183,6 +215,8 @@
                 (True, before.spot, count.spot),
             ):
                 key = (data_centre, spot)
+                if new != old or by_other_host:
+                    self._touched.add(key)
                 if by_other_host:
                     self._accepted[key] = new
                 if new > old:
@@ -221,7 +255,7 @@
         self._refuse(key, self._ready(key) if accepted is None else accepted, now_s)
 
     def _ready(self, key: OrderKey) -> int:
-        return self._last_ready.get(key[0], ServerCounts()).number(spot=key[1])
+        return self.last_ready.get(key[0], ServerCounts()).number(spot=key[1])
 
     def _refuse(self, key: OrderKey, limit: int, now_s: float) -> None:
         times, before = self._times, self._refusals.get(key)
@@ -309,11 +343,15 @@
             pins: Numbers that the operator has fixed, by data centre.
             now_s: Present time.
         """
-        self._last_ready = state.ready
+        self.last_ready = state.ready
+        self._include_registered(state.ready)
         self._update_refusals(state, scaling, now_s)
         zones = self._zones(state, scaling, pins, now_s)
         need = self.need(max(1, len(zones)), now_s)
-        target = cheapest_plan(need, zones, scaling.spot_price)
+        inputs = (need, zones, scaling.spot_price)
+        if inputs != self._plan_inputs:
+            self._plan_inputs, self._plan = inputs, cheapest_plan(*inputs)
+        target = self._plan
         counts = {
             zone.data_centre: self._raised(zone, target[zone.data_centre], pins) for zone in zones
         }
@@ -337,7 +375,7 @@
         pins: Mapping[str, ServerCounts],
         now_s: float,
     ) -> list[ScalingZone]:
-        zones = []
+        zones: list[ScalingZone] = []
         for data_centre in sorted(scaling.prices or {*state.ready, *self.ordered}):
             ordered = self.ordered.get(data_centre, ServerCounts())
             pin = pins.get(data_centre)
@@ -346,6 +384,7 @@
             zones.append(
                 ScalingZone(
                     data_centre,
+                    len(zones),
                     scaling.prices.get(data_centre, DEFAULT_PRICE),
                     least,
                     most,
@@ -370,9 +409,12 @@
         """Plans without servers that are being reclaimed, or that are not ready in time."""
         times = self._times
         for data_centre in state.reclaimed:
+            present = state.ready.get(data_centre, ServerCounts()).spot
+            if present >= self.ordered.get(data_centre, ServerCounts()).spot:
+                # The servers leave because fewer were ordered.
+                continue
             key = (data_centre, True)
             until_s = now_s + times.reclaim_backoff_s
-            present = state.ready.get(data_centre, ServerCounts()).spot
             self._refusals[key] = _Refusal(until_s, times.first_refusal_backoff_s, present)
             self._accepted[key] = None
         for data_centre, ordered in self.ordered.items():
@@ -383,6 +425,7 @@
             ):
                 key = (data_centre, spot)
                 raised_s = self._raised_s.get(key)
+                self._check_surplus(key, present - number, now_s)
                 if present >= number:
                     if not self._is_refused(key, now_s):
                         self._refusals.pop(key, None)
@@ -395,6 +438,17 @@
                     self._accepted[key] = None
                     self._refuse(key, present, now_s)
 
+    def _check_surplus(self, key: OrderKey, surplus: int, now_s: float) -> None:
+        """Orders again where more servers stay than were ordered, ever less often."""
+        if surplus <= 0:
+            self._surplus.pop(key, None)
+            return
+        interval_s = self._times.surplus_s
+        due_s, interval_s = self._surplus.setdefault(key, (now_s + interval_s, interval_s))
+        if now_s >= due_s:
+            self._accepted[key] = None
+            self._surplus[key] = (now_s + 2.0 * interval_s, 2.0 * interval_s)
+
     def _raised(
         self, zone: ScalingZone, target: ServerCounts, pins: Mapping[str, ServerCounts]
     ) -> ServerCounts:
--- a/berylquay/relay/engine_selection.py
+++ b/berylquay/relay/engine_selection.py
@@ -102,7 +102,10 @@
         services, call = self._services, self._call
         return [
             engine
-            for engine in services.registry.ready_in_pool(call.pool.name)
+            for engine in services.registry.without_leaving_before(
+                services.registry.ready_in_pool(call.pool.name),
+                now_s + services.demand.call_s(call.pool.name),
+            )
             if not services.health.is_backing_off(engine.name, now_s)
             and (engine.role is Role.PREFILL or call.may_use_version(engine.software_version))
         ]
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -19,6 +19,7 @@
 from berylquay.decisions.engine_placement import PlacementOptions, PredictivePlacementPolicy
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.load_sharing_scope import LoadSharingScope
+from berylquay.decisions.order_claims import ClaimTimes
 from berylquay.decisions.prefix_cache_index import PrefixCacheIndex
 from berylquay.decisions.route_table import RouteTable
 from berylquay.decisions.segment_crash_history import SegmentCrashHistory, SegmentCrashLimits
@@ -35,15 +36,19 @@
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.net.tcp_listener import TcpListener
 from berylquay.net.ticker import Ticker
+from berylquay.platform.duty_client import DutyClient
 from berylquay.platform.store_client import StoreClient
 from berylquay.platform.wire_names import (
     READY_PATH,
     TOPIC_BACKENDS,
     TOPIC_CONFIGURATION,
+    TOPIC_SCALING,
 )
 from berylquay.relay.caller_connection import SERVICE_UNAVAILABLE
+from berylquay.relay.claimant import Claimant, ClaimListener
 from berylquay.relay.connection_pool import BackendConnectionPool
 from berylquay.relay.crash_reports import CRASH_REPORT_TAG
+from berylquay.relay.demand_reports import DEMAND_TAG, DemandReports
 from berylquay.relay.follower import FollowTimings, TopicFollower
 from berylquay.relay.gateway_server import GatewayServer
 from berylquay.relay.host_list import HostList
@@ -55,7 +60,8 @@
 from berylquay.relay.prefill_requests import cancel_overdue_releases
 from berylquay.relay.quarantine_store import QuarantineStore
 from berylquay.relay.request_handler import RequestHandler, RequestHandlerOptions
-from berylquay.relay.role_controller import RoleController
+from berylquay.relay.role_controller import CLAIM_DURATION_S, ORDER_DELAY_S, RoleController
+from berylquay.relay.scaling_controller import ScalingController, Surroundings
 from berylquay.relay.segment_crash_handler import SegmentCrashHandler
 from berylquay.relay.server_notice_handler import LEAVING_TAG, LIMIT_TAG, ServerNoticeHandler
 from berylquay.relay.services import RelayServices
@@ -109,6 +115,11 @@
     _server_notice_handler: ServerNoticeHandler
     _peer_exchange: PeerExchange
     _role_controller: RoleController
+    # Demand of all hosts, which some of them collect.
+    _demand_reports: DemandReports
+    # Client of the platform's API for duties, and what uses it; None where it has no such duty.
+    _duty_client: DutyClient | None
+    _scaling_controller: ScalingController | None
     _host_list: HostList
     _quarantine_store: QuarantineStore
     # Lends other hosts this one's paths to the backend servers.
@@ -144,6 +155,14 @@
         self._configuration_view = ConfigurationView(self._on_configuration, self._store_era)
         self._backends_view = BackendsView(self._services.registry, self._on_backend)
         self._make_topic_followers(connections, rng)
+        self._demand_reports = DemandReports(
+            options.host,
+            options.data_centre,
+            options.peers_address,
+            self._services.demand,
+            get_hosts=self._fleet_addresses,
+            send=self._send_to_host,
+        )
         self._peer_exchange = PeerExchange(
             self._services,
             options,
@@ -155,6 +174,7 @@
                 CRASH_REPORT_TAG: self._services.segment_crashes.on_datagram,
                 STREAM_VERSION_TAG: self._services.stream_versions.on_version_datagram,
                 STREAM_QUERY_TAG: self._services.stream_versions.on_query_datagram,
+                DEMAND_TAG: self._demand_reports.on_datagram,
             },
         )
         self._request_handler = RequestHandler(
@@ -165,6 +185,12 @@
             self._configuration_confirmed_s,
         )
         self._role_controller = self._make_role_controller(connections)
+        self._duty_client = None
+        if options.duties is not None:
+            self._duty_client = DutyClient(
+                connections, options.duties.address, options.duties.calls_per_s
+            )
+        self._scaling_controller = self._make_scaling_controller(connections)
         self._quarantine_store = self._make_quarantine_store(connections, rng)
         self._store_era.add_listener(self._on_store_era)
         self._gateway_server = GatewayServer(
@@ -265,6 +291,9 @@
     def _group_places(self) -> dict[str, tuple[Address, str]]:
         return self._peer_exchange.group_places()
 
+    def _fleet_addresses(self) -> dict[str, Address]:
+        return self._peer_exchange.fleet_addresses()
+
     def _send_to_host(self, data: bytes, address: Address) -> None:
         self._peer_exchange.send(data, address)
 
@@ -332,6 +361,37 @@
             host_rank=lambda: self._peer_exchange.host_rank,
         )
 
+    def _make_scaling_controller(self, connections: TcpConnections) -> ScalingController | None:
+        options = self._options
+        duties, api = options.duties, self._duty_client
+        if duties is None or api is None:
+            return None
+        if not duties.orders_servers or not options.scaling.enabled:
+            return None
+        claim_holder = f"{options.host}-{uuid.uuid4().hex[:8]}"
+
+        def make_claims(listener: ClaimListener) -> Claimant:
+            return Claimant(
+                TOPIC_SCALING,
+                claim_holder,
+                ClaimTimes(CLAIM_DURATION_S, options.bounds.lease_s + ORDER_DELAY_S),
+                StoreClient(connections, options.store_address, self._store_era),
+                self._services.rng,
+                listener=listener,
+            )
+
+        return ScalingController(
+            options.scaling,
+            self._services.registry,
+            self._demand_reports.fleet,
+            api,
+            estimates=self._services.estimates,
+            metrics=self._services.metrics,
+            host=options.host,
+            claim_holder=claim_holder,
+            make_claims=make_claims,
+        )
+
     def _configuration_confirmed_s(self) -> float:
         return self._configuration_follower.confirmed_s
 
@@ -409,6 +469,8 @@
         now_s = time.monotonic()
         self._services.metrics.on_store_era(era, has_risen=before is not None)
         self._role_controller.on_store_era(era)
+        if self._scaling_controller is not None:
+            self._scaling_controller.on_store_era(era, has_risen=before is not None)
         if before is None:
             return
         followers = (self._configuration_follower, self._backends_follower)
@@ -456,6 +518,7 @@
         self._services.stream_versions.on_tick(now_s)
         self._peer_exchange.on_tick(now_s)
         self._check_roles(now_s)
+        self._check_scaling(now_s)
         self._log_handler.on_tick(now_s)
         if self._shutdown_schedule is not None:
             self._advance_shutdown(self._shutdown_schedule, now_s)
@@ -469,17 +532,37 @@
         self._backends_view.expire(now_s)
         self._services.pool_versions.on_list_confirmed(self._backends_follower.confirmed_s, now_s)
 
+    def _is_registry_current(self) -> bool:
+        follower = self._backends_follower
+        return follower.has_snapshot and not follower.consecutive_failures
+
     def _check_roles(self, now_s: float) -> None:
         table = self._configuration_view.table
-        is_registry_current = (
-            self._backends_follower.has_snapshot
-            and not self._backends_follower.consecutive_failures
-        )
-        may_order = is_registry_current and not self._services.path_monitor.paths.is_cut_off
+        may_order = self._is_registry_current() and not self._services.path_monitor.paths.is_cut_off
         if table is not None and may_order and self._shutdown_schedule is None:
             self._role_controller.has_served = self._request_handler.has_served
             self._role_controller.on_tick(table, now_s)
 
+    def _check_scaling(self, now_s: float) -> None:
+        if self._duty_client is not None:
+            self._duty_client.on_tick(now_s)
+        controller, table = self._scaling_controller, self._configuration_view.table
+        if controller is None or table is None:
+            return
+        pools = [pool.name for pool in table.pools.values() if pool.scaling is not None]
+        self._services.demand.enabled = bool(pools)
+        if not pools:
+            return
+        self._demand_reports.on_tick(pools, now_s)
+        surroundings = Surroundings(
+            is_list_current=self._is_registry_current(),
+            is_cut_off=self._services.path_monitor.paths.is_cut_off,
+            is_stopping=self._shutdown_schedule is not None,
+            rank=self._demand_reports.rank(now_s),
+            host_count=self._services.live_host_count,
+        )
+        controller.on_tick(table, surroundings, now_s)
+
     @handler("StopRequested")
     def _on_stop_requested(self, message: StopRequested) -> None:
         if self._shutdown_schedule is None:
--- a/berylquay/relay/metrics.py
+++ b/berylquay/relay/metrics.py
@@ -35,6 +35,11 @@
     _streams_taken_up: Counter
     # 1 while no server is reachable by a connection of this host's own, else 0.
     _cut_off: Gauge
+    # Servers of scaled pools by data centre and kind: ordered, and registered as ready.
+    _desired_servers: Gauge
+    _present_servers: Gauge
+    # Orders of servers, by outcome.
+    _server_orders: Counter
     # Log lines dropped to limit their volume, or because standard output failed.
     _dropped_lines: Gauge
 
@@ -85,6 +90,15 @@
             "Whether the paths to all servers are lost",
             registry=registry,
         )
+        self._desired_servers = Gauge(
+            "berylquay_relay_servers_desired", "Servers that are ordered", registry=registry
+        )
+        self._present_servers = Gauge(
+            "berylquay_relay_servers_present", "Servers that are ready", registry=registry
+        )
+        self._server_orders = Counter(
+            "berylquay_relay_server_orders_total", "Orders of servers", registry=registry
+        )
         self._dropped_lines = Gauge(
             "berylquay_relay_dropped_log_lines", "Log lines dropped", registry=registry
         )
@@ -125,6 +139,18 @@
         self._paused_servers.set({}, paused)
         self._leaving_servers.set({}, leaving)
 
+    def on_scaled_servers(
+        self, pool: str, data_centre: str, kind: str, *, desired: int, present: int
+    ) -> None:
+        """Records how many servers of a kind are ordered and ready in a data centre."""
+        labels = {"pool": pool, "data_centre": data_centre, "kind": kind}
+        self._desired_servers.set(labels, desired)
+        self._present_servers.set(labels, present)
+
+    def on_server_order(self, outcome: str) -> None:
+        """Counts an order of servers."""
+        self._server_orders.inc({"outcome": outcome})
+
     def on_first_byte(self, route: str, elapsed_s: float, predicted_s: float | None) -> None:
         """Records the time to the first byte of a response's body.
 
--- a/berylquay/relay/region_exchange.py
+++ b/berylquay/relay/region_exchange.py
@@ -18,6 +18,7 @@
 from berylquay.decisions.shared_polling import TopicReport
 from berylquay.decisions.topology import Topology
 from berylquay.relay.crash_reports import CRASH_REPORT_TAG
+from berylquay.relay.demand_reports import DEMAND_TAG
 from berylquay.relay.report_fields import (
     FIELD_ERRORS,
     AnnouncedSegment,
@@ -49,6 +50,7 @@
         LIMIT_TAG,
         STREAM_VERSION_TAG,
         STREAM_QUERY_TAG,
+        DEMAND_TAG,
     }
 )
 SUMMARY_INTERVAL_S: Final = 0.25
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -67,6 +67,8 @@
 MAX_PREFILL_ATTEMPTS: Final = 2
 # Stage of an attempt that generates the answer.
 RUN_STAGE: Final = "run"
+# Outcome of a call whose response is complete.
+ANSWERED: Final = "answered"
 HIGHEST_URGENCY: Final = 1
 LOWEST_URGENCY: Final = 9
 
@@ -153,6 +155,7 @@
     def start(self, now_s: float) -> None:
         """Places and sends the call, queues it, or refuses it."""
         self._services.retry_budget.on_call(self.call.pool.name, now_s)
+        self._services.demand.on_call_started(self.call.pool.name)
         if self.call.resumed_after_event is None:
             self._begin(now_s)
         else:
@@ -163,8 +166,15 @@
         if self.call.generation is not None:
             self._place_generation(now_s, is_first_placement=True)
         else:
+            self._record_demand(0, 0, now_s)
             self._send_to_server(now_s)
 
+    def _record_demand(self, prefill_tokens: int, output_tokens: int, now_s: float) -> None:
+        """Counts an arrival, unless its caller comes back after a refusal."""
+        if not self.call.is_caller_retry:
+            pool = self.call.pool.name
+            self._services.demand.on_request(pool, prefill_tokens, output_tokens, now_s)
+
     def _on_lookup(self, lookup: StreamLookup, state: LookupState, now_s: float) -> None:
         """Begins, or goes on waiting for the version of the stream that the caller takes up."""
         self._stream_lookup = lookup if state is LookupState.PENDING else None
@@ -258,6 +268,11 @@
         placement = self._engines.choose_placement(
             generation, may_disaggregate=self._may_disaggregate_prefill(now_s), now_s=now_s
         )
+        if is_first_placement and not self._queued:
+            tokens = (
+                generation.prompt_tokens if placement is None else placement.prefill_cost_tokens
+            )
+            self._record_demand(tokens, generation.max_output_tokens, now_s)
         if placement is None:
             self._refuse_without_engine(now_s)
             return
@@ -536,7 +551,7 @@
         self._services.metrics.on_attempt_ended(self.call.pool.name, "answered")
         self._response.send_rest(body_end.unwrap())
         # The call ends first: ending the response may bring the caller's next request.
-        outcome = "failed-at-backend" if failed else "answered"
+        outcome = "failed-at-backend" if failed else ANSWERED
         self._end(CallEnd(outcome, upstream.backend.name, framing=upstream.framing), now_s)
         self.caller.end_response()
 
@@ -631,7 +646,10 @@
 
     def _fitting_servers(self) -> list[BackendEntry]:
         """Returns the servers whose answer would fit what the caller has of a stream."""
-        servers = self._services.registry.ready_in_pool(self.call.pool.name)
+        services, pool = self._services, self.call.pool.name
+        servers = services.registry.without_leaving_before(
+            services.registry.ready_in_pool(pool), time.monotonic() + services.demand.call_s(pool)
+        )
         return [server for server in servers if self.call.may_use_version(server.software_version)]
 
     def _record_failure(
@@ -709,6 +727,8 @@
         retry_after_s: float | None = None,
     ) -> None:
         """Ends the call with an error response to the caller."""
+        if reason is RefusalReason.OVERLOADED:
+            self._services.demand.on_refused(self.call.pool.name, now_s)
         refusal = make_refusal(self.call, reason, detail, self._retry_after_s(retry_after_s, now_s))
         response_started = self.caller.response_started
         end = CallEnd(f"refused-{reason.value}", verdict=refusal.verdict, detail=detail)
@@ -749,6 +769,9 @@
         self.ended = True
         self._queued = False
         self._cancel_upstreams(now_s)
+        self._services.demand.on_call_ended(
+            call.pool.name, now_s - call.received_s, answered=end.outcome == ANSWERED
+        )
         self._services.metrics.on_call_ended(call.route.name, end.outcome, now_s - call.received_s)
         first_byte_delay_s = (
             None if self._first_byte_s is None else self._first_byte_s - call.received_s
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -16,6 +16,7 @@
 from berylquay.decisions.load_sharing_scope import LoadSharingScope
 from berylquay.decisions.prefix_cache_index import PrefixCacheIndex
 from berylquay.decisions.relay_admission import AdmissionOptions
+from berylquay.decisions.scaling.demand import DemandMeter
 from berylquay.decisions.shared_retry_budget import SharedRetryBudget
 from berylquay.decisions.stream_versions import PoolVersions
 from berylquay.decisions.topology import Topology
@@ -66,6 +67,8 @@
     live_host_count: int = 1
     # Requests of this host in flight at each backend server that is no engine, by its name.
     in_flight: Counter[str] = field(factory=Counter)
+    # What reaches this host, by pool.
+    demand: DemandMeter = field(factory=DemandMeter)
     # Requests to free a KV cache that have not ended.
     open_releases: list[UpstreamRequest] = field(factory=list)
     # Updates to send to the other hosts.
--- a/berylquay/settings/relay_settings.py
+++ b/berylquay/settings/relay_settings.py
@@ -1,5 +1,6 @@
 """Settings file of a relay host: parses INI text into validated `RelayOptions`."""
 
+import re
 from configparser import ConfigParser
 from pathlib import Path
 from typing import Final
@@ -15,6 +16,8 @@
 BYTES_PER_MB: Final = 1_000_000
 # Fraction of the process's memory limit that bodies of open requests may use together.
 BODY_MEMORY_FRACTION: Final = 0.2
+# A pin of the scaling: pool, data centre, on-demand servers, spot servers.
+PIN_PATTERN: Final = re.compile(r"([^@=]+)@([^@=]+)=(\d{1,6})\+(\d{1,6})")
 # Interval between checks of the settings file.
 CHECK_INTERVAL_S: Final = 1.0
 
@@ -54,6 +57,24 @@
     usage_due_s: float
 
 
+@frozen
+class ScalingPin:
+    """Numbers of servers that the operator has fixed for a pool in a data centre."""
+
+    pool: str
+    data_centre: str
+    on_demand: int
+    spot: int
+
+
+@frozen
+class ScalingOptions:
+    """Whether and how pools are scaled, where the platform has the duty."""
+
+    enabled: bool = True
+    pins: tuple[ScalingPin, ...] = ()
+
+
 @frozen
 class RelayOptions:
     """All settings of a relay host."""
@@ -78,6 +99,7 @@
     log_level: str
     # None where the platform has no API for duties.
     duties: DutyOptions | None = None
+    scaling: ScalingOptions = ScalingOptions()
 
 
 class SettingsFileWatcher:
@@ -147,9 +169,22 @@
         bounds=_read_operating_limits(reader),
         log_level=reader.choice("host", "log_level", ("debug", "info", "warning", "error"), "info"),
         duties=_read_duties(reader) if parser.has_section("duties") else None,
+        scaling=_read_scaling(reader),
     )
 
 
+def _read_scaling(reader: IniReader) -> ScalingOptions:
+    pins = []
+    for text in reader.text_list("scaling", "pins", ()):
+        match = PIN_PATTERN.fullmatch(text)
+        if match is None:
+            allowed = "pins like POOL@DATA_CENTRE=ON_DEMAND+SPOT"
+            reader.errors.append(SettingsError(reader.file, "scaling", "pins", text, allowed))
+        else:
+            pins.append(ScalingPin(match[1], match[2], int(match[3]), int(match[4])))
+    return ScalingOptions(reader.flag("scaling", "enabled", True), tuple(pins))
+
+
 def _read_duties(reader: IniReader) -> DutyOptions:
     section = "duties"
     names = reader.text_list(section, "names")
--- a/tests/scaling/test_plan.py
+++ b/tests/scaling/test_plan.py
@@ -9,8 +9,8 @@
 
 SPOT_PRICE = 0.18
 ZONES = [
-    ScalingZone(name, price, 1, 15, 15, 15, ServerCounts())
-    for name, price in (("atlas-a", 0.85), ("atlas-b", 1.0), ("atlas-c", 1.2))
+    ScalingZone(name, index, price, 1, 15, 15, 15, ServerCounts())
+    for index, (name, price) in enumerate((("atlas-a", 0.85), ("atlas-b", 1.0), ("atlas-c", 1.2)))
 ]
 
 
--- a/tests/scaling/test_planner.py
+++ b/tests/scaling/test_planner.py
@@ -152,6 +152,21 @@
     assert ("atlas-a", True, 6) in planner.due_orders(0.1)
 
 
+def test_servers_that_stay_after_they_were_given_up_are_given_up_again() -> None:
+    """Guards against paying for servers that a former holder planned to give up and did not."""
+    pool = Pool()
+    pool.planner.on_ordered(all_zones(0, 6), 0.0, by_other_host=True)
+    sent = 0
+    for _ in range(4 * 100):
+        pool.now_s += 0.25
+        pool.planner.decide(evolve(STATE, ready=all_zones(6, 6)), SCALING, {}, pool.now_s)
+        for data_centre, spot, number in pool.planner.due_orders(pool.now_s):
+            pool.planner.on_accepted(data_centre, number, spot=spot, now_s=pool.now_s)
+            sent += (data_centre, spot, number) == ("atlas-a", False, 0)
+    # After 8, 24 and 56 s.
+    assert sent == 3
+
+
 def test_pins_hold_whatever_the_load() -> None:
     """Guards against orders that override an operator."""
     pool, pin = Pool(), ServerCounts(2, 3)
--- a/tests/support/relay_fleet.py
+++ b/tests/support/relay_fleet.py
@@ -129,6 +129,7 @@
         wait: bool = True,
         retry_extra: int = RETRY_EXTRA,
         partition_file: Path | None = None,
+        more_settings: str = "",
     ) -> Process:
         """Starts a relay host.
 
@@ -138,11 +139,13 @@
             retry_extra: Retries that it may make besides its ratio.
             partition_file: State of its connections, for `partitioned_host`; None if they are not
                 to be broken.
+            more_settings: Further sections of its settings file.
         """
         ports = [free_port() for _ in range(4)]
         settings = self.processes.directory / f"{name}.ini"
         settings.write_text(
-            make_host_file(name, ports, self.store.port, retry_extra), encoding="utf-8"
+            make_host_file(name, ports, self.store.port, retry_extra) + more_settings,
+            encoding="utf-8",
         )
         module, arguments = "berylquay.relay", [str(settings)]
         if partition_file is not None:
