--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,7 @@
 from bench.keys import measure_key_costs
 from bench.knob import WEIGHTS, plot_curves, weight_curve
 from bench.policies import POLICY_SETS
+from bench.scaling import scaling_table
 from bench.scenarios import read_fleet, read_scenarios
 from bench.sizes import measure_sizes
 from bench.slopes import measure_slopes
@@ -41,6 +42,9 @@
     sizes.set_defaults(run=_sizes)
     keys = commands.add_parser("keys", help="measure processor time per check of a caller's key")
     keys.set_defaults(run=_keys)
+    scaling = commands.add_parser("scaling", help="compare cost and served share of scaling")
+    scaling.add_argument("--seed", type=int, default=1)
+    scaling.set_defaults(run=_scaling)
     return parser.parse_args()
 
 
@@ -89,6 +93,10 @@
         sys.stdout.write(f"| {row.tenants} | " + " | ".join(f"{x:.2f}" for x in cells) + " |\n")
 
 
+def _scaling(arguments: argparse.Namespace) -> None:
+    sys.stdout.write(scaling_table(arguments.seed) + "\n")
+
+
 def _is_selected(name: str, names: list[str] | None) -> bool:
     return not names or name in names
 
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -18,6 +18,7 @@
 from berylquay.decisions.prefix_cache_index import PrefixCacheIndex
 from berylquay.decisions.relay_admission import AdmissionOptions
 from berylquay.decisions.relay_call import RelayCall
+from berylquay.decisions.scaling.demand import DemandMeter
 from berylquay.decisions.shared_retry_budget import SharedRetryBudget
 from berylquay.decisions.topology import Topology
 from berylquay.net.persistent_http import PersistentConnection
@@ -75,6 +76,8 @@
     live_host_count: int = 1
     # Requests of this host in flight at each backend server that is no engine, by its name.
     in_flight: Counter[str] = field(factory=Counter)
+    # What reaches this host, by pool.
+    demand: DemandMeter = field(factory=DemandMeter)
     # Requests to free a KV cache that have not ended.
     open_releases: list[UpstreamRequest] = field(factory=list)
     # Records errors that were not expected.
--- a/tests/relay/test_usage_reports.py
+++ b/tests/relay/test_usage_reports.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Final
 
 import pytest
@@ -33,7 +33,19 @@
 usage_window_s = {WINDOW_S}
 usage_due_s = 10
 """
-        return self.fleet.add_host(name, module="tests.support.tenant_host", more_settings=settings)
+        return self.fleet.add_host(name, more_settings=settings)
+
+    def send_request(
+        self,
+        path: str,
+        call_id: str,
+        body: bytes,
+        headers: Mapping[str, str] | None = None,
+        host: int = 0,
+    ) -> None:
+        """Sends a request with the key of the tenant that the first part of its id names."""
+        key = {"Authorization": f"Bearer key-of-{call_id.partition('-')[0]}"}
+        self.fleet.send_request(path, call_id, body, {**(headers or {}), **key}, host=host)
 
     def calls(self) -> list[dict[str, object]]:
         """Returns the calls that the API has carried out; fails if they broke a rule."""
@@ -63,7 +75,8 @@
 
 @pytest.fixture
 def reporting(fleet: RelayFleet) -> Iterator[ReportingFleet]:
-    fleet.put_configuration(make_configuration())
+    tenants = [{"name": name, "apiKeys": [f"key-of-{name}"]} for name in ("ann", "bob")]
+    fleet.put_configuration(make_configuration(tenants=tenants))
     for name in ("app-0", "app-1"):
         fleet.add_backend(name, "app")
     fleet.add_backend("prefill-0", "lm", "prefill")
@@ -78,12 +91,11 @@
 
 def test_requests_of_all_hosts_are_reported_once(reporting: ReportingFleet) -> None:
     """Guards against requests that are missed, counted twice, or counted for another tenant."""
-    fleet = reporting.fleet
     for number in range(6):
         host = number % 2
-        fleet.send_request(PATHS["many"], f"ann-{number}", b"b", host=host)
-        fleet.send_request(PATHS["stream"], f"bob-{number}", b"p", SHORT_PROMPT, host=host)
-    fleet.send_request(PATHS["stream"], "bob-6", b"p", LONG_PROMPT)
+        reporting.send_request(PATHS["many"], f"ann-{number}", b"b", host=host)
+        reporting.send_request(PATHS["stream"], f"bob-{number}", b"p", SHORT_PROMPT, host=host)
+    reporting.send_request(PATHS["stream"], "bob-6", b"p", LONG_PROMPT)
     windows = reporting.wait_for_window(present_window())
     total: Counter[str] = Counter()
     for counts in windows.values():
@@ -108,7 +120,7 @@
     """Guards against counting attempts at servers, or requests that never ran."""
     for name in ("app-0", "app-1"):
         reporting.fleet.backends[name].post("/faults", fault)
-    reporting.fleet.send_request(PATHS["many"], "ann-1", b"b")
+    reporting.send_request(PATHS["many"], "ann-1", b"b")
     windows = reporting.wait_for_window(present_window())
     assert sum(counts.get("ann", 0) for counts in windows.values()) == counted
 
@@ -116,10 +128,10 @@
 def test_reports_go_on_after_the_reporting_host_was_killed(reporting: ReportingFleet) -> None:
     """Guards against windows without a report, and a second holder with an old token."""
     fleet = reporting.fleet
-    fleet.send_request(PATHS["many"], "ann-1", b"b", host=1)
+    reporting.send_request(PATHS["many"], "ann-1", b"b", host=1)
     reporting.wait_for_window(present_window())
     fleet.hosts[0].kill()
-    fleet.send_request(PATHS["many"], "ann-2", b"b", host=1)
+    reporting.send_request(PATHS["many"], "ann-2", b"b", host=1)
     windows = reporting.wait_for_window(present_window())
     assert sum(counts.get("ann", 0) for counts in windows.values()) == 2
     assert sorted(windows) == list(range(min(windows), max(windows) + 1))
@@ -130,7 +142,7 @@
     """Guards against losing the requests of the last moments before a planned stop."""
     fleet = reporting.fleet
     for number in range(20):
-        fleet.send_request(PATHS["many"], f"ann-{number}", b"b", host=1)
+        reporting.send_request(PATHS["many"], f"ann-{number}", b"b", host=1)
     fleet.hosts[1].terminate()
     fleet.hosts[1].popen.wait(10.0)
     windows = reporting.wait_for_window(present_window())
