End streams that complete no event within the route's stall time

Cause: once a byte of the body had arrived, only the deadline ended a stream. Change: a stream that has begun ends, or goes on elsewhere if it is resumable, when no event was completed for the route's stall time (after which callers abandon it). Time during which the caller reads too slowly does not count.

--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -109,6 +109,9 @@
     _first_byte_s: float | None
     # The same for the open run request.
     _run_first_byte_s: float | None
+    # Monotonic time of the newest complete event of the open run request or, before the first one,
+    # of its first byte; None before that, and while the caller reads too slowly.
+    _newest_event_s: float | None
     # Engine that prefills the prompt as part of the run and whose backlog includes it, or None.
     _run_prefill_engine: str | None
 
@@ -148,6 +151,7 @@
         )
         self._first_byte_s = None
         self._run_first_byte_s = None
+        self._newest_event_s = None
         self._run_prefill_engine = None
 
     def start(self, now_s: float) -> None:
@@ -206,6 +210,15 @@
             and self._can_retry_elsewhere(now_s)
         ):
             self._abandon_stalled(run_request, "no event came in time", now_s)
+        elif run_request is not None and self._completes_no_event(now_s):
+            run_request.cancel()
+            detail = "no event was completed in time"
+            self._fail_upstream(run_request, AttemptOutcome.CONNECTION_LOST, detail, now_s)
+
+    def _completes_no_event(self, now_s: float) -> bool:
+        """Tells whether a stream that has begun is past the time after which callers abandon it."""
+        newest_s, route = self._newest_event_s, self.call.route
+        return route.streaming and newest_s is not None and now_s - newest_s > route.stall_timeout_s
 
     def _can_retry_elsewhere(self, now_s: float) -> bool:
         """Tells whether the run may be abandoned and sent to another engine."""
@@ -248,6 +261,7 @@
         """Resumes reading from the backend server."""
         if self._run_request is not None:
             self._run_request.set_reading_paused(paused=False)
+            self._newest_event_s = time.monotonic()
 
     # Placement.
 
@@ -386,6 +400,7 @@
         )
         self._pending_kv_handle = None
         self._run_first_byte_s = None
+        self._newest_event_s = None
         self._transferred_kv_handle = kv_handle
         if call.generation is not None:
             services.backlog.add_stream(backend.name, call.call_id)
@@ -495,11 +510,15 @@
         if self._first_byte_s is None:
             self._record_first_byte(upstream, self._run_first_byte_s)
         self._services.path_monitor.paths.has_new_data = True
+        relayed_bytes = self._response.relayed_bytes
         is_caller_ready = self._response.feed(data)
+        if self._newest_event_s is None or self._response.relayed_bytes > relayed_bytes:
+            self._newest_event_s = time.monotonic()
         if self.caller.response_started:
             self._record_stream_begun(upstream.backend)
         if not is_caller_ready:
             upstream.set_reading_paused(paused=True)
+            self._newest_event_s = None
 
     def _record_stream_begun(self, backend: BackendEntry) -> None:
         """Records the version of the server whose events the caller has received first."""
