Check the claim again when the connection of an order is established

Cause: the claim was checked before the connection to the engine was opened; the order left when that was established, after a freeze or a cut however late. Change: the request asks just before it is sent; too late, it fails as not sent.

--- a/berylquay/net/persistent_http.py
+++ b/berylquay/net/persistent_http.py
@@ -96,6 +96,8 @@
     request_id: bytes
     # Bytes that the connection had sent before this request.
     bytes_sent_before: int
+    # Asked just before the request is sent; False fails it. None if it may be sent at any time.
+    may_send: Callable[[], bool] | None
     # Whether the request was passed to the connection.
     sent: bool = False
     # Whether the response being read belongs to another request and is discarded.
@@ -166,6 +168,7 @@
         handler: ResponseHandler,
         id_header: bytes = b"",
         request_id: bytes = b"",
+        may_send: Callable[[], bool] | None = None,
     ) -> None:
         """Sends a request on an idle or new connection; a new one sends it once established.
 
@@ -175,9 +178,13 @@
             id_header: response header, in lower case, that echoes the request id, or empty. A
                 response with another id in it is discarded.
             request_id: value that the header is expected to have.
+            may_send: asked just before the request is sent, which may be long after this call if
+                the connection is new; the request fails unless it returns True.
         """
         bytes_sent_before = self._connection.bytes_sent
-        self._pending = _PendingRequest(request, handler, id_header, request_id, bytes_sent_before)
+        self._pending = _PendingRequest(
+            request, handler, id_header, request_id, bytes_sent_before, may_send
+        )
         if self._connection.established:
             self._send_request()
 
@@ -227,6 +234,9 @@
         pending = self._pending
         if pending is None:
             return
+        if pending.may_send is not None and not pending.may_send():
+            self._fail_request("it was too late to send the request")
+            return
         try:
             data = _encode_request(self._protocol, pending.request)
         except (h11.LocalProtocolError, ValueError) as error:
--- a/berylquay/relay/role_controller.py
+++ b/berylquay/relay/role_controller.py
@@ -286,6 +286,15 @@
                 # Not accepted: plan again without this order.
                 self._pending_orders.pop(entry.name, None)
 
+        def may_send() -> bool:
+            # The connection may be established after the claim has ended: the host was frozen, or
+            # cut off from the engine.
+            is_valid = self._claims.fencing_number(claim_clock_s()) == term
+            if not is_valid:
+                _log.info("no order: the claim has ended", backend=entry.name)
+                self._pending_orders.pop(entry.name, None)
+            return is_valid
+
         self._pending_orders[entry.name] = _PendingOrder(change, now_s)
         _log.info(
             "order",
@@ -296,7 +305,7 @@
             expected_orders=accepted_orders,
         )
         request = encode_order_request(entry.address, entry.name, order)
-        self._engine_request = self._send_engine_request(entry, request, on_answer, now_s)
+        self._engine_request = self._send_engine_request(entry, request, on_answer, now_s, may_send)
 
     def _send_engine_request(
         self,
@@ -304,6 +313,7 @@
         request: RawRequest,
         on_done: Callable[[int, bytes], None],
         now_s: float,
+        may_send: Callable[[], bool] | None = None,
     ) -> UpstreamRequest:
         # An order by way of another host would look like that of a second holder.
         connection = self._services.acquire_connection(entry, True, now_s, may_use_gateway=False)
@@ -315,6 +325,7 @@
             call_id="",
             on_notice=self._services.on_server_notice,
             now_s=now_s,
+            may_send=may_send,
         )
 
 
--- a/berylquay/relay/upstream_request.py
+++ b/berylquay/relay/upstream_request.py
@@ -72,6 +72,7 @@
         call_id: str,
         on_notice: NoticeListener,
         now_s: float,
+        may_send: Callable[[], bool] | None = None,
     ) -> None:
         self.backend = backend
         self.started_s = now_s
@@ -82,7 +83,7 @@
         self._on_notice = on_notice
         self._outcome = None
         connection.start_request(
-            request, self, ATTEMPT_ID if call_id else b"", call_id.encode("latin-1")
+            request, self, ATTEMPT_ID if call_id else b"", call_id.encode("latin-1"), may_send
         )
 
     @property
