--- a/tests/relay/test_late_orders.py
+++ b/tests/relay/test_late_orders.py
@@ -9,9 +9,13 @@
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.roles import RoleChange
 from berylquay.net.persistent_http import PersistentConnection
-from berylquay.net.tcp_connections import Connection, ConnectionHandler
+from berylquay.net.tcp_connections import (
+    TCP_USER_TIMEOUT_MS,
+    Connection,
+    ConnectionHandler,
+)
 from berylquay.relay import role_controller
-from berylquay.relay.role_controller import CLAIM_DURATION_S, RoleController
+from berylquay.relay.role_controller import CLAIM_DURATION_S, ORDER_DELAY_S, RoleController
 from tests.support.fake_connections import FakeConnections
 
 ADDRESS = Address("127.0.0.1", 80)
@@ -55,3 +59,9 @@
     assert is_sent is (frozen_s < CLAIM_DURATION_S)
     # What was not sent needs no time to settle.
     assert (entry.name in controller._pending_orders) is is_sent
+
+
+# Guards against an order that a network cut has delayed until a second holder may order: the kernel
+# sends it again for as long as this, also after the host has closed the connection.
+def test_no_order_is_in_transit_when_another_holder_may_order() -> None:
+    assert ORDER_DELAY_S * 1000.0 >= TCP_USER_TIMEOUT_MS
