--- a/berylquay/relay/role_controller.py
+++ b/berylquay/relay/role_controller.py
@@ -34,9 +34,10 @@
 
 # Validity of a claim: enough for a report and an order to each engine of a small plan.
 CLAIM_DURATION_S: Final = 2.0
-# Time for which an order may be delayed in transit. Added to the lease, it is the time after a
+# Time for which an order may be delayed in transit: the kernel sends it again for 2.5 s
+# (TCP_USER_TIMEOUT_MS), also after its connection was closed. Added to the lease, it is the time after a
 # claim's end in which no other holder may send orders.
-ORDER_DELAY_S: Final = 2.0
+ORDER_DELAY_S: Final = 2.6
 # Interval between checks of the role plan.
 PLAN_CHECK_INTERVAL_S: Final = 0.25
 # Delay for each live host that sorts before this one by name, so that only one host acts.
@@ -232,6 +233,15 @@
                 # Not accepted: plan again without this order.
                 self._pending_orders.pop(entry.name, None)
 
+        def may_send() -> bool:
+            # The connection may be established after the claim has ended: the host was frozen, or
+            # cut off from the engine.
+            is_valid = self._claims.fencing_number(claim_clock_s()) == term
+            if not is_valid:
+                _log.info("no order: the claim has ended", backend=entry.name)
+                self._pending_orders.pop(entry.name, None)
+            return is_valid
+
         self._pending_orders[entry.name] = _PendingOrder(change, now_s)
         _log.info(
             "order",
@@ -242,7 +252,7 @@
             expected_orders=accepted_orders,
         )
         request = encode_order_request(entry.address, entry.name, order)
-        self._engine_request = self._send_engine_request(entry, request, on_answer, now_s)
+        self._engine_request = self._send_engine_request(entry, request, on_answer, now_s, may_send)
 
     def _send_engine_request(
         self,
@@ -250,6 +260,7 @@
         request: RawRequest,
         on_done: Callable[[int, bytes], None],
         now_s: float,
+        may_send: Callable[[], bool] | None = None,
     ) -> UpstreamRequest:
         # An order by way of another host would look like that of a second holder.
         connection = self._services.acquire_connection(entry, True, now_s, may_use_gateway=False)
@@ -261,4 +272,5 @@
             call_id="",
             on_notice=self._services.on_server_notice,
             now_s=now_s,
+            may_send=may_send,
         )
