--- a/berylquay/relay/role_controller.py
+++ b/berylquay/relay/role_controller.py
@@ -236,7 +236,7 @@
         def may_send() -> bool:
             # The connection may be established after the claim has ended: the host was frozen, or
             # cut off from the engine.
-            is_valid = self._claims.fencing_number(claim_clock_s()) == term
+            is_valid = self._claimant.fencing_number() == term
             if not is_valid:
                 _log.info("no order: the claim has ended", backend=entry.name)
                 self._pending_orders.pop(entry.name, None)
--- a/tests/relay/test_late_orders.py
+++ b/tests/relay/test_late_orders.py
@@ -14,7 +14,7 @@
     Connection,
     ConnectionHandler,
 )
-from berylquay.relay import role_controller
+from berylquay.relay import claimant
 from berylquay.relay.role_controller import CLAIM_DURATION_S, ORDER_DELAY_S, RoleController
 from tests.support.fake_connections import FakeConnections
 
@@ -42,13 +42,14 @@
     monkeypatch: pytest.MonkeyPatch, frozen_s: float
 ) -> None:
     connections, services, now_s = ConnectingConnections(), Mock(), [0.0]
-    monkeypatch.setattr(role_controller, "claim_clock_s", lambda: now_s[0])
+    monkeypatch.setattr(claimant, "claim_clock_s", lambda: now_s[0])
     services.acquire_connection = lambda entry, *_arguments, **_options: PersistentConnection(
         entry.address, lambda _connection: None, lambda _connection: None, connections
     )
     controller = RoleController(services, Mock(), "host-0", lease_s=3.0, host_rank=lambda: 0)
-    controller._claims.on_append_sent(0.0)
-    controller._claims.on_claimed(0)
+    claims = controller._claimant._claims
+    claims.on_append_sent(0.0)
+    claims.on_claimed(0)
     entry = BackendEntry("engine-0", "lm", ADDRESS, "a", 4, EntryState.READY, role=Role.DECODE)
     controller._send_order(entry, RoleChange(entry.name, Role.PREFILL), accepted_orders=0)
     connection = connections.opened
