--- a/berylquay/relay/stream_version_store.py
+++ b/berylquay/relay/stream_version_store.py
@@ -28,6 +28,8 @@
 
 # Interval between two appends.
 APPEND_INTERVAL_S: Final = 0.1
+# Interval at which it is checked which pools have had several versions.
+CHECK_INTERVAL_S: Final = 0.1
 # Least time between the starts of two reads.
 READ_INTERVAL_S: Final = 0.2
 # Bounds on what is read at the start: records of 60 s of ten groups with two versions, and bytes.
@@ -64,8 +66,9 @@
     _ask: Callable[[str, Address], None]
     _reply: Callable[[str, Address], object]
     _now_s: float = field(default=float("-inf"), init=False)
-    # Pools that have had several versions at the last tick.
+    # Pools that have had several versions, at the last check.
     _mixed_pools: set[str] = field(factory=set, init=False)
+    _next_check_s: float = field(default=float("-inf"), init=False)
     # Streams of the append in flight.
     _saving: dict[bytes, str] = field(factory=dict, init=False)
     _next_append_s: float = field(default=float("-inf"), init=False)
@@ -135,8 +138,10 @@
         self._now_s = now_s
         self._append_client.on_tick(now_s)
         self._read_client.on_tick(now_s)
-        self._update_mixed_pools(now_s)
-        self.ledger.expire(now_s)
+        if now_s >= self._next_check_s:
+            self._next_check_s = now_s + CHECK_INTERVAL_S
+            self._update_mixed_pools(now_s)
+            self.ledger.expire(now_s)
         self._answer_queries(now_s)
         if (
             self.ledger.has_unsaved
--- a/tests/relay/test_streams_after_host_loss.py
+++ b/tests/relay/test_streams_after_host_loss.py
@@ -9,7 +9,7 @@
 
 from berylquay.net.http_client import STATUS_OK
 from tests.relay.test_stream_versions import OpenStream, resume
-from tests.support.relay_fleet import RelayFleet, make_configuration
+from tests.support.relay_fleet import RelayFleet, make_configuration, wait_until
 
 HOSTS: Final = 3
 STREAMS: Final = 24
@@ -101,3 +101,66 @@
     share = served_share(results)
     print(f"{share:.2f} of {len(results)} continuations served")
     assert share >= least_served, results
+
+
+# Guards against a continuation at another version, and one that is not refused at once, after the
+# servers of the version that began it have gone.
+def test_streams_of_a_version_that_is_gone_are_refused(fleet: RelayFleet) -> None:
+    versions = {"decode-0": "v1", "decode-1": "v2"}
+    start_fleet(fleet, versions)
+    streams = begin_streams(fleet)
+    time.sleep(0.3)
+    fleet.kill_hosts(*range(HOSTS))
+    fleet.put("keyed.servers", "decode-0", None)
+    fleet.restart_hosts(*range(HOSTS))
+    results = continue_streams(fleet, streams, versions)
+    of_present = [result for result in results if result.begun_at == "v2"]
+    assert served_share(results) < 1.0
+    assert served_share(of_present) >= 0.7, results
+    assert {result.status for result in results if result.begun_at == "v1"} == {503}
+
+
+# Guards against a version that counts as the only one because the store has forgotten another.
+def test_a_store_that_came_back_older_does_not_tell_the_version(fleet: RelayFleet) -> None:
+    versions = {"decode-0": "v1", "decode-1": "v2"}
+    start_fleet(fleet, {"decode-0": "v1"})
+    copied_s = time.monotonic()
+    fleet.add_backend("decode-1", "lm", "decode", *ENGINE_ARGUMENTS)
+    fleet.register("decode-1", "lm", "decode", seq=2, version="v2")
+    wait_until(lambda: ["v1", "v2"] in _written_versions(fleet))
+    time.sleep(REPORT_INTERVAL_S)
+    streams = begin_streams(fleet)
+    fleet.kill_hosts(*range(HOSTS))
+    # The copy is of before the second version was recorded; its server is gone.
+    fleet.put("keyed.servers", "decode-1", None)
+    fleet.store.post("/restore", {"copy_age_s": time.monotonic() - copied_s})
+    fleet.restart_hosts(*range(HOSTS))
+    results = continue_streams(fleet, streams, versions)
+    assert {result.begun_at for result in results} == {"v1", "v2"}
+    assert served_share(results) < 1.0
+
+
+# Guards against hosts that begin streams at a version which the record lacks.
+def test_a_stream_begins_at_a_recorded_version(fleet: RelayFleet) -> None:
+    start_fleet(fleet, {"decode-0": "v1"})
+    fleet.store.post("/faults", {"refuse_appends": True})
+    fleet.add_backend("decode-1", "lm", "decode", *ENGINE_ARGUMENTS)
+    fleet.register("decode-1", "lm", "decode", seq=2, version="v2")
+    time.sleep(REPORT_INTERVAL_S)
+    begin_streams(fleet)
+    assert not fleet.runs("decode-1")
+    fleet.store.post("/faults", {})
+    wait_until(lambda: ["v1", "v2"] in _written_versions(fleet))
+    time.sleep(REPORT_INTERVAL_S)
+    begin_streams(fleet, "later")
+    assert fleet.runs("decode-1")
+
+
+def _written_versions(fleet: RelayFleet) -> list[object]:
+    """Returns the versions of each record that the hosts have written."""
+    return [
+        line["present"]
+        for host in range(HOSTS)
+        for line in fleet.log_lines(host)
+        if line["message"] == "pool versions written"
+    ]
