Distrust a list of servers from before a suspension of the host

The monotonic clock stands still while a host is suspended, so a list that is minutes old looks current afterwards, and with it the only version of a pool. A jump of CLOCK_BOOTTIME against it now voids the list until it is confirmed again; the pool's record is then read again. Numbers of records and datagrams on versions are bounded, as infinity and huge integers raised errors that nothing caught. Tests of both.

--- a/berylquay/decisions/pool_version_history.py
+++ b/berylquay/decisions/pool_version_history.py
@@ -20,6 +20,8 @@
 # Time for which a version must be missing from the list before it is recorded as absent. Lists of
 # two hosts differ by up to `MAX_LIST_AGE_S`.
 ABSENCE_DELAY_S: Final = 3.0
+# Time for which the monotonic clock may stand still before the list counts as outdated.
+MAX_SUSPENSION_S: Final = 0.5
 MS_PER_S: Final = 1000.0
 # Era of a record that can't be read; lower than any that a store states.
 UNKNOWN_ERA: Final = -1
@@ -41,6 +43,10 @@
 
     # Monotonic time since which this host knows the list of servers without a gap, or None.
     _known_since_s: float | None
+    # Monotonic time before which no confirmation of the list counts, and the difference between the
+    # clock that runs while the host is suspended and the monotonic one, or None if not known.
+    _confirmed_from_s: float
+    _clock_difference_s: float | None
     # Monotonic time at which the last complete read of the records was sent, or None.
     _read_sent_s: float | None
     # Pools whose record was current at a time at which the list was known, without a gap since.
@@ -61,6 +67,8 @@
 
     def __init__(self) -> None:
         self._known_since_s = None
+        self._confirmed_from_s = float("-inf")
+        self._clock_difference_s = None
         self._read_sent_s = None
         self._complete_pools = set()
         self._listed = {}
@@ -87,9 +95,20 @@
         """Returns the pools that have servers or a record."""
         return {*self._listed, *self._records}
 
+    def on_clocks(self, now_s: float, boot_s: float) -> None:
+        """Takes both clocks; a list from before a suspension of the host is outdated.
+
+        Args:
+            now_s: Present time of the monotonic clock, which stands still in a suspension.
+            boot_s: Present time of the clock that does not.
+        """
+        before_s, self._clock_difference_s = self._clock_difference_s, boot_s - now_s
+        if before_s is not None and boot_s - now_s - before_s > MAX_SUSPENSION_S:
+            self._confirmed_from_s = now_s
+
     def on_list_confirmed(self, confirmed_s: float, now_s: float) -> None:
         """Records when the list of servers was last known to be current."""
-        if now_s - confirmed_s > MAX_LIST_AGE_S:
+        if now_s - confirmed_s > MAX_LIST_AGE_S or confirmed_s < self._confirmed_from_s:
             self._known_since_s = None
             self._complete_pools.clear()
         elif self._known_since_s is None:
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -550,7 +550,9 @@
         elif self._backends_follower.has_snapshot:
             registry.on_store_answered(now_s)
         self._backends_view.expire(now_s)
-        self._services.pool_versions.on_list_confirmed(self._backends_follower.confirmed_s, now_s)
+        pool_versions = self._services.pool_versions
+        pool_versions.on_clocks(time.monotonic(), time.clock_gettime(time.CLOCK_BOOTTIME))
+        pool_versions.on_list_confirmed(self._backends_follower.confirmed_s, now_s)
 
     def _check_roles(self, now_s: float) -> None:
         table = self._configuration_view.table
--- a/berylquay/relay/pool_version_store.py
+++ b/berylquay/relay/pool_version_store.py
@@ -29,7 +29,7 @@
 from berylquay.platform.wire_names import TOPIC_POOL_VERSIONS
 from berylquay.relay.follower import FAILURE_BACKOFF
 from berylquay.relay.metrics import RelayMetrics
-from berylquay.relay.version_datagrams import PoolRecordNotice, encode_pool_record
+from berylquay.relay.version_datagrams import MAX_NUMBER, PoolRecordNotice, encode_pool_record
 
 MS_PER_S: Final = 1000.0
 # Longest name of a pool that can be the key of a record.
@@ -68,14 +68,18 @@
             isinstance(present, list)
             and all(isinstance(version, str) for version in present)
             and isinstance(absent, dict)
-            and all(type(unix_ms) is int for unix_ms in absent.values())
-            and (era is None or type(era) is int)
+            and all(_is_number(unix_ms) for unix_ms in absent.values())
+            and (era is None or _is_number(era))
         )
     except (ValueError, KeyError, TypeError, RecursionError):
         return None
     return PoolVersionRecord(frozenset(present), absent, era) if is_valid else None
 
 
+def _is_number(value: object) -> bool:
+    return type(value) is int and 0 <= value <= MAX_NUMBER
+
+
 @define(eq=False, kw_only=True)
 class PoolVersionStore:
     """Keeps the records of the pools' versions up to date, and passes on what they state."""
--- a/berylquay/relay/version_datagrams.py
+++ b/berylquay/relay/version_datagrams.py
@@ -14,6 +14,8 @@
 VERSION_RECORD_TAG: Final = b"\x09"
 POOL_KIND: Final = "pool"
 STREAMS_KIND: Final = "streams"
+# Largest time, era or offset that is read.
+MAX_NUMBER: Final = 10**18
 
 
 @frozen
@@ -68,10 +70,10 @@
             _to_text(pool),
             PoolVersionRecord(
                 frozenset(_to_text(version) for version in present),
-                {_to_text(version): int(unix_ms) for version, unix_ms in absent.items()},
-                None if era is None else int(str(era)),
+                {_to_text(version): _to_number(unix_ms) for version, unix_ms in absent.items()},
+                None if era is None else _to_number(era),
             ),
-            int(str(offset)),
+            _to_number(offset),
         )
     except FIELD_ERRORS:
         return None
@@ -101,6 +103,12 @@
     return value
 
 
+def _to_number(value: object) -> int:
+    if type(value) is not int or not 0 <= value <= MAX_NUMBER:
+        raise TypeError("not a time, an era or an offset")
+    return value
+
+
 def _split_hashes(joined: object) -> tuple[bytes, ...]:
     if not isinstance(joined, bytes) or len(joined) % HASH_BYTES:
         raise TypeError("not a list of hashes")
--- a/tests/relay/test_pool_version_records.py
+++ b/tests/relay/test_pool_version_records.py
@@ -1,5 +1,6 @@
 """Versions of pools and of streams in the store: single decisions, formats and datagrams."""
 
+import json
 from typing import Final
 
 import pytest
@@ -22,7 +23,9 @@
 )
 from berylquay.decisions.stream_versions import STREAM_RETENTION_S
 from berylquay.relay.pool_version_store import decode_record, encode_record
+from berylquay.relay.report_fields import compress_fields
 from berylquay.relay.version_datagrams import (
+    POOL_KIND,
     VERSION_RECORD_TAG,
     PoolRecordNotice,
     StreamsNotice,
@@ -99,6 +102,18 @@
     assert history.only_version("lm", entries("v1"), 6.1) == "v1"
 
 
+# Guards against a host that was suspended and takes its list, and the record, for current.
+def test_a_suspension_voids_the_list_until_it_is_confirmed_again() -> None:
+    history = make_history(PoolVersionRecord(frozenset({"v1"}), {}, 2), "v1")
+    for now_s, boot_s in ((1.0, 101.0), (1.5, 101.8), (1.6, 131.6)):
+        history.on_clocks(now_s, boot_s)
+        history.on_list_confirmed(1.0, now_s)
+    assert history.only_version("lm", entries("v1"), 1.6) is None
+    assert not history.needs_read
+    history.on_list_confirmed(1.7, 1.8)
+    assert history.needs_read
+
+
 # Guards against streams that begin at a version of which a host that starts anew would not know.
 def test_streams_begin_at_recorded_versions() -> None:
     record = PoolVersionRecord(frozenset({"v1"}), {}, 2)
@@ -158,6 +173,15 @@
     assert decode_record(data) is None
 
 
+@pytest.mark.parametrize("number", [float("inf"), 10**400, -1, "1", True, None])
+def test_numbers_out_of_range_are_refused(number: object) -> None:
+    fields: list[object] = [POOL_KIND, "lm", ["v1"], {"v0": number}, 2, 1]
+    data = VERSION_RECORD_TAG + compress_fields(fields)
+    assert decode_version_datagram(data) is None
+    value = {"present": ["v1"], "absent": {"v0": number}, "era": 2}
+    assert decode_record(json.dumps(value).encode()) is None
+
+
 def test_streams_that_could_not_be_written_wait_within_a_bound() -> None:
     ledger = StreamLedger()
     ledger.collect("v1", [hash_stream("c-0")], 0.0)
