Tell the present keepers of a stream whose version the store has shown

The keepers that were told when the stream began are gone then. If the hosts are lost again, or the pool gets a second version, the stream would not be known any more.

--- a/berylquay/relay/stream_lookup.py
+++ b/berylquay/relay/stream_lookup.py
@@ -15,6 +15,8 @@
 # to read versions in the store.
 LOOKUP_TIMEOUT_S: Final = 0.35
 READ_TIMEOUT_S: Final = 1.0
+# Sources of a version that is told to the present keepers.
+LASTING_SOURCES: Final = frozenset({"store", "only-version"})
 MS_PER_S: Final = 1000.0
 _log = logbook.Logger("exchange")
 
@@ -106,9 +108,15 @@
         return services.pool_versions.only_version(pool, listed, now_s)
 
     def _finish(self, version: str | None, source: str, now_s: float) -> LookupState:
-        call = self._call
+        call, services = self._call, self._services
         call.stream_version = version
-        self._services.metrics.on_stream_taken_up(source)
+        if version is not None and call.resumed_call_id and source in LASTING_SOURCES:
+            # The keepers that were told when the stream began are gone.
+            services.stream_versions.on_stream_begun(call.resumed_call_id, version, now_s)
+            services.stream_version_store.on_stream_begun(
+                call.pool.name, call.resumed_call_id, version, now_s
+            )
+        services.metrics.on_stream_taken_up(source)
         _log.info(
             "stream taken up",
             id=call.call_id,
