--- a/berylquay/decisions/pool_version_history.py
+++ b/berylquay/decisions/pool_version_history.py
@@ -20,6 +20,8 @@
 # Time for which a version must be missing from the list before it is recorded as absent. Lists of
 # two hosts differ by up to `MAX_LIST_AGE_S`.
 ABSENCE_DELAY_S: Final = 3.0
+# Time for which the monotonic clock may stand still before the list counts as outdated.
+MAX_SUSPENSION_S: Final = 0.5
 MS_PER_S: Final = 1000.0
 # Era of a record that can't be read; lower than any that a store states.
 UNKNOWN_ERA: Final = -1
@@ -41,6 +43,10 @@
 
     # Monotonic time since which this host knows the list of servers without a gap, or None.
     _known_since_s: float | None
+    # Monotonic time before which no confirmation of the list counts, and the difference between the
+    # clock that runs while the host is suspended and the monotonic one, or None if not known.
+    _confirmed_from_s: float
+    _clock_difference_s: float | None
     # Monotonic time at which the last complete read of the records was sent, or None.
     _read_sent_s: float | None
     # Pools whose record was current at a time at which the list was known, without a gap since.
@@ -50,8 +56,8 @@
     _records: dict[str, PoolVersionRecord]
     # Whether a record of any pool was of a former era at the last read.
     _has_former_era: bool
-    # Monotonic time until which a version counts besides the listed ones, by pool and version.
-    _counts_until_s: dict[tuple[str, str], float]
+    # Monotonic time until which each version counts besides the listed ones, by pool.
+    _counts_until_s: dict[str, dict[str, float]]
     # Monotonic time since which a recorded version is missing from the list.
     _absent_since_s: dict[tuple[str, str], float]
     # Recorded versions at which streams may begin, by pool.
@@ -61,6 +67,8 @@
 
     def __init__(self) -> None:
         self._known_since_s = None
+        self._confirmed_from_s = float("-inf")
+        self._clock_difference_s = None
         self._read_sent_s = None
         self._complete_pools = set()
         self._listed = {}
@@ -83,13 +91,24 @@
         return known_since_s is not None and (read_sent_s is None or read_sent_s < known_since_s)
 
     @property
-    def pools(self) -> list[str]:
+    def pools(self) -> set[str]:
         """Returns the pools that have servers or a record."""
-        return sorted({*self._listed, *self._records})
+        return {*self._listed, *self._records}
+
+    def on_clocks(self, now_s: float, boot_s: float) -> None:
+        """Takes both clocks; a list from before a suspension of the host is outdated.
+
+        Args:
+            now_s: Present time of the monotonic clock, which stands still in a suspension.
+            boot_s: Present time of the clock that does not.
+        """
+        before_s, self._clock_difference_s = self._clock_difference_s, boot_s - now_s
+        if before_s is not None and boot_s - now_s - before_s > MAX_SUSPENSION_S:
+            self._confirmed_from_s = now_s
 
     def on_list_confirmed(self, confirmed_s: float, now_s: float) -> None:
         """Records when the list of servers was last known to be current."""
-        if now_s - confirmed_s > MAX_LIST_AGE_S:
+        if now_s - confirmed_s > MAX_LIST_AGE_S or confirmed_s < self._confirmed_from_s:
             self._known_since_s = None
             self._complete_pools.clear()
         elif self._known_since_s is None:
@@ -105,9 +124,9 @@
         for entry in entries:
             versions.setdefault(entry.pool, set()).add(entry.software_version)
         self._listed = {pool: frozenset(names) for pool, names in versions.items()}
-        self._counts_until_s = {
-            key: until_s for key, until_s in self._counts_until_s.items() if until_s > now_s
-        }
+        for counts_until_s in self._counts_until_s.values():
+            for version in [name for name, until_s in counts_until_s.items() if until_s <= now_s]:
+                del counts_until_s[version]
         for pool, record in self._records.items():
             self._update_absences(pool, record, now_s)
 
@@ -219,15 +238,15 @@
         return pool in self._complete_pools or known_since_s <= now_s - STREAM_RETENTION_S
 
     def _count(self, pool: str, version: str, until_s: float) -> None:
-        key = pool, version
-        self._counts_until_s[key] = max(until_s, self._counts_until_s.get(key, until_s))
+        counts_until_s = self._counts_until_s.setdefault(pool, {})
+        counts_until_s[version] = max(until_s, counts_until_s.get(version, until_s))
 
     def _counting(self, pool: str, now_s: float) -> frozenset[str]:
         """Returns the versions that the pool has had of late, besides the listed ones."""
         return frozenset(
             version
-            for (counted_pool, version), until_s in self._counts_until_s.items()
-            if counted_pool == pool and until_s > now_s
+            for version, until_s in self._counts_until_s.get(pool, {}).items()
+            if until_s > now_s
         )
 
     def _absent(self, pool: str, record: PoolVersionRecord, now_s: float) -> frozenset[str]:
