Share capacity fairly among tenants when calls are queued or refused

One tenant that sends ten times its load, with callers that retry at once, took the capacity of the others, and small tenants could lose all their calls.

A tenant's fair share is in proportion to what it asks for, up to three times what is usual for it. While calls are queued or refused, a call joins a queue that is the shorter the more of its share its tenant has used; an idle engine takes every call. Hosts exchange their sums (datagram 0x0a, at most 128 tenants, only with tenants in the configuration). berylquayd's shares use the same decayed sums and move to decisions/tenants/shares.py.

--- a/bench/sizes.py
+++ b/bench/sizes.py
@@ -10,7 +10,7 @@
 from bench.scenarios import read_fleet
 from berylquay.decisions.deployment import TenantSpec
 from berylquay.decisions.deployment_json import deployment_to_json
-from berylquay.decisions.tenant_shares import TenantShares
+from berylquay.decisions.tenants.shares import TenantShares
 from berylquay.peers.codec import encode_payload
 from berylquay.peers.payloads import CrashReport, DrainAcknowledgement, DrainNotice, Heartbeat
 from berylquay.standalone.membership_poller import parse_membership
--- a/berylquay/decisions/predicted_admission.py
+++ b/berylquay/decisions/predicted_admission.py
@@ -14,7 +14,7 @@
 from berylquay.decisions.latency_prediction import LatencyPredictor
 from berylquay.decisions.prediction_correction import PredictionCorrection
 from berylquay.decisions.routing import Candidate
-from berylquay.decisions.tenant_shares import TenantShares
+from berylquay.decisions.tenants.shares import TenantShares
 
 
 @frozen
--- a/berylquay/decisions/relay_admission.py
+++ b/berylquay/decisions/relay_admission.py
@@ -53,6 +53,23 @@
     retry_after_s: float = 0.0
 
 
+def first_token_limit_s(call: RelayCall, options: AdmissionOptions, now_s: float) -> float:
+    """Returns the time from now within which the first token of a request must be predicted."""
+    return min(
+        options.stall_timeout_fraction * call.route.stall_timeout_s - (now_s - call.received_s),
+        options.remaining_time_fraction * call.remaining_s(now_s),
+    )
+
+
+def can_wait(
+    call: RelayCall, placement: Placement, options: AdmissionOptions, now_s: float
+) -> bool:
+    """Tells whether a request would meet its limit if it were sent a little later."""
+    idle_s = options.idle_engine_wait_s
+    later_s = placement.first_token_s * (1.0 + idle_s) + idle_s
+    return later_s <= first_token_limit_s(call, options, now_s)
+
+
 def admit(
     call: RelayCall,
     placement: Placement,
@@ -72,26 +89,21 @@
         rng: Chooses at random which of them use it.
         now_s: Present time.
     """
-    waited_s = now_s - call.received_s
-    route = call.route
-    limit_s = min(
-        options.stall_timeout_fraction * route.stall_timeout_s - waited_s,
-        options.remaining_time_fraction * call.remaining_s(now_s),
-    )
     first_token_s = placement.first_token_s
-    if first_token_s > limit_s:
+    if first_token_s > first_token_limit_s(call, options, now_s):
         # Time in which the queue drains to half of the objective if nothing is added to it.
-        queue_drain_s = first_token_s - route.objective_s / 2.0
+        queue_drain_s = first_token_s - call.route.objective_s / 2.0
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, queue_drain_s))
         return Admission(AdmissionAction.REFUSE, retry_after_s)
-    in_time = waited_s + first_token_s <= options.objective_fraction * route.objective_s
+    objective_s = options.objective_fraction * call.route.objective_s
+    in_time = now_s - call.received_s + first_token_s <= objective_s
     if in_time or call.is_caller_retry:
         return Admission(AdmissionAction.SEND)
     if placement.prefill_wait_s <= options.idle_engine_wait_s and rng.random() < 2.0 / (
         1.0 + host_count
     ):
         return Admission(AdmissionAction.SEND)
-    if first_token_s * (1.0 + options.idle_engine_wait_s) + options.idle_engine_wait_s > limit_s:
+    if not can_wait(call, placement, options, now_s):
         # If it were sent later, its first token would miss the limit.
         return Admission(AdmissionAction.SEND)
     return Admission(AdmissionAction.QUEUE)
--- a/berylquay/decisions/relay_call.py
+++ b/berylquay/decisions/relay_call.py
@@ -1,9 +1,15 @@
 """A relayed call: the state of an opaque request of a caller, for routing and retries."""
 
+from typing import Final
+
 from attrs import define, field, frozen
 
 from berylquay.decisions.route_table import Pool, Route
 
+# Work of one token to generate, in tokens to prefill. An estimate: a token of a stream takes part
+# in a step of its own, beside those of all other streams of the engine.
+OUTPUT_TOKEN_WEIGHT: Final = 4
+
 
 @frozen
 class PromptSegment:
@@ -29,6 +35,14 @@
     # Size of the request's body, which is sent to each engine that is used.
     request_bytes: int = 0
 
+    @property
+    def work_tokens(self) -> int:
+        """Returns the work at engines for comparisons between tenants, in prompt tokens.
+
+        It does not depend on what engines have cached, which is no merit of a tenant.
+        """
+        return self.prompt_tokens + OUTPUT_TOKEN_WEIGHT * self.max_output_tokens
+
     @property
     def shared_tokens(self) -> int:
         """Returns the total length of the segments that other requests may share."""
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -65,6 +65,7 @@
     STREAM_VERSION_TAG,
     StreamVersionExchange,
 )
+from berylquay.relay.tenant_use_exchange import TENANT_USE_TAG, TenantUseExchange
 from berylquay.settings.relay_settings import RelayOptions, SettingsFileWatcher, read_relay_settings
 
 MS_PER_S: Final = 1000.0
@@ -155,6 +156,7 @@
                 CRASH_REPORT_TAG: self._services.segment_crashes.on_datagram,
                 STREAM_VERSION_TAG: self._services.stream_versions.on_version_datagram,
                 STREAM_QUERY_TAG: self._services.stream_versions.on_query_datagram,
+                TENANT_USE_TAG: self._services.tenant_use.on_datagram,
             },
         )
         self._request_handler = RequestHandler(
@@ -235,6 +237,11 @@
                 send=self._send_to_host,
             ),
             pool_versions=PoolVersions(),
+            tenant_use=TenantUseExchange(
+                host=options.host,
+                get_group_size=lambda: self._peer_exchange.group_size,
+                send_to_group=self._send_to_group,
+            ),
             connection_pool=BackendConnectionPool(connections, path_monitor),
             path_monitor=path_monitor,
             metrics=metrics,
@@ -455,12 +462,17 @@
         self._quarantine_store.on_tick(now_s)
         self._request_handler.on_tick(now_s)
         self._services.stream_versions.on_tick(now_s)
+        self._services.tenant_use.on_tick(now_s, has_tenants=self._has_tenants())
         self._peer_exchange.on_tick(now_s)
         self._check_roles(now_s)
         self._log_handler.on_tick(now_s)
         if self._shutdown_schedule is not None:
             self._advance_shutdown(self._shutdown_schedule, now_s)
 
+    def _has_tenants(self) -> bool:
+        table = self._configuration_view.table
+        return table is not None and table.tenant_keys is not None
+
     def _update_store_state(self, now_s: float) -> None:
         registry = self._services.registry
         if self._backends_follower.consecutive_failures:
--- a/berylquay/relay/region_exchange.py
+++ b/berylquay/relay/region_exchange.py
@@ -31,6 +31,7 @@
 )
 from berylquay.relay.server_notice_handler import LEAVING_TAG, LIMIT_TAG
 from berylquay.relay.stream_version_exchange import STREAM_QUERY_TAG, STREAM_VERSION_TAG
+from berylquay.relay.tenant_use_exchange import TENANT_USE_TAG
 from berylquay.relay.topic_deltas import DELTA_TAG, TopicDelta, decode_delta
 
 # First byte of a summary's datagram, and of one that the first host of the receiving region is to
@@ -49,6 +50,7 @@
         LIMIT_TAG,
         STREAM_VERSION_TAG,
         STREAM_QUERY_TAG,
+        TENANT_USE_TAG,
     }
 )
 SUMMARY_INTERVAL_S: Final = 0.25
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -168,6 +168,9 @@
 
     def _begin(self, now_s: float) -> None:
         if self.call.generation is not None:
+            if self.call.tenant is not None and not self.call.is_caller_retry:
+                shares = self._services.tenant_use.shares
+                shares.on_asked(self.call.tenant, self.call.generation.work_tokens, now_s)
             self._place_generation(now_s, is_first_placement=True)
         else:
             self._send_to_server(now_s)
@@ -276,6 +279,9 @@
             return
         self._queued = False
         self._placement = placement
+        if needs_admission and self.call.tenant is not None:
+            shares = self._services.tenant_use.shares
+            shares.on_sent(self.call.tenant, generation.work_tokens, now_s)
         log_placement(self._services, self.call, placement, "placed", now_s)
         if placement.prefill_engine is None:
             self._send_run(placement.decode_engine, None, now_s)
@@ -316,6 +322,9 @@
             rng=services.rng,
             now_s=now_s,
         )
+        if self.call.tenant is not None:
+            shares = services.tenant_use.shares
+            admission = shares.adjust(admission, self.call, placement, services.admission, now_s)
         if admission.action is AdmissionAction.SEND:
             return True
         if admission.action is AdmissionAction.QUEUE:
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -26,6 +26,7 @@
 from berylquay.relay.pending_updates import PendingUpdates
 from berylquay.relay.segment_crash_handler import SegmentCrashHandler
 from berylquay.relay.stream_version_exchange import StreamVersionExchange
+from berylquay.relay.tenant_use_exchange import TenantUseExchange
 from berylquay.relay.upstream_request import NoticeListener, UpstreamRequest
 
 
@@ -49,6 +50,8 @@
     # Software versions at which callers' streams began, and those that pools have had.
     stream_versions: StreamVersionExchange
     pool_versions: PoolVersions
+    # Work of each tenant, of this host and of those that exchange load reports with it.
+    tenant_use: TenantUseExchange
     connection_pool: BackendConnectionPool
     # Whether this host reaches the servers by connections of its own.
     path_monitor: PathMonitor
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -13,7 +13,7 @@
 from berylquay.decisions.latency_prediction import LatencyPredictor
 from berylquay.decisions.predicted_admission import PredictedAdmission
 from berylquay.decisions.prediction_correction import PredictionCorrection
-from berylquay.decisions.tenant_shares import TenantShares
+from berylquay.decisions.tenants.shares import TenantShares
 from tests.test_routing import make_call, make_server
 
 TENANTS = (TenantSpec("fes", 1.0), TenantSpec("tangier", 1.0))
