Give the soak test tenants, and let the stand-in server check them

Nothing showed whether a server ever sees a key or another tenant under faults, nor whether a removed key runs anything.

The soak test's callers have keys; some of them come and go with the configuration versions. New checks: removed_keys_run_nothing, servers_see_the_tenant. Docs of the shares of tenants.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,7 +9,7 @@
 import h11
 from attrs import define, field, frozen
 
-from soak.fleet import EXTRA_ROUTE_PATH
+from soak.fleet import EXTRA_ROUTE_PATH, TENANTS, key_of
 from tests.support.relay_fleet import HOST_NAME, PATHS
 
 REQUEST_KINDS: Final = ("stream", "resumable", "once", "many", "extra")
@@ -19,6 +19,8 @@
 # Longer than the deadline that a caller sends, so that a late answer is recorded as late.
 ANSWER_TIMEOUT_S: Final = 4.0
 ABANDON_PROBABILITY: Final = 0.06
+# Of requests with a key that configuration versions remove and add again.
+REMOVABLE_KEY_PROBABILITY: Final = 0.1
 MAX_REQUESTS_PER_CONNECTION: Final = 8
 PAUSE_RANGE_S: Final = (0.01, 0.25)
 RECEIVE_BYTES: Final = 65536
@@ -41,6 +43,9 @@
     # Time at which the caller closed the connection before the end, or None.
     abandoned_s: float | None = None
     ended_s: float = 0.0
+    # Tenant of the caller, or None if it sent no key, and whether its key is a removable one.
+    tenant: str | None = None
+    has_removable_key: bool = False
 
 
 @frozen
@@ -72,6 +77,7 @@
         for _ in range(rng.randint(1, MAX_REQUESTS_PER_CONNECTION)):
             count += 1
             attempt = _make_attempt(f"c{number}n{count}", host, rng)
+            attempt.tenant = TENANTS[number % len(TENANTS)]
             setup.attempts.append(attempt)
             abandon_after_s = rng.uniform(0.01, 0.3) if rng.random() < ABANDON_PROBABILITY else None
             await _send_and_receive(attempt, protocol, reader, writer, abandon_after_s)
@@ -86,7 +92,9 @@
 
 def _make_attempt(call_id: str, host: str, rng: Random) -> Attempt:
     kind = rng.choices(REQUEST_KINDS, REQUEST_KIND_WEIGHTS)[0]
-    return Attempt(call_id, kind, host, time.monotonic())
+    attempt = Attempt(call_id, kind, host, time.monotonic())
+    attempt.has_removable_key = kind != "extra" and rng.random() < REMOVABLE_KEY_PROBABILITY
+    return attempt
 
 
 async def _send_and_receive(
@@ -121,6 +129,9 @@
         ("Deadline-Ms", str(int(DEADLINE_S * 1000.0))),
         ("Content-Length", str(len(body))),
     ]
+    if attempt.tenant is not None:
+        key = key_of(attempt.tenant, is_removable=attempt.has_removable_key)
+        headers += [("Authorization", f"Bearer {key}"), ("Tenant", "chosen-by-the-caller")]
     if attempt.kind in GENERATION_KINDS:
         shared_segment = f"{sum(body) % SHARED_SEGMENTS:04x}"
         headers += [
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -30,15 +30,22 @@
 LIMIT_PER_S: Final = 2.0
 REWRITE_DELAY_S: Final = 0.4
 EVENTS_PER_STREAM: Final = 8
+# Tenants, each with a key that stays, and one that versions with the optional route have only.
+TENANTS: Final = ("t0", "t1", "t2")
 EVENT_INTERVAL_MS: Final = 25.0
 
 
+def key_of(tenant: str, *, is_removable: bool) -> str:
+    """Returns a key of a tenant."""
+    return f"removable-key-{tenant}" if is_removable else f"key-{tenant}"
+
+
 @define
 class ConfigurationVersion:
     """One configuration version that was written to the store."""
 
     acknowledged_s: float
-    # Whether it has the optional route, which later versions add and remove.
+    # Whether it has the optional route and the removable keys, which later versions add and remove.
     has_extra_route: bool
 
 
@@ -109,7 +116,12 @@
 
     def put_configuration(self, *, has_extra_route: bool) -> None:
         """Writes the next configuration version, with or without the optional route."""
-        configuration = make_configuration(version=len(self.versions) + 1)
+        kinds = (False, True) if has_extra_route else (False,)
+        tenants = [
+            {"name": name, "apiKeys": [key_of(name, is_removable=kind) for kind in kinds]}
+            for name in TENANTS
+        ]
+        configuration = make_configuration(version=len(self.versions) + 1, tenants=tenants)
         routes = configuration["routes"]
         assert isinstance(routes, list)
         if has_extra_route:
@@ -232,6 +244,7 @@
         arguments += ["--witness", str(self.directory / "witness.jsonl")]
         arguments += ["--events", str(EVENTS_PER_STREAM), "--interval-ms", str(EVENT_INTERVAL_MS)]
         arguments += ["--role", role] if role else []
+        arguments += ["--tenants", ",".join(TENANTS)]
         process = self.processes.start(name, "standins.platform_backend", port, *arguments)
         self.backends[name] = process
         self._start_counts[name] = self._start_counts.get(name, 0) + 1
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -23,7 +23,7 @@
 from soak.schedule import Fault, FaultKind
 
 # Statuses that guarantee that a request has not run and never will.
-NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+NOT_RUN_STATUSES: Final = frozenset({401, 408, 421, 429, 503})
 # Kinds of request with at-most-once execution.
 AT_MOST_ONCE_KINDS: Final = frozenset({"once", "stream"})
 # Tolerance of an answer after its deadline, and of the cancellation after a caller has left.
@@ -49,11 +49,12 @@
 
     at_s: float
     backend: str
-    # run, prefill, cancelled, paused or order.
+    # run, prefill, cancelled, paused, wrong-tenant or order.
     event: str
     call_id: str = ""
     holder: str = ""
     term: int = 0
+    tenant: str = ""
 
 
 @frozen
@@ -108,6 +109,8 @@
         _extra_sends_within_the_budget,
         _one_holder_orders,
         _configuration_in_force,
+        _removed_keys_run_nothing,
+        _servers_see_the_tenant,
         _leaving_servers_left_alone,
         _statements_of_servers_heeded,
         _limits_of_servers_kept,
@@ -272,6 +275,32 @@
     return {version.has_extra_route for version in [*applied[-1:], *newer]}
 
 
+def _removed_keys_run_nothing(observations: Observations) -> Iterable[str]:
+    """A removable key is served while a version with it is in force, and refused otherwise."""
+    for attempt in observations.attempts:
+        is_judged = attempt.status in (HTTPStatus.OK, HTTPStatus.UNAUTHORIZED)
+        if attempt.tenant is None or not is_judged:
+            continue
+        is_known = attempt.status == HTTPStatus.OK
+        if not attempt.has_removable_key:
+            if not is_known:
+                yield f"{attempt.call_id} at {attempt.host} got 401 for a key that stays"
+        elif observations.is_connected(
+            attempt.host, attempt.sent_s, attempt.ended_s
+        ) and is_known not in _routes_in_force(observations.versions, attempt):
+            yield f"{attempt.call_id} at {attempt.host} got {attempt.status} for a removable key"
+
+
+def _servers_see_the_tenant(observations: Observations) -> Iterable[str]:
+    tenants = {attempt.call_id: attempt.tenant for attempt in observations.attempts}
+    for event in observations.backend_events:
+        tenant = tenants.get(event.call_id)
+        if event.event == "wrong-tenant":
+            yield f"{event.call_id} reached {event.backend} with a key, or as {event.tenant!r}"
+        elif tenant is not None and event.event in ("run", "prefill") and event.tenant != tenant:
+            yield f"{event.call_id} of {tenant} ran at {event.backend} as {event.tenant!r}"
+
+
 def _leaving_servers_left_alone(observations: Observations) -> Iterable[str]:
     hosts = {attempt.call_id: attempt.host for attempt in observations.attempts}
     for event in observations.backend_events:
@@ -352,7 +381,8 @@
 def _all_served_when_whole(observations: Observations) -> Iterable[str]:
     for attempt in observations.attempts:
         is_checked = attempt.sent_s >= observations.recovered_s and attempt.abandoned_s is None
-        if is_checked and attempt.kind != "extra" and not _is_complete_success(attempt):
+        may_be_refused = attempt.kind == "extra" or attempt.has_removable_key
+        if is_checked and not may_be_refused and not _is_complete_success(attempt):
             yield f"{attempt.call_id} ({attempt.kind}) at {attempt.host} got {attempt.status}"
 
 
--- a/soak/rounds.py
+++ b/soak/rounds.py
@@ -160,6 +160,7 @@
                 value.get("id", ""),
                 value.get("holder", ""),
                 value.get("term", 0),
+                value.get("tenant", ""),
             )
         )
     return backend_events
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -7,7 +7,8 @@
 ends when it begins to answer a prompt with that segment), limit_per_s (each answer names that limit
 on requests). With `--witness` it also writes
 each event to a file immediately, with the monotonic time, so that nothing is lost when it is
-killed.
+killed. With `--tenants` it refuses, with 400, runs and prefills with a caller's key or without one
+of these tenants.
 """
 
 import asyncio
@@ -47,6 +48,8 @@
     accepted_order_count: int = 0
     # File to which each event is appended, or None.
     event_log_path: Path | None = None
+    # Tenants whose requests are served, or None if nothing is checked.
+    tenants: frozenset[str] | None = None
 
     async def handle(self, exchange: Exchange) -> None:
         """Answers one request."""
@@ -95,6 +98,10 @@
         headers = request.headers
         if self.faults.get("other_server") or headers.get("expect-instance") != self.name:
             await exchange.send_json(421, {}, (("Instance-Id", self.name),))
+        elif not self._has_expected_tenant(headers):
+            tenant = headers.get("tenant", "")
+            self._write_event("wrong-tenant", id=headers.get("attempt-id", ""), tenant=tenant)
+            await exchange.send_json(400, {"error": "a key, or not the tenant"})
         elif "pause_s" in self.faults:
             self._write_event("paused", id=headers.get("attempt-id", ""))
             retry_after = (("Retry-After", str(self.faults["pause_s"])),)
@@ -106,6 +113,11 @@
         else:
             await self._run(exchange)
 
+    def _has_expected_tenant(self, headers: dict[str, str]) -> bool:
+        if self.tenants is None:
+            return True
+        return "authorization" not in headers and headers.get("tenant") in self.tenants
+
     def _is_kv_handle_expired(self, headers: dict[str, str]) -> bool:
         return bool(self.faults.get("lapsed_handles")) and "kv-source" in headers
 
@@ -187,7 +199,12 @@
 
     def _record_request(self, request: StandinRequest, stage: str) -> None:
         headers = request.headers
-        self._write_event(stage, id=headers.get("attempt-id", ""), target=request.target)
+        self._write_event(
+            stage,
+            id=headers.get("attempt-id", ""),
+            target=request.target,
+            tenant=headers.get("tenant", ""),
+        )
         self.executed_requests.append(
             {
                 "stage": stage,
@@ -208,11 +225,14 @@
     parser.add_argument("--events", type=int, default=4)
     parser.add_argument("--interval-ms", type=float, default=5.0)
     parser.add_argument("--witness", type=Path)
+    parser.add_argument("--tenants", help="tenants to expect, separated by commas")
     arguments = parser.parse_args()
     backend = PlatformBackend(
         arguments.name, arguments.role, arguments.events, arguments.interval_ms / 1000.0
     )
     backend.event_log_path = arguments.witness
+    if arguments.tenants is not None:
+        backend.tenants = frozenset(arguments.tenants.split(","))
     run_standin(arguments, backend.handle)
 
 
--- a/tests/relay/test_tenant_calls.py
+++ b/tests/relay/test_tenant_calls.py
@@ -253,3 +253,20 @@
     largest = counts.largest()
     assert [each.tenant for each in largest] == [f"t{n}" for n in range(LARGEST_TENANTS)] + [""]
     assert (largest[-1].calls, largest[-1].answered) == (4880, 2440)
+
+
+# Guards against a stand-in whose check lets a key or another tenant pass.
+def test_the_stand_in_refuses_keys_and_other_tenants(fleet: RelayFleet) -> None:
+    backend = fleet.add_backend("app-0", "app", "", "--tenants", "hule930")
+    statuses = []
+    for headers in (
+        {"Tenant": "hule930"},
+        {"Tenant": "fida11"},
+        {},
+        {**WITH_KEY, "Tenant": "hule930"},
+    ):
+        connection = http.client.HTTPConnection("127.0.0.1", backend.port, timeout=5)
+        connection.request("POST", "/", b"", {"Expect-Instance": "app-0", **headers})
+        statuses.append(connection.getresponse().status)
+        connection.close()
+    assert statuses == [200, 400, 400, 400]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -84,6 +84,22 @@
             ConfigurationVersion(20.0 - MAX_APPLY_DELAY_S - 0.1, True),
         ],
     ),
+    "removed_keys_run_nothing": evolve(
+        NO_VIOLATIONS,
+        attempts=[
+            evolve(COMPLETE_ATTEMPT, tenant="t0", has_removable_key=True, sent_s=20.0, ended_s=20.1)
+        ],
+        backend_events=[evolve(RUN_EVENT, at_s=20.05, tenant="t0")],
+        versions=[
+            ConfigurationVersion(0.0, True),
+            ConfigurationVersion(20.0 - MAX_APPLY_DELAY_S - 0.1, False),
+        ],
+    ),
+    "servers_see_the_tenant": evolve(
+        NO_VIOLATIONS,
+        attempts=[evolve(COMPLETE_ATTEMPT, tenant="t0")],
+        backend_events=[evolve(RUN_EVENT, tenant="t1")],
+    ),
     "leaving_servers_left_alone": evolve(
         NO_VIOLATIONS, drains=[("app-0", RUN_EVENT.at_s - MAX_APPLY_DELAY_S - 0.1, float("inf"))]
     ),
