--- a/berylquay/decisions/tenants/fairness.py
+++ b/berylquay/decisions/tenants/fairness.py
@@ -155,7 +155,7 @@
         has_idle_engine = placement.prefill_wait_s <= limits.idle_engine_wait_s
         if call.tenant is None or not self._is_contended(now_s) or has_idle_engine:
             return admission
-        if admission.action is AdmissionAction.REFUSE:
+        if admission.action is AdmissionAction.REFUSE or self._is_alone(call.tenant, now_s):
             return admission
         # A caller that retries at once has no promise of a place, and what is sent late keeps the
         # engines' queues so long that calls of other tenants are late as well.
@@ -168,6 +168,11 @@
             return Admission(AdmissionAction.QUEUE)
         return Admission(AdmissionAction.REFUSE, max(MIN_RETRY_AFTER_S, placement.prefill_wait_s))
 
+    def _is_alone(self, tenant: str, now_s: float) -> bool:
+        """Tells whether no other tenant asks for work, so that there is none to yield to."""
+        asked_total = self._all.asked.value(ALL_TENANTS, now_s)
+        return asked_total - self._all.asked.value(tenant, now_s) < MIN_TOKENS
+
     # Exchange with other hosts.
 
     def own_use(self, now_s: float) -> TenantUse:
