--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -75,6 +75,7 @@
     StreamVersionExchange,
 )
 from berylquay.relay.stream_version_store import StreamVersionStore
+from berylquay.relay.tenant_use_exchange import TENANT_USE_TAG, TenantUseExchange
 from berylquay.relay.usage_messages import USAGE_TAG
 from berylquay.relay.usage_reporter import UsageReporter, make_usage_reporter
 from berylquay.relay.version_datagrams import (
@@ -200,6 +201,7 @@
                 VERSION_RECORD_TAG: self._on_version_datagram,
                 USAGE_TAG: self._on_usage_datagram,
                 DEMAND_TAG: self._demand_reports.on_datagram,
+                TENANT_USE_TAG: self._services.tenant_use.on_datagram,
             },
         )
         self._request_handler = RequestHandler(
@@ -316,6 +318,11 @@
                 ask=self._ask_for_stream,
                 reply=self._reply_with_stream,
             ),
+            tenant_use=TenantUseExchange(
+                host=options.host,
+                get_group_size=lambda: self._peer_exchange.group_size,
+                send_to_group=self._send_to_group,
+            ),
             connection_pool=BackendConnectionPool(connections, path_monitor),
             path_monitor=path_monitor,
             metrics=metrics,
@@ -666,6 +673,27 @@
         self._services.live_host_count = host_count
         self._services.registry.notices.limits.host_count = host_count
         self._services.placement.on_group_size(self._peer_exchange.group_size)
+        self._update_prefill_engines()
+        self._services.connection_pool.on_tick(now_s)
+        self._services.path_monitor.on_tick(self._request_handler.open_calls > 0, now_s)
+        self._gateway_server.on_tick(now_s)
+        cancel_overdue_releases(self._services, now_s)
+        self._server_notice_handler.on_tick(now_s)
+        self._services.crash_history.expire(now_s)
+        self._services.segment_crashes.on_tick(now_s)
+        self._quarantine_store.on_tick(now_s)
+        self._request_handler.on_tick(now_s)
+        self._services.stream_versions.on_tick(now_s)
+        self._services.tenant_use.on_tick(now_s, has_tenants=self._has_tenants())
+        self._peer_exchange.on_tick(now_s)
+        self._check_roles(now_s)
+        self._log_handler.on_tick(now_s)
+        if self._shutdown_schedule is not None:
+            self._advance_shutdown(self._shutdown_schedule, now_s)
+
+    def _has_tenants(self) -> bool:
+        table = self._configuration_view.table
+        return table is not None and table.tenant_keys is not None
 
     def _update_store_state(self, now_s: float) -> None:
         registry = self._services.registry
--- a/berylquay/relay/region_exchange.py
+++ b/berylquay/relay/region_exchange.py
@@ -33,6 +33,7 @@
 )
 from berylquay.relay.server_notice_handler import LEAVING_TAG, LIMIT_TAG
 from berylquay.relay.stream_version_exchange import STREAM_QUERY_TAG, STREAM_VERSION_TAG
+from berylquay.relay.tenant_use_exchange import TENANT_USE_TAG
 from berylquay.relay.topic_deltas import DELTA_TAG, TopicDelta, decode_delta
 from berylquay.relay.usage_messages import USAGE_TAG
 from berylquay.relay.version_datagrams import VERSION_RECORD_TAG
@@ -56,6 +57,7 @@
         VERSION_RECORD_TAG,
         USAGE_TAG,
         DEMAND_TAG,
+        TENANT_USE_TAG,
     }
 )
 SUMMARY_INTERVAL_S: Final = 0.25
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -31,6 +31,7 @@
 from berylquay.relay.segment_crash_handler import SegmentCrashHandler
 from berylquay.relay.stream_version_exchange import StreamVersionExchange
 from berylquay.relay.stream_version_store import StreamVersionStore
+from berylquay.relay.tenant_use_exchange import TenantUseExchange
 from berylquay.relay.upstream_request import NoticeListener, UpstreamRequest
 
 
@@ -57,6 +58,8 @@
     # The same in the store, for hosts that all start anew.
     pool_version_store: PoolVersionStore
     stream_version_store: StreamVersionStore
+    # Work of each tenant, of this host and of those that exchange load reports with it.
+    tenant_use: TenantUseExchange
     connection_pool: BackendConnectionPool
     # Whether this host reaches the servers by connections of its own.
     path_monitor: PathMonitor
