Give up overdue windows whose record may be lost also at a host that has just started

Change: the first era that a process sees counts as one that may have begun just before, as it does for claims.

--- a/berylquay/relay/usage_reporter.py
+++ b/berylquay/relay/usage_reporter.py
@@ -63,6 +63,8 @@
 ANSWER_INTERVAL_S: Final = 0.2
 # Time without counts of a process after which none are expected.
 SOURCE_TTL_S: Final = 3.0
+# Time after which hosts and processes that were not heard of are forgotten.
+FORGET_AFTER_S: Final = 15.0
 # Least validity of a claim with which a call is sent.
 MIN_VALIDITY_S: Final = CALL_TIMEOUT_S + 0.05
 # Time for which all calls fail before another collector should try, and time for which it should.
@@ -127,8 +129,8 @@
     _claim_times: ClaimTimes
     # Holder of the newest claim that was read or made, and when.
     _newest_claim: tuple[str, float]
-    # Era of the store, or None if it is not known.
-    _era: int | None
+    # Whether the store has stated an era, so that it may come back from an older copy.
+    _has_store_eras: bool
     _clocks: UsageClocks
     _metrics: RelayMetrics | None
     _rng: Random
@@ -187,7 +189,7 @@
         self._collector_choice = CollectorChoice(options.host)
         self._schedule = None
         self._newest_claim = ("", float("-inf"))
-        self._era = None
+        self._has_store_eras = False
         self._last_collectors = frozenset()
         self._sources_heard_s = {}
         self._answered_s = {}
@@ -209,8 +211,9 @@
     def on_store_era(self, era: int) -> None:
         """Gives up a claim of a former era; what was read before is known further on."""
         self._claimant.on_store_era(era)
-        before, self._era = self._era, era
-        if before is not None and self._schedule is not None:
+        self._has_store_eras = True
+        # Also with the first era that this process sees, which may have begun just before.
+        if self._schedule is not None:
             self._schedule.on_store_restored(self._true_s())
 
     def on_tick(self, now_s: float) -> None:
@@ -514,7 +517,9 @@
         self._collected.drop_before(oldest_id)
         schedule.drop_before(oldest_id)
         for heard in (self._sources_heard_s, self._answered_s):
-            for name in [name for name, heard_s in heard.items() if clock_s - heard_s > YIELD_S]:
+            for name in [
+                name for name, heard_s in heard.items() if clock_s - heard_s > FORGET_AFTER_S
+            ]:
                 del heard[name]
 
 
