--- a/tests/support/usage_model.py
+++ b/tests/support/usage_model.py
@@ -37,8 +37,11 @@
 MAX_ERROR: Final = 0.05
 DATAGRAM_LOSS: Final = 0.03
 MAX_FAULT_S: Final = 8.0
-# Most time after its sending at which a call is still carried out.
-MAX_CALL_DELAY_S: Final = 2.0
+# Most time after its sending at which a call is still carried out, and shares of the calls to the
+# store and to the API that are late.
+MAX_CALL_DELAY_S: Final = 2.9
+LATE_STORE_CALLS: Final = 0.04
+LATE_API_CALLS: Final = 0.25
 ADDRESS: Final = Address("10.0.0.1", 1)
 
 
@@ -62,13 +65,16 @@
         world: UsageWorld,
         host: "ModelHost",
         respond: Callable[[bytes], bytes],
+        *,
         is_cut: Callable[[], bool],
+        late_calls: float,
     ) -> None:
         super().__init__()
         self._world = world
         self._host = host
         self._respond = respond
         self._is_cut = is_cut
+        self._late_calls = late_calls
 
     def open(self, address: Address, connection_handler: ConnectionHandler) -> Connection:
         """Returns a connection that is established later, if the server can be reached."""
@@ -89,7 +95,7 @@
         super().send(connection, data)
         rng = self._world.rng
         delay_s = rng.uniform(0.001, 0.02)
-        if self._world.has_faults and rng.random() < 0.04:
+        if self._world.has_faults and rng.random() < self._late_calls:
             delay_s = rng.uniform(0.0, MAX_CALL_DELAY_S)
         if not self._is_cut():
             self._world.later(delay_s, lambda: self._execute(connection, data))
@@ -146,11 +152,25 @@
         self.rng = Random(world.rng.random())
         era = StoreEra()
         store_client = StoreClient(
-            LateConnections(world, self, model.store.respond, lambda: self.is_cut), ADDRESS, era
+            LateConnections(
+                world,
+                self,
+                model.store.respond,
+                is_cut=lambda: self.is_cut,
+                late_calls=LATE_STORE_CALLS,
+            ),
+            ADDRESS,
+            era,
         )
         store_client.on_tick(self.monotonic_s)
         self.client = DutyClient(
-            LateConnections(world, self, model.api.respond, lambda: self.is_api_cut),
+            LateConnections(
+                world,
+                self,
+                model.api.respond,
+                is_cut=lambda: self.is_api_cut,
+                late_calls=LATE_API_CALLS,
+            ),
             ADDRESS,
             50.0,
             clock=lambda: world.now_s,
