--- a/berylquay/relay/demand_reports.py
+++ b/berylquay/relay/demand_reports.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Collection
+from ipaddress import IPv4Address
 from typing import Final
 
 import logbook
@@ -16,6 +17,7 @@
 
 # First byte of a report's datagram, and of the answer to one.
 DEMAND_TAG: Final = b"\x0c"
+MAX_PORT: Final = 65535
 REPORT_INTERVAL_S: Final = 1.0
 # Interval between checks of this host's place among the recipients.
 RANK_INTERVAL_S: Final = 0.25
@@ -62,11 +64,17 @@
             str(data_centre),
             {str(pool): PoolLoad(*map(_number, values)) for pool, values in loads.items()},
         )
-        return demand, Address(str(ip), int(str(port)))
+        return demand, Address(str(IPv4Address(str(ip))), _port(port))
     except FIELD_ERRORS:
         return None
 
 
+def _port(value: object) -> int:
+    if not isinstance(value, int) or not 0 < value <= MAX_PORT:
+        raise ValueError("not a port")
+    return value
+
+
 def _number(value: object) -> float:
     # Also rejects infinite values and NaN.
     if not isinstance(value, int | float) or not 0.0 <= value < float("inf"):
