Keep to the newest known plan after a restore of the store

Cause: a host that reads older plans again could order servers by them; an entry that names its end only after it drains did not count as reclaimed. Change: a host that knows what was ordered ignores the plans of the older copy and orders everything again; the registry tells which servers are reclaimed.

--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -154,6 +154,10 @@
             before_s = self._leaves_at_s.get(entry.instance, leaves_at_s)
             self._leaves_at_s[entry.instance] = min(before_s, leaves_at_s)
 
+    def is_reclaimed(self, entry: BackendEntry) -> bool:
+        """Tells whether a server has said when the platform reclaims it."""
+        return entry.instance in self._leaves_at_s
+
     def without_leaving_before(
         self, entries: list[BackendEntry], end_s: float
     ) -> list[BackendEntry]:
--- a/berylquay/relay/scaling_controller.py
+++ b/berylquay/relay/scaling_controller.py
@@ -189,6 +189,9 @@
     # Monotonic time at which the newest claim of another host was read, and whether it is newest.
     _other_claim_s: float
     _is_other_newest: bool
+    # Whether the topic is read again after a restore of the store, so that what this host knows of
+    # the orders is newer.
+    _reads_older_plans: bool
     _next_check_s: float
     _next_refresh_s: float
     _now_s: float
@@ -222,6 +225,7 @@
         self._wanted_since_s = None
         self._other_claim_s = float("-inf")
         self._is_other_newest = False
+        self._reads_older_plans = False
         self._next_check_s = float("-inf")
         self._next_refresh_s = float("-inf")
         self._now_s = float("-inf")
@@ -232,6 +236,7 @@
         self._claims.on_store_era(era)
         self._round = None
         if has_risen:
+            self._reads_older_plans = True
             for planner in self._planners.values():
                 planner.on_new_era()
 
@@ -249,6 +254,8 @@
             return
         for pool, (base, counts) in plan.items():
             planner = self._planners.get(pool)
+            if planner is not None and self._reads_older_plans:
+                continue
             if planner is None:
                 self._stored_plans[pool] = (base, counts)
             else:
@@ -258,6 +265,8 @@
         """Plans at intervals, and takes the next step of a plan that is to be ordered."""
         self._now_s = now_s
         self._claims.on_tick(now_s)
+        if self._claims.has_read_to_end:
+            self._reads_older_plans = False
         rank = surroundings.rank
         pools = [pool for pool in table.pools.values() if pool.scaling is not None]
         if rank is None or not pools or surroundings.is_stopping:
@@ -336,7 +345,9 @@
             reclaimed=frozenset(
                 entry.data_centre
                 for entry in entries
-                if entry.spot and entry.leaves_ms is not None and entry.state is EntryState.LEAVING
+                if entry.spot
+                and entry.state is EntryState.LEAVING
+                and self._registry.is_reclaimed(entry)
             ),
             load=self._demand.load(pool.name, now_s) if reporting else None,
             speed=self._server_speed(pool, ready),
--- a/tests/relay/test_backend_registry.py
+++ b/tests/relay/test_backend_registry.py
@@ -112,5 +112,6 @@
     registry.on_leaves_ms(entry, 11.0)
     assert registry.without_leaving_before([entry], 12.0) == [entry]
     assert registry.without_leaving_before([entry], 12.1) == []
+    assert registry.is_reclaimed(entry)
     registry.on_removed(entry.name, 13.0)
     assert registry.without_leaving_before([entry], 99.0) == [entry]
