Count a caller's retry as demand when it is admitted

Cause: calls with a shorter deadline than the longest one of their route count as retries, and their prefill was left out of the demand. Change: a retry counts once it is admitted; plain calls always count. Result: tests/relay/test_relay_calls.py, test_prompt_loads.py and tests/scaling/test_scaled_fleet.py pass.

--- a/berylquay/decisions/scaling/demand.py
+++ b/berylquay/decisions/scaling/demand.py
@@ -20,7 +20,7 @@
 class PoolLoad:
     """Demand on one pool, of one host or of several."""
 
-    # Arrivals, without the callers' retries of refused calls.
+    # Arrivals; of the callers' retries only those that are admitted.
     requests_per_s: float = 0.0
     # Prompt tokens to prefill, as the equivalent number of uncached tokens at the start of a
     # prompt.
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -20,7 +20,7 @@
 from berylquay.decisions.engine_placement import Placement
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.relay_admission import AdmissionAction, admit
-from berylquay.decisions.relay_call import RelayCall
+from berylquay.decisions.relay_call import GenerationRequest, RelayCall
 from berylquay.decisions.service_routing import choose_server
 from berylquay.net.http_client import STATUS_OK
 from berylquay.net.persistent_http import RawResponseHead
@@ -166,14 +166,17 @@
         if self.call.generation is not None:
             self._place_generation(now_s, is_first_placement=True)
         else:
-            self._record_demand(0, 0, now_s)
+            self._services.demand.on_request(self.call.pool.name, 0, 0, now_s)
             self._send_to_server(now_s)
 
-    def _record_demand(self, prefill_tokens: int, output_tokens: int, now_s: float) -> None:
-        """Counts an arrival, unless its caller comes back after a refusal."""
-        if not self.call.is_caller_retry:
-            pool = self.call.pool.name
-            self._services.demand.on_request(pool, prefill_tokens, output_tokens, now_s)
+    def _record_demand(
+        self, generation: GenerationRequest, placement: Placement | None, now_s: float
+    ) -> None:
+        """Counts the arrival of a generation call with the prefill that its placement costs."""
+        tokens = generation.prompt_tokens if placement is None else placement.prefill_cost_tokens
+        self._services.demand.on_request(
+            self.call.pool.name, tokens, generation.max_output_tokens, now_s
+        )
 
     def _on_lookup(self, lookup: StreamLookup, state: LookupState, now_s: float) -> None:
         """Begins, or goes on waiting for the version of the stream that the caller takes up."""
@@ -268,11 +271,10 @@
         placement = self._engines.choose_placement(
             generation, may_disaggregate=self._may_disaggregate_prefill(now_s), now_s=now_s
         )
-        if is_first_placement and not self._queued:
-            tokens = (
-                generation.prompt_tokens if placement is None else placement.prefill_cost_tokens
-            )
-            self._record_demand(tokens, generation.max_output_tokens, now_s)
+        # Whoever comes back after a refusal was counted then, and counts again only when admitted.
+        is_retry = self.call.is_caller_retry
+        if is_first_placement and not self._queued and not is_retry:
+            self._record_demand(generation, placement, now_s)
         if placement is None:
             self._refuse_without_engine(now_s)
             return
@@ -282,6 +284,8 @@
         )
         if needs_admission and not self._is_admitted(placement, now_s):
             return
+        if is_first_placement and is_retry:
+            self._record_demand(generation, placement, now_s)
         self._queued = False
         self._placement = placement
         log_placement(self._services, self.call, placement, "placed", now_s)
