--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -657,6 +657,7 @@
         run("quarantines", self._quarantine_store.on_tick, now_s)
         run("requests", self._request_handler.on_tick, now_s)
         run("stream-versions", services.stream_versions.on_tick, now_s)
+        run("tenants", self._exchange_tenant_use, now_s)
         run("pool-versions", services.pool_version_store.on_tick, now_s)
         run("stream-version-store", services.stream_version_store.on_tick, now_s)
         run("peers", self._peer_exchange.on_tick, now_s)
@@ -673,23 +674,9 @@
         self._services.live_host_count = host_count
         self._services.registry.notices.limits.host_count = host_count
         self._services.placement.on_group_size(self._peer_exchange.group_size)
-        self._update_prefill_engines()
-        self._services.connection_pool.on_tick(now_s)
-        self._services.path_monitor.on_tick(self._request_handler.open_calls > 0, now_s)
-        self._gateway_server.on_tick(now_s)
-        cancel_overdue_releases(self._services, now_s)
-        self._server_notice_handler.on_tick(now_s)
-        self._services.crash_history.expire(now_s)
-        self._services.segment_crashes.on_tick(now_s)
-        self._quarantine_store.on_tick(now_s)
-        self._request_handler.on_tick(now_s)
-        self._services.stream_versions.on_tick(now_s)
+
+    def _exchange_tenant_use(self, now_s: float) -> None:
         self._services.tenant_use.on_tick(now_s, has_tenants=self._has_tenants())
-        self._peer_exchange.on_tick(now_s)
-        self._check_roles(now_s)
-        self._log_handler.on_tick(now_s)
-        if self._shutdown_schedule is not None:
-            self._advance_shutdown(self._shutdown_schedule, now_s)
 
     def _has_tenants(self) -> bool:
         table = self._configuration_view.table
