Wait 15 s for callers that take no data

Cause: TCP_USER_TIMEOUT of 2.5 s also closes connections of callers that are there but read nothing, with a ready response unsent. Change: 15 s for connections of callers; other connections keep 2.5 s. A caller that vanishes without FIN or RST while it is sent data is noticed after up to 15 s instead of 2.5 s.

--- a/berylquay/net/tcp_connections.py
+++ b/berylquay/net/tcp_connections.py
@@ -109,11 +109,15 @@
         return connection
 
     def adopt(
-        self, sock: socket.socket, address: Address, connection_handler: ConnectionHandler
+        self,
+        sock: socket.socket,
+        address: Address,
+        connection_handler: ConnectionHandler,
+        user_timeout_ms: int = TCP_USER_TIMEOUT_MS,
     ) -> Connection:
         """Takes ownership of an accepted socket and starts reading from it."""
         sock.setblocking(False)
-        _set_socket_options(sock)
+        _set_socket_options(sock, user_timeout_ms)
         connection = Connection(address, connection_handler, sock, established=True)
         self._connections_by_sock[sock] = connection
         self._poller.addReader(self, sock)
@@ -261,10 +265,10 @@
         self._end_connection(connection, errno.errorcode.get(error_code, "hung up"))
 
 
-def _set_socket_options(sock: socket.socket) -> None:
+def _set_socket_options(sock: socket.socket, user_timeout_ms: int = TCP_USER_TIMEOUT_MS) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     # Keep-alive lets the kernel close connections that a device on the path has lost track of.
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
--- a/berylquay/net/tcp_listener.py
+++ b/berylquay/net/tcp_listener.py
@@ -9,7 +9,12 @@
 from circuits.core.pollers import BasePoller
 
 from berylquay.decisions.fleet import Address
-from berylquay.net.tcp_connections import Connection, ConnectionHandler, TcpConnections
+from berylquay.net.tcp_connections import (
+    TCP_USER_TIMEOUT_MS,
+    Connection,
+    ConnectionHandler,
+    TcpConnections,
+)
 
 LISTEN_BACKLOG: Final = 1024
 # Connections accepted per iteration of the event loop, so that open ones are served in between.
@@ -32,6 +37,8 @@
     _sock: socket.socket
     # Creates the handler of a new connection, or returns None if there are too many connections.
     _make_handler: Callable[[], AcceptedConnectionHandler | None]
+    # Time after which the kernel closes an accepted connection whose peer takes no data.
+    _user_timeout_ms: int
     # Whether connections are accepted.
     _accepting: bool
 
@@ -41,11 +48,13 @@
         connections: TcpConnections,
         address: Address,
         make_handler: Callable[[], AcceptedConnectionHandler | None],
+        user_timeout_ms: int = TCP_USER_TIMEOUT_MS,
     ) -> None:
         super().__init__(channel=f"listener-{address}")
         self._poller = poller
         self._connections = connections
         self._make_handler = make_handler
+        self._user_timeout_ms = user_timeout_ms
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.setblocking(False)
@@ -99,5 +108,5 @@
             accepted_sock.close()
             return
         connection_handler.connection = self._connections.adopt(
-            accepted_sock, peer, connection_handler
+            accepted_sock, peer, connection_handler, self._user_timeout_ms
         )
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -87,6 +87,9 @@
 # Time for which request contents in flight when a server was lost are remembered: long enough for
 # several attempts of a caller.
 CRASH_RETENTION_S: Final = 20.0
+# Time after which the kernel closes the connection of a caller that takes no data. The default of
+# 2.5 s also closes connections of callers that are there but read nothing for a while.
+CALLER_USER_TIMEOUT_MS: Final = 15_000
 _log = logbook.Logger("host")
 
 
@@ -355,7 +358,11 @@
         ready_pages = {READY_PATH.encode(): self._ready_page}
         metrics_pages = {METRICS_PATH: self._metrics_page}
         self._callers_listener = TcpListener(
-            self._loop, connections, options.callers_address, self._request_handler.make_connection
+            self._loop,
+            connections,
+            options.callers_address,
+            self._request_handler.make_connection,
+            CALLER_USER_TIMEOUT_MS,
         ).register(self._loop)
         TcpListener(
             self._loop, connections, options.peers_address, self._gateway_server.make_tunnel
