--- a/berylquay/relay/role_controller.py
+++ b/berylquay/relay/role_controller.py
@@ -35,8 +35,8 @@
 # Validity of a claim: enough for a report and an order to each engine of a small plan.
 CLAIM_DURATION_S: Final = 2.0
 # Time for which an order may be delayed in transit: the kernel sends it again for 2.5 s
-# (TCP_USER_TIMEOUT_MS), also after its connection was closed. Added to the lease, it is the time after a
-# claim's end in which no other holder may send orders.
+# (TCP_USER_TIMEOUT_MS), also after its connection was closed. Added to the lease, it is the time
+# after a claim's end in which no other holder may send orders.
 ORDER_DELAY_S: Final = 2.6
 # Interval between checks of the role plan.
 PLAN_CHECK_INTERVAL_S: Final = 0.25
