Answer HEAD requests to pages

Cause: the page's body made h11 raise, and the connection was closed without a response. Measured: tests/relay/test_page_requests.py, 8 passed (7 of 8 before).

--- a/berylquay/relay/pages.py
+++ b/berylquay/relay/pages.py
@@ -45,7 +45,8 @@
         while True:
             event = self._protocol.next_event()
             if isinstance(event, h11.Request):
-                self._send_page(event.target.partition(b"?")[0])
+                has_body = event.method != b"HEAD"
+                self._send_page(event.target.partition(b"?")[0], has_body=has_body)
             elif isinstance(event, h11.EndOfMessage):
                 if self._protocol.our_state is not h11.DONE:
                     self._connections.half_close(self.connection)
@@ -54,16 +55,15 @@
             elif not isinstance(event, h11.Data):
                 return
 
-    def _send_page(self, path: bytes) -> None:
+    def _send_page(self, path: bytes, *, has_body: bool) -> None:
         make_page = self._pages.get(path)
         status, content_type, body = (
             (STATUS_NOT_FOUND, b"text/plain", b"") if make_page is None else make_page()
         )
         headers = [(b"content-type", content_type), (b"content-length", str(len(body)).encode())]
-        events = [
-            h11.Response(status_code=status, headers=headers),
-            h11.Data(data=body),
-            h11.EndOfMessage(),
-        ]
+        events: list[h11.Event] = [h11.Response(status_code=status, headers=headers)]
+        if has_body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
         response = b"".join(self._protocol.send(event) or b"" for event in events)
         self._connections.send(self.connection, response)
