--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -109,6 +109,9 @@
 # Age of what this host knows of work that another one has placed: the interval between reports, and
 # the time until they are read, at a tick or before a placement.
 LOAD_REPORT_AGE_S: Final = 0.05
+# Time after which the kernel closes the connection of a caller that takes no data. The default of
+# 2.5 s also closes connections of callers that are there but read nothing for a while.
+CALLER_USER_TIMEOUT_MS: Final = 15_000
 _log = logbook.Logger("host")
 
 
@@ -536,7 +539,11 @@
         ready_pages = {READY_PATH.encode(): self._ready_page}
         metrics_pages = {METRICS_PATH: self._metrics_page}
         self._callers_listener = TcpListener(
-            self._loop, connections, options.callers_address, self._request_handler.make_connection
+            self._loop,
+            connections,
+            options.callers_address,
+            self._request_handler.make_connection,
+            CALLER_USER_TIMEOUT_MS,
         ).register(self._loop)
         TcpListener(
             self._loop, connections, options.peers_address, self._gateway_server.make_tunnel
