Stop the test's stand-in cloud before the store ends

Cause: servers that booted after the end of the test were registered at a store that was gone, which pytest reported as a warning.

--- a/tests/scaling/test_scaled_fleet.py
+++ b/tests/scaling/test_scaled_fleet.py
@@ -105,3 +105,4 @@
         assert decisions
     finally:
         server.shutdown()
+        cloud.stopped = True
--- a/tests/support/server_cloud.py
+++ b/tests/support/server_cloud.py
@@ -20,6 +20,8 @@
     orders: list[tuple[str, int, str, bool, int]] = field(factory=list)
     # Data centres and kinds without servers.
     refused: set[tuple[str, bool]] = field(factory=set)
+    # Whether the test has ended: servers that boot later are not registered.
+    stopped: bool = False
     _servers: dict[tuple[str, bool], list[str]] = field(factory=dict)
     _born: int = 0
     _lock: threading.Lock = field(factory=threading.Lock)
@@ -47,7 +49,7 @@
 
     def _boot(self, data_centre: str, spot: bool, number: int) -> None:
         with self._lock:
-            for _ in range(number):
+            for _ in range(0 if self.stopped else number):
                 self._add(data_centre, spot=spot)
 
     def _add(self, data_centre: str, *, spot: bool) -> None:
