Measure slow callers until all have begun and others were served

Cause: beside other work (load 12) 12 s were too short: 935 of 1,000 callers had begun, 9 and 5 others were served; the memory stayed within its bound (62 MB). Change: the test goes on until all have begun and ten others were served, for 50 s at most.

--- a/tests/relay/test_slow_callers.py
+++ b/tests/relay/test_slow_callers.py
@@ -19,6 +19,9 @@
 # Time for which a response may stay unread before the server cuts it off.
 CUT_OFF_S: Final = 4.0
 MEASURED_S: Final = 12.0
+# The same if the machine is too busy to begin all callers, or to serve others, within that time.
+MAX_MEASURED_S: Final = 50.0
+MIN_OTHERS: Final = 10
 # Time over which the callers begin.
 BEGIN_S: Final = 4.0
 # Resident memory of the host process; without any caller it is about 40 MB.
@@ -43,7 +46,9 @@
         writer.transport.abort()
 
 
-async def read_slowly(port: int, number: int, ended: asyncio.Event) -> tuple[int, bool]:
+async def read_slowly(
+    port: int, number: int, ended: asyncio.Event, begun_callers: set[int]
+) -> tuple[int, bool]:
     """Reads a response; returns the bytes of its body and whether it looks complete."""
     await asyncio.sleep(BEGIN_S * number / CALLERS)
     sock = socket.socket()
@@ -65,6 +70,7 @@
             if not data:
                 break
             received += len(data)
+            begun_callers.add(number)
     except (OSError, asyncio.IncompleteReadError):
         head = b""
     writer.transport.abort()
@@ -87,16 +93,22 @@
     fleet.register("app-0", "app", address=f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
     host = fleet.add_host()
     idle_kb = memory_kb(host.popen.pid)
-    ended = asyncio.Event()
+    ended, begun_callers = asyncio.Event(), set[int]()
 
     async def run_callers() -> list[tuple[int, bool]]:
-        calls = [read_slowly(host.port, number, ended) for number in range(CALLERS)]
+        calls = [read_slowly(host.port, number, ended, begun_callers) for number in range(CALLERS)]
         return await asyncio.gather(*calls)
 
     callers = asyncio.run_coroutine_threadsafe(run_callers(), loop)
-    peak_kb, slowest_s, until_s = 0, 0.0, time.monotonic() + MEASURED_S
+    peak_kb, slowest_s, begun_s = 0, 0.0, time.monotonic()
     served = 0
-    while time.monotonic() < until_s:
+
+    def is_measured() -> bool:
+        elapsed_s = time.monotonic() - begun_s
+        is_whole = len(begun_callers) == CALLERS and served >= MIN_OTHERS
+        return elapsed_s >= MAX_MEASURED_S or (is_whole and elapsed_s >= MEASURED_S)
+
+    while not is_measured():
         started_s = time.monotonic()
         answer = fleet.send_request(f"{PATHS['many']}small", f"id-{started_s}")
         served += answer.status == 200 and answer.body == b"small"
@@ -116,5 +128,5 @@
     sys.stdout.write(f"\n{figures}\n")
     assert begun == CALLERS
     assert not any(is_complete for _, is_complete in results)
-    assert served >= 10
+    assert served >= MIN_OTHERS
     assert peak_kb < MAX_RESIDENT_KB
