Split duties, failed attempts and the choice of plain servers out of the long modules

The duties of a host are in relay/host_duties.py, the record of a failed attempt in relay/attempt_failures.py, the choice of a plain service's server in relay/plain_server_selection.py.

--- /dev/null
+++ b/berylquay/relay/attempt_failures.py
@@ -0,0 +1,74 @@
+"""Records failed attempts: health, crashes, metrics and the log line."""
+
+from typing import Final
+
+from berylquay.decisions.attempt_outcomes import AttemptOutcome
+from berylquay.decisions.backend_registry import EntryState
+from berylquay.decisions.relay_call import RelayCall
+from berylquay.relay.call_logging import log_attempt_failed
+from berylquay.relay.services import RelayServices
+from berylquay.relay.upstream_request import UpstreamRequest
+
+# Stage of an attempt that generates the answer.
+RUN_STAGE: Final = "run"
+
+
+def record_failed_attempt(
+    services: RelayServices,
+    call: RelayCall,
+    upstream: UpstreamRequest,
+    outcome: AttemptOutcome,
+    detail: str,
+    *,
+    stage: str,
+    wrote_s: float | None,
+    now_s: float,
+) -> None:
+    """Updates what this host knows of a server after an attempt at it has failed.
+
+    Args:
+        services: What the requests of the host share.
+        call: The call.
+        upstream: The attempt.
+        outcome: How it ended.
+        detail: Reason, for the log.
+        stage: `RUN_STAGE`, or that of an attempt to prefill the prompt.
+        wrote_s: For how long the answer had been arriving, or None before its first byte.
+        now_s: Present monotonic time.
+    """
+    name = upstream.backend.name
+    backoff_s = 0.0
+    gateway = upstream.gateway
+    if outcome is AttemptOutcome.NOT_SENT:
+        if gateway is None or not gateway.has_gateway_failed:
+            backoff_s = services.health.on_unreachable(name, now_s)
+    elif outcome in (AttemptOutcome.CONNECTION_LOST, AttemptOutcome.SERVER_ERROR):
+        services.health.on_failed(name)
+    if outcome is AttemptOutcome.CONNECTION_LOST:
+        services.crash_history.on_crash(name, frozenset({call.fingerprint}), now_s)
+        services.pending_updates.crashes.append((call.fingerprint, name))
+    entry = services.registry.get(name)
+    is_leaving = (
+        entry is None
+        or entry.state is EntryState.LEAVING
+        or services.registry.notices.is_leaving(entry.instance)
+    )
+    if stage == RUN_STAGE and not is_leaving:
+        services.segment_crashes.on_attempt_failed(
+            call, name, outcome, detail, wrote_s=wrote_s, now_s=now_s
+        )
+    if call.generation is not None:
+        services.prefix_cache_index.on_prefill_cancelled(call.generation.segments, name, now_s)
+    services.metrics.on_attempt_ended(call.pool.name, outcome.value)
+    log_attempt_failed(
+        call,
+        upstream,
+        outcome,
+        detail,
+        stage=stage,
+        failure_rate=services.health.failure_rate(name),
+        backoff_s=backoff_s,
+        is_leaving=is_leaving,
+        wrote_s=wrote_s,
+        now_s=now_s,
+    )
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -20,7 +20,6 @@
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.load_sharing_scope import LoadSharingScope
 from berylquay.decisions.load_spreading import LoadSpreading
-from berylquay.decisions.order_claims import ClaimTimes
 from berylquay.decisions.pool_version_history import PoolVersionHistory
 from berylquay.decisions.prefix_cache_index import PrefixCacheIndex
 from berylquay.decisions.route_table import RouteTable
@@ -38,21 +37,19 @@
 from berylquay.net.tcp_listener import TcpListener
 from berylquay.net.ticker import Ticker
 from berylquay.net.unexpected_errors import UnexpectedErrors
-from berylquay.platform.duty_client import DutyClient
 from berylquay.platform.store_client import StoreClient
 from berylquay.platform.wire_names import (
     READY_PATH,
     TOPIC_BACKENDS,
     TOPIC_CONFIGURATION,
-    TOPIC_SCALING,
 )
 from berylquay.relay.caller_connection import SERVICE_UNAVAILABLE
-from berylquay.relay.claimant import Claimant, ClaimListener
 from berylquay.relay.connection_pool import BackendConnectionPool
 from berylquay.relay.crash_reports import CRASH_REPORT_TAG
 from berylquay.relay.demand_reports import DEMAND_TAG, DemandReports
 from berylquay.relay.follower import FollowTimings, TopicFollower
 from berylquay.relay.gateway_server import GatewayServer
+from berylquay.relay.host_duties import HostDuties
 from berylquay.relay.host_list import HostList
 from berylquay.relay.log_handler import StdoutLogHandler
 from berylquay.relay.metrics import RelayMetrics
@@ -63,8 +60,7 @@
 from berylquay.relay.prefill_requests import cancel_overdue_releases
 from berylquay.relay.quarantine_store import QuarantineStore
 from berylquay.relay.request_handler import RequestHandler, RequestHandlerOptions
-from berylquay.relay.role_controller import CLAIM_DURATION_S, ORDER_DELAY_S, RoleController
-from berylquay.relay.scaling_controller import ScalingController, Surroundings
+from berylquay.relay.role_controller import RoleController
 from berylquay.relay.segment_crash_handler import SegmentCrashHandler
 from berylquay.relay.server_notice_handler import LEAVING_TAG, LIMIT_TAG, ServerNoticeHandler
 from berylquay.relay.services import RelayServices
@@ -77,7 +73,6 @@
 from berylquay.relay.stream_version_store import StreamVersionStore
 from berylquay.relay.tenant_use_exchange import TENANT_USE_TAG, TenantUseExchange
 from berylquay.relay.usage_messages import USAGE_TAG
-from berylquay.relay.usage_reporter import UsageReporter, make_usage_reporter
 from berylquay.relay.version_datagrams import (
     VERSION_RECORD_TAG,
     PoolRecordNotice,
@@ -104,8 +99,6 @@
 # Time for which request contents in flight when a server was lost are remembered: long enough for
 # several attempts of a caller.
 CRASH_RETENTION_S: Final = 20.0
-# Duties that share the platform's rate of calls.
-DUTY_COUNT: Final = 2
 # Age of what this host knows of work that another one has placed: the interval between reports, and
 # the time until they are read, at a tick or before a placement.
 LOAD_REPORT_AGE_S: Final = 0.05
@@ -139,13 +132,10 @@
     _role_controller: RoleController
     # Demand of all hosts, which some of them collect.
     _demand_reports: DemandReports
-    # Clients of the platform's API for duties, one a duty that this host may carry out.
-    _duty_clients: list[DutyClient]
-    _scaling_controller: ScalingController | None
+    # Reports of usage and orders of servers, where the platform expects them.
+    _duties: HostDuties
     _host_list: HostList
     _quarantine_store: QuarantineStore
-    # Reports of usage, or None where the platform expects none.
-    _usage_reporter: UsageReporter | None
     # Lends other hosts this one's paths to the backend servers.
     _gateway_server: GatewayServer
     # Era of the store, as its answers state it.
@@ -215,11 +205,16 @@
             self._configuration_confirmed_s,
         )
         self._role_controller = self._make_role_controller(connections)
-        self._duty_clients = []
-        self._usage_reporter = None
-        self._scaling_controller = self._make_scaling_controller(connections)
+        self._duties = HostDuties(
+            options,
+            self._services,
+            connections,
+            self._store_era,
+            peer_exchange=self._peer_exchange,
+            demand_reports=self._demand_reports,
+            rng=rng,
+        )
         self._quarantine_store = self._make_quarantine_store(connections, rng)
-        self._make_usage_reporter(connections, rng)
         self._store_era.add_listener(self._on_store_era)
         self._gateway_server = GatewayServer(
             connections, self._services.registry, self._services.path_monitor, rng
@@ -463,65 +458,8 @@
             host_rank=lambda: self._peer_exchange.host_rank,
         )
 
-    def _make_usage_reporter(self, connections: TcpConnections, rng: Random) -> None:
-        options = self._options
-        client = self._make_duty_client(connections)
-        if options.duties is None or client is None or not options.duties.reports_usage:
-            return
-        self._duty_clients.append(client)
-        self._usage_reporter = make_usage_reporter(
-            options,
-            options.duties,
-            store_client=StoreClient(connections, options.store_address, self._store_era),
-            client=client,
-            peer_exchange=self._peer_exchange,
-            metrics=self._services.metrics,
-            rng=rng,
-        )
-        self._services.on_request_began = self._usage_reporter.on_request_began
-
-    def _make_duty_client(self, connections: TcpConnections) -> DutyClient | None:
-        """Returns a client for one duty: a slow call of one must not delay the others."""
-        duties = self._options.duties
-        if duties is None:
-            return None
-        return DutyClient(connections, duties.address, duties.calls_per_s / DUTY_COUNT)
-
     def _on_usage_datagram(self, data: bytes, now_s: float) -> None:
-        if self._usage_reporter is not None:
-            self._usage_reporter.on_datagram(data, now_s)
-
-    def _make_scaling_controller(self, connections: TcpConnections) -> ScalingController | None:
-        options = self._options
-        duties, api = options.duties, self._make_duty_client(connections)
-        if duties is None or api is None:
-            return None
-        if not duties.orders_servers or not options.scaling.enabled:
-            return None
-        self._duty_clients.append(api)
-        claim_holder = f"{options.host}-{uuid.uuid4().hex[:8]}"
-
-        def make_claims(listener: ClaimListener) -> Claimant:
-            return Claimant(
-                TOPIC_SCALING,
-                claim_holder,
-                ClaimTimes(CLAIM_DURATION_S, options.bounds.lease_s + ORDER_DELAY_S),
-                StoreClient(connections, options.store_address, self._store_era),
-                self._services.rng,
-                listener=listener,
-            )
-
-        return ScalingController(
-            options.scaling,
-            self._services.registry,
-            self._demand_reports.fleet,
-            api,
-            estimates=self._services.estimates,
-            metrics=self._services.metrics,
-            host=options.host,
-            claim_holder=claim_holder,
-            make_claims=make_claims,
-        )
+        self._duties.on_usage_datagram(data, now_s)
 
     def _configuration_confirmed_s(self) -> float:
         return self._configuration_follower.confirmed_s
@@ -614,10 +552,7 @@
         self._services.metrics.on_store_era(era, has_risen=before is not None)
         self._role_controller.on_store_era(era)
         self._services.pool_versions.on_store_era(era)
-        if self._usage_reporter is not None:
-            self._usage_reporter.on_store_era(era)
-        if self._scaling_controller is not None:
-            self._scaling_controller.on_store_era(era, has_risen=before is not None)
+        self._duties.on_store_era(era, has_risen=before is not None)
         if before is None:
             return
         followers = (self._configuration_follower, self._backends_follower)
@@ -669,8 +604,8 @@
         run("stream-version-store", services.stream_version_store.on_tick, now_s)
         run("peers", self._peer_exchange.on_tick, now_s)
         run("roles", self._check_roles, now_s)
-        run("duties", self._advance_duties, now_s)
-        run("scaling", self._check_scaling, now_s)
+        run("usage", self._duties.report_usage, now_s)
+        run("scaling", self._order_servers, now_s)
         run("log", self._log_handler.on_tick, now_s)
         if self._shutdown_schedule is not None:
             self._advance_shutdown(self._shutdown_schedule, now_s)
@@ -711,29 +646,15 @@
             self._role_controller.has_served = self._request_handler.has_served
             self._role_controller.on_tick(table, now_s)
 
-    def _check_scaling(self, now_s: float) -> None:
-        controller, table = self._scaling_controller, self._configuration_view.table
-        if controller is None or table is None:
-            return
-        pools = [pool.name for pool in table.pools.values() if pool.scaling is not None]
-        self._services.demand.enabled = bool(pools)
-        if not pools:
-            return
-        self._demand_reports.on_tick(pools, now_s)
-        surroundings = Surroundings(
-            is_list_current=self._is_registry_current(),
-            is_cut_off=self._services.path_monitor.paths.is_cut_off,
-            is_stopping=self._shutdown_schedule is not None,
-            rank=self._demand_reports.rank(now_s),
-            host_count=self._services.live_host_count,
-        )
-        controller.on_tick(table, surroundings, now_s)
-
-    def _advance_duties(self, now_s: float) -> None:
-        for client in self._duty_clients:
-            client.on_tick(now_s)
-        if self._usage_reporter is not None:
-            self._usage_reporter.on_tick(now_s)
+    def _order_servers(self, now_s: float) -> None:
+        table = self._configuration_view.table
+        if table is not None:
+            self._duties.order_servers(
+                table,
+                now_s,
+                is_list_current=self._is_registry_current(),
+                is_stopping=self._shutdown_schedule is not None,
+            )
 
     @handler("exception", channel="*")
     def _on_exception(
@@ -766,8 +687,7 @@
         elif phase is ShutdownPhase.ENDED:
             after_s = round(now_s - schedule.requested_s, 3)
             _log.info("stopped", open_calls=self._request_handler.open_calls, after_s=after_s)
-            if self._usage_reporter is not None:
-                self._usage_reporter.send_last_counts()
+            self._duties.send_last_counts()
             self._loop.stop()
 
     def _on_hangup(self, _signal: int, _frame: object) -> None:
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -15,13 +15,12 @@
     may_retry,
     record_attempt_outcome,
 )
-from berylquay.decisions.backend_registry import BackendEntry, EntryState
+from berylquay.decisions.backend_registry import BackendEntry
 from berylquay.decisions.crash_history import Suspicion
 from berylquay.decisions.engine_placement import Placement
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.relay_admission import AdmissionAction, admit
 from berylquay.decisions.relay_call import GenerationRequest, RelayCall
-from berylquay.decisions.service_routing import choose_server
 from berylquay.net.http_client import STATUS_OK
 from berylquay.net.persistent_http import RawResponseHead
 from berylquay.platform.request_codec import (
@@ -31,9 +30,9 @@
     encode_prefill_request,
     encode_run_request,
 )
+from berylquay.relay.attempt_failures import RUN_STAGE, record_failed_attempt
 from berylquay.relay.call_logging import (
     CallEnd,
-    log_attempt_failed,
     log_call_ended,
     log_placement,
     log_quarantined_content,
@@ -42,6 +41,7 @@
 from berylquay.relay.caller_authentication import CallerAuthenticator, KeyRefusal
 from berylquay.relay.caller_connection import CallerConnection, CallerRequest
 from berylquay.relay.engine_selection import EngineSelection
+from berylquay.relay.plain_server_selection import PlainServerSelection
 from berylquay.relay.prefill_requests import PrefillResponseCollector, release_kv_cache
 from berylquay.relay.refusals import send_refusal
 from berylquay.relay.response_relay import FIRST_SERVER_ERROR, ResponseRelay
@@ -66,8 +66,6 @@
 URGENCY_PER_RANK: Final = 2
 # Most disaggregated prefills of one call; each after the first is charged to the retry budget.
 MAX_PREFILL_ATTEMPTS: Final = 2
-# Stage of an attempt that generates the answer.
-RUN_STAGE: Final = "run"
 # Outcome of a call that a backend server has answered.
 ANSWERED: Final = "answered"
 HIGHEST_URGENCY: Final = 1
@@ -84,6 +82,8 @@
     _services: RelayServices
     # Selects the engines of a generation call.
     _engines: EngineSelection
+    # Selects the server of a call of a plain service.
+    _plain_servers: PlainServerSelection
     # Tells the other hosts which segments engines cache because of this call.
     _announcements: SegmentAnnouncements
     _caller_request: CallerRequest
@@ -137,6 +137,7 @@
         self.ended = False
         self._services = services
         self._engines = EngineSelection(services, call)
+        self._plain_servers = PlainServerSelection(services, call)
         self._announcements = SegmentAnnouncements(services, call)
         self.caller = caller
         self._caller_request = request
@@ -374,16 +375,7 @@
     def _send_to_server(self, now_s: float) -> None:
         if self._refuse_if_quarantined(now_s):
             return
-        call, services = self.call, self._services
-        server = choose_server(
-            self._fitting_servers(),
-            call.sent_to,
-            in_flight=services.in_flight,
-            health=services.health,
-            topology=services.topology,
-            rng=services.rng,
-            now_s=now_s,
-        )
+        server = self._plain_servers.choose(now_s)
         if server is None:
             self._refuse(RefusalReason.NO_BACKEND, "no backend server is left to try", now_s)
             return
@@ -723,27 +715,11 @@
                 return False
             self._place_generation(now_s, is_first_placement=False)
         else:
-            if not self._has_untried_server():
+            if not self._plain_servers.has_untried(now_s):
                 return False
             self._send_to_server(now_s)
         return True
 
-    def _has_untried_server(self) -> bool:
-        return any(server.name not in self.call.sent_to for server in self._fitting_servers())
-
-    def _fitting_servers(self) -> list[BackendEntry]:
-        """Returns the servers whose answer would fit what the caller has of a stream."""
-        call, services = self.call, self._services
-        ready = services.registry.without_leaving_before(
-            services.registry.ready_in_pool(call.pool.name),
-            time.monotonic() + services.demand.call_s(call.pool.name),
-        )
-        servers = [server for server in ready if call.may_use_version(server.software_version)]
-        recorded = [
-            server for server in servers if services.may_begin_at(call, server.software_version)
-        ]
-        return recorded or servers
-
     def _record_failure(
         self,
         upstream: UpstreamRequest,
@@ -752,45 +728,18 @@
         stage: str,
         now_s: float,
     ) -> None:
-        services, call = self._services, self.call
-        name = upstream.backend.name
-        backoff_s = 0.0
+        call = self.call
         if outcome is AttemptOutcome.CONNECTION_LOST and call.generation is None:
             # The request may have run although its answer was lost.
             self._count_usage()
-        gateway = upstream.gateway
-        if outcome is AttemptOutcome.NOT_SENT:
-            if gateway is None or not gateway.has_gateway_failed:
-                backoff_s = services.health.on_unreachable(name, now_s)
-        elif outcome in (AttemptOutcome.CONNECTION_LOST, AttemptOutcome.SERVER_ERROR):
-            services.health.on_failed(name)
-        if outcome is AttemptOutcome.CONNECTION_LOST:
-            services.crash_history.on_crash(name, frozenset({call.fingerprint}), now_s)
-            services.pending_updates.crashes.append((call.fingerprint, name))
-        wrote_s = None if self._run_first_byte_s is None else now_s - self._run_first_byte_s
-        entry = services.registry.get(name)
-        is_leaving = (
-            entry is None
-            or entry.state is EntryState.LEAVING
-            or services.registry.notices.is_leaving(entry.instance)
-        )
-        if stage == RUN_STAGE and not is_leaving:
-            services.segment_crashes.on_attempt_failed(
-                call, name, outcome, detail, wrote_s=wrote_s, now_s=now_s
-            )
-        if call.generation is not None:
-            services.prefix_cache_index.on_prefill_cancelled(call.generation.segments, name, now_s)
-        services.metrics.on_attempt_ended(call.pool.name, outcome.value)
-        log_attempt_failed(
+        record_failed_attempt(
+            self._services,
             call,
             upstream,
             outcome,
             detail,
             stage=stage,
-            failure_rate=services.health.failure_rate(name),
-            backoff_s=backoff_s,
-            is_leaving=is_leaving,
-            wrote_s=wrote_s,
+            wrote_s=None if self._run_first_byte_s is None else now_s - self._run_first_byte_s,
             now_s=now_s,
         )
 
