--- a/berylquay/decisions/tenants/fairness.py
+++ b/berylquay/decisions/tenants/fairness.py
@@ -22,7 +22,7 @@
     first_token_limit_s,
 )
 from berylquay.decisions.relay_call import RelayCall
-from berylquay.decisions.tenants.shares import ALL_TENANTS, DecayedSums
+from berylquay.decisions.tenants.decayed_sums import ALL_TENANTS, DecayedSums
 
 # Tenants that a host reports to the others; those that ask for most.
 MAX_REPORTED_TENANTS: Final = 128
--- a/tests/relay/test_import_cost.py
+++ b/tests/relay/test_import_cost.py
@@ -12,6 +12,7 @@
     "berylquay.component_messages",
     "berylquay.decisions.call_tracker",
     "berylquay.decisions.configuration_state",
+    "berylquay.decisions.deployment",
     "berylquay.peers.payloads",
     "berylquay.standalone",
 )
