--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -1,14 +1,14 @@
 """Stand-in for a backend server of the platform: a plain service, or an engine with a role.
 
-It records the requests that it executed (`GET /witness`) and injects faults (`POST /faults`):
-reject, fail, break_after (the connection is aborted within the response, after that many events),
-lose_answer, delay_s, foreign_answer (a response to another request is sent first), lapsed_handles
-(no KV cache can be fetched), other_server (every request gets 421), crash_on_segment (the process
-ends when it begins to answer a prompt with that segment), limit_per_s (each answer names that limit
-on requests). With `--witness` it also writes
-each event to a file immediately, with the monotonic time, so that nothing is lost when it is
-killed. With `--tenants` it refuses, with 400, runs and prefills with a caller's key or without one
-of these tenants.
+It records the requests that arrived and those that it executed (`GET /witness`), and injects faults
+(`POST /faults`): reject, fail, fail_prefill (only prefills fail), break_after (the connection is
+aborted within the response, after that many events), lose_answer, delay_s, foreign_answer (a
+response to another request is sent first), lapsed_handles (no KV cache can be fetched),
+other_server (every request gets 421), crash_on_segment (the process ends when it begins to answer a
+prompt with that segment), limit_per_s (each answer names that limit on requests). With `--witness`
+it also writes each event to a file immediately, with the monotonic time, so that nothing is lost
+when it is killed. With `--tenants` it refuses, with 400, runs and prefills with a caller's key or
+without one of these tenants.
 """
 
 import asyncio
@@ -41,6 +41,8 @@
     # Per executed request: stage, attempt id, method, target, body and headers. Per accepted order:
     # the stage "order" and the fields of the order.
     executed_requests: list[dict[str, object]] = field(factory=list)
+    # Per arrived request, executed or not: monotonic time, attempt id and stage.
+    arrivals: list[dict[str, object]] = field(factory=list)
     # Attempts whose stream ended early because the client closed the connection.
     cancelled_attempt_ids: list[str] = field(factory=list)
     # Handles of the KV caches retained for a transfer to another engine.
@@ -64,6 +66,7 @@
                 200,
                 {
                     "ran": self.executed_requests,
+                    "arrived": self.arrivals,
                     "cancelled": self.cancelled_attempt_ids,
                     "handles": self.kv_handles,
                 },
@@ -96,6 +99,13 @@
     async def _serve(self, exchange: Exchange) -> None:
         request = exchange.request
         headers = request.headers
+        self.arrivals.append(
+            {
+                "at_s": time.monotonic(),
+                "id": headers.get("attempt-id", ""),
+                "stage": headers.get("stage", "run"),
+            }
+        )
         if self.faults.get("other_server") or headers.get("expect-instance") != self.name:
             await exchange.send_json(421, {}, (("Instance-Id", self.name),))
         elif not self._has_expected_tenant(headers):
@@ -108,6 +118,8 @@
             await exchange.send_json(503, {}, (*NOT_EXECUTED_HEADERS, *retry_after))
         elif self.faults.get("reject") or self._is_kv_handle_expired(headers):
             await exchange.send_json(503, {}, NOT_EXECUTED_HEADERS)
+        elif headers.get("stage") == "prefill" and self.faults.get("fail_prefill"):
+            await exchange.send_json(500, {"error": "failed"})
         elif headers.get("stage") == "prefill":
             await self._prefill(exchange)
         else:
--- a/tests/support/relay_fleet.py
+++ b/tests/support/relay_fleet.py
@@ -226,7 +226,7 @@
         return socket.create_connection(("127.0.0.1", self.hosts[host].port), timeout=10)
 
     def get_witness(self, name: str, list_name: str) -> list[object]:
-        """Returns the list `ran`, `cancelled` or `handles` from a backend server's `/witness`."""
+        """Returns a list (`ran`, `arrived`, `cancelled`, `handles`) of a server's `/witness`."""
         listed = self.backends[name].get("/witness")[list_name]
         return listed if isinstance(listed, list) else []
 
@@ -234,6 +234,15 @@
         """Returns the requests of every stage (prefill and run) that a backend server executed."""
         return [run for run in self.get_witness(name, "ran") if isinstance(run, dict)]
 
+    def arrivals(self, *names: str) -> list[tuple[float, str, str]]:
+        """Returns time, id and stage of the requests that reached backend servers, in order."""
+        return sorted(
+            (float(str(arrival["at_s"])), str(arrival["id"]), str(arrival["stage"]))
+            for name in names
+            for arrival in self.get_witness(name, "arrived")
+            if isinstance(arrival, dict)
+        )
+
     def runs(self, *names: str) -> list[dict[str, object]]:
         """Returns the requests that backend servers executed in the stage `run`."""
         return [
