Reserve retry budget before each send that may be a retry, and none that a former process may have spent

Cause: the budget was asked for after a failed run only.

Each call now counts its arrivals (decisions/call_arrivals.py) and reserves, in one step with the question, what its next requests need; what is not sent is given back. The fixed part is 0 until the number of hosts is known, but at the fleet's first start, and hosts that leave count for another window. A call refused for lack of budget is told so, and 'retry not allowed' logs what was spent.

Ruled out: a larger margin alone, as unasked requests know no bound.

--- a/berylquay/relay/call_logging.py
+++ b/berylquay/relay/call_logging.py
@@ -119,6 +119,20 @@
     )
 
 
+def log_retry_not_allowed(services: RelayServices, call: RelayCall, now_s: float) -> None:
+    """Logs that the retry budget leaves no room for a further attempt, with what was spent."""
+    state = services.retry_budget.state(call.pool.name, now_s)
+    _log.info(
+        "retry not allowed",
+        id=call.call_id,
+        pool=call.pool.name,
+        requests=state.requests,
+        retries=state.retries,
+        reserved=state.reserved,
+        allowed=round(state.allowed, 2),
+    )
+
+
 def log_call_ended(
     call: RelayCall,
     end: CallEnd,
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -259,7 +259,10 @@
         return RelayServices(
             registry=registry,
             health=health,
-            retry_budget=SharedRetryBudget(_retry_budget_options(options)),
+            retry_budget=SharedRetryBudget(
+                _retry_budget_options(options),
+                known_since_s=float("-inf") if options.is_first_start else time.monotonic(),
+            ),
             backlog=backlog,
             prefix_cache_index=prefix_cache_index,
             estimates=estimates,
@@ -587,7 +590,7 @@
         run("host-list", self._host_list.on_tick, now_s)
         run("settings", self._reload_if_changed, now_s)
         run("store", self._update_store_state, now_s)
-        run("host-count", self._update_host_count)
+        run("host-count", self._update_host_count, now_s)
         run("prefill-engines", self._update_prefill_engines)
         run("connections", services.connection_pool.on_tick, now_s)
         run("paths", services.path_monitor.on_tick, self._request_handler.open_calls > 0, now_s)
@@ -610,9 +613,11 @@
         if self._shutdown_schedule is not None:
             self._advance_shutdown(self._shutdown_schedule, now_s)
 
-    def _update_host_count(self) -> None:
+    def _update_host_count(self, now_s: float) -> None:
         host_count = self._peer_exchange.update_host_count(self._host_list.listed_host_count)
-        self._services.retry_budget.on_host_count(host_count)
+        # Only a fleet that starts for the first time is as small as the host sees it.
+        is_known = self._host_list.is_count_known or self._options.is_first_start
+        self._services.retry_budget.on_host_count(host_count if is_known else None, now_s)
         self._services.live_host_count = host_count
         self._services.registry.notices.limits.host_count = host_count
         self._services.placement.on_group_size(self._peer_exchange.group_size)
--- a/berylquay/relay/host_list.py
+++ b/berylquay/relay/host_list.py
@@ -43,6 +43,8 @@
 
     # Number of hosts in the list, this one included; 1 until the list was read.
     listed_host_count: int
+    # Whether the list was read while it was complete.
+    is_count_known: bool
     _store_client: StoreClient
     _options: RelayOptions
     _rng: Random
@@ -70,6 +72,7 @@
         is_first_of_group: Callable[[], bool],
     ) -> None:
         self.listed_host_count = 1
+        self.is_count_known = False
         self._store_client = store_client
         self._options = options
         self._rng = rng
@@ -157,6 +160,7 @@
     def _update_host_count(self, listed: int) -> None:
         # Hosts that have not written their entries again still spend their shares of the budgets.
         is_incomplete = self._last_tick_s < self._incomplete_until_s
+        self.is_count_known = self.is_count_known or not is_incomplete
         least = self.listed_host_count if is_incomplete else 1
         self.listed_host_count = max(least, listed)
 
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -17,6 +17,7 @@
     record_attempt_outcome,
 )
 from berylquay.decisions.backend_registry import BackendEntry
+from berylquay.decisions.call_arrivals import CallArrivals
 from berylquay.decisions.crash_history import Suspicion
 from berylquay.decisions.engine_placement import Placement
 from berylquay.decisions.fleet import Address
@@ -37,6 +38,7 @@
     log_call_ended,
     log_placement,
     log_quarantined_content,
+    log_retry_not_allowed,
     log_transfer,
 )
 from berylquay.relay.caller_authentication import CallerAuthenticator, KeyRefusal
@@ -105,6 +107,8 @@
     _pending_kv_handle: KVCacheHandle | None
     # Disaggregated prefills that were sent.
     _prefill_attempts: int
+    # Arrivals of the call at backend servers, which the retry budget must allow.
+    _arrivals: CallArrivals
     # KV cache that the open run request transfers, and the expected time from sending that request
     # to its first event.
     _transferred_kv_handle: KVCacheHandle | None
@@ -151,6 +155,7 @@
         self._queued = False
         self._pending_kv_handle = None
         self._prefill_attempts = 0
+        self._arrivals = CallArrivals(services.retry_budget, call.pool.name)
         self._transferred_kv_handle = None
         self._expected_first_event_delay_s = 0.0
         self._response = ResponseRelay(
@@ -248,11 +253,10 @@
 
     def _can_retry_elsewhere(self, now_s: float) -> bool:
         """Tells whether the run may be abandoned and sent to another engine."""
-        call, services = self.call, self._services
+        call = self.call
         if not call.route.repeatable or len(set(call.sent_to)) >= call.route.max_attempts:
             return False
-        has_budget = services.retry_budget.has_budget(call.pool.name, now_s)
-        return has_budget and self._engines.can_decode(now_s)
+        return self._arrivals.can_run(now_s) and self._engines.can_decode(now_s)
 
     def _is_stalled(self, upstream: UpstreamRequest, now_s: float) -> bool:
         """Tells whether an upstream request is overdue and its engine has shown no activity.
@@ -346,8 +350,8 @@
         """Tells whether a disaggregated prefill may be sent; the first needs no retry budget."""
         if not self._prefill_attempts:
             return True
-        has_budget = self._services.retry_budget.has_budget(self.call.pool.name, now_s)
-        return has_budget and self._prefill_attempts < MAX_PREFILL_ATTEMPTS
+        is_allowed = self._prefill_attempts < MAX_PREFILL_ATTEMPTS
+        return is_allowed and self._arrivals.can_prefill(now_s)
 
     def _is_admitted(self, placement: Placement, now_s: float) -> bool:
         """Tells whether the call may be sent now; if not, queues or refuses it."""
@@ -406,9 +410,11 @@
     def _send_prefill(self, engine: BackendEntry, placement: Placement, now_s: float) -> None:
         if self._refuse_if_key_removed(now_s):
             return
+        if not self._arrivals.reserve_prefill(now_s):
+            self._refuse_over_budget(now_s)
+            return
         call, services = self.call, self._services
-        if self._prefill_attempts:
-            services.retry_budget.spend(call.pool.name, now_s)
+        self._arrivals.on_sent()
         self._prefill_attempts += 1
         details = evolve(
             self._run_details(engine, now_s), copy_source=_address_of(placement.copy_from)
@@ -437,9 +443,11 @@
     ) -> None:
         if self._refuse_if_key_removed(now_s):
             return
+        if not self._arrivals.reserve_run(now_s):
+            self._refuse_over_budget(now_s)
+            return
         call, services = self.call, self._services
-        if call.sent_to:
-            services.retry_budget.spend(call.pool.name, now_s)
+        self._arrivals.on_sent()
         call.sent_to.append(backend.name)
         last_event_id = self._response.newest_event_id if self.caller.response_started else None
         details = self._run_details(backend, now_s, kv_handle, last_event_id)
@@ -515,6 +523,7 @@
             )
             return
         self._prefill_request = None
+        self._arrivals.on_prefill_accepted(now_s)
         self._record_prefill(upstream, now_s)
         self._pending_kv_handle = kv_handle
         if self._refuse_if_quarantined(now_s):
@@ -558,6 +567,7 @@
 
     def on_upstream_head(self, upstream: UpstreamRequest, head: RawResponseHead) -> None:
         """Prepares to relay the response; an answer that does not continue a stream fails."""
+        self._arrivals.on_arrived(time.monotonic())
         if not self._response.begin(head):
             upstream.cancel()
             detail = f"status {head.status} instead of the rest of the stream"
@@ -682,6 +692,7 @@
         services, call = self._services, self.call
         services.backlog.remove_prompt(upstream.backend.name, call.call_id)
         self._record_failure(upstream, outcome, detail, "prefill", now_s)
+        self._record_arrival(outcome, now_s)
         if outcome is AttemptOutcome.GATEWAY_FAILED:
             # Nothing was sent, so the prefill may be tried by way of the next gateway.
             self._prefill_attempts -= 1
@@ -689,11 +700,22 @@
             if call.failed_gateways >= services.attempts.max_failed_gateways:
                 self._refuse_after_failure(outcome, detail, now_s)
                 return
-        elif outcome is not AttemptOutcome.NOT_SENT:
-            # A prefill that went out and failed is charged as an extra request to the pool.
-            services.retry_budget.spend(call.pool.name, now_s)
+        if not self._arrivals.reserve_run(now_s):
+            self._refuse_over_budget(now_s)
+            return
         self._place_generation(now_s, is_first_placement=False)
 
+    def _record_arrival(self, outcome: AttemptOutcome, now_s: float) -> None:
+        """Tells the retry budget whether the request that has failed reached a server."""
+        if outcome in UNSENT_OUTCOMES:
+            self._arrivals.on_not_arrived()
+        else:
+            self._arrivals.on_arrived(now_s)
+
+    def _refuse_over_budget(self, now_s: float) -> None:
+        log_retry_not_allowed(self._services, self.call, now_s)
+        self._refuse(RefusalReason.OVERLOADED, "the retry budget is used up", now_s)
+
     def _fail_run(
         self, upstream: UpstreamRequest, outcome: AttemptOutcome, detail: str, now_s: float
     ) -> None:
@@ -714,10 +736,13 @@
         if outcome in UNSENT_OUTCOMES and call.sent_to:
             call.sent_to.pop()
         record_attempt_outcome(call, outcome)
-        has_budget = services.retry_budget.has_budget(call.pool.name, now_s)
+        self._record_arrival(outcome, now_s)
         if self.caller.response_started and not self._response.can_resume:
             return False
+        has_budget = self._arrivals.reserve_run(now_s)
         if not may_retry(call, outcome, has_budget, now_s, services.attempts):
+            if not has_budget:
+                log_retry_not_allowed(services, call, now_s)
             return False
         self._response.discard_attempt()
         if call.generation is not None:
@@ -823,6 +848,7 @@
         self.ended = True
         self._queued = False
         self._cancel_upstreams(now_s)
+        self._arrivals.on_ended(now_s)
         self._services.demand.on_call_ended(
             call.pool.name, now_s - call.received_s, answered=end.outcome == ANSWERED
         )
--- a/tests/relay/test_relay_decisions.py
+++ b/tests/relay/test_relay_decisions.py
@@ -109,7 +109,7 @@
     rng = Random(seed)
     budgets = [SharedRetryBudget(options) for _ in range(hosts)]
     for budget in budgets:
-        budget.on_host_count(hosts)
+        budget.on_host_count(hosts, 0.0)
     request_times_s: list[float] = []
     retry_times_s: list[float] = []
     now_s = 0.0
@@ -118,7 +118,7 @@
         budget = rng.choice(budgets)
         budget.on_call("app", now_s)
         request_times_s.append(now_s)
-        while budget.has_budget("app", now_s) and rng.random() < 0.9:
+        while rng.random() < 0.9 and budget.reserve("app", 1, now_s):
             budget.spend("app", now_s)
             retry_times_s.append(now_s)
     for end_s in (retry_times_s[index] for index in range(0, len(retry_times_s), 7)):
