Back off from servers that answer 421, and tell the other hosts

Cause: an answer 421 counted nothing against the server, which then looked idle and stayed the best choice, for each of 77 hosts by itself.

A report counts only for the same entry and lapses after 2.5 s, so that no host is bound by what another one no longer finds; it is not passed on.

--- a/berylquay/decisions/backend_health.py
+++ b/berylquay/decisions/backend_health.py
@@ -21,6 +21,11 @@
     max_backoff_s: float = 4.0
     # Time for which another host's report of an unresponsive backend server is valid.
     peer_report_ttl_s: float = 1.5
+    # Backoff after another server has answered at the address, and the longest; it doubles too.
+    initial_misdirected_backoff_s: float = 5.0
+    max_misdirected_backoff_s: float = 40.0
+    # Time for which another host's report of such a server is valid; it is repeated every second.
+    misdirected_report_ttl_s: float = 2.5
 
 
 @define
@@ -37,6 +42,12 @@
     last_activity_s: float = float("-inf")
     # Monotonic time until which another host's report that it is unresponsive is valid.
     reported_unresponsive_until_s: float = 0.0
+    # Consecutive requests that the server at the address refused, as it is another one or has
+    # another role, and monotonic times at which the backoff from it ends: this host's own, and that
+    # of the newest report of another host.
+    misdirected_requests: int = 0
+    misdirected_until_s: float = 0.0
+    reported_misdirected_until_s: float = 0.0
 
 
 class BackendHealth:
@@ -52,7 +63,9 @@
     def is_backing_off(self, name: str, now_s: float) -> bool:
         """Tells whether no new requests should be sent to the backend server now."""
         health = self._health_by_name.get(name)
-        return health is not None and now_s < health.backoff_until_s
+        return health is not None and now_s < max(
+            health.backoff_until_s, health.misdirected_until_s, health.reported_misdirected_until_s
+        )
 
     def failure_rate(self, name: str) -> float:
         """Returns the smoothed failure rate of the backend server, from 0 to 1."""
@@ -78,6 +91,41 @@
             health.connect_failures = 0
             health.backoff_until_s = 0.0
 
+    def on_misdirected(self, name: str, now_s: float) -> float:
+        """Records that the server at the address is not the one of the entry; returns the backoff.
+
+        It may also have another role than the entry says. Either way the entry is outdated, and the
+        backoff ends when it changes.
+        """
+        health = self._health_by_name.setdefault(name, _ServerHealth())
+        backoff_s: float = min(
+            self._options.max_misdirected_backoff_s,
+            self._options.initial_misdirected_backoff_s * 2.0**health.misdirected_requests,
+        )
+        health.misdirected_requests += 1
+        health.misdirected_until_s = now_s + backoff_s
+        return backoff_s
+
+    def on_reported_misdirected(self, name: str, now_s: float) -> None:
+        """Records a report from another host that another server answers at the address."""
+        health = self._health_by_name.setdefault(name, _ServerHealth())
+        health.reported_misdirected_until_s = now_s + self._options.misdirected_report_ttl_s
+
+    def misdirected_servers(self, now_s: float) -> list[str]:
+        """Returns the servers at whose addresses this host itself has found other ones."""
+        return [
+            name
+            for name, health in self._health_by_name.items()
+            if now_s < health.misdirected_until_s
+        ]
+
+    def on_entry_changed(self, name: str) -> None:
+        """Ends the backoff from a server whose entry was outdated."""
+        health = self._health_by_name.get(name)
+        if health is not None:
+            health.misdirected_requests = 0
+            health.misdirected_until_s = health.reported_misdirected_until_s = 0.0
+
     def on_reported_unresponsive(self, name: str, now_s: float) -> None:
         """Records a report from another host that a backend server is unresponsive.
 
@@ -111,6 +159,7 @@
         health = self._health_by_name[name]
         health.connect_failures = 0
         health.backoff_until_s = 0.0
+        self.on_entry_changed(name)
         self._update_failure_rate(health, 0.0)
 
     def forget(self, name: str) -> None:
--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -21,6 +21,8 @@
 HASH_MODULUS: Final = 256**STATE_HASH_BYTES
 # Most names whose recency is tracked: the largest fleet, with several replacements of each server.
 MAX_TRACKED_NAMES: Final = 50000
+# Number of fields in an entry's identity, separated by spaces.
+IDENTITY_FIELDS: Final = 4
 
 
 class EntryState(Enum):
@@ -65,6 +67,12 @@
         """Returns the incarnation that the entry is of."""
         return ServerInstance(self.name, self.started_unix_ms)
 
+    @property
+    def identity(self) -> str:
+        """Returns what a request must find at the address, in `IDENTITY_FIELDS`; last the name."""
+        role = "" if self.role is None else self.role.value
+        return f"{self.started_unix_ms} {self.address} {role} {self.name}"
+
     def with_role(self, role: Role) -> "BackendEntry":
         """Returns a copy of the entry with another role."""
         return evolve(self, role=role)
--- a/berylquay/relay/attempt_failures.py
+++ b/berylquay/relay/attempt_failures.py
@@ -40,6 +40,8 @@
     backoff_s = 0.0
     if outcome is AttemptOutcome.NOT_SENT and not _has_lost_path(services, upstream, now_s):
         backoff_s = services.health.on_unreachable(name, now_s)
+    elif outcome is AttemptOutcome.WRONG_SERVER:
+        backoff_s = services.health.on_misdirected(name, now_s)
     elif outcome in (AttemptOutcome.CONNECTION_LOST, AttemptOutcome.SERVER_ERROR):
         services.health.on_failed(name)
     if outcome is AttemptOutcome.CONNECTION_LOST:
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -535,6 +535,7 @@
             services.estimates.forget_engine(change.name)
             services.prefix_cache_index.forget_engine(change.name)
             services.segment_crashes.on_server_ended(change.name, time.monotonic())
+        services.health.on_entry_changed(change.name)
         if change.before is not None:
             services.pool_versions.on_entry_replaced(change.before, time.monotonic())
         services.pool_version_store.on_entries_changed()
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -9,6 +9,7 @@
 
 import logbook
 
+from berylquay.decisions.backend_registry import IDENTITY_FIELDS
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.shared_polling import TopicReport
 from berylquay.relay.follower import TopicFollower
@@ -26,6 +27,11 @@
 CONFIGURATION_VERSION: Final = "configuration-version"
 # Stands for a topic in reports: its state names the pools that the reporting host can't reach.
 LOST_POOLS: Final = "lost-pools"
+# Stands for a topic in reports: its state names the entries at whose addresses the reporting host
+# has found other servers, or other roles.
+MISDIRECTED_SERVERS: Final = "misdirected-servers"
+# Most entries in such a report, so that it fits into a datagram.
+MAX_MISDIRECTED: Final = 16
 _log = logbook.Logger("peer-exchange")
 
 
@@ -216,6 +222,8 @@
             if report.topic == LOST_POOLS:
                 pools = report.state_hash.split("\n")
                 self._services.path_monitor.on_lost_pools(host, pools, now_s)
+            if report.topic == MISDIRECTED_SERVERS:
+                self._on_misdirected_servers(report.state_hash.split("\n"), host, now_s)
             if report.topic == CONFIGURATION_VERSION:
                 version = parse_whole_number(report.state_hash)
                 if version is not None:
@@ -224,6 +232,16 @@
                 if follower.topic == report.topic:
                     follower.on_peer_report(report, now_s)
 
+    def _on_misdirected_servers(self, identities: list[str], host: str, now_s: float) -> None:
+        """Backs off from servers that another host did not find, if it has read the same entry."""
+        services = self._services
+        for identity in identities:
+            entry = services.registry.get(identity.split(" ", IDENTITY_FIELDS - 1)[-1])
+            if entry is not None and entry.identity == identity:
+                if not services.health.is_backing_off(entry.name, now_s):
+                    _log.info("another server at the address", backend=entry.name, host=host)
+                services.health.on_reported_misdirected(entry.name, now_s)
+
     def _version_report(self) -> tuple[TopicReport, ...]:
         """Returns the version in force, if other hosts must know it."""
         table = self._configuration.table
@@ -233,11 +251,17 @@
 
     def _standing_reports(self) -> tuple[TopicReport, ...]:
         """Returns what each report of this host says besides its own reads."""
-        lost_pools = self._services.path_monitor.lost_pools
-        if not lost_pools:
-            return self._version_report()
-        lost = TopicReport(LOST_POOLS, "\n".join(sorted(lost_pools)), 0)
-        return (*self._version_report(), lost)
+        reports = list(self._version_report())
+        services = self._services
+        names = services.health.misdirected_servers(time.monotonic())
+        entries = [entry for entry in map(services.registry.get, names) if entry is not None]
+        for topic, state in (
+            (LOST_POOLS, sorted(services.path_monitor.lost_pools)),
+            (MISDIRECTED_SERVERS, [entry.identity for entry in entries[-MAX_MISDIRECTED:]]),
+        ):
+            if state:
+                reports.append(TopicReport(topic, "\n".join(state), 0))
+        return tuple(reports)
 
     def _topic_reports(self, now_s: float) -> tuple[TopicReport, ...]:
         """Returns reports on the topics that this host knows, as of when they were confirmed."""
