--- a/tests/relay/test_errors_after_broken_streams.py
+++ b/tests/relay/test_errors_after_broken_streams.py
@@ -103,7 +103,9 @@
     return engines
 
 
-def receive_all(fleet: RelayFleet, http_version: str, call_id: str) -> tuple[bytes, bool]:
+def receive_all(
+    fleet: RelayFleet, http_version: str, call_id: str, target: str = PATHS["resumable"]
+) -> tuple[bytes, bool]:
     """Sends a prompt; returns what the caller receives, and whether its connection was reset."""
     headers = {
         "Host": HOST_NAME,
@@ -113,7 +115,7 @@
         "Deadline-Ms": "2000",
     }
     lines = [f"{name}: {value}" for name, value in headers.items()]
-    head = "\r\n".join((f"POST {PATHS['resumable']} HTTP/{http_version}", *lines, "", ""))
+    head = "\r\n".join((f"POST {target} HTTP/{http_version}", *lines, "", ""))
     received = b""
     with fleet.connect() as sock:
         sock.settimeout(5.0)
--- a/tests/support/scripted_backend.py
+++ b/tests/support/scripted_backend.py
@@ -44,7 +44,7 @@
 
 @define
 class ScriptedBackend:
-    """Listens on the loopback interface; serves one request on each connection."""
+    """Listens on the loopback interface; serves one request on each connection by its script."""
 
     # Script of the requests whose body is in no other script.
     default_script: Script
@@ -52,6 +52,9 @@
     scripts: dict[bytes, Script] = field(factory=dict)
     # Script of the requests that continue a stream, or None if they are served like all others.
     resumption_script: Script | None = None
+    # Complete answer to the first request on each connection, which is kept for the next one;
+    # empty if the first one is served by its script.
+    first_answer: bytes = b""
     # Heads and bodies of the requests that were received.
     requests: list[bytes] = field(factory=list)
     # Number of connections on which bytes are being sent without end.
@@ -81,6 +84,13 @@
             if not request:
                 return
             self.requests.append(request)
+            if self.first_answer:
+                first_id = find_header(request, b"attempt-id")
+                sock.sendall(self.first_answer.replace(ATTEMPT_ID_PLACEHOLDER, first_id))
+                request = read_request(sock)
+                if not request:
+                    return
+                self.requests.append(request)
             attempt_id = find_header(request, b"attempt-id")
             script = self.scripts.get(request.partition(b"\r\n\r\n")[2], self.default_script)
             if self.resumption_script and find_header(request, b"last-event-id"):
