Answer requests that outlast the grace period before the process ends

Cause: the last step of a stop ended the event loop with calls open. It now ends each of them first, with 502 if it may have run and 503 if it has not; a response that has begun is still broken off. The new test got no response before (RemoteDisconnected). Slow uploads, which end after the host refuses new requests, were refused before as well.

--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -692,9 +692,13 @@
         elif phase is ShutdownPhase.ENDED and self._callers_listener.is_accepting:
             # Connections that were not accepted yet are served before the process ends.
             self._callers_listener.accept_rest_and_close()
+        elif phase is ShutdownPhase.ENDED and self._request_handler.open_calls:
+            _log.info("calls ended by the stop", open_calls=self._request_handler.open_calls)
+            # The responses are sent before the next tick.
+            self._request_handler.refuse_open_requests(now_s)
         elif phase is ShutdownPhase.ENDED:
             after_s = round(now_s - schedule.requested_s, 3)
-            _log.info("stopped", open_calls=self._request_handler.open_calls, after_s=after_s)
+            _log.info("stopped", open_calls=0, after_s=after_s)
             self._duties.send_last_counts()
             self._loop.stop()
 
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -214,6 +214,11 @@
         if not self.ended:
             self._end(CallEnd("caller-gone"), now_s)
 
+    def refuse_for_shutdown(self, now_s: float) -> None:
+        """Ends the call with an error response, as the process is about to end."""
+        self._record_possible_run()
+        self._refuse(RefusalReason.SHUTTING_DOWN, "the host has stopped", now_s)
+
     def on_tick(self, now_s: float) -> None:
         """Enforces the deadline, the connect and stall timeouts, and retries queued placement."""
         call = self.call
@@ -793,11 +798,14 @@
         self._refuse(reason, detail, now_s)
 
     def _refuse_at_deadline(self, now_s: float) -> None:
-        upstream = self._run_request
-        if upstream is not None and upstream.may_have_run:
-            self.call.may_have_run = True
+        self._record_possible_run()
         self._refuse(RefusalReason.DEADLINE, "the time is over", now_s)
 
+    def _record_possible_run(self) -> None:
+        """Records that the open run, which is about to be cancelled, may have begun."""
+        if self._run_request is not None and self._run_request.may_have_run:
+            self.call.may_have_run = True
+
     def _refuse(
         self,
         reason: RefusalReason,
--- a/berylquay/relay/request_handler.py
+++ b/berylquay/relay/request_handler.py
@@ -144,6 +144,12 @@
         for caller in self._callers:
             caller.closes_when_idle = True
 
+    def refuse_open_requests(self, now_s: float) -> None:
+        """Ends the calls that are still open, as the process is about to end."""
+        for caller, relayed in list(self._open_requests.items()):
+            if not self._services.errors.run("call", relayed.refuse_for_shutdown, now_s):
+                self._abandon(caller)
+
     def on_tick(self, now_s: float) -> None:
         """Checks the time limits of all calls and connections."""
         errors = self._services.errors
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -3,9 +3,10 @@
 import http.client
 import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from threading import Event, Thread
-from typing import Final
+from typing import Final, cast
 
 import pytest
 
@@ -104,6 +105,39 @@
     assert not stop_under_load(stopping_host, path)
 
 
+# Requests that begin shortly before a host refuses new ones, and last beyond the end of its grace
+# period: path, and what the caller gets. Each has been sent to a server that may have run it.
+OVERLONG_REQUESTS: Final = {"many": 502, "once": 502, "stream": 502}
+
+
+def test_requests_that_outlast_the_grace_period_are_answered(fleet: RelayFleet) -> None:
+    """Guards against requests that were taken late in a stop and are cut without an answer."""
+    configuration = make_configuration()
+    for route in cast(list[dict[str, object]], configuration["routes"]):
+        route["timeoutMs"] = 20000
+    fleet.put_configuration(configuration)
+    fleet.add_backend("app-0", "app")
+    fleet.add_backend("prefill-0", "lm", "prefill")
+    fleet.add_backend("decode-0", "lm", "decode")
+    host = fleet.add_host()
+    for backend in fleet.backends.values():
+        backend.post("/faults", {"delay_s": 30.0})
+    host.popen.terminate()
+    time.sleep(ACCEPT_S - 0.4)
+
+    def send(path: str) -> tuple[int, float]:
+        headers = {"Deadline-Ms": "20000", "Token-Counts": "6000,20", "Prompt-Prefix": "aa:6000"}
+        started_s = time.monotonic()
+        status = fleet.send_request(PATHS[path], f"id-{path}", b"", headers).status
+        return status, time.monotonic() - started_s
+
+    with ThreadPoolExecutor(len(OVERLONG_REQUESTS)) as callers:
+        answers = dict(zip(OVERLONG_REQUESTS, callers.map(send, OVERLONG_REQUESTS), strict=True))
+    assert {path: status for path, (status, _) in answers.items()} == OVERLONG_REQUESTS
+    assert min(taken_s for _, taken_s in answers.values()) > 4.0
+    assert host.popen.wait(timeout=8.0) == 0
+
+
 def test_no_request_by_way_of_a_gateway_is_cut_off(fleet: RelayFleet, tmp_path: Path) -> None:
     start_cut_host(fleet, tmp_path)
     assert not stop_under_load(fleet.hosts[CUT], "many")
