--- a/berylquay/decisions/shared_retry_budget.py
+++ b/berylquay/decisions/shared_retry_budget.py
@@ -137,8 +137,10 @@
     def _allowed(self, window: _PoolWindow, now_s: float) -> float:
         """Returns how many retries this host may make in the window that ends now."""
         options = self._options
-        known_fraction = min(1.0, (now_s - self._known_since_s) / options.window_s)
-        usable = USABLE_FRACTION if known_fraction == 1.0 else USABLE_FRACTION_AFTER_START
+        known_s = now_s - self._known_since_s
+        is_known = known_s >= options.window_s
+        known_fraction = 1.0 if is_known else known_s / options.window_s
+        usable = USABLE_FRACTION if is_known else USABLE_FRACTION_AFTER_START
         allowed = len(window.requests) * options.ratio
         sharing_hosts = self._sharing_host_count(now_s)
         if sharing_hosts is not None:
--- a/tests/test_shared_retry_budget.py
+++ b/tests/test_shared_retry_budget.py
@@ -119,6 +119,13 @@
     assert retries_allowed(budget, 100.0 + age_s) == expected
 
 
+def test_a_window_without_length_is_no_error() -> None:
+    """Guards against a division by the configured length, which may be 0."""
+    budget = SharedRetryBudget(RetryBudgetOptions(RATIO, 0.0, EXTRA), known_since_s=5.0)
+    budget.on_host_count(3, 5.0)
+    assert retries_allowed(budget, 5.0) == 14
+
+
 # Requests of one call in order, as they end, and how many of the retries are reserved or made
 # after each. p: prefill, r: run; accepted, failed (it has arrived), unsent.
 ARRIVALS: Final = {
