--- a/tests/relay/test_errors_after_broken_streams.py
+++ b/tests/relay/test_errors_after_broken_streams.py
@@ -40,6 +40,10 @@
 BROKEN: Final = Script(
     OK + EVENT_STREAM + b"Transfer-Encoding: chunked\r\n\r\n" + chunk(EVENTS), Ending.RESET
 )
+COMPLETE: Final = Script(
+    OK + EVENT_STREAM + b"Transfer-Encoding: chunked\r\n\r\n" + chunk(EVENTS) + b"0\r\n\r\n",
+    Ending.FIN,
+)
 # Answers to the request that goes on after event 2.
 SECOND_ANSWERS: Final[dict[str, Script]] = {
     "500-text": Script(with_length(error_head(b"500 Error"), MARK), Ending.FIN),
@@ -163,6 +167,8 @@
     fleet: RelayFleet, tmp_path: Path, kind: str
 ) -> None:
     engines = start_engines(fleet, SECOND_ANSWERS[kind])
+    for engine in engines:
+        engine.default_script = COMPLETE
     partition = Partition.make(tmp_path / "partition.json")
     partition.ports = [engine.port for engine in engines]
     partition.set_mode("")
@@ -177,7 +183,9 @@
         )
 
     wait_until(uses_gateway)
+    # Before, a failure would count against the engines, or the content, of the request to check.
     for engine in engines:
+        engine.default_script = BROKEN
         engine.requests.clear()
     received, was_reset = receive_all(fleet, "1.1", "call")
     assert sum(len(engine.requests) for engine in engines) > 1
