--- a/review/harness.py
+++ b/review/harness.py
@@ -283,7 +283,7 @@
             async with asyncio.timeout(deadline_ms / 1000.0 + 1.0):
                 head = encode_request_head(method, path, attempt, len(body), deadline_ms)
                 reply = await self._exchange(head + body, is_first)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, asyncio.LimitOverrunError) as error:
             reply = Reply(0, {}, b"", False, is_first, type(error).__name__)
         self._record.write(
             f"{self._name} gets {reply.status or 'nothing'} for {attempt},"
@@ -304,6 +304,8 @@
             return Reply(0, {}, b"", False, is_first, "closed without an answer")
         first, headers = head
         status = int(first.split(" ")[1])
+        if "transfer-encoding" in headers:
+            return await self._read_chunks(reader, status, headers, is_first)
         wanted = int(headers.get("content-length", "0"))
         try:
             received = await reader.readexactly(wanted)
@@ -312,6 +314,18 @@
             return Reply(status, headers, error.partial, False, is_first, detail)
         return Reply(status, headers, received, True, is_first)
 
+    async def _read_chunks(
+        self, reader: asyncio.StreamReader, status: int, headers: dict[str, str], is_first: bool
+    ) -> Reply:
+        """Reads a body in chunks to its end, or to that of the connection."""
+        end, size = b"", 0
+        while not end.endswith(b"0\r\n\r\n"):
+            data = await reader.read(65536)
+            if not data:
+                return Reply(status, headers, b"", False, is_first, f"closed after {size} bytes")
+            end, size = (end + data)[-5:], size + len(data)
+        return Reply(status, headers, b"", True, is_first, f"{size} bytes of chunks")
+
 
 class Store:
     """The project's stand-in of the platform's store, as a process."""
