Review, case 1: streams go on at another software version at a machine that stood still

Cause: the age in a report of another machine counts from when the report is handled. A machine that was frozen takes the reports in its queue for fresh, doesn't notice its gap, and believes for 1.5 s that a pool has had one version only.

Change: a script with its claim. Nothing is fixed.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,10 +1,12 @@
-"""Case 1: a prompt part that crashes runners is never refused where runners keep their ids."""
+"""Case 1: streams go on at another software version at a machine that stood still."""
 
 import asyncio
 import json
+import secrets
+import signal
 import sys
 import time
-import urllib.request
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -14,29 +16,27 @@
     HEARTBEAT_S,
     HELD,
     HOST,
+    STATUS_OK,
     Processes,
     Record,
     Store,
-    free_port,
+    encode_reply,
     has_trouble,
     make_configuration,
     make_route,
     read_head,
     run_case,
-    wait_until_listening,
 )
 
-# The split that the relay itself keeps for a pool of five.
-PREFILL_RUNNERS = 3
-DECODE_RUNNERS = 2
-LENGTH_S = 75.0
-SOUND_PERIOD_S = 0.25
-BAD_PERIOD_S = 2.5
-DOWN_S = 2.5
-CONTACT_S = 4.0
-CRASHES = 5
-MOST_ALLOWED = 3
-FIRST_PART, SOUND_PART, BAD_PART = "f1a0", "50d0", "bad0"
+# The split that the relay itself keeps for a pool of four; two of a new version join.
+PREFILL_RUNNERS, DECODE_RUNNERS, JOINING_RUNNERS = 2, 2, 2
+SHORT_CALLERS, SHORT_PAUSE_S = 36, 0.2
+LONG_STREAMS = 30
+# Seconds after the beginning of the freeze.
+JOIN_AT_S, LONG_AT_S, THAW_AT_S = 4.0, 5.2, 6.9
+SHORT_EVENTS, LONG_EVENTS, EVENT_INTERVAL_S = 2, 80, 0.05
+TAKE_UP_TRIES, RETRY_PAUSE_S = 3, 0.4
+MOST_ALLOWED = 2
 ENGINE = {
     "slots": 64,
     "kvCapTokens": 565973,
@@ -48,164 +48,226 @@
 
 
 class ModelRunner:
-    """The project's stand-in of a model runner, started again under its id when it has crashed."""
+    """A stand-in of a model runner whose events name the software version that made them."""
 
-    def __init__(self, processes: Processes, store: Store, name: str, role: str) -> None:
-        """Takes what it needs to start."""
-        self.name = name
-        self.crashes: list[float] = []
-        self._processes = processes
+    def __init__(self, store: Store, record: Record, name: str, version: str, phase: str) -> None:
+        """Takes the id, the software version and the phase."""
         self._store = store
-        self._role = role
-        self._port = free_port()
-        self._born = 0
-        self._seq = 0
-        self.events = processes.directory / f"{name}.events"
-
-    async def run(self, record: Record) -> None:
-        """Runs, registers, and starts again after each crash, until it is cancelled."""
+        self._record = record
+        self._name = name
+        self._version = version
+        self._phase = phase
+        self._orders = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listens and registers."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=512)
+        port = server.sockets[0].getsockname()[1]
+        self._record.write(f"runner {self._name} starts as {self._version}, {self._phase}")
+        task = asyncio.ensure_future(self._beat_on(f"127.0.0.1:{port}"))
+        self._tasks.add(task)
+
+    async def _beat_on(self, address: str) -> None:
+        born, seq = int(time.time() * 1000), 0
         while True:
-            process = await asyncio.to_thread(self._start)
-            record.write(f"runner {self.name} starts, born {self._born}")
-            next_beat_s = time.monotonic()
-            while process.poll() is None:
-                if time.monotonic() >= next_beat_s:
-                    next_beat_s = time.monotonic() + HEARTBEAT_S
-                    await self._beat()
-                await asyncio.sleep(0.02)
-            self.crashes.append(time.monotonic())
-            record.write(f"runner {self.name} has crashed")
-            await asyncio.sleep(DOWN_S)
-
-    def _start(self):  # noqa: ANN202
-        arguments = ["--name", self.name, "--role", self._role, "--port", str(self._port)]
-        arguments += ["--events", "4", "--interval-ms", "20", "--witness", str(self.events)]
-        process = self._processes.start(
-            self.name, sys.executable, "-m", "standins.platform_backend", *arguments
-        )
-        wait_until_listening("127.0.0.1", self._port)
-        data = json.dumps({"crash_on_segment": BAD_PART}).encode()
-        url = f"http://127.0.0.1:{self._port}/faults"
-        with urllib.request.urlopen(urllib.request.Request(url, data=data), timeout=5):
+            seq += 1
+            entry = {
+                "service": "cellar-lm",
+                "address": address,
+                "zone": "fes-a",
+                "version": self._version,
+                "slots": 64,
+                "state": "ready",
+                "coldLeftMs": 0,
+                "seq": seq,
+                "born": born,
+                "phase": self._phase,
+            }
+            await self._store.put("keyed.servers", self._name, entry)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while (head := await read_head(reader)) is not None:
+                size = int(head[1].get("content-length", "0"))
+                body = await reader.readexactly(size)
+                await self._answer(head[0].split(" ")[1], head[1], body, writer)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
             pass
-        self._born = int(time.time() * 1000)
-        self._seq = 0
-        return process
-
-    async def _beat(self) -> None:
-        self._seq += 1
-        entry = {
-            "service": "cellar-lm",
-            "address": f"127.0.0.1:{self._port}",
-            "zone": "fes-a",
-            "version": "v1",
-            "slots": 64,
-            "state": "ready",
-            "coldLeftMs": 0,
-            "seq": self._seq,
-            "born": self._born,
-            "phase": self._role,
-        }
-        await self._store.put("keyed.servers", self.name, entry)
-
-
-async def ask(address: tuple[str, int], attempt: str, part: str, record: Record) -> int:
-    """Sends one prompt on a new connection; returns the status of a whole answer, else 0."""
-    prefix = f"{FIRST_PART}:100,{part}:60,{attempt.encode().hex()}:40"
-    lines = [f"POST /verdict/{attempt} HTTP/1.1", f"Host: {HOST}", f"Attempt-Id: {attempt}"]
-    lines += ["Model: m", "Token-Counts: 200,4", f"Prompt-Prefix: {prefix}", "Deadline-Ms: 2500"]
-    lines += [f"Content-Length: {len(attempt)}", "Connection: close", "", attempt]
-    record.write(f"caller sends {attempt} with part {part}")
-    status, detail = 0, ""
+        finally:
+            writer.close()
+
+    async def _answer(
+        self, path: str, headers: dict[str, str], body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        attempt = headers.get("attempt-id", "")
+        echo = {"Attempt-Id": attempt, "Content-Type": "application/json"}
+        is_prefill = headers.get("stage") == "prefill"
+        if headers.get("expect-instance", self._name) != self._name:
+            writer.write(encode_reply(421, {**echo, "Not-Executed": "1"}, b"{}"))
+        elif path == "/report":
+            state = {"phase": self._phase, "seq": self._orders}
+            writer.write(encode_reply(STATUS_OK, echo, json.dumps(state).encode()))
+        elif path == "/order":
+            self._orders += 1
+            self._phase = json.loads(body).get("phase", self._phase)
+            writer.write(encode_reply(202, echo, b"{}"))
+        elif path.startswith("/kv-handle/"):
+            writer.write(encode_reply(STATUS_OK, echo, b"{}"))
+        elif is_prefill != (self._phase == "prefill"):
+            writer.write(encode_reply(421, {**echo, "Not-Executed": "1"}, b"{}"))
+        elif is_prefill:
+            handle = {"kvHandle": secrets.token_hex(6), "tokens": 200, "version": 1}
+            writer.write(encode_reply(STATUS_OK, echo, json.dumps(handle).encode()))
+        else:
+            await self._stream(attempt, int(headers.get("last-event-id", "0")), writer)
+
+    async def _stream(self, attempt: str, after: int, writer: asyncio.StreamWriter) -> None:
+        is_long = attempt.startswith("long")
+        if is_long:
+            self._record.write(f"runner {self._name} runs {attempt} after event {after}")
+        head = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {attempt}\r\n"
+        head += f"Server-Seal: {self._name}.{attempt}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head.encode())
+        for number in range(after + 1, (LONG_EVENTS if is_long else SHORT_EVENTS) + 1):
+            event = f"id: {number}\ndata: {self._version} {self._name}\n\n"
+            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            await writer.drain()
+            if is_long:
+                await asyncio.sleep(EVENT_INTERVAL_S)
+        writer.write(b"0\r\n\r\n")
+
+
+async def ask(
+    address: tuple[str, int], attempt: str, after: int = 0, resumes: str = ""
+) -> tuple[int, list[tuple[int, str]]]:
+    """Sends one request; returns the status, and number and version of each event."""
+    lines = [f"POST /question/{attempt} HTTP/1.1", f"Host: {HOST}", f"Attempt-Id: {attempt}"]
+    lines += ["Model: m", "Token-Counts: 200,40", "Prompt-Prefix: f1a0:100,0b0b:100"]
+    lines += ["Deadline-Ms: 8000", f"Content-Length: {len(attempt)}", "Connection: close"]
+    if resumes:
+        lines += [f"Last-Event-Id: {after}", f"Resumes: {resumes}"]
+    status, body = 0, b""
     try:
-        async with asyncio.timeout(4.0):
+        async with asyncio.timeout(10.0):
             reader, writer = await asyncio.open_connection(*address)
-            writer.write("\r\n".join(lines).encode())
+            writer.write("\r\n".join([*lines, "", attempt]).encode())
             head = await read_head(reader)
-            body = await reader.read(-1)
-            writer.close()
             if head is not None:
-                is_chunked = "transfer-encoding" in head[1]
-                is_whole = body.endswith(b"0\r\n\r\n") if is_chunked else True
-                status = int(head[0].split(" ")[1]) if is_whole else 0
-                detail = "" if is_chunked else body.decode("latin-1")
-    except (OSError, TimeoutError) as error:
-        detail = repr(error)
-    record.write(f"caller gets {status or 'no whole answer'} for {attempt} {detail}")
-    return status
-
-
-async def send_sound(address: tuple[str, int], record: Record, statuses: list[int]) -> None:
-    """Sends sound prompts, which share the first part with the bad ones."""
-    end_s = time.monotonic() + LENGTH_S
-    count = 0
-    while time.monotonic() < end_s:
-        count += 1
-        statuses.append(await ask(address, f"sound-{count}", SOUND_PART, record))
-        await asyncio.sleep(SOUND_PERIOD_S)
+                status = int(head[0].split(" ")[1])
+                while data := await reader.read(65536):
+                    body += data
+            writer.close()
+    except (OSError, TimeoutError):
+        pass
+    events, number = [], 0
+    for line in body.split(b"\n"):
+        if line.startswith(b"id: "):
+            number = int(line[4:])
+        elif line.startswith(b"data: "):
+            events.append((number, line[6:].decode().split(" ")[0]))
+    return status, events
 
 
-async def send_bad(address: tuple[str, int], record: Record) -> None:
-    """Sends prompts with the bad part, no two alike."""
-    end_s = time.monotonic() + LENGTH_S - BAD_PERIOD_S
+async def call_on(address: tuple[str, int], number: int) -> None:
+    """Sends short requests, until it is cancelled."""
     count = 0
-    while time.monotonic() < end_s:
+    await asyncio.sleep(SHORT_PAUSE_S * number / SHORT_CALLERS)
+    while True:
         count += 1
-        began_s = time.monotonic()
-        await ask(address, f"bad-{count}", BAD_PART, record)
-        await asyncio.sleep(max(0.0, began_s + BAD_PERIOD_S - time.monotonic()))
+        await ask(address, f"short-{number}-{count}")
+        await asyncio.sleep(SHORT_PAUSE_S)
+
+
+async def read_long(
+    first: tuple[str, int], second: tuple[str, int], number: int, record: Record
+) -> tuple[str, ...]:
+    """Reads a long stream and takes it up at the second machine if it breaks off.
+
+    Returns the versions of its events, in order.
+    """
+    attempt = f"long-{number}"
+    status, events = await ask(first, attempt)
+    record.write(f"caller gets {status} for {attempt}, events {describe(events)}")
+    for count in range(TAKE_UP_TRIES):
+        if not events or events[-1][0] == LONG_EVENTS:
+            break
+        again = f"{attempt}-again-{count}"
+        status, more = await ask(second, again, events[-1][0], attempt)
+        record.write(f"caller gets {status} for {again}, events {describe(more)}")
+        events += more
+        if not more:
+            await asyncio.sleep(RETRY_PAUSE_S)
+    versions = tuple(dict.fromkeys(version for _, version in events))
+    if len(versions) > 1:
+        record.write(f"MIXED {attempt}: {describe(events)}")
+    return versions
+
+
+def describe(events: list[tuple[int, str]]) -> str:
+    """Returns how many events are of each version, and the numbers of the first and the last."""
+    if not events:
+        return "none"
+    counts = Counter(version for _, version in events)
+    return f"{events[0][0]} to {events[-1][0]}, {dict(counts)}"
 
 
 async def case(processes: Processes, record: Record) -> int:
-    """Counts the requests with the bad part that reach runners after the fifth crash."""
+    """Freezes a machine while a version joins, and kills the other one as it wakes."""
     store = processes.start_store()
-    route = make_route("verdict", "streaming", "cellar-lm", timeoutMs=2500, gapTargetMs=150)
+    route = make_route(
+        "question",
+        "streaming",
+        "cellar-lm",
+        timeoutMs=8000,
+        gapTargetMs=150,
+        resumable=True,
+        maxAttempts=2,
+    )
     configuration = make_configuration(route)
     configuration["services"][0]["engine"] = ENGINE
     await store.put("keyed.op", "config", configuration)
-    roles = ["prefill"] * PREFILL_RUNNERS + ["decode"] * DECODE_RUNNERS
-    runners = [
-        ModelRunner(processes, store, f"lm-{number}", role) for number, role in enumerate(roles)
-    ]
-    running = [asyncio.ensure_future(runner.run(record)) for runner in runners]
-    address, relay = await asyncio.to_thread(processes.start_relay, store, "front-1")
+    phases = ["prefill"] * PREFILL_RUNNERS + ["decode"] * DECODE_RUNNERS
+    for number, phase in enumerate(phases):
+        await ModelRunner(store, record, f"old-{number}", "v1", phase).start()
+    first, _ = await asyncio.to_thread(processes.start_relay, store, "front-1")
+    second, frozen = await asyncio.to_thread(processes.start_relay, store, "front-2")
     await asyncio.sleep(5.0)
-    statuses: list[int] = []
-    tasks = [send_sound(address, record, statuses)]
+    shorts = [asyncio.ensure_future(call_on(first, number)) for number in range(SHORT_CALLERS)]
+    await asyncio.sleep(1.0)
+    began_s = time.monotonic()
+    if has_trouble():
+        frozen.send_signal(signal.SIGSTOP)
+        record.write("front-2 freezes")
+    await asyncio.sleep(JOIN_AT_S)
+    for number in range(JOINING_RUNNERS):
+        await ModelRunner(store, record, f"new-{number}", "v2", "decode").start()
+    await asyncio.sleep(began_s + LONG_AT_S - time.monotonic())
+    longs = [
+        asyncio.ensure_future(read_long(first, second, number, record))
+        for number in range(LONG_STREAMS)
+    ]
+    await asyncio.sleep(began_s + THAW_AT_S - time.monotonic())
     if has_trouble():
-        tasks.append(send_bad(address, record))
-    await asyncio.gather(*tasks)
-    for task in running:
-        task.cancel()
-    if relay.poll() is not None:
-        raise RuntimeError("the relay has ended")
-    return judge(record, runners, statuses)
-
-
-def judge(record: Record, runners: list[ModelRunner], statuses: list[int]) -> int:
-    """Judges what runners have seen."""
-    crashes = sorted(at_s for runner in runners for at_s in runner.crashes)
-    arrivals: list[tuple[float, str, str, str]] = []
-    for runner in runners:
-        if runner.events.exists():
-            for line in runner.events.read_text(encoding="utf-8").splitlines():
-                event = json.loads(line)
-                if str(event.get("id", "")).startswith("bad-"):
-                    arrivals.append((event["at_s"], event["id"], event["event"], runner.name))
-    late: set[str] = set()
-    if len(crashes) >= CRASHES:
-        fifth_s = crashes[CRASHES - 1]
-        for at_s, attempt, stage, name in sorted(arrivals):
-            if at_s > fifth_s + CONTACT_S and stage == "run":
-                late.add(attempt)
-                record.write(f"LATE {attempt} runs at {name} {at_s - fifth_s:.1f} s after crash 5")
-    answered = sum(status == 200 for status in statuses)  # noqa: PLR2004
+        processes.started["front-1"].kill()
+        frozen.send_signal(signal.SIGCONT)
+        record.write("front-1 is killed, front-2 wakes")
+        for short in shorts:
+            short.cancel()
+    streams = await asyncio.gather(*longs)
+    for short in shorts:
+        short.cancel()
+    if frozen.poll() is not None:
+        raise RuntimeError("front-2 has ended")
+    counts = Counter(" then ".join(versions) or "nothing" for versions in streams)
+    mixed = sum(len(versions) > 1 for versions in streams)
     record.say(
-        f"{len(crashes)} crashes; {len(late)} requests with the bad part reached runners later than"
-        f" {CONTACT_S:.0f} s after the fifth crash, {MOST_ALLOWED} are allowed; {answered} of"
-        f" {len(statuses)} sound requests were answered"
+        f"{LONG_STREAMS} streams, by the versions of their events: {dict(counts)}; {mixed} hold"
+        f" events of two versions, {MOST_ALLOWED} are allowed"
     )
-    return BROKEN if len(late) > MOST_ALLOWED else HELD
+    return BROKEN if mixed > MOST_ALLOWED else HELD
 
 
 if __name__ == "__main__":
