--- a/review/harness.py
+++ b/review/harness.py
@@ -396,13 +396,6 @@
         wait_until_ready(ip, ports[1])
         return (ip, ports[0]), process
 
-    def restart_relay(self, name: str) -> None:
-        """Starts a relay host that was killed again; the fleet is no longer starting first."""
-        path = self.directory / f"{name}.ini"
-        text = path.read_text(encoding="utf-8").replace("first_start = true", "first_start = false")
-        path.write_text(text, encoding="utf-8")
-        self.start(name, "python3", "-m", "berylquay.relay", BERYLQUAY_NODE_FILE=str(path))
-
     def end_all(self) -> None:
         """Ends what is still running and removes the folder."""
         for process in self.started.values():
