--- a/berylquay/decisions/pool_version_history.py
+++ b/berylquay/decisions/pool_version_history.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable, Mapping
+from math import isfinite
 from typing import Final
 
 from attrs import field, frozen
@@ -45,6 +46,9 @@
 
     # Monotonic time since which this host knows the list of servers without a gap, or None.
     _known_since_s: float | None
+    # Monotonic time as of which the list was last known to be current, and by whose report.
+    _confirmed_s: float
+    _confirmed_by: str
     # Monotonic time before which no confirmation of the list counts, and the difference between the
     # clock that runs while the host is suspended and the monotonic one, or None if not known.
     _confirmed_from_s: float
@@ -78,6 +82,8 @@
         """
         self._knows_all_versions = is_first_start
         self._known_since_s = None
+        self._confirmed_s = float("-inf")
+        self._confirmed_by = ""
         self._confirmed_from_s = float("-inf")
         self._clock_difference_s = None
         self._read_sent_s = None
@@ -117,8 +123,27 @@
         if before_s is not None and boot_s - now_s - before_s > MAX_SUSPENSION_S:
             self._confirmed_from_s = now_s
 
-    def on_list_confirmed(self, confirmed_s: float, now_s: float) -> None:
-        """Records when the list of servers was last known to be current."""
+    def describe_list(self, now_s: float) -> dict[str, int | str | None]:
+        """Returns, for logs, how old the list is, by whom it is known, and since when."""
+        known_since_s = self._known_since_s
+        has_list = isfinite(self._confirmed_s)
+        return {
+            "list_age_ms": round((now_s - self._confirmed_s) * MS_PER_S) if has_list else None,
+            "list_from": self._confirmed_by or "store",
+            "list_known_ms": (
+                None if known_since_s is None else round((now_s - known_since_s) * MS_PER_S)
+            ),
+        }
+
+    def on_list_confirmed(self, confirmed_s: float, now_s: float, confirmed_by: str = "") -> None:
+        """Records when the list of servers was last known to be current.
+
+        Args:
+            confirmed_s: Monotonic time as of which all changes are known.
+            now_s: Present time.
+            confirmed_by: Name of the host whose report said so; empty if this host has read.
+        """
+        self._confirmed_s, self._confirmed_by = confirmed_s, confirmed_by
         if now_s - confirmed_s > MAX_LIST_AGE_S or confirmed_s < self._confirmed_from_s:
             if self._known_since_s is not None:
                 self._knows_all_versions = False
--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -29,6 +29,8 @@
 FAILURE_BACKOFF: Final = Backoff(min_delay_s=0.2, max_delay_s=0.8)
 # Time over which the hosts spread their reads after the store has come back from an older copy.
 NEW_ERA_READ_SPREAD_S: Final = 0.4
+# Stands for the host in `confirmed_by` after changes that another host has passed on.
+CHANGES: Final = "changes"
 _log = logbook.Logger("follower")
 
 
@@ -77,6 +79,8 @@
     has_snapshot: bool = field(default=False, init=False)
     # Decides when to read, and tracks up to when the knowledge is complete.
     polling: SharedPolling = field(init=False)
+    # Name of the host whose report confirmed the knowledge last; empty after an own read.
+    confirmed_by: str = field(default="", init=False)
     # Failed calls since the last one that succeeded.
     consecutive_failures: int = field(default=0, init=False)
     # Offset of the next record to read, or None to begin with the newest records.
@@ -141,14 +145,14 @@
             wait_s = self._timings.long_poll_wait_s if self.polling.is_poller else 0.0
             self._store_client.read(self.topic, self._offset, wait_s, self._on_page)
 
-    def on_peer_report(self, report: TopicReport, now_s: float) -> None:
+    def on_peer_report(self, report: TopicReport, now_s: float, host: str = "") -> None:
         """Takes another host's report of a read; ignored while this host has no snapshot."""
         if not self.has_snapshot or self._offset is None:
             return
         own_era = self._store_era.current
         era, _state_hash = split_era(report.state_hash)
         if own_era is None or era == own_era:
-            self.polling.on_peer_report(report, self.state_hash, now_s)
+            self._apply_report(report, now_s, host)
         elif era is not None and era > max(own_era, self._reported_era):
             # The answer to a read shows the new era to this host as well.
             self._reported_era = era
@@ -184,9 +188,15 @@
             age_ms=delta.age_ms,
             complete=self.state_hash == delta.after_hash,
         )
-        self.polling.on_peer_report(delta.to_report(), self.state_hash, now_s)
+        self._apply_report(delta.to_report(), now_s, CHANGES)
         return True
 
+    def _apply_report(self, report: TopicReport, now_s: float, source: str) -> None:
+        before_s = self.confirmed_s
+        self.polling.on_peer_report(report, self.state_hash, now_s)
+        if self.confirmed_s > before_s:
+            self.confirmed_by = source
+
     def _on_newest(self, result: NewestRecordsPage | StoreFailure) -> None:
         now_s = self._clock()
         if isinstance(result, StoreFailure):
@@ -269,6 +279,7 @@
             _log.info("store regained", topic=self.topic, failures=self.consecutive_failures)
         self.consecutive_failures = 0
         self.polling.on_read(self._last_call_s)
+        self.confirmed_by = ""
 
     def _on_failure(self, failure: StoreFailure, now_s: float) -> None:
         if not self.consecutive_failures:
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -639,7 +639,8 @@
         self._backends_view.expire(now_s)
         pool_versions = self._services.pool_versions
         pool_versions.on_clocks(time.monotonic(), time.clock_gettime(time.CLOCK_BOOTTIME))
-        pool_versions.on_list_confirmed(self._backends_follower.confirmed_s, now_s)
+        follower = self._backends_follower
+        pool_versions.on_list_confirmed(follower.confirmed_s, now_s, follower.confirmed_by)
 
     def _is_registry_current(self) -> bool:
         follower = self._backends_follower
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -230,7 +230,7 @@
                     self._configuration.on_peer_version(version, now_s)
             for follower in self._followers:
                 if follower.topic == report.topic:
-                    follower.on_peer_report(report, now_s)
+                    follower.on_peer_report(report, now_s, host)
 
     def _on_misdirected_servers(self, identities: list[str], host: str, now_s: float) -> None:
         """Backs off from servers that another host did not find, if it has read the same entry."""
--- a/berylquay/relay/stream_lookup.py
+++ b/berylquay/relay/stream_lookup.py
@@ -125,5 +125,6 @@
             software_version=version,
             source=source,
             waited_ms=round((now_s - self._started_s) * MS_PER_S),
+            **services.pool_versions.describe_list(now_s),
         )
         return LookupState.FAILED if version is None else LookupState.FOUND
