Remove the entries of all crashed engines before hosts start anew in a test of quarantines

Cause: `test_a_quarantine_outlives_all_hosts` sends poison until the hosts refuse it. How many engines that ends depends on when the first host next reads the list, which is every 0.5 s; the test removed only the entries of the first three. The newcomers then found dead engines in the list, and the sound prompts at the end got 503.

Change: the entries of all engines that have ended are removed, as they lapse on the platform. All assertions stay.

--- a/tests/relay/test_crashing_segments.py
+++ b/tests/relay/test_crashing_segments.py
@@ -89,6 +89,9 @@
         time.sleep(0.3)
     wait_until(lambda: all(callers.send(host, poison=True) == 503 for host in (0, 1)), 3.0)
     wait_until(lambda: any(map(has_written_quarantine, map(fleet.log_lines, (0, 1)))))
+    # Prompts that were sent until the hosts knew have ended more engines; their entries lapse too.
+    for name in ended_engines(fleet):
+        fleet.put("keyed.servers", name, None)
     for host in fleet.hosts:
         host.kill()
     first_newcomer = len(fleet.hosts)
