Count what datagrams state from before the time for which they waited in the queue

Cause: a report says how old the sender's read of the store is. The receiver counted that age from when it handled the datagram. A host that had stood still for 6.9 s took reports of before and during that time for fresh; the newer ones, with the changes, were lost, as the queue was full. The list of servers so had no gap, and the pool seemed to have had one version only.

Change: the host notes when its queue was last seen empty, on the clock that also runs while the machine is suspended; whatever it holds has arrived since. All handlers get both bounds of the arrival. From the earliest one count: what was read in the store, changes, load, a host's being alive, regions, lost paths, configuration versions, demand, tenants' use, ends of limits, remaining quarantines, and records that make a pool's versions complete. From the latest one: crashes, streams, queries. Nothing on the wire changes, so that reports of hosts of the earlier build are bounded as well.

Why it works: it needs no clock of the sender, no time limit after a freeze and no freeze at all; any delay of the loop counts. A wait is never underestimated. It is overestimated by at most one tick while the host runs.

Ruled out: an own read, or passed-on changes, as the source (the log line says front-1).

--- a/berylquay/decisions/pool_version_history.py
+++ b/berylquay/decisions/pool_version_history.py
@@ -189,10 +189,26 @@
         self._has_former_era = any(self._is_former(record) for record in records.values())
         self._records = {}
         for pool, record in records.items():
-            self.on_record(pool, record, now_s, unix_ms)
+            self.on_record(pool, record, now_s, unix_ms, current_s=sent_s)
+
+    def on_record(
+        self,
+        pool: str,
+        record: PoolVersionRecord,
+        now_s: float,
+        unix_ms: int,
+        *,
+        current_s: float,
+    ) -> None:
+        """Takes a pool's record.
 
-    def on_record(self, pool: str, record: PoolVersionRecord, now_s: float, unix_ms: int) -> None:
-        """Takes a pool's record, as it is in the store now."""
+        Args:
+            pool: Name of the pool.
+            record: The record, as it was in the store at `current_s`.
+            now_s: Present time.
+            unix_ms: Present Unix time of this host.
+            current_s: Monotonic time.
+        """
         self._records[pool] = record
         for version in record.present:
             self._count(pool, version, now_s + ABSENT_VERSION_S)
@@ -204,7 +220,8 @@
             return
         self._recorded[pool] = record.present
         is_old_enough = unix_ms - record.since_unix_ms >= ABSENT_VERSION_S * MS_PER_S
-        if self._known_since_s is not None and is_old_enough:
+        known_since_s = self._known_since_s
+        if known_since_s is not None and current_s >= known_since_s and is_old_enough:
             self._complete_pools.add(pool)
         self._update_absences(pool, record, now_s)
 
--- a/berylquay/relay/demand_reports.py
+++ b/berylquay/relay/demand_reports.py
@@ -10,6 +10,7 @@
 
 import logbook
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.duties.collectors import choose_collectors
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.scaling.demand import DemandMeter, FleetDemand, HostDemand, PoolLoad
@@ -154,7 +155,7 @@
                 del self._unanswered_since_s[recipient]
             self._send(data, hosts[recipient])
 
-    def on_datagram(self, data: bytes, now_s: float) -> None:
+    def on_datagram(self, data: bytes, arrival: ArrivalBounds) -> None:
         """Records another host's report, or its answer."""
         decoded = decode_demand(data)
         if decoded is None:
@@ -164,7 +165,7 @@
             self._skipped_until_s.pop(decoded, None)
         else:
             demand, reply_to = decoded
-            self.fleet.on_report(demand, now_s)
+            self.fleet.on_report(demand, arrival.earliest_s)
             self._send(encode_answer(self._host), reply_to)
 
     def _recipients(self, hosts: Collection[str], now_s: float) -> list[str]:
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -11,6 +11,7 @@
 from circuits import BaseComponent, handler
 from returns.result import Failure
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.backend_health import BackendHealth, HealthOptions
 from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry, RegistryChange
 from berylquay.decisions.crash_history import CrashHistory, CrashHistoryLimits
@@ -361,14 +362,14 @@
         ):
             services.stream_version_store.request_read(now_s)
 
-    def _on_version_datagram(self, data: bytes, now_s: float) -> None:
+    def _on_version_datagram(self, data: bytes, arrival: ArrivalBounds) -> None:
         notice = decode_version_datagram(data)
         if notice is None:
             _log.warning("unreadable versions", size_bytes=len(data))
         elif isinstance(notice, PoolRecordNotice):
-            self._services.pool_version_store.on_notice(notice, now_s)
+            self._services.pool_version_store.on_notice(notice, arrival)
         else:
-            self._services.stream_version_store.on_notice(notice, now_s)
+            self._services.stream_version_store.on_notice(notice, arrival.latest_s)
 
     def _notify_work_placed(self, now_s: float) -> None:
         self._peer_exchange.on_work_placed(now_s)
@@ -461,8 +462,8 @@
             host_rank=lambda: self._peer_exchange.host_rank,
         )
 
-    def _on_usage_datagram(self, data: bytes, now_s: float) -> None:
-        self._duties.on_usage_datagram(data, now_s)
+    def _on_usage_datagram(self, data: bytes, arrival: ArrivalBounds) -> None:
+        self._duties.on_usage_datagram(data, arrival)
 
     def _configuration_confirmed_s(self) -> float:
         return self._configuration_follower.confirmed_s
--- a/berylquay/relay/host_duties.py
+++ b/berylquay/relay/host_duties.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import Final
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.order_claims import ClaimTimes
 from berylquay.decisions.route_table import RouteTable
 from berylquay.decisions.store_era import StoreEra
@@ -59,10 +60,10 @@
         if self._usage_reporter is not None:
             services.on_request_began = self._usage_reporter.on_request_began
 
-    def on_usage_datagram(self, data: bytes, now_s: float) -> None:
+    def on_usage_datagram(self, data: bytes, arrival: ArrivalBounds) -> None:
         """Takes counts of another host, or its answer."""
         if self._usage_reporter is not None:
-            self._usage_reporter.on_datagram(data, now_s)
+            self._usage_reporter.on_datagram(data, arrival)
 
     def on_store_era(self, era: int, *, has_risen: bool) -> None:
         """Gives up claims of a former era of the store."""
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -14,6 +14,7 @@
 import logbook
 from attrs import define, frozen
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds, ReceiveQueue
 from berylquay.decisions.engine_backlog import EngineLoad
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.load_sharing_scope import LoadSharingScope
@@ -124,11 +125,12 @@
 
 @define
 class _Peer:
-    """Another live host; `last_report_s` is a monotonic time."""
+    """Another live host."""
 
     name: str
     address: Address
     data_centre: str
+    # Monotonic time at which its last report arrived, at the earliest.
     last_report_s: float
     # Whether it has sent a report; else it is only known from the store's list of hosts.
     has_reported: bool = False
@@ -146,11 +148,15 @@
     _get_loads: Callable[[], dict[str, EngineLoad]]
     # Returns what each report says of topics besides this host's own reads.
     _get_standing_reports: Callable[[], tuple[TopicReport, ...]]
-    _on_report: Callable[[LoadReport], None]
+    _on_report: Callable[[LoadReport, ArrivalBounds], None]
     _on_report_sent: Callable[[LoadReport], None]
     # Called with each datagram of the exchange between regions.
-    _on_exchange_datagram: Callable[[bytes], None]
+    _on_exchange_datagram: Callable[[bytes, ArrivalBounds], None]
+    # Read the monotonic clock, and the one that also runs while the machine is suspended.
     _clock: Callable[[], float]
+    _boot_clock: Callable[[], float]
+    # Bounds the time for which datagrams have waited in the socket's queue.
+    _receive_queue: ReceiveQueue
     # Decides which hosts receive the reports.
     _scope: LoadSharingScope
     # Number of hosts in the store's list.
@@ -178,10 +184,11 @@
         address: Address,
         get_loads: Callable[[], dict[str, EngineLoad]],
         get_standing_reports: Callable[[], tuple[TopicReport, ...]],
-        on_report: Callable[[LoadReport], None],
+        on_report: Callable[[LoadReport, ArrivalBounds], None],
         on_report_sent: Callable[[LoadReport], None],
-        on_exchange_datagram: Callable[[bytes], None],
+        on_exchange_datagram: Callable[[bytes, ArrivalBounds], None],
         clock: Callable[[], float],
+        boot_clock: Callable[[], float],
         scope: LoadSharingScope,
         pending_updates: PendingUpdates,
         errors: UnexpectedErrors | None = None,
@@ -196,6 +203,8 @@
         self._on_report_sent = on_report_sent
         self._on_exchange_datagram = on_exchange_datagram
         self._clock = clock
+        self._boot_clock = boot_clock
+        self._receive_queue = ReceiveQueue(boot_clock())
         self._scope = scope
         self.listed_host_count = 1
         self._peers = {}
@@ -349,18 +358,21 @@
             return
         self._received_s = now_s
         for _ in range(MAX_DATAGRAMS_PER_READ):
+            boot_s = self._boot_clock()
             try:
                 data, _sender = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-            except (BlockingIOError, InterruptedError):
+            except BlockingIOError:
+                self._receive_queue.on_empty(boot_s)
                 return
             except OSError as error:
                 _log.debug("receiving a report failed", detail=str(error))
                 return
-            self._errors.run("datagram", self._handle_datagram, data)
+            arrival = self._receive_queue.bound_arrival(self._boot_clock(), self._clock())
+            self._errors.run("datagram", self._handle_datagram, data, arrival)
 
-    def _handle_datagram(self, data: bytes) -> None:
+    def _handle_datagram(self, data: bytes, arrival: ArrivalBounds) -> None:
         if data[:1] in EXCHANGE_TAGS:
-            self._on_exchange_datagram(data)
+            self._on_exchange_datagram(data, arrival)
             return
         report = decode_report(data)
         if report is None:
@@ -371,12 +383,16 @@
         peer = self._peers.get(report.host)
         if peer is None:
             _log.info("host discovered", host=report.host, address=str(report.address))
-        now_s = self._clock()
         if peer is None or peer.data_centre != report.data_centre:
             self._peers[report.host] = _Peer(
-                report.host, report.address, report.data_centre, now_s, has_reported=True
+                report.host,
+                report.address,
+                report.data_centre,
+                arrival.earliest_s,
+                has_reported=True,
             )
             self._recipients = None
         else:
-            peer.address, peer.last_report_s, peer.has_reported = report.address, now_s, True
-        self._on_report(report)
+            peer.address, peer.has_reported = report.address, True
+            peer.last_report_s = max(peer.last_report_s, arrival.earliest_s)
+        self._on_report(report, arrival)
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -8,7 +8,9 @@
 from typing import Final
 
 import logbook
+from attrs import evolve
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.backend_registry import IDENTITY_FIELDS
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.shared_polling import TopicReport
@@ -68,6 +70,7 @@
             on_report_sent=self._on_report_sent,
             on_exchange_datagram=self._on_exchange_datagram,
             clock=time.monotonic,
+            boot_clock=_boot_s,
             scope=services.load_sharing_scope,
             pending_updates=services.pending_updates,
             errors=services.errors,
@@ -181,34 +184,37 @@
         """Sends a load report if one is due."""
         self._gossip.on_tick(now_s)
 
-    def _on_report(self, report: LoadReport) -> None:
-        now_s = time.monotonic()
+    def _on_report(self, report: LoadReport, arrival: ArrivalBounds) -> None:
+        arrived_s = arrival.earliest_s
         services = self._services
-        services.backlog.on_peer_report(report.host, report.loads, now_s)
-        self._record_segments(report.segments, now_s)
-        self._regions.on_segments(report.segments, now_s)
+        services.backlog.on_peer_report(report.host, report.loads, arrived_s)
+        self._record_segments(report.segments, arrived_s)
+        self._regions.on_segments(report.segments, arrived_s)
         for backend in report.unresponsive:
-            services.health.on_reported_unresponsive(backend, now_s)
-        self._apply_topic_reports(report.topic_reports, report.host, now_s)
+            services.health.on_reported_unresponsive(backend, arrived_s)
+        self._apply_topic_reports(report.topic_reports, report.host, arrival)
         for fingerprint, backend in report.crashes:
-            services.crash_history.on_crash(backend, frozenset({fingerprint}), now_s)
+            # Retained in full: a content that crashes servers must not be forgotten too soon.
+            services.crash_history.on_crash(backend, frozenset({fingerprint}), arrival.latest_s)
 
     def _on_report_sent(self, report: LoadReport) -> None:
         self._regions.on_segments(report.segments, time.monotonic())
 
-    def _on_exchange_datagram(self, data: bytes) -> None:
-        now_s = time.monotonic()
-        self._regions.on_datagram(data, self._gossip.first_live_before(now_s), now_s)
+    def _on_exchange_datagram(self, data: bytes, arrival: ArrivalBounds) -> None:
+        first_host = self._gossip.first_live_before(arrival.latest_s)
+        self._regions.on_datagram(data, first_host, arrival)
 
-    def _on_region_summary(self, summary: RegionSummary, now_s: float) -> None:
-        self._services.backlog.on_region_summary(summary.region, summary.loads, now_s)
-        self._record_segments(summary.segments, now_s)
-        self._apply_topic_reports(summary.topic_reports, summary.host, now_s)
+    def _on_region_summary(self, summary: RegionSummary, arrival: ArrivalBounds) -> None:
+        arrived_s = arrival.earliest_s
+        self._services.backlog.on_region_summary(summary.region, summary.loads, arrived_s)
+        self._record_segments(summary.segments, arrived_s)
+        self._apply_topic_reports(summary.topic_reports, summary.host, arrival)
 
-    def _on_delta(self, delta: TopicDelta, now_s: float) -> None:
+    def _on_delta(self, delta: TopicDelta, arrival: ArrivalBounds) -> None:
+        delta = evolve(delta, age_ms=delta.age_ms + arrival.longest_wait_ms)
         for follower in self._followers:
             if follower.topic == delta.topic:
-                follower.on_delta(delta, now_s)
+                follower.on_delta(delta, arrival.latest_s)
 
     def _record_segments(self, segments: tuple[AnnouncedSegment, ...], now_s: float) -> None:
         for segment_id, engine, ready_in_ms in segments:
@@ -216,18 +222,20 @@
             self._services.prefix_cache_index.on_segment_used(segment_id, engine, now_s, ready_s)
 
     def _apply_topic_reports(
-        self, reports: tuple[TopicReport, ...], host: str, now_s: float
+        self, reports: tuple[TopicReport, ...], host: str, arrival: ArrivalBounds
     ) -> None:
-        for report in reports:
+        now_s, arrived_s = arrival.latest_s, arrival.earliest_s
+        for sent_report in reports:
+            report = evolve(sent_report, age_ms=sent_report.age_ms + arrival.longest_wait_ms)
             if report.topic == LOST_POOLS:
                 pools = report.state_hash.split("\n")
-                self._services.path_monitor.on_lost_pools(host, pools, now_s)
+                self._services.path_monitor.on_lost_pools(host, pools, arrived_s)
             if report.topic == MISDIRECTED_SERVERS:
-                self._on_misdirected_servers(report.state_hash.split("\n"), host, now_s)
+                self._on_misdirected_servers(report.state_hash.split("\n"), host, arrived_s)
             if report.topic == CONFIGURATION_VERSION:
                 version = parse_whole_number(report.state_hash)
                 if version is not None:
-                    self._configuration.on_peer_version(version, now_s)
+                    self._configuration.on_peer_version(version, arrived_s)
             for follower in self._followers:
                 if follower.topic == report.topic:
                     follower.on_peer_report(report, now_s, host)
@@ -289,3 +297,7 @@
     def _is_fleet_large(self) -> bool:
         services = self._services
         return not services.load_sharing_scope.is_full_mesh(services.live_host_count)
+
+
+def _boot_s() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/berylquay/relay/pool_version_store.py
+++ b/berylquay/relay/pool_version_store.py
@@ -13,6 +13,7 @@
 import logbook
 from attrs import define, field
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.backend_registry import BackendRegistry
 from berylquay.decisions.pool_version_history import (
     UNKNOWN_ERA,
@@ -140,13 +141,19 @@
         self._writing = {}
         self._next_check_s = float("-inf")
 
-    def on_notice(self, notice: PoolRecordNotice, now_s: float) -> None:
+    def on_notice(self, notice: PoolRecordNotice, arrival: ArrivalBounds) -> None:
         """Takes a record that the first host of the group has found or written."""
         order = _order_of(notice.record, notice.offset)
         if order <= self._known_order.get(notice.pool, (UNKNOWN_ERA, -1)):
             return
         self._known_order[notice.pool] = order
-        self._history.on_record(notice.pool, notice.record, now_s, self._unix_ms())
+        self._history.on_record(
+            notice.pool,
+            notice.record,
+            arrival.latest_s,
+            self._unix_ms(),
+            current_s=arrival.earliest_s,
+        )
 
     def on_tick(self, now_s: float) -> None:
         """Sends the next call to the store when it is due."""
@@ -267,7 +274,9 @@
         offset = result.offset + len(writing)
         for pool, record in writing.items():
             self._known_order[pool] = _order_of(record, offset)
-            self._history.on_record(pool, record, self._now_s, self._unix_ms())
+            self._history.on_record(
+                pool, record, self._now_s, self._unix_ms(), current_s=self._now_s
+            )
             self._metrics.on_pool_versions_written(pool)
             _log.info(
                 "pool versions written",
--- a/berylquay/relay/region_exchange.py
+++ b/berylquay/relay/region_exchange.py
@@ -13,6 +13,7 @@
 import logbook
 from attrs import define, field, frozen
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.engine_backlog import EngineLoad
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.shared_polling import TopicReport
@@ -71,8 +72,8 @@
 # Time after which a segment that was not sent is dropped, as it would count as just used elsewhere.
 MAX_PENDING_AGE_S: Final = 1.0
 MS_PER_S: Final = 1000.0
-# Called with a datagram and the present time.
-NoticeHandler = Callable[[bytes, float], None]
+# Called with a datagram and when it has arrived.
+NoticeHandler = Callable[[bytes, ArrivalBounds], None]
 _log = logbook.Logger("region-exchange")
 
 
@@ -125,10 +126,11 @@
 
 @frozen
 class _Contact:
-    """First host of another region, and when its last summary arrived."""
+    """First host of another region."""
 
     host: str
     address: Address
+    # Monotonic time at which its last summary arrived, at the earliest.
     heard_s: float
 
 
@@ -146,10 +148,10 @@
     _send_to_group: Callable[[bytes], None]
     # Tells whether regions exchange summaries; in a small fleet all hosts report to all.
     _is_active: Callable[[], bool]
-    # Called with each summary of another region and each delta, and the present time.
-    _on_summary: Callable[[RegionSummary, float], None]
-    _on_delta: Callable[[TopicDelta, float], None]
-    # Handlers of datagrams about backend servers, by the first byte; called with the present time.
+    # Called with each summary of another region and each delta.
+    _on_summary: Callable[[RegionSummary, ArrivalBounds], None]
+    _on_delta: Callable[[TopicDelta, ArrivalBounds], None]
+    # Handlers of the other datagrams, by the first byte.
     _notice_handlers: Mapping[bytes, NoticeHandler]
     _rng: Random
     # Listed hosts of the other regions: address and data centre, by region and name.
@@ -228,13 +230,13 @@
             for host in chosen:
                 self._send(RELAY_TAG + data, hosts[host][0])
 
-    def on_datagram(self, data: bytes, first_host: Address | None, now_s: float) -> None:
+    def on_datagram(self, data: bytes, first_host: Address | None, arrival: ArrivalBounds) -> None:
         """Handles a datagram that is no load report, and passes it on in this region if asked to.
 
         Args:
             data: The datagram.
             first_host: Address of this region's first host, or None if this host is the first one.
-            now_s: Present time.
+            arrival: When the datagram has arrived.
         """
         if data.startswith((RELAY_TAG, RELAY_AT_ONCE_TAG)):
             self._relay(data, first_host)
@@ -244,16 +246,16 @@
             if summary is None:
                 _log.warning("unreadable summary", size_bytes=len(data))
             elif summary.region != self._topology.location.region and self._is_active():
-                self._note_contact(summary, now_s)
-                self._on_summary(summary, now_s)
+                self._note_contact(summary, arrival.earliest_s)
+                self._on_summary(summary, arrival)
         elif data.startswith(DELTA_TAG):
             delta = decode_delta(data)
             if delta is None:
                 _log.warning("unreadable delta", size_bytes=len(data))
             else:
-                self._on_delta(delta, now_s)
+                self._on_delta(delta, arrival)
         elif data[:1] in self._notice_handlers:
-            self._notice_handlers[data[:1]](data, now_s)
+            self._notice_handlers[data[:1]](data, arrival)
 
     def _relay(self, data: bytes, first_host: Address | None) -> None:
         content = data[len(RELAY_TAG) :]
@@ -262,11 +264,11 @@
         else:
             self._send(RELAY_AT_ONCE_TAG + content, first_host)
 
-    def _note_contact(self, summary: RegionSummary, now_s: float) -> None:
+    def _note_contact(self, summary: RegionSummary, heard_s: float) -> None:
         """Notes the first host of another region."""
         if summary.region not in self._contacts:
             _log.info("region discovered", region=summary.region, host=summary.host)
-        self._contacts[summary.region] = _Contact(summary.host, summary.address, now_s)
+        self._contacts[summary.region] = _Contact(summary.host, summary.address, heard_s)
 
     def _drop_silent_regions(self, now_s: float) -> None:
         for region in [region for region in self._contacts if not self._is_heard(region, now_s)]:
--- a/berylquay/relay/segment_crash_handler.py
+++ b/berylquay/relay/segment_crash_handler.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.attempt_outcomes import AttemptOutcome
 from berylquay.decisions.crash_history import CrashHistory
 from berylquay.decisions.relay_call import RelayCall
@@ -123,13 +124,13 @@
             self._record(quarantine, "store")
             self._pending.quarantines.append(quarantine)
 
-    def on_datagram(self, data: bytes, now_s: float) -> None:
+    def on_datagram(self, data: bytes, arrival: ArrivalBounds) -> None:
         """Applies the report of another host."""
         report = decode_crash_report(data)
         if report is None:
             _log.warning("unreadable crash report", size_bytes=len(data))
             return
-        self._apply_report(report, now_s)
+        self._apply_report(report, arrival)
 
     def on_tick(self, now_s: float) -> None:
         """Weighs new evidence, sends what is to be told, and ends quarantines that are over."""
@@ -156,7 +157,8 @@
         if quarantines:
             self._send_to_group(encode_crash_report(CrashReport(quarantines=tuple(quarantines))))
 
-    def _apply_report(self, report: CrashReport, now_s: float) -> None:
+    def _apply_report(self, report: CrashReport, arrival: ArrivalBounds) -> None:
+        now_s = arrival.latest_s
         if report.cleared:
             self._remove_stored(report.cleared, now_s)
             self._history.on_answered(report.cleared, now_s)
@@ -168,7 +170,8 @@
             self.on_server_ended(backend, now_s)
         for quarantine in report.quarantines:
             is_new = not self._history.is_quarantined(quarantine.segment, now_s)
-            if not self._history.on_reported_quarantine(quarantine, now_s):
+            # The remaining time that the sender states has passed in the queue as well.
+            if not self._history.on_reported_quarantine(quarantine, arrival.earliest_s):
                 self._pending.cleared.append(quarantine.segment)
             elif is_new:
                 self._record(quarantine, "host")
--- a/berylquay/relay/server_notice_handler.py
+++ b/berylquay/relay/server_notice_handler.py
@@ -8,6 +8,7 @@
 
 import logbook
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.backend_registry import BackendEntry
 from berylquay.decisions.server_instance import ServerInstance
 from berylquay.decisions.server_notices import (
@@ -95,7 +96,7 @@
         if notice.pause_s is not None:
             self._pause(backend.instance, notice.pause_s, time.monotonic())
 
-    def on_leaving_datagram(self, data: bytes, _now_s: float) -> None:
+    def on_leaving_datagram(self, data: bytes, _arrival: ArrivalBounds) -> None:
         """Applies what another host has learned of a server that is leaving."""
         instance = decode_leaving_server(data)
         if instance is None:
@@ -103,7 +104,7 @@
         elif self._notices.on_leaving(instance):
             self._record_leaving(instance, "host")
 
-    def on_limit_datagram(self, data: bytes, now_s: float) -> None:
+    def on_limit_datagram(self, data: bytes, arrival: ArrivalBounds) -> None:
         """Applies what another host has heard of a server's limit."""
         decoded = decode_server_limit(data)
         if decoded is None:
@@ -112,7 +113,10 @@
         instance, limit_per_s = decoded
         before = self._notices.limits.limit_of(instance)
         per_s = inf if limit_per_s is None else limit_per_s
-        if self._notices.on_limit(instance, per_s, sent_s=now_s, rng=self._rng, now_s=now_s):
+        is_new = self._notices.on_limit(
+            instance, per_s, sent_s=arrival.earliest_s, rng=self._rng, now_s=arrival.latest_s
+        )
+        if is_new:
             self._record_limit(instance, before, "host")
 
     def on_tick(self, now_s: float) -> None:
--- a/berylquay/relay/stream_version_exchange.py
+++ b/berylquay/relay/stream_version_exchange.py
@@ -10,6 +10,7 @@
 import logbook
 from attrs import define, field
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.stream_versions import KEEPERS, StreamVersions, choose_keepers
 from berylquay.relay.report_fields import (
@@ -112,15 +113,15 @@
         for address in self._get_hosts().values():
             self._send(query, address)
 
-    def on_version_datagram(self, data: bytes, now_s: float) -> None:
+    def on_version_datagram(self, data: bytes, arrival: ArrivalBounds) -> None:
         """Records a version that another host has told."""
         decoded = decode_stream_version(data)
         if decoded is None:
             _log.warning("unreadable stream version", size_bytes=len(data))
         else:
-            self.versions.record(*decoded, now_s)
+            self.versions.record(*decoded, arrival.latest_s)
 
-    def on_query_datagram(self, data: bytes, now_s: float) -> None:
+    def on_query_datagram(self, data: bytes, arrival: ArrivalBounds) -> None:
         """Replies to another host if the version that it asks for is known."""
         query = decode_stream_query(data)
         if query is None:
@@ -128,7 +129,7 @@
             return
         reply_to, call_id = query
         if not self.reply(call_id, reply_to):
-            self._on_unknown(call_id, reply_to, now_s)
+            self._on_unknown(call_id, reply_to, arrival.latest_s)
 
     def on_tick(self, now_s: float) -> None:
         """Forgets streams that callers do not take up any more."""
--- a/berylquay/relay/tenant_use_exchange.py
+++ b/berylquay/relay/tenant_use_exchange.py
@@ -7,6 +7,7 @@
 import logbook
 from attrs import define, field
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.tenants.fairness import FairShares, TenantUse
 from berylquay.relay.report_fields import FIELD_ERRORS, compress_fields, decompress_fields
 
@@ -69,10 +70,10 @@
         if use.asked or use.is_contended:
             self._send_to_group(encode_use(self._host, use))
 
-    def on_datagram(self, data: bytes, now_s: float) -> None:
+    def on_datagram(self, data: bytes, arrival: ArrivalBounds) -> None:
         """Takes another host's use."""
         decoded = decode_use(data)
         if decoded is None:
             _log.warning("unreadable tenant use", size_bytes=len(data))
         elif decoded[0] != self._host:
-            self.shares.on_peer_use(*decoded, now_s)
+            self.shares.on_peer_use(*decoded, arrival.earliest_s)
--- a/berylquay/relay/usage_reporter.py
+++ b/berylquay/relay/usage_reporter.py
@@ -14,6 +14,7 @@
 import logbook
 from attrs import frozen
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.duties.collectors import CollectorChoice
 from berylquay.decisions.duties.true_time import TrueTime
 from berylquay.decisions.duties.usage_counts import (
@@ -248,7 +249,7 @@
 
     # Exchange with the other hosts.
 
-    def on_datagram(self, data: bytes, _now_s: float) -> None:
+    def on_datagram(self, data: bytes, _arrival: ArrivalBounds) -> None:
         """Takes counts of another host, or the answer of one."""
         message = decode_message(data)
         if message is None:
--- a/tests/relay/test_crash_reports.py
+++ b/tests/relay/test_crash_reports.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.attempt_outcomes import AttemptOutcome
 from berylquay.decisions.crash_history import CrashHistory, CrashHistoryLimits, Suspicion
 from berylquay.decisions.relay_call import GenerationRequest, PromptSegment, RelayCall
@@ -106,7 +107,7 @@
 def test_an_unreadable_report_is_dropped(data: bytes) -> None:
     host = Host()
     assert decode_crash_report(CRASH_REPORT_TAG + data) is None
-    host.handler.on_datagram(CRASH_REPORT_TAG + data, 1.0)
+    host.handler.on_datagram(CRASH_REPORT_TAG + data, ArrivalBounds(1.0, 1.0))
     host.handler.on_tick(1.0)
     assert not host.sent
 
@@ -131,13 +132,15 @@
                 for data in sender.sent:
                     for receiver in hosts:
                         if receiver is not sender:
-                            receiver.handler.on_datagram(data, number + 0.5)
+                            receiver.handler.on_datagram(
+                                data, ArrivalBounds(number + 0.5, number + 0.5)
+                            )
                 sender.sent.clear()
     for host in hosts:
         assert host.handler.find_quarantined(make_call(9), 5.0) is not None
         host.handler.on_tick(60.0)
     newcomer = Host()
-    newcomer.handler.on_datagram(hosts[0].repeated[-1], 60.0)
+    newcomer.handler.on_datagram(hosts[0].repeated[-1], ArrivalBounds(60.0, 60.0))
     assert newcomer.handler.find_quarantined(make_call(9), 60.0) is not None
 
 
@@ -157,7 +160,7 @@
         )
         host.handler.on_tick(number + 0.5)
     for data in host.sent:
-        other.handler.on_datagram(data, 4.0)
+        other.handler.on_datagram(data, ArrivalBounds(4.0, 4.0))
     assert other.crash_history.suspicion_of("same content") is Suspicion.QUARANTINED
 
 
--- a/tests/relay/test_membership_costs.py
+++ b/tests/relay/test_membership_costs.py
@@ -12,6 +12,7 @@
 from attrs import define
 from logbook import TestHandler as LogCapture
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.load_sharing_scope import LoadSharingScope
 from berylquay.decisions.topology import Location, Topology
@@ -86,10 +87,11 @@
         data_centre="fes-a",
         address=OWN_ADDRESS,
         get_loads=dict,
-        on_report=lambda report: reports.append(report.host),
+        on_report=lambda report, _arrival: reports.append(report.host),
         on_report_sent=lambda _report: None,
-        on_exchange_datagram=lambda _data: None,
+        on_exchange_datagram=lambda _data, _arrival: None,
         clock=lambda: 0.0,
+        boot_clock=lambda: 0.0,
         scope=LoadSharingScope(Topology(Location("fes-a", "fes"), REGIONS)),
         pending_updates=PendingUpdates(),
     )
@@ -106,7 +108,7 @@
     for number in range(3):
         gossip.add_peer(f"tanja-a-{number}", Address("127.0.0.1", 9), "tanja-a", 0.0)
     report = LoadReport("fes-a-2", "fes-a", Address("127.0.0.1", 9), {}, ())
-    gossip._handle_datagram(encode_report(report))
+    gossip._handle_datagram(encode_report(report), ArrivalBounds(0.0, 0.0))
     with LogCapture() as log:
         gossip.on_tick(HOST_TTL_S + 0.1)
     timed_out = [record for record in log.records if record.message == "host timed out"]
@@ -116,7 +118,7 @@
 
 def test_a_first_host_that_falls_silent_is_replaced_by_the_next(gossip: LoadGossip) -> None:
     report = LoadReport("fes-a-0", "fes-a", Address("127.0.0.1", 9), {}, ())
-    gossip._handle_datagram(encode_report(report))
+    gossip._handle_datagram(encode_report(report), ArrivalBounds(0.0, 0.0))
     assert gossip.rank_among_recipients(1.0)[0] == 1
     assert gossip.first_live_before(1.0) == Address("127.0.0.1", 9)
     assert gossip.rank_among_recipients(3.5)[0] == 0
--- a/tests/relay/test_pool_version_records.py
+++ b/tests/relay/test_pool_version_records.py
@@ -121,7 +121,7 @@
     assert history.recorded_versions("lm") == {"v1"}
     assert history.has_unrecorded("lm")
     assert history.is_record_outdated("lm", 0.1)
-    history.on_record("lm", history.make_record("lm", 0.1, UNIX_MS), 0.1, UNIX_MS)
+    history.on_record("lm", history.make_record("lm", 0.1, UNIX_MS), 0.1, UNIX_MS, current_s=0.1)
     assert history.recorded_versions("lm") == {"v1", "v2"}
     assert not history.is_record_outdated("lm", 0.2)
     # An absent version is recorded again before streams begin at it again.
--- a/tests/relay/test_region_exchange.py
+++ b/tests/relay/test_region_exchange.py
@@ -12,6 +12,7 @@
 from attrs import evolve
 from logbook import TestHandler as LogCapture
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.backend_registry import BackendEntry, EntryState
 from berylquay.decisions.engine_backlog import REPORT_TTL_S, EngineBacklog, EngineLoad
 from berylquay.decisions.fleet import Address, Role
@@ -87,7 +88,7 @@
         received: dict[str, RegionSummary] = {}
         self.summaries[name] = received
 
-        def on_summary(summary: RegionSummary, _now_s: float) -> None:
+        def on_summary(summary: RegionSummary, _arrival: ArrivalBounds) -> None:
             received[summary.region] = summary
             self.announced += summary.segments
 
@@ -97,17 +98,17 @@
             if receiver not in self.down:
                 first = self.first_of(receiver)
                 first_address = None if first == receiver else self.address_of(first)
-                self.hosts[receiver].on_datagram(data, first_address, self.now_s)
+                self.hosts[receiver].on_datagram(data, first_address, self.arrival)
 
         def send_to_group(data: bytes) -> None:
             for peer in self.group_of(name):
                 if peer != name:
                     send(data, self.address_of(peer))
 
-        def on_notice(data: bytes, _now_s: float) -> None:
+        def on_notice(data: bytes, _arrival: ArrivalBounds) -> None:
             self.notices[name].append(data)
 
-        def on_delta(_delta: TopicDelta, _now_s: float) -> None:
+        def on_delta(_delta: TopicDelta, _arrival: ArrivalBounds) -> None:
             """Ignores deltas."""
 
         return RegionExchange(
@@ -130,9 +131,14 @@
         for peer in self.group_of(name):
             if peer != name and peer not in self.down:
                 self.sent[name] += 1
-                self.hosts[peer].on_datagram(data, None, self.now_s)
+                self.hosts[peer].on_datagram(data, None, self.arrival)
         self.hosts[name].send_to_regions(data, self.now_s)
 
+    @property
+    def arrival(self) -> ArrivalBounds:
+        """Returns when a datagram arrives that is delivered now."""
+        return ArrivalBounds(self.now_s, self.now_s)
+
     def address_of(self, name: str) -> Address:
         return next(address for address, other in self.by_address.items() if other == name)
 
@@ -253,7 +259,7 @@
     fleet.active = False
     fleet.run(2.0)
     assert not fleet.sent
-    fleet.hosts["tanja-a-00"].on_datagram(encode_summary(SUMMARY), None, fleet.now_s)
+    fleet.hosts["tanja-a-00"].on_datagram(encode_summary(SUMMARY), None, fleet.arrival)
     assert not fleet.summaries["tanja-a-00"]
 
 
--- a/tests/relay/test_stream_version_exchange.py
+++ b/tests/relay/test_stream_version_exchange.py
@@ -5,6 +5,7 @@
 import pytest
 from attrs import define, field
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.backend_registry import BackendEntry, EntryState
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.pool_version_history import PoolVersionHistory
@@ -27,6 +28,7 @@
 )
 
 STREAMS = 400
+AT_START = ArrivalBounds(0.0, 0.0)
 
 
 def address_of(host: str) -> Address:
@@ -62,9 +64,9 @@
         if exchange is None or self.rng.random() < self.loss:
             return
         if data.startswith(STREAM_QUERY_TAG):
-            exchange.on_query_datagram(data, 0.0)
+            exchange.on_query_datagram(data, AT_START)
         else:
-            exchange.on_version_datagram(data, 0.0)
+            exchange.on_version_datagram(data, AT_START)
 
     def find(self, host: str, call_id: str, *, ask_all: bool) -> str | None:
         exchange = self.exchanges[host]
@@ -166,8 +168,8 @@
     network = Network(0.0, Random(1))
     network.add_host("host-0")
     exchange = network.exchanges["host-0"]
-    exchange.on_version_datagram(STREAM_VERSION_TAG + data, 0.0)
-    exchange.on_query_datagram(STREAM_QUERY_TAG + data, 0.0)
+    exchange.on_version_datagram(STREAM_VERSION_TAG + data, AT_START)
+    exchange.on_query_datagram(STREAM_QUERY_TAG + data, AT_START)
     assert not network.sent
 
 
--- a/tests/relay/test_tenant_fairness.py
+++ b/tests/relay/test_tenant_fairness.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.engine_placement import Placement
 from berylquay.decisions.relay_admission import Admission, AdmissionAction
 from berylquay.decisions.relay_call import RelayCall
@@ -145,7 +146,7 @@
     exchange.on_tick(0.1, has_tenants=True)
     assert len(sent) == 1
     other = TenantUseExchange(host="host-1", get_group_size=lambda: 3, send_to_group=sent.append)
-    other.on_datagram(sent[0], 0.0)
+    other.on_datagram(sent[0], ArrivalBounds(0.0, 0.0))
     assert other.shares._all.usual.value("a", 0.0) == 1000.0
 
 
--- a/tests/scaling/test_demand.py
+++ b/tests/scaling/test_demand.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.scaling.demand import (
     DemandMeter,
@@ -45,7 +46,7 @@
 
     def send(self, data: bytes, address: Address) -> None:
         if address.ip not in self.dead:
-            self.reports[address.ip].on_datagram(data, self.now_s)
+            self.reports[address.ip].on_datagram(data, ArrivalBounds(self.now_s, self.now_s))
 
     def run(self, seconds: int) -> None:
         for _ in range(seconds * 4):
--- a/tests/support/stream_model.py
+++ b/tests/support/stream_model.py
@@ -11,6 +11,7 @@
 
 from attrs import define, field
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry, RegistryChange
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.pool_version_history import PoolVersionHistory
@@ -190,14 +191,14 @@
         """Takes a datagram."""
         now_s = self._model.world.now_s
         if data.startswith(STREAM_QUERY_TAG):
-            self.exchange.on_query_datagram(data, now_s)
+            self.exchange.on_query_datagram(data, ArrivalBounds(now_s, now_s))
         elif data.startswith(STREAM_VERSION_TAG):
-            self.exchange.on_version_datagram(data, now_s)
+            self.exchange.on_version_datagram(data, ArrivalBounds(now_s, now_s))
         else:
             notice = decode_version_datagram(data)
             assert notice is not None
             if isinstance(notice, PoolRecordNotice):
-                self.pools.on_notice(notice, now_s)
+                self.pools.on_notice(notice, ArrivalBounds(now_s, now_s))
             else:
                 self.streams.on_notice(notice, now_s)
 
--- a/tests/support/usage_model.py
+++ b/tests/support/usage_model.py
@@ -12,6 +12,7 @@
 
 from attrs import define, field
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.store_era import StoreEra
 from berylquay.net.tcp_connections import Connection, ConnectionHandler
@@ -192,7 +193,7 @@
         """Runs one tick, in which some requests begin."""
         self.monotonic_s += TICK_S
         for data in self.inbox:
-            self.reporter.on_datagram(data, self.monotonic_s)
+            self.reporter.on_datagram(data, ArrivalBounds(self.monotonic_s, self.monotonic_s))
         self.inbox.clear()
         for _ in range(self.rng.randint(0, 3)):
             tenant = f"t-{min(5, int(self.rng.expovariate(0.8)))}"
