State the age of a read as of when it is sent to other hosts

Cause: two ages were worked out before the datagram was sent: that of changes when they were read, one tick before they are passed on, and that of reports with the time at which the tick was posted. A host that stands still in between sends both as fresh when it goes on, and the receivers take an old state for the present one.

Change: both are worked out from the clock at the time of sending.

Result: two tests in `tests/relay/test_queued_datagrams.py` fail with either line as it was, and pass.

--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 import logbook
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from berylquay.decisions.backoff import Backoff
 from berylquay.decisions.shared_polling import OwnRead, SharedPolling, TopicReport
@@ -29,6 +29,7 @@
 FAILURE_BACKOFF: Final = Backoff(min_delay_s=0.2, max_delay_s=0.8)
 # Time over which the hosts spread their reads after the store has come back from an older copy.
 NEW_ERA_READ_SPREAD_S: Final = 0.4
+MS_PER_S: Final = 1000.0
 # Stands for the host in `confirmed_by` after changes that another host has passed on.
 CHANGES: Final = "changes"
 _log = logbook.Logger("follower")
@@ -95,8 +96,9 @@
     _last_call_s: float = field(default=float("-inf"), init=False)
     # Newest era that another host has reported and this one has not seen in an answer.
     _reported_era: int = field(default=-1, init=False)
-    # Changes that this host has read for the others and not passed on yet.
-    _unsent_deltas: list[TopicDelta] = field(factory=list, init=False)
+    # Changes that this host has read for the others and not passed on yet, with the monotonic time
+    # at which each read was sent.
+    _unsent_deltas: list[tuple[TopicDelta, float]] = field(factory=list, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Starts as a host that polls the store itself."""
@@ -165,10 +167,12 @@
             return None
         return self.polling.next_report(self.topic, self.state_hash, now_s)
 
-    def take_deltas(self) -> list[TopicDelta]:
+    def take_deltas(self, now_s: float) -> list[TopicDelta]:
         """Returns the changes that this host has read for the others since the last call."""
-        deltas, self._unsent_deltas = self._unsent_deltas, []
-        return deltas
+        unsent, self._unsent_deltas = self._unsent_deltas, []
+        return [
+            evolve(delta, age_ms=round((now_s - read_s) * MS_PER_S)) for delta, read_s in unsent
+        ]
 
     def on_delta(self, delta: TopicDelta, now_s: float) -> bool:
         """Applies changes that another host has read; returns whether they follow on this state."""
@@ -245,10 +249,8 @@
         self._on_success(now_s)
         changes = self._apply_records(result.contents, now_s)
         if self.polling.is_poller and self.state_hash != before_hash:
-            age_ms = round((now_s - self._last_call_s) * 1000.0)
-            self._unsent_deltas.append(
-                TopicDelta(self.topic, before_hash, self.state_hash, age_ms, changes)
-            )
+            delta = TopicDelta(self.topic, before_hash, self.state_hash, 0, changes)
+            self._unsent_deltas.append((delta, self._last_call_s))
 
     def _apply_records(self, contents: Sequence[bytes], now_s: float) -> tuple[bytes, ...]:
         """Applies records and returns those that changed the state."""
@@ -289,7 +291,7 @@
                 status=failure.status,
                 detail=failure.detail,
                 known_ms=(
-                    round((now_s - self.polling.confirmed_s) * 1000.0)
+                    round((now_s - self.polling.confirmed_s) * MS_PER_S)
                     if self.has_snapshot
                     else None
                 ),
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -321,6 +321,8 @@
         self._last_sent_s = now_s
         self._last_loads = loads
         pending_updates = self._pending_updates
+        # The host may have stood still since `now_s`, and the ages are stated to others.
+        stated_s = self._clock()
         report = LoadReport(
             self._host,
             self._data_centre,
@@ -330,7 +332,7 @@
             tuple(pending_updates.crashes),
             tuple(pending_updates.unresponsive),
             (
-                *(topic_read.to_report(now_s) for topic_read in pending_updates.topic_reads),
+                *(topic_read.to_report(stated_s) for topic_read in pending_updates.topic_reads),
                 *self._get_standing_reports(),
             ),
         )
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -80,7 +80,7 @@
             host=options.host,
             address=options.peers_address,
             get_loads=services.backlog.group_loads,
-            get_topic_reports=self._topic_reports,
+            get_topic_reports=lambda: self._topic_reports(time.monotonic()),
             send=self._gossip.send,
             send_to_group=self._gossip.send_to_recipients,
             is_active=self._is_fleet_large,
@@ -173,7 +173,8 @@
             follower.polling.host_count = recipients + region_rank
             follower.on_tick(now_s)
             # Before the report of the same read, which makes hosts read that lack the changes.
-            for delta in follower.take_deltas():
+            # The host may have stood still since the tick began, and the age is stated to others.
+            for delta in follower.take_deltas(time.monotonic()):
                 self._send_delta(delta)
             topic_read = follower.next_report(now_s)
             if topic_read is not None:
--- a/berylquay/relay/region_exchange.py
+++ b/berylquay/relay/region_exchange.py
@@ -143,7 +143,7 @@
     _address: Address
     # Returns the work in flight of this region's hosts.
     _get_loads: Callable[[float], dict[str, EngineLoad]]
-    _get_topic_reports: Callable[[float], tuple[TopicReport, ...]]
+    _get_topic_reports: Callable[[], tuple[TopicReport, ...]]
     _send: Callable[[bytes, Address], None]
     _send_to_group: Callable[[bytes], None]
     # Tells whether regions exchange summaries; in a small fleet all hosts report to all.
@@ -213,7 +213,7 @@
             self._host,
             self._address,
             self._get_loads(now_s),
-            self._get_topic_reports(now_s),
+            self._get_topic_reports(),
             self._take_segments(now_s),
         )
         self.send_to_regions(encode_summary(summary), now_s)
--- a/tests/relay/test_queued_datagrams.py
+++ b/tests/relay/test_queued_datagrams.py
@@ -16,14 +16,16 @@
 from berylquay.decisions.segment_crash_history import Quarantine
 from berylquay.decisions.server_instance import ServerInstance
 from berylquay.decisions.server_notices import ServerNotices
-from berylquay.decisions.shared_polling import TopicReport
+from berylquay.decisions.shared_polling import OwnRead, TopicReport
 from berylquay.decisions.topology import Location, Topology
+from berylquay.platform.store_client import encode_keyed_record
 from berylquay.relay.crash_reports import CrashReport, encode_crash_report
 from berylquay.relay.load_reports import (
     FIRST_HOST_TTL_S,
     MAX_DATAGRAMS_PER_READ,
     LoadGossip,
     LoadReport,
+    decode_report,
     encode_report,
 )
 from berylquay.relay.metrics import RelayMetrics
@@ -33,6 +35,7 @@
 from berylquay.relay.topic_deltas import TopicDelta
 from examples.processes import free_port
 from tests.relay.test_crash_reports import Host, make_call
+from tests.relay.test_topic_deltas import Fleet
 
 TOPIC = "keyed.servers"
 STOOD_STILL_S = 7.0
@@ -193,3 +196,33 @@
     assert history.only_version("lm", (), 8.1) is None
     history.on_record("lm", PoolVersionRecord(frozenset({"v1"})), 8.2, 10**6, current_s=8.1)
     assert history.only_version("lm", (), 8.2) == "v1"
+
+
+# Guards against an age that was stated before the sender stood still, and sent after it.
+def test_a_report_states_the_age_of_a_read_when_it_is_sent(
+    receiver: Receiver, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    sent: list[bytes] = []
+    gossip = receiver.gossip
+    monkeypatch.setattr(gossip, "send", lambda data, _address: sent.append(data))
+    gossip.add_peer("fes-a-1", Address("127.0.0.1", 9), "fes-a", 1.0)
+    gossip._pending_updates.topic_reads.append(OwnRead(TOPIC, "state", 0.9))
+    receiver.now_s = 1.0 + STOOD_STILL_S
+    gossip.on_tick(1.0)
+    report = decode_report(sent[0])
+    assert report is not None
+    assert report.topic_reports == (TopicReport(TOPIC, "state", 7100),)
+
+
+# The same for changes, which wait for the next tick.
+def test_changes_state_the_age_of_the_read_when_they_are_passed_on() -> None:
+    fleet = Fleet(1, lose_deltas=False)
+    (follower,) = fleet.followers
+    for number in (1, 2):
+        fleet.now_s = float(number)
+        follower.on_tick(fleet.now_s)
+    fleet.store.contents.append(encode_keyed_record("k", b"second"))
+    fleet.now_s = 3.0
+    follower.on_tick(fleet.now_s)
+    follower.on_tick(fleet.now_s)
+    assert [delta.age_ms for delta in follower.take_deltas(3.0 + STOOD_STILL_S)] == [7000]
--- a/tests/relay/test_region_exchange.py
+++ b/tests/relay/test_region_exchange.py
@@ -116,7 +116,7 @@
             host=name,
             address=address,
             get_loads=lambda _now_s: {f"e-{name}": EngineLoad(1, 100)},
-            get_topic_reports=lambda _now_s: (),
+            get_topic_reports=lambda: (),
             send=send,
             send_to_group=send_to_group,
             is_active=lambda: self.active,
--- a/tests/relay/test_topic_deltas.py
+++ b/tests/relay/test_topic_deltas.py
@@ -114,7 +114,7 @@
             self.now_s += TICK_S
             for sender in self.followers:
                 sender.on_tick(self.now_s)
-                deltas = sender.take_deltas()
+                deltas = sender.take_deltas(self.now_s)
                 own_read = sender.next_report(self.now_s)
                 for receiver in self.followers:
                     if receiver is sender:
--- a/tests/support/era_model.py
+++ b/tests/support/era_model.py
@@ -204,7 +204,7 @@
         reports, deltas = [], []
         for follower in self.followers:
             follower.on_tick(now_s)
-            deltas += follower.take_deltas()
+            deltas += follower.take_deltas(self._world.now_s)
             own_read = follower.next_report(now_s)
             if own_read is not None:
                 reports.append(own_read.to_report(now_s))
