Check the age of the list of servers when the only version of a pool is concluded

Cause: whether the list is current was decided once a tick, and with the time at which the tick was posted. A host that goes on after it stood still may handle a take-up before its next tick, or the rest of a tick that began before: until then its list counted as current.

Change: `PoolVersionHistory.only_version` compares the list's age with the present time, and a tick is handled with the time at which it is handled.

Result: `test_an_only_version_is_not_concluded_from_a_list_that_is_too_old_now` failed before and passes.

--- a/berylquay/decisions/pool_version_history.py
+++ b/berylquay/decisions/pool_version_history.py
@@ -233,7 +233,9 @@
             listed: Entries of the pool's servers.
             now_s: Present time.
         """
-        if not self._is_complete(pool, now_s):
+        # The host may have stood still since the list was last checked.
+        is_outdated = now_s - self._confirmed_s > MAX_LIST_AGE_S
+        if is_outdated or not self._is_complete(pool, now_s):
             return None
         versions = {entry.software_version for entry in listed} | self._counting(pool, now_s)
         return versions.pop() if len(versions) == 1 else None
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -584,7 +584,8 @@
 
     @handler("Tick")
     def _on_tick(self, message: Tick) -> None:
-        now_s = message.now_s
+        # The host may have stood still since the tick was posted.
+        now_s = max(message.now_s, time.monotonic())
         # An error in one step must not keep the others from running, tick after tick.
         run, services = self._errors.run, self._services
         run("peers", self._peer_exchange.receive, now_s)
--- a/tests/relay/test_pool_version_records.py
+++ b/tests/relay/test_pool_version_records.py
@@ -21,7 +21,7 @@
     StreamLedger,
     hash_stream,
 )
-from berylquay.decisions.stream_versions import STREAM_RETENTION_S
+from berylquay.decisions.stream_versions import MAX_LIST_AGE_S, STREAM_RETENTION_S
 from berylquay.relay.pool_version_store import decode_record, encode_record
 from berylquay.relay.report_fields import compress_fields
 from berylquay.relay.version_datagrams import (
@@ -219,3 +219,12 @@
         offset = reading.next_offset
     assert read.issuperset(range(end_offset - least_streams, end_offset))
     assert read_bytes <= 4_100_000
+
+
+# Guards against a take-up that a host decides right after it stood still, before its next tick.
+def test_an_only_version_is_not_concluded_from_a_list_that_is_too_old_now() -> None:
+    history = PoolVersionHistory(is_first_start=True)
+    history.on_list_confirmed(0.0, 0.0)
+    history.on_records_read({"lm": PoolVersionRecord(frozenset({"v1"}))}, 0.1, 0.1, UNIX_MS)
+    assert history.only_version("lm", entries("v1"), MAX_LIST_AGE_S) == "v1"
+    assert history.only_version("lm", entries("v1"), MAX_LIST_AGE_S + 0.1) is None
