Keep the failure that a server has answered until another answer reaches the caller

What callers saw: a service has one server left, which answers 500 with a body.

Cause: the buffered answer was discarded before it was known that another server was left.

The retry budget is reserved, and the attempt discarded, only after a server is known to be left.

Why it works: whatever ends the call between the failure and another answer goes through `_refuse`: no server left, one that can't be reached or breaks off, a key that was removed, a quarantine, the retry budget, the deadline, a stop.

--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -115,6 +115,8 @@
     _expected_first_event_delay_s: float
     # Passes the response on to the caller.
     _response: ResponseRelay
+    # How the call ends if the failure that the response relay keeps is sent, or None without one.
+    _failure_end: CallEnd | None
     # Monotonic time of the first byte of the response body, or None before it.
     _first_byte_s: float | None
     # The same for the open run request.
@@ -165,6 +167,7 @@
             is_resumable=call.route.resumable,
             last_event_id=last_event_id,
         )
+        self._failure_end = None
         self._first_byte_s = None
         self._run_first_byte_s = None
         self._newest_event_s = None
@@ -636,10 +639,14 @@
         if not isinstance(body_end, Success):
             self._fail_run(upstream, AttemptOutcome.CONNECTION_LOST, body_end.failure(), now_s)
             return
-        if failed and self._retry_elsewhere(
-            upstream, AttemptOutcome.SERVER_ERROR, f"status {head.status}", now_s
-        ):
-            return
+        outcome = "failed-at-backend" if failed else ANSWERED
+        end = CallEnd(outcome, upstream.backend.name, framing=upstream.framing)
+        if failed:
+            self._failure_end = end
+            self._response.keep_failure(body_end.unwrap())
+            detail = f"status {head.status}"
+            if self._retry_elsewhere(upstream, AttemptOutcome.SERVER_ERROR, detail, now_s):
+                return
         if not failed:
             self._services.health.on_answered(upstream.backend.name, now_s)
             self._services.crash_history.clear(self.call.fingerprint)
@@ -648,8 +655,7 @@
         self._services.metrics.on_attempt_ended(self.call.pool.name, "answered")
         self._response.send_rest(body_end.unwrap())
         # The call ends first: ending the response may bring the caller's next request.
-        outcome = "failed-at-backend" if failed else ANSWERED
-        self._end(CallEnd(outcome, upstream.backend.name, framing=upstream.framing), now_s)
+        self._end(end, now_s)
         self.caller.end_response()
 
     def on_upstream_failed(
@@ -744,6 +750,8 @@
         self._record_arrival(outcome, now_s)
         if self.caller.response_started and not self._response.can_resume:
             return False
+        if not self._has_server_left(now_s):
+            return False
         has_budget = self._arrivals.reserve_run(now_s)
         if not may_retry(call, outcome, has_budget, now_s, services.attempts):
             if not has_budget:
@@ -751,15 +759,17 @@
             return False
         self._response.discard_attempt()
         if call.generation is not None:
-            if not self._engines.can_decode(now_s):
-                return False
             self._place_generation(now_s, is_first_placement=False)
         else:
-            if not self._plain_servers.has_untried(now_s):
-                return False
             self._send_to_server(now_s)
         return True
 
+    def _has_server_left(self, now_s: float) -> bool:
+        """Tells whether there is a server to which the call may be sent next."""
+        if self.call.generation is not None:
+            return self._engines.can_decode(now_s)
+        return self._plain_servers.has_untried(now_s)
+
     def _record_failure(
         self,
         upstream: UpstreamRequest,
@@ -813,7 +823,13 @@
         now_s: float,
         retry_after_s: float | None = None,
     ) -> None:
-        """Ends the call with an error response to the caller."""
+        """Ends the call with an error response to the caller.
+
+        A failure that a server has answered before goes first: it is the answer to a run.
+        """
+        if self._failure_end is not None and self._response.has_failure:
+            self._pass_on_failure(self._failure_end, now_s)
+            return
         if reason is RefusalReason.OVERLOADED:
             self._services.demand.on_refused(self.call.pool.name, now_s)
         refusal = make_refusal(self.call, reason, detail, self._retry_after_s(retry_after_s, now_s))
@@ -826,6 +842,13 @@
         else:
             send_refusal(self.caller, refusal)
 
+    def _pass_on_failure(self, end: CallEnd, now_s: float) -> None:
+        """Ends the call with the failure that a server has answered."""
+        self._services.metrics.on_attempt_ended(self.call.pool.name, "answered")
+        self._response.send_failure()
+        self._end(end, now_s)
+        self.caller.end_response()
+
     def _retry_after_s(self, predicted_s: float | None, now_s: float) -> float:
         """Returns when the caller should come back.
 
--- a/berylquay/relay/response_relay.py
+++ b/berylquay/relay/response_relay.py
@@ -37,6 +37,9 @@
     _body: ResponseBody
     # Body that is buffered, or None while the body is relayed as it arrives.
     _buffered_body: bytearray | None
+    # Head and body of the newest failure that a server has answered completely and of which the
+    # caller has nothing, or None.
+    _failure: tuple[RawResponseHead, bytes] | None
 
     def __init__(
         self,
@@ -57,6 +60,12 @@
         self._started_status = 0
         self._body = OpaqueBody()
         self._buffered_body = None
+        self._failure = None
+
+    @property
+    def has_failure(self) -> bool:
+        """Returns whether a server's complete failure can be sent in place of another answer."""
+        return self._failure is not None and not self._caller.response_started
 
     @property
     def newest_event_id(self) -> int | None:
@@ -102,6 +111,23 @@
         """Returns the rest of the body, or why it is incomplete, once HTTP has delivered it all."""
         return self._body.finish()
 
+    def keep_failure(self, rest: bytes) -> None:
+        """Keeps a complete response that reports a failure, for the case that no other follows.
+
+        Args:
+            rest: Rest of the body, which follows on what is buffered.
+        """
+        if self._head is not None and self._buffered_body is not None:
+            self._failure = self._head, bytes(self._buffered_body) + rest
+
+    def send_failure(self) -> None:
+        """Sends the failure that was kept, but its end."""
+        if self._failure is not None:
+            self._head, body = self._failure
+            self._buffered_body = None
+            self._start_response()
+            self._caller.send_body(body)
+
     def send_rest(self, rest: bytes) -> None:
         """Sends all that the caller does not have of a complete response, but its end."""
         buffered_body, self._buffered_body = self._buffered_body, None
