Parse answers of many small parts in turns, and give up those that have no end

What callers saw: one server that sends chunks of one byte, or informational heads, without end takes the host's time from all others. Memory stayed bounded.

Cause: up to 65,536 bytes are read at once, and all parts in them (some 10,000) were parsed and passed on one by one before any other connection had its turn. Unframed JSON was followed byte by byte.

Change: 64 parts of an answer are parsed in a turn of the event loop; the connection is read no further until the rest is parsed. Consecutive pieces of a body are passed on at once. An answer with more than 64 informational heads, or more than 8,192 chunks of under 4 bytes on average, is given up. The end of a JSON document is found by counting in pieces between quotes.

--- a/berylquay/net/json_end.py
+++ b/berylquay/net/json_end.py
@@ -5,11 +5,9 @@
 from berylquay.net.body_framing import BodyFraming, is_json
 
 CUT_OFF: Final = "the JSON document was cut off"
-_OPENING: Final = frozenset(b"{[")
-_CLOSING: Final = frozenset(b"}]")
-_QUOTE: Final = ord('"')
-_BACKSLASH: Final = ord("\\")
-_WHITESPACE: Final = frozenset(b" \t\r\n")
+_QUOTE: Final = b'"'
+_BACKSLASH: Final = b"\\"
+_WHITESPACE: Final = b" \t\r\n"
 
 
 def is_unframed_json(framing: BodyFraming, content_type: str) -> bool:
@@ -44,22 +42,28 @@
 
     def feed(self, data: bytes) -> None:
         """Adds bytes of the document."""
-        for byte in data:
-            if self._in_string:
-                self._feed_string(byte)
-            elif byte == _QUOTE:
-                self._in_string = True
-            elif byte in _OPENING:
-                self._depth += 1
-            elif byte in _CLOSING:
-                self._depth -= 1
-            if byte not in _WHITESPACE:
-                self._has_begun = True
+        first, *rest = data.split(_QUOTE)
+        self._feed_without_quotes(first)
+        for part in rest:
+            self._feed_quote()
+            self._feed_without_quotes(part)
 
-    def _feed_string(self, byte: int) -> None:
+    def _feed_quote(self) -> None:
+        self._has_begun = True
         if self._escaped:
             self._escaped = False
-        elif byte == _BACKSLASH:
-            self._escaped = True
-        elif byte == _QUOTE:
-            self._in_string = False
+        else:
+            self._in_string = not self._in_string
+
+    def _feed_without_quotes(self, part: bytes) -> None:
+        if not part:
+            return
+        if self._in_string:
+            backslashes = len(part) - len(part.rstrip(_BACKSLASH))
+            if backslashes == len(part):
+                # The first one may be escaped itself.
+                backslashes -= self._escaped
+            self._escaped = backslashes % 2 == 1
+            return
+        self._depth += part.count(b"{") + part.count(b"[") - part.count(b"}") - part.count(b"]")
+        self._has_begun = self._has_begun or bool(part.strip(_WHITESPACE))
--- a/berylquay/net/persistent_http.py
+++ b/berylquay/net/persistent_http.py
@@ -20,6 +20,14 @@
 Headers = list[tuple[bytes, bytes]]
 # Largest response head (status line and headers) that is accepted.
 MAX_RESPONSE_HEAD_BYTES: Final = 65536
+# Parts of an answer (chunks and heads) that are parsed in one turn of the event loop. Thousands fit
+# into what is received at once, and would hold up all other connections.
+MAX_PARTS_PER_TURN: Final = 64
+# Informational heads after which an answer is taken for a faulty one.
+MAX_INFORMATIONAL_HEADS: Final = 64
+# The same for chunks that hold less than this on average.
+MAX_SMALL_CHUNKS: Final = 8192
+MIN_MEAN_CHUNK_BYTES: Final = 4
 
 
 @frozen
@@ -62,6 +70,9 @@
     def close(self, connection: Connection) -> None:
         """Closes the connection without calling its handler."""
 
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        """Calls the callback in the next turn of the event loop."""
+
     def pause_reading(self, connection: Connection) -> None:
         """Stops reading until `resume_reading`."""
 
@@ -104,6 +115,20 @@
     has_foreign_response: bool = False
     # Whether the response echoes the request id.
     is_echoed: bool = False
+    # Informational heads, chunks and bytes of the body that were received.
+    informational_heads: int = 0
+    chunks: int = 0
+    body_bytes: int = 0
+
+    @property
+    def endless_detail(self) -> str:
+        """Returns why the response is taken for bytes without end, or an empty string."""
+        if self.informational_heads > MAX_INFORMATIONAL_HEADS:
+            return "too many informational heads"
+        are_chunks_small = self.body_bytes < self.chunks * MIN_MEAN_CHUNK_BYTES
+        if self.chunks > MAX_SMALL_CHUNKS and are_chunks_small:
+            return "too many small chunks"
+        return ""
 
 
 @define(eq=False)
@@ -133,6 +158,9 @@
     _protocol: h11.Connection = field(init=False)
     _connection: Connection = field(init=False)
     _pending: _PendingRequest | None = field(default=None, init=False)
+    # Whether the user has paused reading, and whether received data waits to be parsed.
+    _is_paused: bool = field(default=False, init=False)
+    _is_parsing_deferred: bool = field(default=False, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Starts connecting."""
@@ -190,10 +218,8 @@
 
     def set_reading_paused(self, paused: bool) -> None:
         """Pauses or resumes reading from the connection."""
-        if paused:
-            self._connections.pause_reading(self._connection)
-        else:
-            self._connections.resume_reading(self._connection)
+        self._is_paused = paused
+        self._update_reading()
 
     def close(self) -> None:
         """Closes the connection; the handler of a pending request is not called any more."""
@@ -219,6 +245,8 @@
     def on_disconnected(self, detail: str) -> None:
         """Completes a response delimited by the end of the connection, or fails the request."""
         self.has_failed_to_connect = not self.was_established
+        if self._is_parsing_deferred:
+            self._parse(most_parts=None)
         if self._pending is not None and self._connection.peer_closed_cleanly:
             self._feed_parser(b"")
         pending, self._pending = self._pending, None
@@ -248,12 +276,75 @@
     def _feed_parser(self, data: bytes) -> None:
         try:
             self._protocol.receive_data(data)
-            while self._pending is not None and self._handle_event(self._protocol.next_event()):
-                pass
         except h11.RemoteProtocolError as error:
             self._fail_request(f"bad HTTP answer: {error}")
+            return
+        if not self._is_parsing_deferred:
+            self._parse(MAX_PARTS_PER_TURN)
+
+    def _parse(self, most_parts: int | None) -> None:
+        """Handles what was received, and leaves the rest to the next turn of the event loop.
+
+        Args:
+            most_parts: Number of parts after which the rest is left; None to handle all.
+        """
+        parts, error_detail = 0, ""
+        # Consecutive pieces of the body, which the handler gets at once.
+        body: list[bytes] = []
+        while self._pending is not None and parts != most_parts:
+            parts += 1
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                error_detail = f"bad HTTP answer: {error}"
+                break
+            error_detail = self._count(self._pending, event)
+            if error_detail:
+                break
+            if isinstance(event, h11.Data):
+                body.append(bytes(event.data))
+                continue
+            self._pass_on(body)
+            if not self._handle_event(event):
+                break
+        self._pass_on(body)
+        if error_detail and self._pending is not None:
+            self._fail_request(error_detail)
+        is_deferred = self._pending is not None and parts == most_parts
+        if is_deferred:
+            self._connections.call_soon(self._continue_parsing)
+        if is_deferred != self._is_parsing_deferred:
+            self._is_parsing_deferred = is_deferred
+            self._update_reading()
+
+    def _continue_parsing(self) -> None:
+        if self._is_parsing_deferred:
+            self._parse(MAX_PARTS_PER_TURN)
+
+    def _count(self, pending: _PendingRequest, event: object) -> str:
+        """Counts a part; returns why the answer is given up, or an empty string."""
+        if isinstance(event, h11.InformationalResponse):
+            pending.informational_heads += 1
+        elif isinstance(event, h11.Data):
+            pending.chunks += event.chunk_end
+            pending.body_bytes += len(event.data)
+        return pending.endless_detail
+
+    def _pass_on(self, body: list[bytes]) -> None:
+        """Passes pieces of the body on, and empties the list."""
+        pending = self._pending
+        if body and pending is not None and not pending.has_foreign_response:
+            pending.handler.on_response_data(b"".join(body))
+        body.clear()
+
+    def _update_reading(self) -> None:
+        if self._is_paused or self._is_parsing_deferred:
+            self._connections.pause_reading(self._connection)
+        else:
+            self._connections.resume_reading(self._connection)
 
     def _handle_event(self, event: object) -> bool:
+        """Handles an event that is no piece of a body; returns whether others may follow."""
         pending = self._pending
         if pending is None or event is h11.NEED_DATA or event is h11.PAUSED:
             return False
@@ -270,9 +361,6 @@
             if not pending.has_foreign_response:
                 self._update_keep_alive_timeout(head)
                 pending.handler.on_response_head(head)
-        elif isinstance(event, h11.Data):
-            if not pending.has_foreign_response:
-                pending.handler.on_response_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             if pending.has_foreign_response:
                 return self._skip_foreign_response(pending)
@@ -312,7 +400,8 @@
         if reusable:
             self._protocol.start_next_cycle()
             self.completed_requests += 1
-            self._connections.resume_reading(self._connection)
+            self._is_paused = False
+            self._update_reading()
             self._on_idle(self)
         else:
             self.close()
--- a/berylquay/net/tcp_connections.py
+++ b/berylquay/net/tcp_connections.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 from collections import deque
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from attrs import define, field
@@ -32,6 +33,10 @@
     """A call to `connect` failed immediately: `connect_failed(connection, detail)`."""
 
 
+class deferred_call(Event):  # noqa: N801 (circuits names events in lower case)
+    """A call to `call_soon` is due: `deferred_call(callback)`."""
+
+
 class ConnectionHandler(Protocol):
     """Callbacks for the events of a connection, always invoked on the event loop's thread."""
 
@@ -123,6 +128,10 @@
         self._poller.addReader(self, sock)
         return connection
 
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        """Calls the callback in the next turn of the event loop, after other connections."""
+        self.fire(deferred_call(callback))
+
     def pause_reading(self, connection: Connection) -> None:
         """Stops reading until `resume_reading`, so that TCP flow control slows down the peer."""
         if not connection.reading_paused and not connection.closed and connection.established:
@@ -206,6 +215,10 @@
     def _on_connect_failed(self, connection: Connection, detail: str) -> None:
         self._end_connection(connection, detail)
 
+    @handler("deferred_call")
+    def _on_deferred_call(self, callback: Callable[[], None]) -> None:
+        self.errors.run("deferred call", callback)
+
     @handler("_write")
     def _on_writable(self, sock: socket.socket) -> None:
         connection = self._connections_by_sock.get(sock)
--- a/berylquay/relay/gateway_transport.py
+++ b/berylquay/relay/gateway_transport.py
@@ -1,5 +1,6 @@
 """Transport of one connection to a backend server by way of another host."""
 
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from berylquay.decisions.fleet import Address
@@ -96,6 +97,10 @@
         if self._link is not None:
             self._tcp.close(self._link)
 
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        """Calls the callback in the next turn of the event loop."""
+        self._tcp.call_soon(callback)
+
     def pause_reading(self, connection: Connection) -> None:
         """Stops reading; the gateway then stops reading from the server."""
         if self._link is not None and not connection.closed:
--- a/tests/relay/test_copied_refusals.py
+++ b/tests/relay/test_copied_refusals.py
@@ -3,7 +3,7 @@
 import http.client
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import pytest
@@ -140,6 +140,9 @@
     def close(self, connection: Connection) -> None:
         connection.closed = True
 
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        """Does nothing."""
+
     def pause_reading(self, connection: Connection) -> None:
         """Does nothing."""
 
--- a/tests/relay/test_endless_answers.py
+++ b/tests/relay/test_endless_answers.py
@@ -42,6 +42,20 @@
     "not-executed": (b"HTTP/1.1 503 No\r\nNot-Executed: 1\r\n" + CHUNKED, CHUNK),
     "answer-to-another": (OK.replace(b"<id>", b"other") + CHUNKED, CHUNK),
 }
+# Answers whose parts take the most time to parse.
+COSTLY_ANSWERS: Final = {
+    "small-chunks": (OK + CHUNKED, b"1\r\nx\r\n" * 10_000),
+    "small-events": (EVENTS + CHUNKED, b"3\r\n:\n\n\r\n" * 10_000),
+    **{
+        kind: ENDLESS_ANSWERS[kind]
+        for kind in ("informational-heads", "chunk-size", "lines-of-an-event", "trailers")
+    },
+    "json-without-framing": ENDLESS_ANSWERS["json-without-framing"],
+}
+ENDLESS_CALLERS: Final = 12
+TROUBLE_S: Final = 4.0
+# Time within which callers want their first event, as the route states it.
+OBJECTIVE_S: Final = 0.4
 
 
 def memory_kb(pid: int) -> int:
@@ -93,6 +107,40 @@
     assert backend.requests
 
 
+def call_until(fleet: RelayFleet, end_s: float) -> None:
+    """Sends requests to the server without end, one after the other."""
+    while time.monotonic() < end_s:
+        is_answered_completely(fleet, PATHS["many"], {})
+
+
+# Guards against a server whose bytes take the time that the host has for all other callers.
+@pytest.mark.parametrize("kind", COSTLY_ANSWERS)
+def test_other_callers_are_served_while_a_server_sends_bytes_without_end(
+    fleet: RelayFleet, kind: str
+) -> None:
+    fleet.put_configuration(make_configuration())
+    answer, filler = COSTLY_ANSWERS[kind]
+    backend = fleet.add_scripted_backend("endless", "app", answer, Ending.SILENCE)
+    backend.default_script = Script(answer, Ending.SILENCE, filler)
+    fleet.add_backend("decode-0", "lm", "decode")
+    host = fleet.add_host()
+    before_kb = memory_kb(host.popen.pid)
+    end_s = time.monotonic() + TROUBLE_S
+    callers = [Thread(target=call_until, args=(fleet, end_s)) for _ in range(ENDLESS_CALLERS)]
+    for caller in callers:
+        caller.start()
+    took_s = []
+    while time.monotonic() < end_s:
+        sent_s = time.monotonic()
+        is_served = is_answered_completely(fleet, PATHS["stream"], {"Token-Counts": "20,4"})
+        took_s.append(time.monotonic() - sent_s if is_served else DEADLINE_S)
+    for caller in callers:
+        caller.join()
+    assert backend.requests
+    assert max(took_s) < OBJECTIVE_S, sorted(took_s)
+    assert memory_kb(host.popen.pid) - before_kb < MAX_GROWTH_KB
+
+
 # Guards against a prompt that waits for the end of a prefill engine's answer.
 def test_a_prefill_that_answers_without_end_is_given_up(fleet: RelayFleet) -> None:
     fleet.put_configuration(make_configuration())
