--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -45,18 +45,19 @@
         _run_one(arguments.one, arguments.seconds, arguments.keep, arguments.hosts)
         return
     random = Random()
-    seeds = _parse_seeds(arguments.seeds) or [
+    seeds = parse_seeds(arguments.seeds) or [
         random.randrange(RANDOM_SEED_LIMIT) for _ in range(arguments.rounds)
     ]
     keep = arguments.keep or Path(tempfile.mkdtemp(prefix="soak-"))
     options = ["--seconds", str(arguments.seconds), "--keep", str(keep)]
     options += ["--hosts", str(arguments.hosts)] if arguments.hosts else []
-    broken = asyncio.run(_run_all(seeds, arguments.jobs, options))
+    broken = asyncio.run(run_all(seeds, arguments.jobs, options))
     print(f"{len(seeds)} seeds, {len(broken)} with a broken promise: {broken}, logs in {keep}")
     sys.exit(1 if broken else 0)
 
 
-def _parse_seeds(text: str) -> list[int]:
+def parse_seeds(text: str) -> list[int]:
+    """Returns the seeds of a list such as `1-50` or `3,7`."""
     seeds: list[int] = []
     for item in text.split(",") if text else ():
         first, _, last = item.partition("-")
@@ -64,10 +65,19 @@
     return seeds
 
 
-async def _run_all(seeds: list[int], jobs: int, options: list[str]) -> list[int]:
+async def run_all(
+    seeds: list[int], jobs: int, options: list[str], module: str = "soak"
+) -> list[int]:
     """Runs each seed in a process of its own, so that other seeds do not delay its event loop.
 
-    Returns the seeds that broke a promise, sorted.
+    Args:
+        seeds: The seeds.
+        jobs: Number of seeds at a time.
+        options: Arguments of each process.
+        module: Module that runs a seed.
+
+    Returns:
+        The seeds that broke a promise, sorted.
     """
     broken: list[int] = []
     pending = list(seeds)
@@ -75,7 +85,7 @@
     async def run_pending(job: int) -> None:
         while pending:
             seed = pending.pop(0)
-            command = ["-m", "soak", "--one", str(seed), "--job", str(job), *options]
+            command = ["-m", module, "--one", str(seed), "--job", str(job), *options]
             process = await asyncio.create_subprocess_exec(
                 sys.executable, *command, stdout=subprocess.PIPE
             )
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -7,8 +7,8 @@
 other_server (every request gets 421), crash_on_segment (the process ends when it begins to answer a
 prompt with that segment), limit_per_s (each answer names that limit on requests). With `--witness`
 it also writes each event to a file immediately, with the monotonic time, so that nothing is lost
-when it is killed. With `--tenants` it refuses, with 400, runs and prefills with a caller's key or
-without one of these tenants.
+when it is killed. With `--version` each event names that software version. With `--tenants` it
+refuses, with 400, runs and prefills with a caller's key or without one of these tenants.
 """
 
 import asyncio
@@ -50,6 +50,8 @@
     accepted_order_count: int = 0
     # File to which each event is appended, or None.
     event_log_path: Path | None = None
+    # Software version that each event names; empty if none does.
+    software_version: str = ""
     # Tenants whose requests are served, or None if nothing is checked.
     tenants: frozenset[str] | None = None
 
@@ -188,6 +190,8 @@
                     exchange.abort_connection()
                 return
             data = request.headers.get("attempt-id", "").ljust(EVENT_DATA_BYTES, "x")
+            if self.software_version:
+                data += f" {self.software_version}"
             await send(f"id: {event_id}\ndata: {data}\n\n".encode())
             await asyncio.sleep(self.event_interval_s)
         if is_unframed:
@@ -236,6 +240,7 @@
     parser.add_argument("--role", default="", choices=("", "prefill", "decode"))
     parser.add_argument("--events", type=int, default=4)
     parser.add_argument("--interval-ms", type=float, default=5.0)
+    parser.add_argument("--version", default="")
     parser.add_argument("--witness", type=Path)
     parser.add_argument("--tenants", help="tenants to expect, separated by commas")
     arguments = parser.parse_args()
@@ -243,6 +248,7 @@
         arguments.name, arguments.role, arguments.events, arguments.interval_ms / 1000.0
     )
     backend.event_log_path = arguments.witness
+    backend.software_version = arguments.version
     if arguments.tenants is not None:
         backend.tenants = frozenset(arguments.tenants.split(","))
     run_standin(arguments, backend.handle)
