Find out whether a server has ended whose unframed stream ends between two events

Cause: the operating system closes the connections of a killed process with FIN. A stream with neither a length nor chunks that ends so between two events looks like one that has sent all.

If the connection is refused, the server has ended, and the stream has broken off: it goes on at another server, or the caller's answer is cut off. Only the end of the answer waits for this, no event does. Not by way of a gateway.

Why it works: a process that has ended accepts no connection.

--- a/berylquay/net/tcp_connections.py
+++ b/berylquay/net/tcp_connections.py
@@ -25,6 +25,8 @@
 # Idle time before the first keep-alive probe, and interval between probes.
 KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_INTERVAL_S: Final = 1
+# Detail of a connection that the other end has refused.
+CONNECTION_REFUSED: Final = errno.errorcode[errno.ECONNREFUSED]
 UNEXPECTED_ERROR: Final = "unexpected error"
 _CONNECT_IN_PROGRESS: Final = (errno.EINPROGRESS, errno.EWOULDBLOCK)
 
--- a/berylquay/relay/connection_pool.py
+++ b/berylquay/relay/connection_pool.py
@@ -1,5 +1,6 @@
 """Connections to backend servers, kept open for further requests that may be repeated."""
 
+from collections.abc import Callable
 from typing import Final
 
 from attrs import define, field
@@ -9,6 +10,7 @@
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.relay.gateway_transport import GatewayTransport
 from berylquay.relay.path_monitor import PathMonitor
+from berylquay.relay.server_end_check import ServerEndCheck
 from berylquay.relay.upstream_request import CONNECT_TIMEOUT_S
 
 # Time for which an idle connection may be reused if the backend server states no keep-alive
@@ -107,6 +109,12 @@
             self._opening.append(_Opening(backend, connection, now_s))
         return connection
 
+    def check_server_end(
+        self, backend: BackendEntry, on_result: Callable[[bool], None], now_s: float
+    ) -> ServerEndCheck:
+        """Finds out whether a server has ended; calls `on_result` once with that."""
+        return ServerEndCheck(self._connections, backend.address, on_result, now_s)
+
     def close_idle(self, name: str) -> None:
         """Closes the idle connections to a backend server that is gone, or its path has changed."""
         backend_connections = self._by_backend.get(name)
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -49,6 +49,7 @@
 from berylquay.relay.refusals import send_refusal
 from berylquay.relay.response_relay import FIRST_SERVER_ERROR, ResponseRelay
 from berylquay.relay.segment_announcements import SegmentAnnouncements
+from berylquay.relay.server_end_check import ServerEndCheck
 from berylquay.relay.services import RelayServices
 from berylquay.relay.stream_lookup import LookupState, StreamLookup
 from berylquay.relay.upstream_request import UpstreamRequest
@@ -113,6 +114,8 @@
     # to its first event.
     _transferred_kv_handle: KVCacheHandle | None
     _expected_first_event_delay_s: float
+    # Check whether the server of the open run request has ended, while it lasts.
+    _end_check: ServerEndCheck | None
     # Passes the response on to the caller.
     _response: ResponseRelay
     # How the call ends if the failure that the response relay keeps is sent, or None without one.
@@ -168,6 +171,7 @@
             last_event_id=last_event_id,
         )
         self._failure_end = None
+        self._end_check = None
         self._first_byte_s = None
         self._run_first_byte_s = None
         self._newest_event_s = None
@@ -233,6 +237,9 @@
                 upstream.give_up_connecting()
                 self._fail_upstream(upstream, upstream.not_sent_outcome, CONNECT_TIMED_OUT, now_s)
                 return
+        if self._end_check is not None:
+            self._end_check.on_tick(now_s)
+            return
         if self._stream_lookup is not None:
             self._on_lookup(self._stream_lookup, self._stream_lookup.on_tick(now_s), now_s)
             return
@@ -630,8 +637,31 @@
     def on_upstream_complete(self, upstream: UpstreamRequest) -> None:
         """Ends the response, or tries another backend server after a failure."""
         now_s = time.monotonic()
+        if self.ended:
+            return
+        if upstream.gateway is None and self._response.ends_between_events:
+
+            def on_checked(has_ended: bool) -> None:
+                self._on_end_checked(upstream, has_ended)
+
+            self._end_check = self._services.connection_pool.check_server_end(
+                upstream.backend, on_checked, now_s
+            )
+        else:
+            self._complete_response(upstream, now_s)
+
+    def _on_end_checked(self, upstream: UpstreamRequest, has_ended: bool) -> None:
+        self._end_check = None
+        now_s = time.monotonic()
+        if has_ended:
+            detail = "the server has ended with the stream"
+            self._fail_upstream(upstream, AttemptOutcome.CONNECTION_LOST, detail, now_s)
+        else:
+            self._complete_response(upstream, now_s)
+
+    def _complete_response(self, upstream: UpstreamRequest, now_s: float) -> None:
         head = upstream.head
-        if self.ended or head is None:
+        if head is None:
             return
         failed = head.status >= FIRST_SERVER_ERROR
         self._release_upstream(upstream)
@@ -878,6 +908,8 @@
         call = self.call
         self.ended = True
         self._queued = False
+        if self._end_check is not None:
+            self._end_check.cancel()
         self._cancel_upstreams(now_s)
         self._arrivals.on_ended(now_s)
         self._services.demand.on_call_ended(
--- a/berylquay/relay/response_relay.py
+++ b/berylquay/relay/response_relay.py
@@ -4,6 +4,7 @@
 
 from returns.result import Result
 
+from berylquay.net.body_framing import BodyFraming
 from berylquay.net.persistent_http import RawResponseHead
 from berylquay.platform.request_codec import forwarded_headers
 from berylquay.relay.caller_connection import CallerConnection
@@ -72,6 +73,16 @@
         """Returns the id of the newest event that the caller has, or None."""
         return self._event_tracker.newest_id
 
+    @property
+    def ends_between_events(self) -> bool:
+        """Returns whether nothing but the end of its connection ended the present event stream.
+
+        Whether the stream is complete can then not be told from what was received.
+        """
+        head = self._head
+        is_stream = self._body is self._event_tracker
+        return is_stream and head is not None and head.framing is BodyFraming.CONNECTION_END
+
     @property
     def can_resume(self) -> bool:
         """Returns whether another attempt may continue the event stream that has begun."""
--- a/berylquay/relay/segment_crash_handler.py
+++ b/berylquay/relay/segment_crash_handler.py
@@ -10,6 +10,7 @@
 from berylquay.decisions.crash_history import CrashHistory
 from berylquay.decisions.relay_call import RelayCall
 from berylquay.decisions.segment_crash_history import LostAttempt, Quarantine, SegmentCrashHistory
+from berylquay.net.tcp_connections import CONNECTION_REFUSED
 from berylquay.relay.crash_reports import (
     CrashReport,
     PendingCrashReport,
@@ -25,8 +26,6 @@
 # shortest one: a host that starts learns them in time, at a cost that does not grow with the fleet.
 REPEAT_INTERVAL_PER_HOST_S: Final = 0.25
 MIN_REPEAT_INTERVAL_S: Final = 1.0
-# Detail of a failure that shows that no process listens at the address of a server.
-CONNECTION_REFUSED: Final = "ECONNREFUSED"
 _log = logbook.Logger("segment-crashes")
 
 
--- a/tests/relay/test_crash_reports.py
+++ b/tests/relay/test_crash_reports.py
@@ -13,6 +13,7 @@
     SegmentCrashHistory,
     SegmentCrashLimits,
 )
+from berylquay.net.tcp_connections import CONNECTION_REFUSED
 from berylquay.relay.crash_reports import (
     CRASH_REPORT_TAG,
     MAX_ENTRIES_PER_REPORT,
@@ -23,7 +24,7 @@
 )
 from berylquay.relay.metrics import RelayMetrics
 from berylquay.relay.report_fields import compress_fields
-from berylquay.relay.segment_crash_handler import CONNECTION_REFUSED, SegmentCrashHandler
+from berylquay.relay.segment_crash_handler import SegmentCrashHandler
 from tests.relay.test_relay_decisions import ROUTE
 
 REPORT = CrashReport(
