--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,8 @@
     SoakFleet,
 )
 from soak.promises import BackendEvent, Observations, broken_promises
+from soak.releases import EVENTS, Stream
+from soak.releases import run_seed as run_release_seed
 from soak.rounds import extend_faults, inject_faults, run_seed
 from soak.schedule import Fault, FaultKind, draw_faults, draw_size
 
@@ -238,3 +240,27 @@
 @pytest.mark.parametrize("seed", [4, 8])
 def test_a_short_run_keeps_all_promises(seed: int, tmp_path: Path) -> None:
     assert run_seed(seed, 4.0, tmp_path).violations == []
+
+
+@pytest.mark.parametrize(
+    ("events", "is_complete", "fault"),
+    [
+        ([(1, "v1"), (2, "v1")], False, ""),
+        ([(number, "v1") for number in range(1, EVENTS + 1)], True, ""),
+        ([(1, "v1"), (2, "v2")], False, "versions ['v1', 'v2']"),
+        ([(1, "v1"), (3, "v1")], False, "events [1, 3]"),
+        ([(1, "v1"), (1, "v1")], False, "events [1, 1]"),
+        ([(1, "v1")], True, "ends as complete after 1 events"),
+    ],
+)
+def test_streams_over_releases_are_judged(
+    events: list[tuple[int, str]], is_complete: bool, fault: str
+) -> None:
+    assert Stream("id", "resumable", list(events), is_complete=is_complete).fault() == fault
+
+
+# Seeds that have failed: streams went on at another version at a host that had stood still (both),
+# and ended as complete when their server was killed (16).
+@pytest.mark.parametrize("seed", [15, 16])
+def test_no_stream_is_joined_or_cut_over_releases(seed: int, tmp_path: Path) -> None:
+    assert run_release_seed(seed, tmp_path) == []
