One function for the clock that runs in suspensions; a simpler check of ended servers

Cause: reading the change again. The peer exchange had the fifth copy of a read of that clock; the check of a server called back through a closure and a flag; two places ended a call with a server's answer; a property was named for something that it does not look at.

Change: `net/clocks.py` has the clock and all five places use it. `ServerEndCheck` is asked at each tick, as the probes of `PathMonitor` are. `_end_answered` ends both kinds of call. The result is known up to a tick later.

--- a/berylquay/platform/duty_client.py
+++ b/berylquay/platform/duty_client.py
@@ -5,7 +5,6 @@
 """
 
 import json
-import time
 from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import Final
@@ -16,6 +15,7 @@
 from berylquay.call_verdicts import Verdict
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
+from berylquay.net.clocks import boot_clock_s
 from berylquay.net.http_client import STATUS_OK
 from berylquay.net.persistent_http import Headers, PersistentConnection, RawRequest, RawResponseHead
 from berylquay.net.tcp_connections import TcpConnections
@@ -106,7 +106,7 @@
     ) -> None:
         self._connections = connections
         self._address = address
-        self._clock = _boot_clock_s if clock is None else clock
+        self._clock = boot_clock_s if clock is None else clock
         self._call_interval_s = 1.0 / calls_per_s
         self._connection = None
         self._call = None
@@ -286,7 +286,3 @@
 
 def _ignore_connection_event(_connection: PersistentConnection) -> None:
     """Does nothing: the client tracks the state of its connection itself."""
-
-
-def _boot_clock_s() -> float:
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/berylquay/relay/caller_authentication.py
+++ b/berylquay/relay/caller_authentication.py
@@ -1,6 +1,5 @@
 """Authentication of callers: which tenant's key a request carries, by the newest configuration."""
 
-import time
 from collections.abc import Callable
 from typing import Final
 
@@ -9,6 +8,7 @@
 from berylquay.decisions.freeze_guard import FreezeGuard
 from berylquay.decisions.route_table import Route
 from berylquay.decisions.tenants.keys import KeyFault
+from berylquay.net.clocks import boot_clock_s
 from berylquay.net.persistent_http import Headers
 from berylquay.platform.request_codec import decode_caller_key
 from berylquay.relay.store_views import ConfigurationView
@@ -75,7 +75,7 @@
 
     def on_tick(self, now_s: float) -> None:
         """Notices a freeze of the host, during which keys may have been removed."""
-        self._freeze_guard.observe(time.clock_gettime(time.CLOCK_BOOTTIME), now_s)
+        self._freeze_guard.observe(boot_clock_s(), now_s)
 
     def identify(self, route: Route, headers: Headers, now_s: float) -> CallerIdentity | KeyRefusal:
         """Returns whom a request is from, or why it is not served."""
--- a/berylquay/relay/claimant.py
+++ b/berylquay/relay/claimant.py
@@ -4,7 +4,6 @@
 hosts that read the topic receive in order.
 """
 
-import time
 from collections.abc import Callable
 from random import Random
 from typing import Final, Protocol
@@ -12,6 +11,7 @@
 import logbook
 
 from berylquay.decisions.order_claims import ClaimStep, ClaimTimes, OrderClaims
+from berylquay.net.clocks import boot_clock_s
 from berylquay.platform.store_client import AppendResult, RecordPage, StoreClient, StoreFailure
 from berylquay.relay.follower import FAILURE_BACKOFF
 
@@ -67,7 +67,7 @@
         self._claims = OrderClaims(times, holder)
         self._rng = rng
         self._listener = listener
-        self._clock = claim_clock_s if clock is None else clock
+        self._clock = boot_clock_s if clock is None else clock
         self._claimed_payload = None
         self._now_s = float("-inf")
         self._next_call_s = float("-inf")
@@ -203,8 +203,3 @@
     """Returns the holder and the payload of a record."""
     holder, _, payload = content.partition(_PAYLOAD_SEPARATOR)
     return holder.decode("utf-8", "replace"), payload
-
-
-def claim_clock_s() -> float:
-    """Returns the time of a monotonic clock that also runs while the host is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/berylquay/relay/connection_pool.py
+++ b/berylquay/relay/connection_pool.py
@@ -1,6 +1,5 @@
 """Connections to backend servers, kept open for further requests that may be repeated."""
 
-from collections.abc import Callable
 from typing import Final
 
 from attrs import define, field
@@ -109,11 +108,9 @@
             self._opening.append(_Opening(backend, connection, now_s))
         return connection
 
-    def check_server_end(
-        self, backend: BackendEntry, on_result: Callable[[bool], None], now_s: float
-    ) -> ServerEndCheck:
-        """Finds out whether a server has ended; calls `on_result` once with that."""
-        return ServerEndCheck(self._connections, backend.address, on_result, now_s)
+    def check_server_end(self, backend: BackendEntry, now_s: float) -> ServerEndCheck:
+        """Begins to find out whether a server has ended with its stream."""
+        return ServerEndCheck(self._connections, backend.address, now_s)
 
     def close_idle(self, name: str) -> None:
         """Closes the idle connections to a backend server that is gone, or its path has changed."""
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -30,6 +30,7 @@
 from berylquay.decisions.shutdown_schedule import ShutdownPhase, ShutdownSchedule
 from berylquay.decisions.store_era import StoreEra
 from berylquay.decisions.topology import Location, Topology
+from berylquay.net.clocks import boot_clock_s
 from berylquay.net.event_loop import EventLoop
 from berylquay.net.http_client import STATUS_OK
 from berylquay.net.message_bus import BUS
@@ -640,7 +641,7 @@
             registry.on_store_answered(now_s)
         self._backends_view.expire(now_s)
         pool_versions = self._services.pool_versions
-        pool_versions.on_clocks(time.monotonic(), time.clock_gettime(time.CLOCK_BOOTTIME))
+        pool_versions.on_clocks(time.monotonic(), boot_clock_s())
         follower = self._backends_follower
         pool_versions.on_list_confirmed(follower.confirmed_s, now_s, follower.confirmed_by)
 
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -14,6 +14,7 @@
 from berylquay.decisions.backend_registry import IDENTITY_FIELDS
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.shared_polling import TopicReport
+from berylquay.net.clocks import boot_clock_s
 from berylquay.relay.follower import TopicFollower
 from berylquay.relay.load_reports import LoadGossip, LoadReport
 from berylquay.relay.region_exchange import NoticeHandler, RegionExchange, RegionSummary
@@ -70,7 +71,7 @@
             on_report_sent=self._on_report_sent,
             on_exchange_datagram=self._on_exchange_datagram,
             clock=time.monotonic,
-            boot_clock=_boot_s,
+            boot_clock=boot_clock_s,
             scope=services.load_sharing_scope,
             pending_updates=services.pending_updates,
             errors=services.errors,
@@ -298,7 +299,3 @@
     def _is_fleet_large(self) -> bool:
         services = self._services
         return not services.load_sharing_scope.is_full_mesh(services.live_host_count)
-
-
-def _boot_s() -> float:
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -114,7 +114,7 @@
     # to its first event.
     _transferred_kv_handle: KVCacheHandle | None
     _expected_first_event_delay_s: float
-    # Check whether the server of the open run request has ended, while it lasts.
+    # Check whether the server of the run request has ended with its stream, while it lasts.
     _end_check: ServerEndCheck | None
     # Passes the response on to the caller.
     _response: ResponseRelay
@@ -238,7 +238,7 @@
                 self._fail_upstream(upstream, upstream.not_sent_outcome, CONNECT_TIMED_OUT, now_s)
                 return
         if self._end_check is not None:
-            self._end_check.on_tick(now_s)
+            self._on_end_check(self._end_check.on_tick(now_s), now_s)
             return
         if self._stream_lookup is not None:
             self._on_lookup(self._stream_lookup, self._stream_lookup.on_tick(now_s), now_s)
@@ -639,20 +639,18 @@
         now_s = time.monotonic()
         if self.ended:
             return
-        if upstream.gateway is None and self._response.ends_between_events:
-
-            def on_checked(has_ended: bool) -> None:
-                self._on_end_checked(upstream, has_ended)
-
-            self._end_check = self._services.connection_pool.check_server_end(
-                upstream.backend, on_checked, now_s
-            )
+        if upstream.gateway is None and self._response.is_unframed_stream:
+            pool = self._services.connection_pool
+            self._end_check = pool.check_server_end(upstream.backend, now_s)
         else:
             self._complete_response(upstream, now_s)
 
-    def _on_end_checked(self, upstream: UpstreamRequest, has_ended: bool) -> None:
+    def _on_end_check(self, has_ended: bool | None, now_s: float) -> None:
+        """Completes the stream, or takes it for broken off, when the check has a result."""
+        upstream = self._run_request
+        if has_ended is None or upstream is None:
+            return
         self._end_check = None
-        now_s = time.monotonic()
         if has_ended:
             detail = "the server has ended with the stream"
             self._fail_upstream(upstream, AttemptOutcome.CONNECTION_LOST, detail, now_s)
@@ -682,8 +680,12 @@
             self._services.crash_history.clear(self.call.fingerprint)
         if head.status < FIRST_REDIRECTION:
             self._services.segment_crashes.on_answered(self.call, now_s)
-        self._services.metrics.on_attempt_ended(self.call.pool.name, "answered")
         self._response.send_rest(body_end.unwrap())
+        self._end_answered(end, now_s)
+
+    def _end_answered(self, end: CallEnd, now_s: float) -> None:
+        """Ends the call and the response, of which the caller was sent all but its end."""
+        self._services.metrics.on_attempt_ended(self.call.pool.name, "answered")
         # The call ends first: ending the response may bring the caller's next request.
         self._end(end, now_s)
         self.caller.end_response()
@@ -858,7 +860,8 @@
         A failure that a server has answered before goes first: it is the answer to a run.
         """
         if self._failure_end is not None and self._response.has_failure:
-            self._pass_on_failure(self._failure_end, now_s)
+            self._response.send_failure()
+            self._end_answered(self._failure_end, now_s)
             return
         if reason is RefusalReason.OVERLOADED:
             self._services.demand.on_refused(self.call.pool.name, now_s)
@@ -872,13 +875,6 @@
         else:
             send_refusal(self.caller, refusal)
 
-    def _pass_on_failure(self, end: CallEnd, now_s: float) -> None:
-        """Ends the call with the failure that a server has answered."""
-        self._services.metrics.on_attempt_ended(self.call.pool.name, "answered")
-        self._response.send_failure()
-        self._end(end, now_s)
-        self.caller.end_response()
-
     def _retry_after_s(self, predicted_s: float | None, now_s: float) -> float:
         """Returns when the caller should come back.
 
@@ -909,7 +905,7 @@
         self.ended = True
         self._queued = False
         if self._end_check is not None:
-            self._end_check.cancel()
+            self._end_check.close()
         self._cancel_upstreams(now_s)
         self._arrivals.on_ended(now_s)
         self._services.demand.on_call_ended(
--- a/berylquay/relay/response_relay.py
+++ b/berylquay/relay/response_relay.py
@@ -74,10 +74,10 @@
         return self._event_tracker.newest_id
 
     @property
-    def ends_between_events(self) -> bool:
-        """Returns whether nothing but the end of its connection ended the present event stream.
+    def is_unframed_stream(self) -> bool:
+        """Returns whether the end of its connection is all that ends the present event stream.
 
-        Whether the stream is complete can then not be told from what was received.
+        If it ends between two events, what was received does not tell whether it is complete.
         """
         head = self._head
         is_stream = self._body is self._event_tracker
--- a/berylquay/relay/server_end_check.py
+++ b/berylquay/relay/server_end_check.py
@@ -5,7 +5,6 @@
 the server itself tells the two apart: a process that has ended accepts no connection.
 """
 
-from collections.abc import Callable
 from typing import Final
 
 from attrs import define, field
@@ -21,44 +20,44 @@
 
 @define(eq=False)
 class ServerEndCheck:
-    """One attempt to connect to the server; the connection is closed at once."""
+    """One attempt to connect to the server, which is closed when its result is known."""
 
     _connections: TcpConnections
     _address: Address
-    # Called once with whether the server has ended; not after `cancel`.
-    _on_result: Callable[[bool], None]
     # Monotonic time at which the stream ended.
     _ended_s: float
     # The attempt, or None before it.
     _connection: Connection | None = field(default=None, init=False)
-    _is_over: bool = field(default=False, init=False)
+    # Why the connection failed; empty if it has not.
+    _failure: str = field(default="", init=False)
 
-    def on_tick(self, now_s: float) -> None:
-        """Connects when it is time, and takes a server that does not respond for one that lives."""
-        elapsed_s = now_s - self._ended_s
-        if self._connection is None and elapsed_s >= CHECK_DELAY_S:
-            self._connection = self._connections.open(self._address, self)
-        elif elapsed_s > CHECK_DELAY_S + CONNECT_TIMEOUT_S:
-            self._finish(has_ended=False)
+    def on_tick(self, now_s: float) -> bool | None:
+        """Returns whether the server has ended, or None while that is not known.
 
-    def cancel(self) -> None:
-        """Ends the check without a result."""
-        self._is_over = True
+        A server that does not respond in time is taken for one that lives.
+        """
+        elapsed_s = now_s - self._ended_s
+        if self._connection is None:
+            if elapsed_s >= CHECK_DELAY_S:
+                self._connection = self._connections.open(self._address, self)
+            return None
+        is_over = elapsed_s > CHECK_DELAY_S + CONNECT_TIMEOUT_S
+        if not (self._connection.established or self._failure or is_over):
+            return None
+        self.close()
+        return self._failure == CONNECTION_REFUSED
+
+    def close(self) -> None:
+        """Closes the connection."""
         if self._connection is not None:
             self._connections.close(self._connection)
 
     def on_connected(self) -> None:
-        """Called if the server accepts connections."""
-        self._finish(has_ended=False)
+        """Does nothing: the result is taken at the next tick."""
 
     def on_data_received(self, data: bytes) -> None:
-        """Does nothing: no request was sent."""
+        """Ignores data: none was asked for."""
 
     def on_disconnected(self, detail: str) -> None:
-        """Called if the connection was refused, or lost."""
-        self._finish(has_ended=detail == CONNECTION_REFUSED)
-
-    def _finish(self, *, has_ended: bool) -> None:
-        if not self._is_over:
-            self.cancel()
-            self._on_result(has_ended)
+        """Records why the connection failed."""
+        self._failure = detail
--- a/berylquay/relay/usage_reporter.py
+++ b/berylquay/relay/usage_reporter.py
@@ -26,10 +26,11 @@
 from berylquay.decisions.duties.usage_schedule import CollectorView, UsageAction, UsageSchedule
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.order_claims import ClaimTimes
+from berylquay.net.clocks import boot_clock_s
 from berylquay.platform.duty_client import CALL_TIMEOUT_S, DutyClient, DutyOutcome
 from berylquay.platform.store_client import StoreClient
 from berylquay.platform.wire_names import TOPIC_USAGE, USAGE_COUNTS, USAGE_PATH, USAGE_WINDOW
-from berylquay.relay.claimant import Claimant, claim_clock_s
+from berylquay.relay.claimant import Claimant
 from berylquay.relay.metrics import RelayMetrics
 from berylquay.relay.peer_exchange import PeerExchange
 from berylquay.relay.usage_messages import (
@@ -548,5 +549,5 @@
         options.bounds.lease_s,
     )
     links = UsageLinks(peer_exchange.fleet_addresses, peer_exchange.send, store_client, client)
-    clocks = UsageClocks(time.time, claim_clock_s)
+    clocks = UsageClocks(time.time, boot_clock_s)
     return UsageReporter(usage_options, links, clocks, metrics, rng)
--- a/tests/relay/test_late_orders.py
+++ b/tests/relay/test_late_orders.py
@@ -42,7 +42,7 @@
     monkeypatch: pytest.MonkeyPatch, frozen_s: float
 ) -> None:
     connections, services, now_s = ConnectingConnections(), Mock(), [0.0]
-    monkeypatch.setattr(claimant, "claim_clock_s", lambda: now_s[0])
+    monkeypatch.setattr(claimant, "boot_clock_s", lambda: now_s[0])
     services.acquire_connection = lambda entry, *_arguments, **_options: PersistentConnection(
         entry.address, lambda _connection: None, lambda _connection: None, connections
     )
