Log what the end of an answer without length and chunks is taken for

The logs could not tell how the end of such an answer was established, and against which start of the server: whether it was checked, whether something accepted a connection, or nothing responded. No decision has changed.

--- a/berylquay/relay/call_logging.py
+++ b/berylquay/relay/call_logging.py
@@ -119,6 +119,38 @@
     )
 
 
+def log_unframed_end(
+    call: RelayCall,
+    upstream: UpstreamRequest,
+    *,
+    newest_event_id: int | None,
+    verdict: str,
+    evidence: str,
+    checked_s: float,
+) -> None:
+    """Logs what the end of an answer without length and chunks was taken for.
+
+    Args:
+        call: The call.
+        upstream: The attempt that brought the answer.
+        newest_event_id: Id of the newest event that was received, or None.
+        verdict: `whole` or `broken-off`.
+        evidence: What the verdict follows from.
+        checked_s: Time for which the server was asked.
+    """
+    _log.info(
+        "unframed answer ended",
+        id=call.call_id,
+        backend=upstream.backend.name,
+        started_unix_ms=upstream.backend.started_unix_ms,
+        gateway=None if upstream.gateway is None else upstream.gateway.gateway,
+        newest_event=newest_event_id,
+        verdict=verdict,
+        evidence=evidence,
+        checked_ms=to_ms(checked_s),
+    )
+
+
 def log_retry_not_allowed(services: RelayServices, call: RelayCall, now_s: float) -> None:
     """Logs that the retry budget leaves no room for a further attempt, with what was spent."""
     state = services.retry_budget.state(call.pool.name, now_s)
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -40,6 +40,7 @@
     log_quarantined_content,
     log_retry_not_allowed,
     log_transfer,
+    log_unframed_end,
 )
 from berylquay.relay.caller_authentication import CallerAuthenticator, KeyRefusal
 from berylquay.relay.caller_connection import CallerConnection, CallerRequest
@@ -643,14 +644,30 @@
             pool = self._services.connection_pool
             self._end_check = pool.check_server_end(upstream.backend, now_s)
         else:
+            if self._response.is_unframed:
+                self._log_unframed_end(upstream, "whole", "not checked", 0.0)
             self._complete_response(upstream, now_s)
 
+    def _log_unframed_end(
+        self, upstream: UpstreamRequest, verdict: str, evidence: str, checked_s: float
+    ) -> None:
+        log_unframed_end(
+            self.call,
+            upstream,
+            newest_event_id=self._response.newest_event_id,
+            verdict=verdict,
+            evidence=evidence,
+            checked_s=checked_s,
+        )
+
     def _on_end_check(self, has_ended: bool | None, now_s: float) -> None:
         """Completes the stream, or takes it for broken off, when the check has a result."""
-        upstream = self._run_request
-        if has_ended is None or upstream is None:
+        upstream, check = self._run_request, self._end_check
+        if has_ended is None or upstream is None or check is None:
             return
         self._end_check = None
+        verdict = "broken-off" if has_ended else "whole"
+        self._log_unframed_end(upstream, verdict, check.evidence, now_s - check.ended_s)
         if has_ended:
             detail = "the server has ended with the stream"
             self._fail_upstream(upstream, AttemptOutcome.CONNECTION_LOST, detail, now_s)
--- a/berylquay/relay/response_relay.py
+++ b/berylquay/relay/response_relay.py
@@ -73,15 +73,18 @@
         """Returns the id of the newest event that the caller has, or None."""
         return self._event_tracker.newest_id
 
+    @property
+    def is_unframed(self) -> bool:
+        """Returns whether the end of its connection is all that ends the present response."""
+        return self._head is not None and self._head.framing is BodyFraming.CONNECTION_END
+
     @property
     def is_unframed_stream(self) -> bool:
         """Returns whether the end of its connection is all that ends the present event stream.
 
         If it ends between two events, what was received does not tell whether it is complete.
         """
-        head = self._head
-        is_stream = self._body is self._event_tracker
-        return is_stream and head is not None and head.framing is BodyFraming.CONNECTION_END
+        return self._body is self._event_tracker and self.is_unframed
 
     @property
     def can_resume(self) -> bool:
--- a/berylquay/relay/server_end_check.py
+++ b/berylquay/relay/server_end_check.py
@@ -25,7 +25,7 @@
     _connections: TcpConnections
     _address: Address
     # Monotonic time at which the stream ended.
-    _ended_s: float
+    ended_s: float
     # The attempt, or None before it.
     _connection: Connection | None = field(default=None, init=False)
     # Why the connection failed; empty if it has not.
@@ -36,7 +36,7 @@
 
         A server that does not respond in time is taken for one that lives.
         """
-        elapsed_s = now_s - self._ended_s
+        elapsed_s = now_s - self.ended_s
         if self._connection is None:
             if elapsed_s >= CHECK_DELAY_S:
                 self._connection = self._connections.open(self._address, self)
@@ -47,6 +47,13 @@
         self.close()
         return self._failure == CONNECTION_REFUSED
 
+    @property
+    def evidence(self) -> str:
+        """Returns what the result follows from, for logs."""
+        if self._connection is not None and self._connection.established:
+            return "connected"
+        return self._failure or "no response"
+
     def close(self) -> None:
         """Closes the connection."""
         if self._connection is not None:
