--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -78,9 +78,11 @@
         self._send(h11.Response(status_code=200, headers=all_headers))
         await self.writer.drain()
 
-    async def start_unframed_stream(self, headers: tuple[tuple[str, str], ...] = ()) -> None:
-        """Sends the response head of a stream that ends with its connection."""
-        all_headers = [("Content-Type", "text/event-stream"), ("Connection", "close")]
+    async def start_unframed_response(
+        self, content_type: str, headers: tuple[tuple[str, str], ...] = ()
+    ) -> None:
+        """Sends the head of a response that ends with its connection."""
+        all_headers = [("Content-Type", content_type), ("Connection", "close")]
         all_headers += [*self.common_headers, *headers]
         lines = "".join(f"{name}: {value}\r\n" for name, value in all_headers)
         await self.send_raw_bytes(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -5,10 +5,14 @@
 aborted within the response, after that many events), lose_answer, delay_s, foreign_answer (a
 response to another request is sent first), lapsed_handles (no KV cache can be fetched),
 other_server (every request gets 421), crash_on_segment (the process ends when it begins to answer a
-prompt with that segment), limit_per_s (each answer names that limit on requests). With `--witness`
-it also writes each event to a file immediately, with the monotonic time, so that nothing is lost
-when it is killed. With `--version` each event names that software version. With `--tenants` it
-refuses, with 400, runs and prefills with a caller's key or without one of these tenants.
+prompt with that segment), limit_per_s (each answer names that limit on requests), unframed (streams
+end with their connection), unframed_bytes (so do a plain service's answers, of an unknown type),
+report_delay_s (time until a report is answered), exit_delay_s (the process ends that long after its
+first complete stream). With `--witness` it also writes each event to a file immediately, with the
+monotonic time, so that nothing is lost when it is killed. With `--version` each event names that
+software version. With `--tenants` it refuses, with 400, runs and prefills with a caller's key or
+without one of these tenants. `GET /report` states the start time (`--born`), `GET /health` the
+name.
 """
 
 import asyncio
@@ -25,6 +29,8 @@
 
 NOT_EXECUTED_HEADERS: Final = (("Not-Executed", "1"),)
 EVENT_DATA_BYTES: Final = 40
+# Piece of a plain service's unframed body, which has as many as a stream has events.
+PLAIN_PIECE: Final = b"0123456789"
 CRASH_EXIT_STATUS: Final = 70
 
 
@@ -54,6 +60,8 @@
     software_version: str = ""
     # Tenants whose requests are served, or None if nothing is checked.
     tenants: frozenset[str] | None = None
+    # Start time in Unix milliseconds that it states in its reports; 0 if it states none.
+    started_unix_ms: int = 0
 
     async def handle(self, exchange: Exchange) -> None:
         """Answers one request."""
@@ -77,7 +85,9 @@
             self.faults = request.json_body()
             await exchange.send_json(200, {})
         elif request.path == "/report":
-            await exchange.send_json(200, {"phase": self.role, "seq": self.accepted_order_count})
+            await self._send_report(exchange)
+        elif request.path == "/health":
+            await exchange.send_json(200, {}, (("Instance-Id", self.name),))
         elif request.path == "/order":
             await self._handle_order(exchange)
         elif request.path.startswith("/kv-handle/"):
@@ -87,6 +97,16 @@
         else:
             await self._serve(exchange)
 
+    async def _send_report(self, exchange: Exchange) -> None:
+        if not self.role:
+            await exchange.send_json(400, {})
+            return
+        await asyncio.sleep(float(str(self.faults.get("report_delay_s", 0.0))))
+        report: dict[str, object] = {"phase": self.role, "seq": self.accepted_order_count}
+        if self.started_unix_ms:
+            report["born"] = self.started_unix_ms
+        await exchange.send_json(200, report)
+
     async def _handle_order(self, exchange: Exchange) -> None:
         order = exchange.request.json_body()
         if order.get("expected") != self.accepted_order_count:
@@ -160,9 +180,21 @@
             await exchange.send_json(500, {"error": "failed"}, headers)
         elif self.role:
             await self._stream(exchange, headers)
+        elif self.faults.get("unframed_bytes"):
+            await self._send_unframed_bytes(exchange, headers)
         else:
             await exchange.send_json(200, {"echo": request.body.decode("latin-1")}, headers)
 
+    async def _send_unframed_bytes(
+        self, exchange: Exchange, headers: tuple[tuple[str, str], ...]
+    ) -> None:
+        """Sends a body of an unknown type in pieces; it ends with its connection."""
+        await exchange.start_unframed_response("application/octet-stream", headers)
+        for _ in range(self.event_count):
+            await exchange.send_raw_bytes(PLAIN_PIECE)
+            await asyncio.sleep(self.event_interval_s)
+        exchange.close_connection()
+
     async def _stream(self, exchange: Exchange, headers: tuple[tuple[str, str], ...]) -> None:
         request = exchange.request
         first_event_id = int(request.headers.get("last-event-id", "0")) + 1
@@ -170,7 +202,7 @@
         # Without length and chunks, a stream that breaks off ends as cleanly as a complete one.
         is_unframed = bool(self.faults.get("unframed"))
         if is_unframed:
-            await exchange.start_unframed_stream(headers)
+            await exchange.start_unframed_response("text/event-stream", headers)
             send = exchange.send_raw_bytes
         else:
             await exchange.start_stream(headers)
@@ -198,6 +230,9 @@
             exchange.close_connection()
         else:
             await exchange.end_response()
+        if "exit_delay_s" in self.faults:
+            await asyncio.sleep(float(str(self.faults["exit_delay_s"])))
+            os._exit(0)
 
     def _crashes_on(self, request: StandinRequest) -> bool:
         items = request.headers.get("prompt-prefix", "").split(",")
@@ -243,12 +278,14 @@
     parser.add_argument("--version", default="")
     parser.add_argument("--witness", type=Path)
     parser.add_argument("--tenants", help="tenants to expect, separated by commas")
+    parser.add_argument("--born", type=int, default=1000, help="start time in Unix milliseconds")
     arguments = parser.parse_args()
     backend = PlatformBackend(
         arguments.name, arguments.role, arguments.events, arguments.interval_ms / 1000.0
     )
     backend.event_log_path = arguments.witness
     backend.software_version = arguments.version
+    backend.started_unix_ms = arguments.born
     if arguments.tenants is not None:
         backend.tenants = frozenset(arguments.tenants.split(","))
     run_standin(arguments, backend.handle)
--- a/tests/relay/test_gateways.py
+++ b/tests/relay/test_gateways.py
@@ -79,6 +79,7 @@
         ("chunked", "server"),
         ("chunked", "nothing"),
         ("unframed", "gateway"),
+        ("unframed", "server"),
         ("unframed", "nothing"),
     ],
 )
--- a/tests/support/relay_fleet.py
+++ b/tests/support/relay_fleet.py
@@ -12,7 +12,7 @@
 from attrs import define, field
 
 from examples.processes import Process, Processes, free_port
-from tests.support.scripted_backend import Ending, Script, ScriptedBackend
+from tests.support.scripted_backend import STARTED_UNIX_MS, Ending, Script, ScriptedBackend
 
 HOST_NAME: Final = "calls.example"
 WAIT_TIMEOUT_S: Final = 10.0
@@ -98,7 +98,7 @@
         self, name: str, pool: str, answer: bytes, ending: Ending, role: str = ""
     ) -> ScriptedBackend:
         """Starts a backend server that always sends `answer`, and writes its entry to the store."""
-        backend = ScriptedBackend(Script(answer, ending))
+        backend = ScriptedBackend(Script(answer, ending), name)
         backend.start()
         self.scripted_backends.append(backend)
         self.register(name, pool, role, address=f"127.0.0.1:{backend.port}")
@@ -116,7 +116,7 @@
             "state": "ready",
             "coldLeftMs": 0,
             "seq": 1,
-            "born": 1000,
+            "born": STARTED_UNIX_MS,
         }
         if role:
             entry["phase"] = role
--- a/tests/support/scripted_backend.py
+++ b/tests/support/scripted_backend.py
@@ -18,6 +18,8 @@
 RESET_DELAY_S: Final = 0.1
 # Stands for the attempt's id in the bytes of an answer.
 ATTEMPT_ID_PLACEHOLDER: Final = b"<id>"
+# Start time in its entry and its reports, in Unix milliseconds.
+STARTED_UNIX_MS: Final = 1000
 
 
 class Ending(Enum):
@@ -48,6 +50,8 @@
 
     # Script of the requests whose body is in no other script.
     default_script: Script
+    # Name that it states in answers to health checks.
+    name: str = ""
     # Scripts by the body of the request.
     scripts: dict[bytes, Script] = field(factory=dict)
     # Script of the requests that continue a stream, or None if they are served like all others.
@@ -81,7 +85,7 @@
     def _serve_connection(self, sock: socket.socket) -> None:
         with sock:
             request = read_request(sock)
-            if not request:
+            if not request or self._answer_about_itself(sock, request):
                 return
             self.requests.append(request)
             if self.first_answer:
@@ -106,6 +110,18 @@
             elif script.ending is Ending.SILENCE:
                 self._stopped.wait()
 
+    def _answer_about_itself(self, sock: socket.socket, request: bytes) -> bool:
+        """Answers a request for a report or a health check; returns whether it was one."""
+        if request.startswith(b"GET /report "):
+            body = b'{"born": %d}' % STARTED_UNIX_MS
+        elif request.startswith(b"GET /health "):
+            body = b"{}"
+        else:
+            return False
+        head = b"HTTP/1.1 200 OK\r\nInstance-Id: %b\r\nContent-Length: %d\r\n\r\n"
+        sock.sendall(head % (self.name.encode(), len(body)) + body)
+        return True
+
     def _send_without_end(self, sock: socket.socket, filler: bytes) -> None:
         self.endless_connections += 1
         try:
