Ask whether the instance still runs that has sent an answer without length and chunks

Callers got streams that ended as complete too early: 18 of 33 cases of a server killed between two events, and four of plain bodies of an unknown type. Three whole streams were broken off.

Cause: a killed process's connections end with FIN, as those of one that has sent all. The host asked 0.1 s later whether anything accepts connections at the address, and took a new start, a forwarder and silence for the server; by way of a gateway, and for plain bodies, it did not ask.

The host now asks at once who answers there: an engine's report states its start, a health check the name. Only the instance itself makes the answer whole; doubt after the time that callers wait breaks it off, or lets another engine go on. As many events as the request allows tokens need no question.

--- a/berylquay/decisions/route_table.py
+++ b/berylquay/decisions/route_table.py
@@ -78,6 +78,8 @@
     engine_properties: EngineProperties | None = None
     # How servers may be ordered for it, or None if their number is fixed.
     scaling: ScalingProperties | None = None
+    # Path of its servers' health checks; empty if they have none.
+    health_path: str = ""
 
 
 @frozen
--- a/berylquay/net/json_end.py
+++ b/berylquay/net/json_end.py
@@ -28,18 +28,26 @@
     _escaped: bool
     # Whether anything but whitespace was received.
     _has_begun: bool
+    # Whether the last byte but whitespace was a closing quote or bracket.
+    _ends_closed: bool
 
     def __init__(self) -> None:
         self._depth = 0
         self._in_string = False
         self._escaped = False
         self._has_begun = False
+        self._ends_closed = False
 
     @property
     def is_complete(self) -> bool:
         """Returns whether the document that was received so far may be complete."""
         return self._has_begun and not self._depth and not self._in_string
 
+    @property
+    def is_closed(self) -> bool:
+        """Returns whether a closing quote or bracket has ended the document."""
+        return self.is_complete and self._ends_closed
+
     def feed(self, data: bytes) -> None:
         """Adds bytes of the document."""
         first, *rest = data.split(_QUOTE)
@@ -54,6 +62,7 @@
             self._escaped = False
         else:
             self._in_string = not self._in_string
+            self._ends_closed = not self._in_string
 
     def _feed_without_quotes(self, part: bytes) -> None:
         if not part:
@@ -66,4 +75,6 @@
             self._escaped = backslashes % 2 == 1
             return
         self._depth += part.count(b"{") + part.count(b"[") - part.count(b"}") - part.count(b"]")
-        self._has_begun = self._has_begun or bool(part.strip(_WHITESPACE))
+        if text := part.rstrip(_WHITESPACE):
+            self._has_begun = True
+            self._ends_closed = text.endswith((b"}", b"]"))
--- a/berylquay/platform/request_codec.py
+++ b/berylquay/platform/request_codec.py
@@ -9,6 +9,7 @@
 
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.relay_call import GenerationRequest, PromptSegment
+from berylquay.decisions.response_end import InstanceStatement
 from berylquay.decisions.server_notices import ServerNotice
 from berylquay.decisions.tenants.keys import KeyFault
 from berylquay.net.persistent_http import Headers, RawRequest, RawResponseHead
@@ -211,6 +212,26 @@
     return RawRequest(b"GET", wire_names.REPORT_PATH.encode(), headers)
 
 
+def encode_health_request(address: Address, path: str, backend: str) -> RawRequest:
+    """Returns the request for a backend server's health check."""
+    headers = [(b"host", str(address).encode()), _expect_instance_header(backend)]
+    return RawRequest(b"GET", path.encode("latin-1"), headers)
+
+
+def decode_instance_statement(head: RawResponseHead, body: bytes) -> InstanceStatement:
+    """Returns what the answer to a health check or report request states of the server."""
+    started_unix_ms = 0
+    try:
+        value = json.loads(body)["born"]
+        if isinstance(value, int) and not isinstance(value, bool) and value > 0:
+            started_unix_ms = value
+    except (ValueError, KeyError, TypeError, RecursionError):
+        # No report; the server's name may be in the head.
+        started_unix_ms = 0
+    name = (head.get(wire_names.INSTANCE_ID) or b"").strip().decode("latin-1")
+    return InstanceStatement(name, started_unix_ms, is_misdirected(head))
+
+
 def decode_accepted_order_count(body: bytes) -> int | None:
     """Returns the number of orders that an engine has accepted, or None if it can't be parsed."""
     try:
--- a/berylquay/platform/route_configuration.py
+++ b/berylquay/platform/route_configuration.py
@@ -149,9 +149,18 @@
             None if not engine else _decode_engine_properties(_require_object(engine, "engine"))
         ),
         scaling=None if not scaling else _decode_scaling(_require_object(scaling, "scaling")),
+        health_path=_health_path(fields),
     )
 
 
+def _health_path(fields: JsonObject) -> str:
+    """Returns the path of health checks; empty if it is missing or can't be requested."""
+    path = fields.get("healthPath")
+    if not isinstance(path, str) or not path.startswith("/"):
+        return ""
+    return path if path.isascii() and path.isprintable() and " " not in path else ""
+
+
 def _decode_scaling(fields: JsonObject) -> ScalingProperties:
     prices = _require_object(fields.get("zonePrices", {}), "zonePrices")
     scaling = ScalingProperties(
--- a/berylquay/platform/wire_names.py
+++ b/berylquay/platform/wire_names.py
@@ -45,6 +45,8 @@
 # Headers of a response.
 WWW_AUTHENTICATE: Final = b"www-authenticate"
 NOT_EXECUTED: Final = b"not-executed"
+# Name of the backend server that responds.
+INSTANCE_ID: Final = b"instance-id"
 # "1" in all responses of a backend server that is leaving.
 SERVER_LEAVING: Final = b"server-leaving"
 # In a backend server's 503: time for which it wants no requests from this host.
--- a/berylquay/relay/connection_pool.py
+++ b/berylquay/relay/connection_pool.py
@@ -9,7 +9,6 @@
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.relay.gateway_transport import GatewayTransport
 from berylquay.relay.path_monitor import PathMonitor
-from berylquay.relay.server_end_check import ServerEndCheck
 from berylquay.relay.upstream_request import CONNECT_TIMEOUT_S
 
 # Time for which an idle connection may be reused if the backend server states no keep-alive
@@ -108,10 +107,6 @@
             self._opening.append(_Opening(backend, connection, now_s))
         return connection
 
-    def check_server_end(self, backend: BackendEntry, now_s: float) -> ServerEndCheck:
-        """Begins to find out whether a server has ended with its stream."""
-        return ServerEndCheck(self._connections, backend.address, now_s)
-
     def close_idle(self, name: str) -> None:
         """Closes the idle connections to a backend server that is gone, or its path has changed."""
         backend_connections = self._by_backend.get(name)
--- a/berylquay/relay/event_stream.py
+++ b/berylquay/relay/event_stream.py
@@ -20,6 +20,8 @@
     # Id of the newest event passed on or, before the first one, of the event after which the caller
     # resumes the stream; None if there is neither. Events without a numeric id do not change it.
     newest_id: int | None
+    # Events with an id that were passed on.
+    event_count: int
     # Whether no event was passed on in parts, so that the caller has nothing of the next event.
     holds_whole_events: bool
     # Whether the beginning of the present event was passed on.
@@ -29,6 +31,7 @@
 
     def __init__(self, newest_id: int | None) -> None:
         self.newest_id = newest_id
+        self.event_count = 0
         self.holds_whole_events = True
         self._relays_partial_event = False
         self._held_bytes = b""
@@ -59,16 +62,25 @@
         held_bytes, self._held_bytes = self._held_bytes, b""
         return Success(held_bytes)
 
+    @property
+    def shows_its_end(self) -> bool:
+        """Returns False: any event may be the last one."""
+        return False
+
     def drop_partial_event(self) -> None:
         """Discards the beginning of an event whose run has ended."""
         self._held_bytes = b""
 
     def _record_newest_id(self, complete_events: bytes) -> None:
+        has_id = False
         for line in _LINE_END.split(complete_events):
             if line.startswith(ID_FIELD):
                 event_id = line[len(ID_FIELD) :].strip()
                 if event_id.isdigit():
-                    self.newest_id = int(event_id)
+                    self.newest_id, has_id = int(event_id), True
+            elif not line:
+                self.event_count += has_id
+                has_id = False
 
 
 def _end_of_last_event(data: bytes) -> int:
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -34,6 +34,7 @@
 from berylquay.net.event_loop import EventLoop
 from berylquay.net.http_client import STATUS_OK
 from berylquay.net.message_bus import BUS
+from berylquay.net.persistent_http import PersistentConnection
 from berylquay.net.process_messages import StopRequested, Tick
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.net.tcp_listener import TcpListener
@@ -53,6 +54,7 @@
 from berylquay.relay.gateway_server import GatewayServer
 from berylquay.relay.host_duties import HostDuties
 from berylquay.relay.host_list import HostList
+from berylquay.relay.instance_probes import InstanceProbes
 from berylquay.relay.log_handler import StdoutLogHandler
 from berylquay.relay.metrics import RelayMetrics
 from berylquay.relay.pages import Page, PageConnection
@@ -327,6 +329,13 @@
                 send_to_group=self._send_to_group,
             ),
             connection_pool=BackendConnectionPool(connections, path_monitor),
+            instance_probes=InstanceProbes(
+                registry,
+                connect=self._connect_to_server,
+                health_path=self._health_path,
+                on_notice=self._on_server_notice,
+                clock=time.monotonic,
+            ),
             path_monitor=path_monitor,
             metrics=metrics,
             rng=rng,
@@ -336,6 +345,14 @@
             errors=self._errors,
         )
 
+    def _connect_to_server(self, backend: BackendEntry, now_s: float) -> PersistentConnection:
+        return self._services.acquire_connection(backend, True, now_s)
+
+    def _health_path(self, pool: str) -> str:
+        table = self._configuration_view.table
+        known = None if table is None else table.pools.get(pool)
+        return "" if known is None else known.health_path
+
     def _is_first_of_group(self, now_s: float) -> bool:
         return self._peer_exchange.is_first_of_group(now_s)
 
@@ -597,6 +614,7 @@
         run("host-count", self._update_host_count, now_s)
         run("prefill-engines", self._update_prefill_engines)
         run("connections", services.connection_pool.on_tick, now_s)
+        run("instance-probes", services.instance_probes.on_tick, now_s)
         run("paths", services.path_monitor.on_tick, self._request_handler.open_calls > 0, now_s)
         run("gateway", self._gateway_server.on_tick, now_s)
         run("releases", cancel_overdue_releases, services, now_s)
--- /dev/null
+++ b/berylquay/relay/instance_probes.py
@@ -0,0 +1,191 @@
+"""Asks backend servers whether the instance still runs that has sent an answer.
+
+All answers of a server that end at the same time share one question.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from attrs import define, field
+
+from berylquay.decisions.attempt_outcomes import AttemptOutcome
+from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry
+from berylquay.decisions.response_end import InstanceEvidence, InstanceState
+from berylquay.decisions.server_instance import ServerInstance
+from berylquay.net.persistent_http import PersistentConnection, RawResponseHead
+from berylquay.net.tcp_connections import CONNECTION_REFUSED
+from berylquay.platform.request_codec import (
+    decode_instance_statement,
+    encode_health_request,
+    encode_report_request,
+)
+from berylquay.relay.upstream_request import NoticeListener, UpstreamRequest
+
+# Most bytes kept of an answer, which holds the server's state.
+MAX_ANSWER_BYTES: Final = 65536
+# Time after which a question is given up; a sound server may be silent for a second or so.
+ANSWER_TIMEOUT_S: Final = 2.0
+NEWER_START: Final = "the list of servers has a newer start"
+
+
+@define(eq=False)
+class _Question:
+    """One question to a server; handles the answer."""
+
+    backend: BackendEntry
+    asked_s: float
+    # Called with the question when it has an answer, and when it has failed: outcome and detail.
+    _on_answered: "Callable[[_Question, UpstreamRequest], None]"
+    _on_failed: "Callable[[_Question, UpstreamRequest, AttemptOutcome, str], None]"
+    body: bytearray = field(factory=bytearray)
+
+    def on_upstream_head(self, upstream: UpstreamRequest, head: RawResponseHead) -> None:
+        """Does nothing: the response is evaluated once it is complete."""
+
+    def on_upstream_data(self, upstream: UpstreamRequest, data: bytes) -> None:
+        """Appends to the body, up to the size limit."""
+        self.body += data[: MAX_ANSWER_BYTES - len(self.body)]
+
+    def on_upstream_complete(self, upstream: UpstreamRequest) -> None:
+        """Passes on the answer."""
+        self._on_answered(self, upstream)
+
+    def on_upstream_failed(
+        self, upstream: UpstreamRequest, outcome: AttemptOutcome, detail: str
+    ) -> None:
+        """Passes on a rejection, which states the server's name too, or the failure."""
+        if outcome in (AttemptOutcome.REJECTED, AttemptOutcome.WRONG_SERVER):
+            self._on_answered(self, upstream)
+        else:
+            self._on_failed(self, upstream, outcome, detail)
+
+
+@define(eq=False)
+class _Series:
+    """The questions to one instance."""
+
+    evidence: InstanceEvidence = field(factory=InstanceEvidence)
+    # Open question, or None.
+    upstream: UpstreamRequest | None = None
+    # Whether an answer has named neither the server nor its start.
+    states_no_start: bool = False
+
+
+class InstanceProbes:
+    """The questions to all servers."""
+
+    _registry: BackendRegistry
+    # Returns a new connection to a server, with the present time.
+    _connect: Callable[[BackendEntry, float], PersistentConnection]
+    # Returns the path of a pool's health checks; empty if it has none.
+    _health_path: Callable[[str], str]
+    _on_notice: NoticeListener
+    # Reads the monotonic clock.
+    _clock: Callable[[], float]
+    _series: dict[ServerInstance, _Series]
+
+    def __init__(
+        self,
+        registry: BackendRegistry,
+        *,
+        connect: Callable[[BackendEntry, float], PersistentConnection],
+        health_path: Callable[[str], str],
+        on_notice: NoticeListener,
+        clock: Callable[[], float],
+    ) -> None:
+        self._registry = registry
+        self._connect = connect
+        self._health_path = health_path
+        self._on_notice = on_notice
+        self._clock = clock
+        self._series = {}
+
+    def state_since(
+        self, backend: BackendEntry, since_s: float, now_s: float
+    ) -> tuple[InstanceState, str]:
+        """Returns whether a server ran at a time or later, and why; asks it if that is not known.
+
+        Args:
+            backend: Entry of the instance.
+            since_s: Monotonic time.
+            now_s: Present monotonic time.
+        """
+        entry = self._registry.get(backend.name)
+        if entry is not None and entry.started_unix_ms > backend.started_unix_ms:
+            return InstanceState.ENDED, NEWER_START
+        series = self._series.setdefault(backend.instance, _Series())
+        evidence = series.evidence
+        state = evidence.state_since(since_s)
+        is_open = series.upstream is not None
+        if state is InstanceState.UNKNOWN and not is_open and evidence.may_ask(now_s):
+            self._ask(backend, series, now_s)
+        return state, evidence.reason
+
+    def on_tick(self, now_s: float) -> None:
+        """Gives up questions that are not answered in time, and drops old results."""
+        for instance, series in list(self._series.items()):
+            upstream = series.upstream
+            if upstream is None:
+                if series.evidence.is_outdated(now_s):
+                    del self._series[instance]
+            elif upstream.is_stuck_connecting(now_s):
+                upstream.give_up_connecting()
+                self._fail(series, "no connection in time", upstream.started_s, was_refused=False)
+            elif now_s - upstream.started_s > ANSWER_TIMEOUT_S:
+                upstream.cancel()
+                self._fail(series, "no answer in time", upstream.started_s, was_refused=False)
+
+    def _ask(self, backend: BackendEntry, series: _Series, now_s: float) -> None:
+        if self._registry.notices.is_paused(backend.instance):
+            self._fail(series, "the server wants no requests", now_s, was_refused=False)
+            return
+        health_path = self._health_path(backend.pool)
+        if health_path and (backend.role is None or series.states_no_start):
+            request = encode_health_request(backend.address, health_path, backend.name)
+        else:
+            request = encode_report_request(backend.address, backend.name)
+        series.upstream = UpstreamRequest(
+            _Question(backend, now_s, self._on_answered, self._on_question_failed),
+            backend,
+            self._connect(backend, now_s),
+            request,
+            call_id="",
+            on_notice=self._on_notice,
+            now_s=now_s,
+        )
+
+    def _on_answered(self, question: _Question, upstream: UpstreamRequest) -> None:
+        instance = question.backend.instance
+        series, head = self._series.get(instance), upstream.head
+        if series is None or head is None:
+            return
+        series.upstream = None
+        statement = decode_instance_statement(head, bytes(question.body))
+        state = statement.judge(instance)
+        if state is InstanceState.UNKNOWN:
+            if not series.states_no_start:
+                series.states_no_start = True
+                detail = "the answer names no server"
+                self._fail(series, detail, question.asked_s, was_refused=False)
+                return
+            # Servers answer 421 to a request that expects another one.
+            state = InstanceState.RUNNING
+        reason = f"status {head.status}, name {statement.name!r}, born {statement.started_unix_ms}"
+        series.evidence.on_result(state, reason, question.asked_s)
+
+    def _on_question_failed(
+        self,
+        question: _Question,
+        upstream: UpstreamRequest,
+        outcome: AttemptOutcome,
+        detail: str,
+    ) -> None:
+        series = self._series.get(question.backend.instance)
+        if series is not None:
+            # A gateway that can't be used says nothing of the server.
+            was_refused = outcome is AttemptOutcome.NOT_SENT and detail == CONNECTION_REFUSED
+            self._fail(series, detail, question.asked_s, was_refused=was_refused)
+
+    def _fail(self, series: _Series, reason: str, asked_s: float, *, was_refused: bool) -> None:
+        series.upstream = None
+        series.evidence.on_failure(reason, asked_s, self._clock(), was_refused=was_refused)
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -23,6 +23,7 @@
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.relay_admission import AdmissionAction, admit
 from berylquay.decisions.relay_call import GenerationRequest, RelayCall
+from berylquay.decisions.response_end import EndVerdict
 from berylquay.net.http_client import STATUS_OK
 from berylquay.net.persistent_http import RawResponseHead
 from berylquay.platform.request_codec import (
@@ -71,6 +72,8 @@
 URGENCY_PER_RANK: Final = 2
 # Most disaggregated prefills of one call; each after the first is charged to the retry budget.
 MAX_PREFILL_ATTEMPTS: Final = 2
+# Fraction of the time without an event that callers bear, after which another engine goes on.
+RESUMPTION_FRACTION: Final = 0.5
 # Outcome of a call that a backend server has answered.
 ANSWERED: Final = "answered"
 HIGHEST_URGENCY: Final = 1
@@ -115,7 +118,7 @@
     # to its first event.
     _transferred_kv_handle: KVCacheHandle | None
     _expected_first_event_delay_s: float
-    # Check whether the server of the run request has ended with its stream, while it lasts.
+    # Check whether the server of the run request has ended with its answer, while it lasts.
     _end_check: ServerEndCheck | None
     # Passes the response on to the caller.
     _response: ResponseRelay
@@ -238,8 +241,8 @@
                 upstream.give_up_connecting()
                 self._fail_upstream(upstream, upstream.not_sent_outcome, CONNECT_TIMED_OUT, now_s)
                 return
-        if self._end_check is not None:
-            self._on_end_check(self._end_check.on_tick(now_s), now_s)
+        if self._end_check is not None and self._run_request is not None:
+            self._check_end(self._run_request, self._end_check, now_s)
             return
         if self._stream_lookup is not None:
             self._on_lookup(self._stream_lookup, self._stream_lookup.on_tick(now_s), now_s)
@@ -640,39 +643,57 @@
         now_s = time.monotonic()
         if self.ended:
             return
-        if upstream.gateway is None and self._response.is_unframed_stream:
-            pool = self._services.connection_pool
-            self._end_check = pool.check_server_end(upstream.backend, now_s)
-        else:
-            if self._response.is_unframed:
-                self._log_unframed_end(upstream, "whole", "not checked", 0.0)
+        if not self._response.is_end_uncertain:
             self._complete_response(upstream, now_s)
+        elif self._has_all_events():
+            self._on_end_judged(upstream, EndVerdict.WHOLE, "all tokens", 0.0, now_s)
+        else:
+            probes, limit_s = self._services.instance_probes, self._end_check_limit_s()
+            self._end_check = ServerEndCheck(probes, upstream.backend, now_s, limit_s)
+            self._check_end(upstream, self._end_check, now_s)
 
-    def _log_unframed_end(
-        self, upstream: UpstreamRequest, verdict: str, evidence: str, checked_s: float
+    def _has_all_events(self) -> bool:
+        """Tells whether no event can follow: each has a token of those that the request allows."""
+        generation = self.call.generation
+        if generation is None or not generation.max_output_tokens:
+            return False
+        return self._response.event_count >= generation.max_output_tokens
+
+    def _end_check_limit_s(self) -> float:
+        """Returns the time for which the server of an answer that has ended may be silent."""
+        route = self.call.route
+        # Another engine must go on before the caller abandons the stream.
+        return route.stall_timeout_s * (RESUMPTION_FRACTION if route.resumable else 1.0)
+
+    def _check_end(self, upstream: UpstreamRequest, check: ServerEndCheck, now_s: float) -> None:
+        verdict = check.on_tick(now_s)
+        if verdict is not None:
+            self._end_check = None
+            checked_s = now_s - check.ended_s
+            self._on_end_judged(upstream, verdict, check.evidence, checked_s, now_s)
+
+    def _on_end_judged(
+        self,
+        upstream: UpstreamRequest,
+        verdict: EndVerdict,
+        evidence: str,
+        checked_s: float,
+        now_s: float,
     ) -> None:
+        """Completes the answer, or takes it for broken off."""
         log_unframed_end(
             self.call,
             upstream,
             newest_event_id=self._response.newest_event_id,
-            verdict=verdict,
+            verdict=verdict.value,
             evidence=evidence,
             checked_s=checked_s,
         )
-
-    def _on_end_check(self, has_ended: bool | None, now_s: float) -> None:
-        """Completes the stream, or takes it for broken off, when the check has a result."""
-        upstream, check = self._run_request, self._end_check
-        if has_ended is None or upstream is None or check is None:
-            return
-        self._end_check = None
-        verdict = "broken-off" if has_ended else "whole"
-        self._log_unframed_end(upstream, verdict, check.evidence, now_s - check.ended_s)
-        if has_ended:
-            detail = "the server has ended with the stream"
-            self._fail_upstream(upstream, AttemptOutcome.CONNECTION_LOST, detail, now_s)
-        else:
+        if verdict is EndVerdict.WHOLE:
             self._complete_response(upstream, now_s)
+        else:
+            detail = f"the server may have ended with the answer: {evidence}"
+            self._fail_upstream(upstream, AttemptOutcome.CONNECTION_LOST, detail, now_s)
 
     def _complete_response(self, upstream: UpstreamRequest, now_s: float) -> None:
         head = upstream.head
@@ -921,8 +942,7 @@
         call = self.call
         self.ended = True
         self._queued = False
-        if self._end_check is not None:
-            self._end_check.close()
+        self._end_check = None
         self._cancel_upstreams(now_s)
         self._arrivals.on_ended(now_s)
         self._services.demand.on_call_ended(
--- a/berylquay/relay/response_body.py
+++ b/berylquay/relay/response_body.py
@@ -31,6 +31,10 @@
         Called once, after HTTP has delivered the whole body.
         """
 
+    @property
+    def shows_its_end(self) -> bool:
+        """Returns whether what was received shows that nothing is missing at the end."""
+
 
 class OpaqueBody:
     """A body whose framing alone tells whether it is complete."""
@@ -43,6 +47,20 @@
         """Returns nothing: all bytes were returned as they were received."""
         return Success(b"")
 
+    @property
+    def shows_its_end(self) -> bool:
+        """Returns False: the content is not known."""
+        return False
+
+
+class EmptyBody(OpaqueBody):
+    """The body of a response that has none."""
+
+    @property
+    def shows_its_end(self) -> bool:
+        """Returns True: nothing can be missing."""
+        return True
+
 
 class UnframedJsonBody:
     """A JSON document that ends with its connection."""
@@ -63,6 +81,11 @@
             return Success(b"")
         return Failure(CUT_OFF)
 
+    @property
+    def shows_its_end(self) -> bool:
+        """Returns whether the document is closed; a number could go on."""
+        return self._end_detector.is_closed
+
 
 def select_response_body(
     method: bytes, head: RawResponseHead, event_tracker: EventTracker, *, is_streaming_route: bool
@@ -76,7 +99,7 @@
         is_streaming_route: Whether the route's successful responses are event streams.
     """
     if method == b"HEAD" or head.status in STATUSES_WITHOUT_BODY:
-        return OpaqueBody()
+        return EmptyBody()
     content_type = (head.get(b"content-type") or b"").decode("latin-1")
     if not content_type and is_streaming_route and head.status < FIRST_REDIRECT:
         content_type = EVENT_STREAM_TYPE
--- a/berylquay/relay/response_relay.py
+++ b/berylquay/relay/response_relay.py
@@ -74,17 +74,19 @@
         return self._event_tracker.newest_id
 
     @property
-    def is_unframed(self) -> bool:
-        """Returns whether the end of its connection is all that ends the present response."""
-        return self._head is not None and self._head.framing is BodyFraming.CONNECTION_END
+    def is_end_uncertain(self) -> bool:
+        """Returns whether the end of its connection is all that ends the present response.
 
-    @property
-    def is_unframed_stream(self) -> bool:
-        """Returns whether the end of its connection is all that ends the present event stream.
-
-        If it ends between two events, what was received does not tell whether it is complete.
+        What was received then does not tell whether it is complete.
         """
-        return self._body is self._event_tracker and self.is_unframed
+        head = self._head
+        is_unframed = head is not None and head.framing is BodyFraming.CONNECTION_END
+        return is_unframed and not self._body.shows_its_end
+
+    @property
+    def event_count(self) -> int:
+        """Returns how many events with an id the caller has received."""
+        return self._event_tracker.event_count
 
     @property
     def can_resume(self) -> bool:
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -24,6 +24,7 @@
 from berylquay.net.persistent_http import PersistentConnection
 from berylquay.net.unexpected_errors import UnexpectedErrors
 from berylquay.relay.connection_pool import BackendConnectionPool
+from berylquay.relay.instance_probes import InstanceProbes
 from berylquay.relay.metrics import RelayMetrics
 from berylquay.relay.path_monitor import PathMonitor
 from berylquay.relay.pending_updates import PendingUpdates
@@ -61,6 +62,8 @@
     # Work of each tenant, of this host and of those that exchange load reports with it.
     tenant_use: TenantUseExchange
     connection_pool: BackendConnectionPool
+    # Asks servers whether they still run.
+    instance_probes: InstanceProbes
     # Whether this host reaches the servers by connections of its own.
     path_monitor: PathMonitor
     metrics: RelayMetrics
