--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -41,7 +41,6 @@
     log_quarantined_content,
     log_retry_not_allowed,
     log_transfer,
-    log_unframed_end,
 )
 from berylquay.relay.caller_authentication import CallerAuthenticator, KeyRefusal
 from berylquay.relay.caller_connection import CallerConnection, CallerRequest
@@ -49,9 +48,9 @@
 from berylquay.relay.plain_server_selection import PlainServerSelection
 from berylquay.relay.prefill_requests import PrefillResponseCollector, release_kv_cache
 from berylquay.relay.refusals import send_refusal
+from berylquay.relay.response_end_check import ResponseEndCheck
 from berylquay.relay.response_relay import FIRST_SERVER_ERROR, ResponseRelay
 from berylquay.relay.segment_announcements import SegmentAnnouncements
-from berylquay.relay.server_end_check import ServerEndCheck
 from berylquay.relay.services import RelayServices
 from berylquay.relay.stream_lookup import LookupState, StreamLookup
 from berylquay.relay.upstream_request import UpstreamRequest
@@ -72,8 +71,6 @@
 URGENCY_PER_RANK: Final = 2
 # Most disaggregated prefills of one call; each after the first is charged to the retry budget.
 MAX_PREFILL_ATTEMPTS: Final = 2
-# Fraction of the time without an event that callers bear, after which another engine goes on.
-RESUMPTION_FRACTION: Final = 0.5
 # Outcome of a call that a backend server has answered.
 ANSWERED: Final = "answered"
 HIGHEST_URGENCY: Final = 1
@@ -119,7 +116,7 @@
     _transferred_kv_handle: KVCacheHandle | None
     _expected_first_event_delay_s: float
     # Check whether the server of the run request has ended with its answer, while it lasts.
-    _end_check: ServerEndCheck | None
+    _end_check: ResponseEndCheck | None
     # Passes the response on to the caller.
     _response: ResponseRelay
     # How the call ends if the failure that the response relay keeps is sent, or None without one.
@@ -241,8 +238,8 @@
                 upstream.give_up_connecting()
                 self._fail_upstream(upstream, upstream.not_sent_outcome, CONNECT_TIMED_OUT, now_s)
                 return
-        if self._end_check is not None and self._run_request is not None:
-            self._check_end(self._run_request, self._end_check, now_s)
+        if self._end_check is not None:
+            self._check_end(self._end_check, now_s)
             return
         if self._stream_lookup is not None:
             self._on_lookup(self._stream_lookup, self._stream_lookup.on_tick(now_s), now_s)
@@ -643,57 +640,22 @@
         now_s = time.monotonic()
         if self.ended:
             return
-        if not self._response.is_end_uncertain:
-            self._complete_response(upstream, now_s)
-        elif self._has_all_events():
-            self._on_end_judged(upstream, EndVerdict.WHOLE, "all tokens", 0.0, now_s)
+        if self._response.is_end_uncertain:
+            check = ResponseEndCheck(self._services, self.call, self._response, upstream, now_s)
+            self._check_end(check, now_s)
         else:
-            probes, limit_s = self._services.instance_probes, self._end_check_limit_s()
-            self._end_check = ServerEndCheck(probes, upstream.backend, now_s, limit_s)
-            self._check_end(upstream, self._end_check, now_s)
+            self._complete_response(upstream, now_s)
 
-    def _has_all_events(self) -> bool:
-        """Tells whether no event can follow: each has a token of those that the request allows."""
-        generation = self.call.generation
-        if generation is None or not generation.max_output_tokens:
-            return False
-        return self._response.event_count >= generation.max_output_tokens
-
-    def _end_check_limit_s(self) -> float:
-        """Returns the time for which the server of an answer that has ended may be silent."""
-        route = self.call.route
-        # Another engine must go on before the caller abandons the stream.
-        return route.stall_timeout_s * (RESUMPTION_FRACTION if route.resumable else 1.0)
-
-    def _check_end(self, upstream: UpstreamRequest, check: ServerEndCheck, now_s: float) -> None:
-        verdict = check.on_tick(now_s)
-        if verdict is not None:
-            self._end_check = None
-            checked_s = now_s - check.ended_s
-            self._on_end_judged(upstream, verdict, check.evidence, checked_s, now_s)
-
-    def _on_end_judged(
-        self,
-        upstream: UpstreamRequest,
-        verdict: EndVerdict,
-        evidence: str,
-        checked_s: float,
-        now_s: float,
-    ) -> None:
-        """Completes the answer, or takes it for broken off."""
-        log_unframed_end(
-            self.call,
-            upstream,
-            newest_event_id=self._response.newest_event_id,
-            verdict=verdict.value,
-            evidence=evidence,
-            checked_s=checked_s,
-        )
+    def _check_end(self, check: ResponseEndCheck, now_s: float) -> None:
+        """Completes the answer, takes it for broken off, or goes on waiting for the result."""
+        verdict = check.judge(now_s)
+        self._end_check = check if verdict is None else None
         if verdict is EndVerdict.WHOLE:
-            self._complete_response(upstream, now_s)
-        else:
-            detail = f"the server may have ended with the answer: {evidence}"
-            self._fail_upstream(upstream, AttemptOutcome.CONNECTION_LOST, detail, now_s)
+            self._complete_response(check.upstream, now_s)
+        elif verdict is EndVerdict.BROKEN_OFF:
+            detail = f"the server may have ended with the answer: {check.evidence}"
+            outcome = AttemptOutcome.CONNECTION_LOST
+            self._fail_upstream(check.upstream, outcome, detail, now_s)
 
     def _complete_response(self, upstream: UpstreamRequest, now_s: float) -> None:
         head = upstream.head
--- a/tests/test_json_end.py
+++ b/tests/test_json_end.py
@@ -23,6 +23,16 @@
         for at in range(0, end, piece_bytes):
             detector.feed(text[at : min(at + piece_bytes, end)])
         assert detector.is_complete is (end == len(text))
+        assert detector.is_closed is (end == len(text))
+
+
+# Guards against a number that was cut off and is taken for whole.
+@pytest.mark.parametrize("text", [b"12", b"true ", b"\n1.5"])
+def test_a_document_without_quotes_and_brackets_is_never_closed(text: bytes) -> None:
+    detector = JsonEndDetector()
+    detector.feed(text)
+    assert detector.is_complete
+    assert not detector.is_closed
 
 
 def test_space_around_a_document_does_not_matter() -> None:
