--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -7,12 +7,13 @@
 other_server (every request gets 421), crash_on_segment (the process ends when it begins to answer a
 prompt with that segment), limit_per_s (each answer names that limit on requests), unframed (streams
 end with their connection), unframed_bytes (so do a plain service's answers, of an unknown type),
-report_delay_s (time until a report is answered), exit_delay_s (the process ends that long after its
-first complete stream). With `--witness` it also writes each event to a file immediately, with the
-monotonic time, so that nothing is lost when it is killed. With `--version` each event names that
-software version. With `--tenants` it refuses, with 400, runs and prefills with a caller's key or
-without one of these tenants. `GET /report` states the start time (`--born`), `GET /health` the
-name.
+report_delay_s and health_delay_s (time until a report or a health check is answered),
+stops_at_deadline (a stream ends at the `Deadline-Ms` that came with its request), exit_delay_s (the
+process ends that long after its first complete stream). With `--witness` it also writes each event
+to a file immediately, with the monotonic time, so that nothing is lost when it is killed. With
+`--version` each event names that software version. With `--tenants` it refuses, with 400, runs and
+prefills with a caller's key or without one of these tenants. `GET /report` states the start time
+(`--born`), `GET /health` the name.
 """
 
 import asyncio
@@ -20,6 +21,7 @@
 import os
 import secrets
 import time
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Final
 
@@ -87,6 +89,7 @@
         elif request.path == "/report":
             await self._send_report(exchange)
         elif request.path == "/health":
+            await asyncio.sleep(float(str(self.faults.get("health_delay_s", 0.0))))
             await exchange.send_json(200, {}, (("Instance-Id", self.name),))
         elif request.path == "/order":
             await self._handle_order(exchange)
@@ -209,7 +212,7 @@
             send = exchange.send_stream_bytes
         if self._crashes_on(request):
             os._exit(CRASH_EXIT_STATUS)
-        for event_id in range(first_event_id, self.event_count + 1):
+        for event_id in self._event_ids(first_event_id, request):
             if exchange.is_closed():
                 self.cancelled_attempt_ids.append(request.headers.get("attempt-id", ""))
                 self._write_event("cancelled", id=request.headers.get("attempt-id", ""))
@@ -234,6 +237,16 @@
             await asyncio.sleep(float(str(self.faults["exit_delay_s"])))
             os._exit(0)
 
+    def _event_ids(self, first_event_id: int, request: StandinRequest) -> Iterator[int]:
+        """Returns the ids of a stream's events, up to the deadline if that is asked for."""
+        deadline_s = float("inf")
+        if self.faults.get("stops_at_deadline"):
+            deadline_s = time.monotonic() + int(request.headers["deadline-ms"]) / 1000.0
+        for event_id in range(first_event_id, self.event_count + 1):
+            if time.monotonic() >= deadline_s:
+                return
+            yield event_id
+
     def _crashes_on(self, request: StandinRequest) -> bool:
         items = request.headers.get("prompt-prefix", "").split(",")
         return self.faults.get("crash_on_segment") in [item.partition(":")[0] for item in items]
--- a/tests/relay/test_ended_servers.py
+++ b/tests/relay/test_ended_servers.py
@@ -63,13 +63,20 @@
 
 
 def begin(
-    fleet: RelayFleet, kind: str, call_id: str, host: int = 0, max_events: int = 2 * EVENTS
+    fleet: RelayFleet,
+    kind: str,
+    call_id: str,
+    *,
+    host: int = 0,
+    max_events: int = 2 * EVENTS,
+    deadline_ms: int = 3800,
+    target: str = "",
 ) -> tuple[socket.socket, h11.Connection]:
     protocol = h11.Connection(our_role=h11.CLIENT)
     prompt = {**PROMPT_HEADERS, "Token-Counts": f"20,{max_events}"}
     headers = [("Host", HOST_NAME), ("Attempt-Id", call_id), *prompt.items()]
-    headers.append(("Deadline-Ms", "3800"))
-    target = f"{PATHS[kind]}{call_id}"
+    headers.append(("Deadline-Ms", str(deadline_ms)))
+    target = target or f"{PATHS[kind]}{call_id}"
     data = protocol.send(h11.Request(method="GET", target=target, headers=headers)) or b""
     sock = fleet.connect(host)
     sock.sendall(data + (protocol.send(h11.EndOfMessage()) or b""))
--- a/tests/support/successors.py
+++ b/tests/support/successors.py
@@ -28,6 +28,8 @@
     FORWARDER = "forwarder"
     # A listener that accepts and sends nothing.
     SILENT = "silent"
+    # A proxy without its target, or a server that has not started up: answers 503 without a name.
+    NAMELESS = "nameless"
 
     def __str__(self) -> str:
         """Returns the value, for the names of tests."""
@@ -81,6 +83,9 @@
                 self._stopped.wait()
                 return
             request = read_request(sock)
+            if self.kind is SuccessorKind.NAMELESS:
+                sock.sendall(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                return
             name = self.name if self.kind is SuccessorKind.NEWER_START else "another"
             is_about_itself = request.startswith((b"GET /report ", b"GET /health "))
             status = b"200 OK" if is_about_itself else b"421 Misdirected Request"
