--- a/tests/relay/test_answer_end_review.py
+++ b/tests/relay/test_answer_end_review.py
@@ -64,7 +64,7 @@
     fleet: RelayFleet, tmp_path: Path, kind: str
 ) -> None:
     add_engines(fleet, engines=2)
-    state = {"mode": "", "ports": [], "full_mesh_hosts": None, "tarpit": 0}
+    state: dict[str, object] = {"mode": "", "ports": [], "full_mesh_hosts": None, "tarpit": 0}
     state_file = tmp_path / "partition.json"
     state_file.write_text(json.dumps(state), encoding="utf-8")
     fleet.add_host("cut", partition_file=state_file)
