Take an answer that ends at its deadline without length and chunks for broken off

A server stops at the deadline that it was handed, and runs on: asked at once, it made the stream look whole. On the question came 0.1 s later, after the host had refused at the deadline.

--- a/berylquay/decisions/response_end.py
+++ b/berylquay/decisions/response_end.py
@@ -35,6 +35,8 @@
 
     WHOLE = "whole"
     BROKEN_OFF = "broken-off"
+    # It ended when the server's time was over: servers stop then, and go on to run.
+    AT_DEADLINE = "at-deadline"
 
 
 @frozen
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -652,7 +652,9 @@
         self._end_check = check if verdict is None else None
         if verdict is EndVerdict.WHOLE:
             self._complete_response(check.upstream, now_s)
-        elif verdict is EndVerdict.BROKEN_OFF:
+        elif verdict is EndVerdict.AT_DEADLINE:
+            self._refuse_at_deadline(now_s)
+        elif verdict is not None:
             detail = f"the server may have ended with the answer: {check.evidence}"
             outcome = AttemptOutcome.CONNECTION_LOST
             self._fail_upstream(check.upstream, outcome, detail, now_s)
--- a/berylquay/relay/response_end_check.py
+++ b/berylquay/relay/response_end_check.py
@@ -13,6 +13,9 @@
 
 # Fraction of the time for which callers wait for an event, after which another engine goes on.
 RESUMPTION_FRACTION: Final = 0.5
+# Time before the deadline from which a server may have stopped at it: servers are handed whole
+# milliseconds, rounded down.
+DEADLINE_ROUNDING_S: Final = 0.005
 ALL_TOKENS: Final = "as many events as the request allows tokens"
 
 
@@ -48,6 +51,8 @@
         if self._has_all_events():
             self.evidence = ALL_TOKENS
             return EndVerdict.WHOLE
+        if self._ended_s >= self._call.deadline_s - DEADLINE_ROUNDING_S:
+            return EndVerdict.AT_DEADLINE
         state, self.evidence = self._services.instance_probes.state_since(
             self.upstream.backend, self._ended_s, now_s
         )
