Count a request as one that has run while the end of its answer is in doubt

The connection has no pending request once the answer has ended, so a call whose deadline passed, or whose host stopped, during the question was answered 503, which promises that it has not run.

test_a_call_whose_deadline_passes_while_its_end_is_in_doubt_is_not_said_to_have_not_run failed before with status 503.

--- a/berylquay/relay/upstream_request.py
+++ b/berylquay/relay/upstream_request.py
@@ -96,7 +96,10 @@
     @property
     def may_have_run(self) -> bool:
         """Tells whether the backend server may have begun to run what was sent."""
-        return self._outcome is None and self._connection.verdict is Verdict.MAY_HAVE_RUN
+        # The connection has no pending request any more once the answer has ended.
+        has_answer = self.head is not None
+        is_sent = has_answer or self._connection.verdict is Verdict.MAY_HAVE_RUN
+        return self._outcome is None and is_sent
 
     @property
     def gateway(self) -> GatewayTransport | None:
--- a/tests/relay/test_answer_end_review.py
+++ b/tests/relay/test_answer_end_review.py
@@ -134,3 +134,15 @@
     start_plain(fleet)
     fleet.backends["app-0"].post("/faults", {"unframed_bytes": True, "health_delay_s": 2.3})
     assert read_answer(*begin(fleet, "once", "call-1")).status == 200
+
+
+# Guards against an answer that promises that a request has not run, given at the deadline while the
+# end of the server's own answer was in doubt.
+def test_a_call_whose_deadline_passes_while_its_end_is_in_doubt_is_not_said_to_have_not_run(
+    fleet: RelayFleet,
+) -> None:
+    start_plain(fleet)
+    fleet.backends["app-0"].post("/faults", {"unframed_bytes": True, "health_delay_s": 10.0})
+    answer = read_answer(*begin(fleet, "once", "call-1", deadline_ms=1500))
+    assert len(fleet.runs("app-0")) == 1
+    assert answer.status == 504
