--- a/berylquay/relay/instance_probes.py
+++ b/berylquay/relay/instance_probes.py
@@ -163,12 +163,13 @@
         statement = decode_instance_statement(head, bytes(question.body))
         state = statement.judge(instance)
         if state is InstanceState.UNKNOWN:
-            if not series.states_no_start:
+            # A server that has turned the question away is the one that was asked: others answer
+            # 421. What gives any other answer may be anything.
+            if not (series.states_no_start and upstream.outcome is AttemptOutcome.REJECTED):
                 series.states_no_start = True
                 detail = "the answer names no server"
                 self._fail(series, detail, question.asked_s, was_refused=False)
                 return
-            # Servers answer 421 to a request that expects another one.
             state = InstanceState.RUNNING
         reason = f"status {head.status}, name {statement.name!r}, born {statement.started_unix_ms}"
         series.evidence.on_result(state, reason, question.asked_s)
--- a/berylquay/relay/upstream_request.py
+++ b/berylquay/relay/upstream_request.py
@@ -93,6 +93,11 @@
         """Returns how the response marks the end of its body, for logs; empty before its head."""
         return "" if self.head is None else self.head.framing.value
 
+    @property
+    def outcome(self) -> AttemptOutcome | None:
+        """Returns the failure that the head of the response states, or None."""
+        return self._outcome
+
     @property
     def may_have_run(self) -> bool:
         """Tells whether the backend server may have begun to run what was sent."""
