Keep what an answer has shown of an instance when a later question fails

Answers share the questions: the proof for one that had ended was lost if a question for a later one failed before the first had used it at its next tick.

test_a_later_failure_does_not_undo_what_an_answer_has_shown failed before.

--- a/berylquay/decisions/response_end.py
+++ b/berylquay/decisions/response_end.py
@@ -72,9 +72,14 @@
     # Monotonic time at which the newest question was asked, or has failed.
     _tried_s: float = field(default=float("-inf"), init=False)
     _refusals: int = field(default=0, init=False)
+    # Monotonic time at which the newest question was asked that the instance has answered.
+    _running_s: float = field(default=float("-inf"), init=False)
 
     def state_since(self, since_s: float) -> InstanceState:
         """Returns what questions have shown that were asked at `since_s` or later."""
+        if self._running_s >= since_s:
+            # A later question that has failed does not undo it.
+            return InstanceState.RUNNING
         return self.state if self.asked_s >= since_s else InstanceState.UNKNOWN
 
     def may_ask(self, now_s: float) -> bool:
@@ -89,6 +94,8 @@
         """Records what an answer has shown."""
         self.state, self.reason, self.asked_s = state, reason, asked_s
         self._refusals = 0
+        if state is InstanceState.RUNNING:
+            self._running_s = asked_s
 
     def on_failure(self, reason: str, asked_s: float, now_s: float, *, was_refused: bool) -> None:
         """Records a question that was not answered.
