Ask a server with a limit on its requests only when a permit is free

Each question used a permit in advance: 40 streams that ended within a second at a server with a limit of 4/s kept it from getting any request for 11 s, and 40 questions arrived within that second.

test_questions_do_not_use_up_the_permits_of_a_limited_server failed before.

--- a/berylquay/relay/instance_probes.py
+++ b/berylquay/relay/instance_probes.py
@@ -139,6 +139,9 @@
         if self._registry.notices.is_paused(backend.instance):
             self._fail(series, "the server wants no requests", now_s, was_refused=False)
             return
+        if not self._registry.notices.limits.has_permit(backend.instance):
+            # All answers that end until the next permit share its question.
+            return
         health_path = self._health_path(backend.pool)
         if health_path and (backend.role is None or series.states_no_start):
             request = encode_health_request(backend.address, health_path, backend.name)
