Do not count an end in doubt as a crash of the server

Three calls with the same content whose server did not say in time whether it runs, with whole streams, quarantined the content on all hosts for ten minutes.

test_ends_in_doubt_quarantine_no_content failed before: the fourth call got 503.

--- a/berylquay/decisions/response_end.py
+++ b/berylquay/decisions/response_end.py
@@ -37,6 +37,8 @@
     BROKEN_OFF = "broken-off"
     # It ended when the server's time was over: servers stop then, and go on to run.
     AT_DEADLINE = "at-deadline"
+    # Taken for broken off, though nothing shows that the server has ended.
+    IN_DOUBT = "in-doubt"
 
 
 @frozen
@@ -125,6 +127,6 @@
     """
     if state is InstanceState.RUNNING:
         return EndVerdict.WHOLE
-    if state is InstanceState.ENDED or waited_s >= limit_s:
+    if state is InstanceState.ENDED:
         return EndVerdict.BROKEN_OFF
-    return None
+    return EndVerdict.IN_DOUBT if waited_s >= limit_s else None
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -656,7 +656,9 @@
             self._refuse_at_deadline(now_s)
         elif verdict is not None:
             detail = f"the server may have ended with the answer: {check.evidence}"
-            outcome = AttemptOutcome.CONNECTION_LOST
+            # Doubt is no crash: it must not count against the content.
+            is_lost = verdict is EndVerdict.BROKEN_OFF
+            outcome = AttemptOutcome.CONNECTION_LOST if is_lost else AttemptOutcome.SERVER_ERROR
             self._fail_upstream(check.upstream, outcome, detail, now_s)
 
     def _complete_response(self, upstream: UpstreamRequest, now_s: float) -> None:
