Settle ends in doubt at servers that pause, are full, or whose host stood still

A paused server now gets one question, plain answers wait until their deadline, and time in which the host stood still does not count.

--- a/berylquay/decisions/response_end.py
+++ b/berylquay/decisions/response_end.py
@@ -18,6 +18,9 @@
 REFUSALS_OF_ENDED_SERVER: Final = 2
 # Interval between questions that have failed.
 RETRY_INTERVAL_S: Final = 0.15
+# Longest time between two ticks that counts as waiting for a server; in a longer one the host has
+# stood still itself.
+MAX_TICK_S: Final = 0.25
 # Time after which a result is dropped.
 RESULT_TTL_S: Final = 5.0
 
@@ -115,6 +118,21 @@
         self.reason, self.asked_s = reason, asked_s
 
 
+@define
+class WaitingTime:
+    """Counts the time for which a server could respond."""
+
+    # Monotonic time up to which it is counted.
+    _counted_s: float
+    waited_s: float = field(default=0.0, init=False)
+
+    def on_tick(self, now_s: float) -> float:
+        """Returns the time that was waited, but for times in which this host stood still."""
+        self.waited_s += min(MAX_TICK_S, now_s - self._counted_s)
+        self._counted_s = now_s
+        return self.waited_s
+
+
 def judge_end(state: InstanceState, waited_s: float, limit_s: float) -> EndVerdict | None:
     """Returns what the end of an answer is taken for, or None while the server may still respond.
 
--- a/berylquay/relay/instance_probes.py
+++ b/berylquay/relay/instance_probes.py
@@ -10,7 +10,7 @@
 
 from berylquay.decisions.attempt_outcomes import AttemptOutcome
 from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry
-from berylquay.decisions.response_end import InstanceEvidence, InstanceState
+from berylquay.decisions.response_end import InstanceEvidence, InstanceState, WaitingTime
 from berylquay.decisions.server_instance import ServerInstance
 from berylquay.net.persistent_http import PersistentConnection, RawResponseHead
 from berylquay.net.tcp_connections import CONNECTION_REFUSED
@@ -24,7 +24,9 @@
 # Most bytes kept of an answer, which holds the server's state.
 MAX_ANSWER_BYTES: Final = 65536
 # Time after which a question is given up; a sound server may be silent for a second or so.
-ANSWER_TIMEOUT_S: Final = 2.0
+REPORT_TIMEOUT_S: Final = 2.0
+# The same for a health check, which waits for a slot.
+HEALTH_CHECK_TIMEOUT_S: Final = 10.0
 NEWER_START: Final = "the list of servers has a newer start"
 
 
@@ -67,8 +69,13 @@
     evidence: InstanceEvidence = field(factory=InstanceEvidence)
     # Open question, or None.
     upstream: UpstreamRequest | None = None
+    # Time for which its answer has been awaited, and after which it is given up.
+    waiting_time: WaitingTime = field(factory=lambda: WaitingTime(0.0))
+    answer_timeout_s: float = REPORT_TIMEOUT_S
     # Whether an answer has named neither the server nor its start.
     states_no_start: bool = False
+    # Whether the question was asked that a server may get while it wants no requests.
+    has_asked_in_pause: bool = False
 
 
 class InstanceProbes:
@@ -126,27 +133,33 @@
         for instance, series in list(self._series.items()):
             upstream = series.upstream
             if upstream is None:
-                if series.evidence.is_outdated(now_s):
+                is_paused = self._registry.notices.is_paused(instance)
+                if series.evidence.is_outdated(now_s) and not is_paused:
                     del self._series[instance]
             elif upstream.is_stuck_connecting(now_s):
                 upstream.give_up_connecting()
                 self._fail(series, "no connection in time", upstream.started_s, was_refused=False)
-            elif now_s - upstream.started_s > ANSWER_TIMEOUT_S:
+            elif series.waiting_time.on_tick(now_s) > series.answer_timeout_s:
                 upstream.cancel()
                 self._fail(series, "no answer in time", upstream.started_s, was_refused=False)
 
     def _ask(self, backend: BackendEntry, series: _Series, now_s: float) -> None:
-        if self._registry.notices.is_paused(backend.instance):
+        is_paused = self._registry.notices.is_paused(backend.instance)
+        if is_paused and series.has_asked_in_pause:
             self._fail(series, "the server wants no requests", now_s, was_refused=False)
             return
+        series.has_asked_in_pause = is_paused
         if not self._registry.notices.limits.has_permit(backend.instance):
             # All answers that end until the next permit share its question.
             return
         health_path = self._health_path(backend.pool)
         if health_path and (backend.role is None or series.states_no_start):
             request = encode_health_request(backend.address, health_path, backend.name)
+            series.answer_timeout_s = HEALTH_CHECK_TIMEOUT_S
         else:
             request = encode_report_request(backend.address, backend.name)
+            series.answer_timeout_s = REPORT_TIMEOUT_S
+        series.waiting_time = WaitingTime(now_s)
         series.upstream = UpstreamRequest(
             _Question(backend, now_s, self._on_answered, self._on_question_failed),
             backend,
--- a/berylquay/relay/response_end_check.py
+++ b/berylquay/relay/response_end_check.py
@@ -1,11 +1,12 @@
 """Tells whether the answer to a call is whole that ended with its connection."""
 
+from math import inf
 from typing import Final
 
 from attrs import define, field
 
 from berylquay.decisions.relay_call import RelayCall
-from berylquay.decisions.response_end import EndVerdict, judge_end
+from berylquay.decisions.response_end import EndVerdict, WaitingTime, judge_end
 from berylquay.relay.call_logging import log_unframed_end
 from berylquay.relay.response_relay import ResponseRelay
 from berylquay.relay.services import RelayServices
@@ -30,9 +31,14 @@
     upstream: UpstreamRequest
     # Monotonic time at which it ended.
     _ended_s: float
+    _waiting_time: WaitingTime = field(init=False)
     # What the result follows from, for logs.
     evidence: str = field(default="", init=False)
 
+    def __attrs_post_init__(self) -> None:
+        """Begins to count the time that is waited."""
+        self._waiting_time = WaitingTime(self._ended_s)
+
     def judge(self, now_s: float) -> EndVerdict | None:
         """Returns, and logs, what the end is taken for, or None while that is not known."""
         verdict = self._judge(now_s)
@@ -56,7 +62,7 @@
         state, self.evidence = self._services.instance_probes.state_since(
             self.upstream.backend, self._ended_s, now_s
         )
-        return judge_end(state, now_s - self._ended_s, self._limit_s())
+        return judge_end(state, self._waiting_time.on_tick(now_s), self._limit_s())
 
     def _has_all_events(self) -> bool:
         """Tells whether no event can follow: each has a token of those that the request allows."""
@@ -68,5 +74,8 @@
     def _limit_s(self) -> float:
         """Returns the time for which the server may be silent after the end."""
         route = self._call.route
+        if not route.streaming:
+            # The caller waits until the deadline anyhow.
+            return inf
         # Another engine must go on before the caller abandons the stream.
         return route.stall_timeout_s * (RESUMPTION_FRACTION if route.resumable else 1.0)
