Take no page of newest records for the last one that does not say so

A page whose `hasMore` was missing its type, or true without a record, ended the reading, and an append counted as made at an offset that was no whole number. A server error other than 503 and 507 was reported as 'not made', which only these two state.

These answers are failures now, after which a call may have happened.

--- a/berylquay/platform/store_client.py
+++ b/berylquay/platform/store_client.py
@@ -36,6 +36,10 @@
 STATUS_NOT_FOUND: Final = 404
 STATUS_GONE: Final = 410
 STATUS_PRECONDITION_FAILED: Final = 412
+FIRST_CLIENT_ERROR: Final = 400
+FIRST_SERVER_ERROR: Final = 500
+# Statuses of servers' errors that state that nothing was done.
+NOT_DONE_STATUSES: Final = frozenset({503, 507})
 _DECODE_ERRORS: Final = (
     struct.error,
     binascii.Error,
@@ -83,6 +87,14 @@
         """Returns the offset after the last record of the page."""
         return self.first_offset + len(self.contents)
 
+    @property
+    def is_at_end(self) -> bool:
+        """Returns whether no newer record follows.
+
+        A page ends early if it is full, or if its body ended with its connection between records.
+        """
+        return self.next_offset >= self.end_offset
+
 
 @frozen
 class AppendResult:
@@ -328,7 +340,10 @@
     records = tuple(
         KeyedRecord(str(item["key"]), base64.b64decode(item["value"])) for item in fields["items"]
     )
-    return NewestRecordsPage(records, fields["hasMore"] is True, int(fields["endOffset"]))
+    has_more = fields["hasMore"]
+    if not isinstance(has_more, bool) or (has_more and not records):
+        raise ValueError("the page does not tell whether others follow")
+    return NewestRecordsPage(records, has_more, _decode_offset(fields["endOffset"]))
 
 
 def _decode_record_page(body: bytes, requested_offset: int) -> RecordPage:
@@ -350,11 +365,19 @@
     first_offset = 0
     if status == STATUS_GONE:
         try:
-            first_offset = int(json.loads(body)["firstOffset"])
+            first_offset = _decode_offset(json.loads(body)["firstOffset"])
         except (ValueError, LookupError, TypeError, *_DECODE_ERRORS):
             detail = f"no first offset: {detail}"
-    return StoreFailure(detail, status, may_have_happened=False, first_offset=first_offset)
+    is_refusal = FIRST_CLIENT_ERROR <= status < FIRST_SERVER_ERROR
+    may_have_happened = not is_refusal and status not in NOT_DONE_STATUSES
+    return StoreFailure(detail, status, may_have_happened, first_offset)
 
 
 def _decode_append_result(body: bytes) -> AppendResult:
-    return AppendResult(int(json.loads(body)["offset"]))
+    return AppendResult(_decode_offset(json.loads(body)["offset"]))
+
+
+def _decode_offset(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise ValueError("an offset is not a whole number")
+    return value
--- /dev/null
+++ b/tests/relay/test_ambiguous_ends.py
@@ -0,0 +1,190 @@
+"""Answers whose end can be read in two ways: none is taken for the better one.
+
+The connection of a process that was killed ends with FIN, as that of one that has sent all it had.
+"""
+
+import json
+import struct
+from collections.abc import Callable
+from typing import Final
+
+import pytest
+
+from berylquay.decisions.fleet import Address
+from berylquay.decisions.store_era import StoreEra
+from berylquay.net.tcp_connections import Connection, ConnectionHandler
+from berylquay.platform.duty_client import DutyClient, DutyOutcome
+from berylquay.platform.store_client import (
+    AppendResult,
+    NewestRecordsPage,
+    RecordPage,
+    StoreClient,
+    StoreFailure,
+)
+from tests.support.fake_connections import FakeConnections
+
+ADDRESS: Final = Address("10.0.0.1", 80)
+HEAD: Final = b"HTTP/1.1 200 OK\r\n\r\n"
+RECORD: Final = struct.pack(">I", 3) + b"abc"
+# The topic ends at offset 7, after the two records at 5 and 6.
+PAGE: Final = struct.pack(">QQ", 7, 0) + RECORD + RECORD
+ITEM: Final = {"key": "k", "value": "dg==", "offset": 4}
+NEWEST: Final = json.dumps({"items": [ITEM], "endOffset": 7, "hasMore": False}).encode()
+APPENDED: Final = json.dumps({"endOffset": 8, "offset": 7}).encode()
+READ_OFFSET: Final = 5
+
+
+class EndingConnections(FakeConnections):
+    """Connections whose other end answers and closes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.newest: Connection | None = None
+
+    def open(self, address: Address, connection_handler: ConnectionHandler) -> Connection:
+        self.newest = super().open(address, connection_handler)
+        return self.newest
+
+    def end(self, data: bytes, *, has_fin: bool = True) -> None:
+        """Receives data and the end of the connection."""
+        connection = self.newest
+        assert connection is not None
+        if data:
+            connection.handler.on_data_received(data)
+        if not connection.closed:
+            connection.closed = True
+            connection.peer_closed_cleanly = has_fin
+            connection.handler.on_disconnected("closed")
+
+
+def read_page(client: StoreClient, on_result: Callable[[object], None]) -> None:
+    client.read("t", READ_OFFSET, 0.0, on_result)
+
+
+def read_newest(client: StoreClient, on_result: Callable[[object], None]) -> None:
+    client.read_newest("t", "", on_result)
+
+
+def append(client: StoreClient, on_result: Callable[[object], None]) -> None:
+    client.append("t", [b"abc"], on_result)
+
+
+def call_store(call: Callable[..., None], answer: bytes) -> object:
+    """Returns the result of a call that is answered without length and chunks."""
+    connections = EndingConnections()
+    results: list[object] = []
+    call(StoreClient(connections, ADDRESS, StoreEra()), results.append)
+    connections.end(HEAD + answer)
+    assert len(results) == 1
+    return results[0]
+
+
+# Guards against an answer of the store that was cut off, and whose rest counts as nothing.
+@pytest.mark.parametrize(
+    ("call", "whole", "expected"),
+    [
+        (read_page, PAGE, RecordPage((b"abc", b"abc"), READ_OFFSET, 7)),
+        (read_newest, NEWEST, NewestRecordsPage),
+        (append, APPENDED, AppendResult(7)),
+    ],
+    ids=["log-read", "log-newest", "log-append"],
+)
+def test_an_unframed_answer_of_the_store_that_is_cut_off_is_not_whole(
+    call: Callable[..., None], whole: bytes, expected: object
+) -> None:
+    result = call_store(call, whole)
+    assert result == expected or type(result) is expected
+    for length in range(len(whole)):
+        result = call_store(call, whole[:length])
+        if isinstance(result, RecordPage):
+            # Between two records: the end offset shows that some are missing.
+            assert result.next_offset < result.end_offset == 7
+        else:
+            assert isinstance(result, StoreFailure)
+            assert result.may_have_happened
+
+
+# Guards against a page that does not say whether others follow, and that is taken for the last one.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"hasMore": None},
+        {"hasMore": "true"},
+        {"hasMore": 1},
+        {"hasMore": True, "items": []},
+        {"endOffset": None},
+        {"endOffset": -1},
+        {"endOffset": True},
+        {"endOffset": 7.5},
+    ],
+    ids=str,
+)
+def test_a_page_that_does_not_tell_its_end_is_no_page(changes: dict[str, object]) -> None:
+    fields = {**json.loads(NEWEST), **changes}
+    for page in (fields, {k: v for k, v in fields.items() if k not in changes or v is not None}):
+        assert isinstance(call_store(read_newest, json.dumps(page).encode()), StoreFailure)
+
+
+# Guards against an append that counts as made at an offset that the answer does not state.
+@pytest.mark.parametrize("offset", [None, -1, True, 7.5, "x"])
+def test_an_append_without_its_offset_may_have_happened(offset: object) -> None:
+    result = call_store(append, json.dumps({"offset": offset, "endOffset": 8}).encode())
+    assert isinstance(result, StoreFailure)
+    assert result.may_have_happened
+
+
+# Guards against an append reported as not made although only 503, 429 and refusals say so.
+@pytest.mark.parametrize(
+    ("status", "may_have_happened"),
+    [(503, False), (507, False), (429, False), (412, False), (409, False)]
+    + [(500, True), (502, True), (504, True), (204, True)],
+)
+def test_the_status_tells_whether_an_append_was_made(status: int, may_have_happened: bool) -> None:
+    connections = EndingConnections()
+    results: list[object] = []
+    append(StoreClient(connections, ADDRESS, StoreEra()), results.append)
+    connections.end(b"HTTP/1.1 %d X\r\n\r\n" % status)
+    (result,) = results
+    assert isinstance(result, StoreFailure)
+    assert (result.status, result.may_have_happened) == (status, may_have_happened)
+
+
+# Guards against a call reported as not made since the kept connection ended before any byte.
+@pytest.mark.parametrize("has_fin", [True, False], ids=["fin", "reset"])
+@pytest.mark.parametrize("answer", [b"", b"HTTP/1.1 103 X\r\n\r\n", b"HTTP/1.1 200"])
+def test_an_end_before_the_head_on_a_kept_connection_tells_nothing(
+    answer: bytes, has_fin: bool
+) -> None:
+    connections = EndingConnections()
+    results: list[object] = []
+    store = StoreClient(connections, ADDRESS, StoreEra())
+    append(store, results.append)
+    assert connections.newest is not None
+    first = connections.newest
+    first.handler.on_data_received(
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(APPENDED) + APPENDED
+    )
+    append(store, results.append)
+    assert connections.newest is first
+    connections.end(answer, has_fin=has_fin)
+    assert results[0] == AppendResult(7)
+    assert isinstance(results[1], StoreFailure)
+    assert results[1].may_have_happened
+
+
+# The same for a call to the platform's API for duties: another one must wait.
+@pytest.mark.parametrize("has_fin", [True, False], ids=["fin", "reset"])
+@pytest.mark.parametrize(
+    "answer", [b"", b"HTTP/1.1 103 X\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{"]
+)
+def test_a_duty_call_whose_answer_breaks_off_may_still_be_carried_out(
+    answer: bytes, has_fin: bool
+) -> None:
+    connections = EndingConnections()
+    outcomes: list[DutyOutcome] = []
+    client = DutyClient(connections, ADDRESS, 10.0, clock=lambda: 0.0)
+    client.on_tick(1.0)
+    client.report_usage("h-1", 7, 3, {"t": 4}, outcomes.append)
+    connections.end(answer, has_fin=has_fin)
+    assert outcomes == [DutyOutcome.FAILED]
+    assert not client.may_send("/usage", 8)
