Don't take a page of a topic that ends early for all that is new

A page that ended between two records, since it was full or its connection had ended, confirmed the knowledge up to the time of the request, here and at the hosts that got the changes and the report. Newest records counted as complete up to the request of their last page, although a change after the first page may be missing. After a page without records a claimant read again at once.

The end offset now tells whether a page is the last; one without records is a failed read, and newest records count from the request of the first page.

--- a/berylquay/relay/claimant.py
+++ b/berylquay/relay/claimant.py
@@ -146,9 +146,12 @@
 
     def _on_read(self, result: RecordPage | StoreFailure) -> None:
         clock_s = self._clock()
-        if isinstance(result, RecordPage):
+        if isinstance(result, RecordPage) and not (result.contents or result.is_at_end):
+            failure = StoreFailure("a page without records", 0, may_have_happened=False)
+            self._on_failure(failure)
+        elif isinstance(result, RecordPage):
             claims = [_decode_claim(content) for content in result.contents]
-            at_end = result.next_offset >= result.end_offset
+            at_end = result.is_at_end
             holders = [holder for holder, _ in claims]
             self._claims.on_read(holders, result.next_offset, at_end, clock_s)
             self._has_read_to_end = at_end
--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -91,6 +91,8 @@
     # Last key of the previous page, and the topic's end offset when the first page was read.
     _page_after_key: str = field(default="", init=False)
     _snapshot_end_offset: int | None = field(default=None, init=False)
+    # Monotonic time at which the first page was requested: later changes may be missing.
+    _snapshot_sent_s: float = field(default=float("-inf"), init=False)
     # Monotonic time before which no call is made, and that at which the last call was sent.
     _next_call_s: float = field(default=float("-inf"), init=False)
     _last_call_s: float = field(default=float("-inf"), init=False)
@@ -214,6 +216,7 @@
             # The pages are not read atomically: changes made meanwhile are read from the end offset
             # of the first page on.
             self._snapshot_end_offset = result.end_offset
+            self._snapshot_sent_s = self._last_call_s
         for record in result.records:
             self._snapshot_records[record.key] = record.value or b""
         if result.has_more and result.records:
@@ -226,6 +229,7 @@
             None,
             "",
         )
+        self._last_call_s = self._snapshot_sent_s
         self._on_success(now_s)
         self.has_snapshot = True
         self._handler.on_snapshot(records, now_s)
@@ -244,11 +248,16 @@
         if self._offset is not None and result.first_offset > self._offset:
             self._restart_from_snapshot("records are missing")
             return
+        if not result.contents and not result.is_at_end:
+            failure = StoreFailure("a page without records", 0, may_have_happened=False)
+            self._on_failure(failure, now_s)
+            return
         before_hash = self.state_hash
         self._offset = result.next_offset
-        self._on_success(now_s)
+        if result.is_at_end:
+            self._on_success(now_s)
         changes = self._apply_records(result.contents, now_s)
-        if self.polling.is_poller and self.state_hash != before_hash:
+        if result.is_at_end and self.polling.is_poller and self.state_hash != before_hash:
             delta = TopicDelta(self.topic, before_hash, self.state_hash, 0, changes)
             self._unsent_deltas.append((delta, self._last_call_s))
 
--- a/berylquay/relay/stream_version_store.py
+++ b/berylquay/relay/stream_version_store.py
@@ -234,7 +234,7 @@
             else:
                 self._on_read_failed(result)
             return
-        if not result.contents and result.next_offset < result.end_offset:
+        if not result.contents and not result.is_at_end:
             self._on_read_failed(StoreFailure("a page without records", 0, False))
             return
         notices = [decode_stream_record(content) for content in result.contents]
--- a/tests/relay/test_ambiguous_ends.py
+++ b/tests/relay/test_ambiguous_ends.py
@@ -6,11 +6,13 @@
 import json
 import struct
 from collections.abc import Callable
+from random import Random
 from typing import Final
 
 import pytest
 
 from berylquay.decisions.fleet import Address
+from berylquay.decisions.order_claims import ClaimTimes
 from berylquay.decisions.store_era import StoreEra
 from berylquay.net.tcp_connections import Connection, ConnectionHandler
 from berylquay.platform.duty_client import DutyClient, DutyOutcome
@@ -21,6 +23,9 @@
     StoreClient,
     StoreFailure,
 )
+from berylquay.relay.claimant import Claimant
+from berylquay.relay.follower import FollowTimings, TopicFollower
+from tests.relay.test_follower import FakeStoreClient, IgnoringHandler
 from tests.support.fake_connections import FakeConnections
 
 ADDRESS: Final = Address("10.0.0.1", 80)
@@ -188,3 +193,80 @@
     connections.end(answer, has_fin=has_fin)
     assert outcomes == [DutyOutcome.FAILED]
     assert not client.may_send("/usage", 8)
+
+
+def make_follower(clock: Callable[[], float]) -> tuple[TopicFollower, FakeStoreClient]:
+    """Returns a follower that has read the newest records, up to offset 4, at 0 s."""
+    store_client = FakeStoreClient()
+    follower = TopicFollower(
+        "t",
+        FollowTimings(1.0, 0.05, 2.5),
+        store_client,  # type: ignore[arg-type]
+        IgnoringHandler(),
+        Random(1),
+        clock,
+        StoreEra(),
+    )
+    follower.on_tick(0.0)
+    store_client.complete(NewestRecordsPage((), has_more=False, end_offset=4))
+    return follower, store_client
+
+
+# Guards against a page that ends before the topic's end and confirms that nothing else is new,
+# here and at the hosts that take this one's reports.
+@pytest.mark.parametrize("contents", [(), (b"\x01ka",)], ids=["no-record", "one-record"])
+def test_a_page_that_ends_early_confirms_nothing(contents: tuple[bytes, ...]) -> None:
+    now_s = 0.0
+    follower, store_client = make_follower(lambda: now_s)
+    follower.next_report(now_s)
+    now_s = 1.0
+    follower.on_tick(now_s)
+    store_client.complete(RecordPage(contents, 4, 6))
+    assert follower.confirmed_s == 0.0
+    assert follower.next_report(5.0) is None
+    assert not follower.take_deltas(now_s)
+    now_s = 2.0
+    follower.on_tick(now_s)
+    store_client.complete(RecordPage((b"\x01ka", b"\x01kb")[len(contents) :], 4 + len(contents), 6))
+    assert follower.confirmed_s == 2.0
+    assert follower.next_offset == 6
+
+
+# Guards against newest records that count as complete up to the request of their last page: a
+# change after the first page may be missing.
+def test_newest_records_are_complete_up_to_their_first_page() -> None:
+    now_s = 0.0
+    store_client = FakeStoreClient()
+    follower = TopicFollower(
+        "t",
+        FollowTimings(1.0, 0.05, 2.5),
+        store_client,  # type: ignore[arg-type]
+        IgnoringHandler(),
+        Random(1),
+        lambda: now_s,
+        StoreEra(),
+    )
+    follower.on_tick(now_s)
+    page = call_store(read_newest, json.dumps({**json.loads(NEWEST), "hasMore": True}).encode())
+    assert isinstance(page, NewestRecordsPage)
+    store_client.complete(page)
+    now_s = 1.0
+    follower.on_tick(now_s)
+    store_client.complete(NewestRecordsPage((), has_more=False, end_offset=9))
+    assert follower.next_offset == 7
+    assert follower.confirmed_s == 0.0
+
+
+# Guards against a claim appended, or calls without a pause, after a page that ends early.
+def test_a_claim_is_not_appended_after_a_page_that_ends_early() -> None:
+    connections = EndingConnections()
+    client = StoreClient(connections, ADDRESS, StoreEra())
+    claimant = Claimant("t", "h", ClaimTimes(1.0, 2.0), client, Random(1))
+    claimant.advance(b"", 1.0)
+    connections.end(HEAD + struct.pack(">QQ", 1, 0))
+    assert connections.newest is not None
+    calls = list(connections.sent.values())
+    claimant.advance(b"", 1.01)
+    assert list(connections.sent.values()) == calls
+    claimant.advance(b"", 9.0)
+    assert b"/log-read" in connections.sent[id(connections.newest)]
