Reset the connection of an HTTP/1.0 caller while this host still holds a part of its answer

A caller without chunks takes FIN for the end of the body. Once an answer had ended at the server, the host let the operating system end the connection with FIN, also if a slow caller's rest was still in the host's memory: killed then, or at the end of its time to stop, a part looked whole.

The connection is now reset on close until the operating system has all of the answer.

--- a/berylquay/relay/caller_connection.py
+++ b/berylquay/relay/caller_connection.py
@@ -120,7 +120,8 @@
     _body_bytes: int = field(default=0, init=False)
     # Whether the head of the present response was sent.
     _response_started: bool = field(default=False, init=False)
-    # Whether closing the connection resets it.
+    # Whether closing the connection resets it. After the end of a response too, as long as this
+    # process holds a part of it.
     _resets_on_close: bool = field(default=False, init=False)
     # Whether `send_body` has reported a slow caller, so that `on_caller_writable` is due.
     _is_caller_slow: bool = field(default=False, init=False)
@@ -199,7 +200,8 @@
             # The backend server's body was shorter than its content length.
             self.abort()
             return
-        self._set_reset_on_close(enabled=False)
+        if not self.connection.unsent:
+            self._set_reset_on_close(enabled=False)
         self._reset_request()
         # h11 knows whether the head has announced the end of the connection. If the stop began
         # after the head was sent, the caller may send another request, whose response announces it.
@@ -234,6 +236,9 @@
     def on_tick(self, now_s: float) -> None:
         """Enforces the timeouts, and reports when a slow caller is writable again."""
         elapsed_s = now_s - self._phase_started_s
+        if self.phase is ConnectionPhase.FINISHING and not self.connection.unsent:
+            # The operating system delivers the rest, also if this process is killed.
+            self._set_reset_on_close(enabled=False)
         if self._is_caller_slow and self.connection.unsent_bytes <= self.max_unsent_bytes // 2:
             self._is_caller_slow = False
             self._handler.on_caller_writable(self)
