Take no server error for an engine's refusal of an order

berylquay-orders reported each complete answer but 202 as `refused`, so that the next change began although the order may have been accepted. Only 4xx is a refusal; any other answer is `unknown`, and the engine's state resolves it. The cases 200, 500, 502 and 504 of the new test failed before; an answer that breaks off was `unknown` already.

--- a/berylquay/authority/order_exchange.py
+++ b/berylquay/authority/order_exchange.py
@@ -14,6 +14,8 @@
 
 RECEIVE_BYTES: Final = 65536
 STATUS_ACCEPTED: Final = 202
+FIRST_CLIENT_ERROR: Final = 400
+FIRST_SERVER_ERROR: Final = 500
 # Closing drops unsent bytes and resets the connection, also if the kernel closes the socket.
 LINGER_RESET: Final = struct.pack("ii", 1, 0)
 # Time before the deadline at which the exchange times out, so that the timer seldom fires.
@@ -49,7 +51,7 @@
         Returns:
             The result, also if the connection fails. The outcome is NOT_SENT if no connection was
             established, and UNKNOWN if the engine may have received the order but no complete
-            answer came.
+            answer came, or one that neither accepts nor refuses the order.
         """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
@@ -110,9 +112,13 @@
                 break
             else:
                 return SendResult(OrderSendOutcome.UNKNOWN, "the connection ended early")
-        accepted = status == STATUS_ACCEPTED
-        outcome = OrderSendOutcome.ACCEPTED if accepted else OrderSendOutcome.REFUSED
-        return SendResult(outcome, content.decode(errors="replace"))
+        detail = content.decode(errors="replace")
+        if status == STATUS_ACCEPTED:
+            return SendResult(OrderSendOutcome.ACCEPTED, detail)
+        if FIRST_CLIENT_ERROR <= status < FIRST_SERVER_ERROR:
+            return SendResult(OrderSendOutcome.REFUSED, detail)
+        # The engine, or a device on the path, may have failed after the order was accepted.
+        return SendResult(OrderSendOutcome.UNKNOWN, f"status {status}: {detail}")
 
     def _remaining_s(self) -> float:
         remaining_s = self._deadline_s - DEADLINE_MARGIN_S - time.monotonic()
