--- a/berylquay/command/queries.py
+++ b/berylquay/command/queries.py
@@ -55,7 +55,8 @@
                     return ExitCode.OK
         except grpc.RpcError as error:
             raise UnreachableError(f"{server.address}: {error.details()}") from None
-    return ExitCode.OK
+        # Hosts of earlier builds end a watch with the status OK when they stop.
+        raise UnreachableError(f"{server.address}: the host has ended the watch")
 
 
 def show_differences(arguments: argparse.Namespace, deployment: Deployment) -> ExitCode:
--- a/berylquay/operators/servicer.py
+++ b/berylquay/operators/servicer.py
@@ -195,8 +195,8 @@
             except FutureTimeoutError:
                 continue
             except CancelledError:
-                # This host is stopping.
-                return None
+                # With the status OK, the watch would seem to be complete.
+                context.abort(grpc.StatusCode.UNAVAILABLE, "this host is stopping")
         future.cancel()
         return None
 
