Ask whether a service still runs whose answer only the end of its connection ended

berylquayd delivered the part of an answer of unknown type, without length and chunks, as complete when its service was killed.

--- a/berylquay/backends/upstream_attempt.py
+++ b/berylquay/backends/upstream_attempt.py
@@ -5,6 +5,7 @@
 
 from returns.result import Success
 
+from berylquay.backends.answer_end_check import INCARNATION_HEADER, AnswerEndCheck
 from berylquay.backends.attempt_requests import build_attempt_request
 from berylquay.backends.sse import EventSplitter, OversizedEventError
 from berylquay.backends.stream_frames import EndFrame, TokenFrame, parse_frame
@@ -18,7 +19,9 @@
 )
 from berylquay.decisions.calls import Attempt
 from berylquay.decisions.fleet import Address
+from berylquay.decisions.response_end import EndVerdict
 from berylquay.errors import TransportError
+from berylquay.net.body_framing import BodyFraming
 from berylquay.net.http_client import STATUS_OK, HttpExchange, HttpResponseHead
 from berylquay.net.json_end import CUT_OFF, JsonEndDetector, is_unframed_json
 from berylquay.net.tcp_connections import TcpConnections
@@ -27,10 +30,9 @@
 NOT_STARTED_HEADER: Final = "x-not-started"
 # Header with the version of the model that an engine answers with.
 MODEL_VERSION_HEADER: Final = "x-model-version"
-# Header with the incarnation of a backend server, which changes with each restart.
-INCARNATION_HEADER: Final = "x-incarnation"
 STATUS_CLIENT_ERROR: Final = 400
 STATUS_SERVER_ERROR: Final = 500
+STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 # Maximum size of the body of a service's response or of a refusal.
 MAX_RESPONSE_BYTES: Final = 8 * 1024 * 1024
 # Maximum number of bytes of a backend server's error body that a failure's detail quotes.
@@ -40,6 +42,8 @@
 
 AttemptReport = AttemptSent | AttemptAnswered | AttemptTokens | AttemptCompleted | AttemptFailed
 ReportCallback = Callable[[AttemptReport], None]
+# Starts a check with the incarnation that the answer stated, and what to call with its verdict.
+EndCheckStarter = Callable[[str, Callable[[EndVerdict, str], None]], AnswerEndCheck]
 
 
 class UpstreamAttempt:
@@ -62,6 +66,9 @@
     _ended: bool
     # HTTP exchange on a connection that no other attempt uses.
     _http_exchange: HttpExchange
+    # Starts the check of an answer whose end is uncertain, and the check in progress, or None.
+    _start_end_check: EndCheckStarter
+    _end_check: AnswerEndCheck | None
 
     def __init__(
         self,
@@ -69,8 +76,11 @@
         address: Address,
         attempt: Attempt,
         report: ReportCallback,
+        start_end_check: EndCheckStarter,
     ) -> None:
         self._attempt = attempt
+        self._start_end_check = start_end_check
+        self._end_check = None
         self._report = report
         self._response_head = None
         self._body = bytearray()
@@ -114,10 +124,8 @@
         elif refused or self._attempt.call.is_generation:
             detail = bytes(self._body[:MAX_DETAIL_BYTES]).decode(errors="replace")
             self._fail(self._resolve_verdict(Verdict.MAY_HAVE_RUN), detail)
-        elif self._is_cut_off():
-            self._fail(Verdict.MAY_HAVE_RUN, CUT_OFF)
         else:
-            self._complete(0, bytes(self._body))
+            self._handle_service_answer()
 
     def on_response_failed(self, error: TransportError) -> None:
         """Reports a transport error as the failure of the attempt."""
@@ -142,14 +150,33 @@
     def _resolve_verdict(self, default: Verdict) -> Verdict:
         return Verdict.NOT_RUN if self._not_started else default
 
-    def _is_cut_off(self) -> bool:
-        """Tells whether a JSON answer that ended with its connection lacks its end."""
+    def _handle_service_answer(self) -> None:
+        """Completes the attempt, unless only the end of the connection has ended the answer."""
         head = self._response_head
-        if head is None or not is_unframed_json(head.framing, head.headers.get("content-type", "")):
-            return False
-        end_detector = JsonEndDetector()
-        end_detector.feed(bytes(self._body))
-        return not end_detector.is_complete
+        has_no_body = self._attempt.call.method == "HEAD" or self._status in STATUSES_WITHOUT_BODY
+        if head is None or has_no_body or head.framing is not BodyFraming.CONNECTION_END:
+            self._complete(0, bytes(self._body))
+            return
+        if is_unframed_json(head.framing, head.headers.get("content-type", "")):
+            end_detector = JsonEndDetector()
+            end_detector.feed(bytes(self._body))
+            if not end_detector.is_complete:
+                self._fail(Verdict.MAY_HAVE_RUN, CUT_OFF)
+                return
+            if end_detector.is_closed:
+                self._complete(0, bytes(self._body))
+                return
+        incarnation = head.headers.get(INCARNATION_HEADER, "")
+        self._end_check = self._start_end_check(incarnation, self._on_end_judged)
+
+    def _on_end_judged(self, verdict: EndVerdict, reason: str) -> None:
+        if self._ended:
+            return
+        if verdict is EndVerdict.WHOLE:
+            self._complete(0, bytes(self._body))
+        else:
+            detail = f"the service ended with its answer: {reason}"
+            self._fail(Verdict.MAY_HAVE_RUN, detail, lost_connection=True)
 
     def _handle_stream_data(self, data: bytes) -> None:
         try:
@@ -215,6 +242,8 @@
     def _finish(self) -> None:
         self._ended = True
         self._http_exchange.cancel()
+        if self._end_check is not None:
+            self._end_check.cancel()
 
 
 def parse_retry_after(text: str) -> float | None:
--- a/test-data/scenarios/fates.feature
+++ b/test-data/scenarios/fates.feature
@@ -16,6 +16,13 @@
       | fails with 500               | 5        | may-have-run | 1     |
       | resets an unframed answer    | 5        | may-have-run | 1     |
       | cuts an unframed answer      | 5        | may-have-run | 1     |
+      | ends within a text answer    | 5        | may-have-run | 1     |
+
+  Scenario: A service whose answer ends with its connection, and that still runs, has answered
+    Given a data centre with 1 engines, 1 services and 1 hosts
+    And a service that ends a text answer in place of the services
+    When an alarm is acknowledged at "host-0" within 5 seconds
+    Then its answer is "acknowledged"
 
   Scenario Outline: An engine that sends nonsense fails its attempt only
     Given a data centre with 1 engines, 1 services and 1 hosts
--- a/tests/scenarios/test_backend_failures.py
+++ b/tests/scenarios/test_backend_failures.py
@@ -195,6 +195,12 @@
     _update_membership(scenario_state, {name: {"state": "leaving"}})
 
 
+@then(parsers.parse('its answer is "{body}"'))
+def then_answered_with(observations: Observations, body: str) -> None:
+    answer = observations.answers[0]
+    assert (answer.status, answer.body) == (200, body.encode())
+
+
 @then(parsers.parse('it is refused with verdict "{verdict}" and the service saw {calls:d} calls'))
 def then_refused_with_verdict(
     scenario_state: ScenarioState, observations: Observations, verdict: str, calls: int
--- a/tests/support/raw_backend.py
+++ b/tests/support/raw_backend.py
@@ -13,6 +13,8 @@
 STREAM_RESPONSE_HEAD: Final = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 )
+UNFRAMED_TEXT: Final = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nacknowledged"
+STATE: Final = b'HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n{"incarnation": "raw"}'
 UNFRAMED_JSON_HEAD: Final = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
 LARGE_FRAME_BYTES: Final = 200_000
 RESET_DELAY_S: Final = 0.3
@@ -65,10 +67,16 @@
             _reset_connection(sock)
             return
         request = read_request(sock)
+        if self.behaviour == "ends a text answer" and request.startswith(b"GET /v1/state "):
+            _send_and_close(sock, STATE)
+            return
         if not request or request.startswith(b"GET /v1/"):
             sock.close()
             return
         self.received.append(request)
+        if self.behaviour == "ends within a text answer":
+            self.listener.shutdown(socket.SHUT_RDWR)
+            self.listener.close()
         _RESPONSES[self.behaviour](sock, request)
 
 
@@ -115,6 +123,8 @@
     "cuts an unframed answer": lambda sock, request: _send_and_close(
         sock, UNFRAMED_JSON_HEAD + b'{"acknowledged": tr'
     ),
+    "ends a text answer": lambda sock, request: _send_and_close(sock, UNFRAMED_TEXT),
+    "ends within a text answer": lambda sock, request: _send_and_close(sock, UNFRAMED_TEXT),
     "refuses before it starts": _respond(
         "503 Busy", "X-Not-Started: yes\r\nRetry-After: 3\r\n", "busy"
     ),
