Repeat a probe whose answer may have ended with its server

A server that was killed amid an answer to a probe without length and chunks counted as alive, and the crash of a server by a request went unnoticed. Such a probe is repeated once: an answer that was asked for afterwards shows that the server runs.

--- a/berylquay/backends/backend_prober.py
+++ b/berylquay/backends/backend_prober.py
@@ -1,13 +1,14 @@
 """Probes backend servers on new connections, to find out whether they still answer."""
 
-import json
 from typing import Final
 
 from circuits import BaseComponent, handler
 
+from berylquay.backends.answer_end_check import parse_incarnation
 from berylquay.component_messages import MembershipRead, ProbeEnded, ProbeRequested
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
+from berylquay.net.body_framing import BodyFraming
 from berylquay.net.http_client import HttpExchange, HttpRequest, HttpResponseHead
 from berylquay.net.message_bus import BUS, post
 from berylquay.net.process_messages import Tick
@@ -73,7 +74,11 @@
 
 
 class _Probe:
-    """One probe; any complete HTTP response, of any status, shows that the server is alive."""
+    """One probe; any complete HTTP response, of any status, shows that the server is alive.
+
+    A response that ends with its connection and states no incarnation may have ended with the
+    server; the head of a second one, asked for afterwards, shows that the server is alive.
+    """
 
     def __init__(
         self, prober: BackendProber, backend: str, address: Address, deadline_s: float
@@ -81,11 +86,15 @@
         self.backend = backend
         self.deadline_s = deadline_s
         self._prober = prober
+        self._address = address
         self._body = bytearray()
+        self._is_unframed = False
+        self._is_repeated = False
         self.exchange = prober.start_exchange(address, self)
 
     def on_response_head(self, head: HttpResponseHead) -> None:
-        """Does nothing: the probe waits for the body, which may contain the incarnation."""
+        """Waits for the body, which may contain the incarnation."""
+        self._is_unframed = head.framing is BodyFraming.CONNECTION_END
 
     def on_response_data(self, data: bytes) -> None:
         """Buffers the body until the limit is reached."""
@@ -94,18 +103,14 @@
 
     def on_response_complete(self) -> None:
         """Reports the server as alive; the incarnation is empty if the body contains none."""
-        incarnation = _parse_incarnation(bytes(self._body))
+        incarnation = parse_incarnation(bytes(self._body))
+        if self._is_unframed and not incarnation and not self._is_repeated:
+            self._is_repeated = True
+            self._body.clear()
+            self.exchange = self._prober.start_exchange(self._address, self)
+            return
         self._prober.on_probe_ended(ProbeEnded(self.backend, alive=True, incarnation=incarnation))
 
     def on_response_failed(self, error: TransportError) -> None:
         """Reports the server as not alive."""
         self._prober.on_probe_ended(ProbeEnded(self.backend, alive=False))
-
-
-def _parse_incarnation(body: bytes) -> str:
-    try:
-        value = json.loads(body)
-    except (ValueError, RecursionError):
-        return ""
-    incarnation = value.get("incarnation") if isinstance(value, dict) else None
-    return incarnation if isinstance(incarnation, str) else ""
--- a/tests/test_service_answer_ends.py
+++ b/tests/test_service_answer_ends.py
@@ -1,15 +1,17 @@
 """Answers of services to `berylquayd` whose end can be read in two ways."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 import pytest
 from attrs import evolve
 
 from berylquay.backends.answer_end_check import AnswerEndCheck
+from berylquay.backends.backend_prober import PROBE_TIMEOUT_S, BackendProber, _Probe
 from berylquay.backends.upstream_attempt import AttemptReport, UpstreamAttempt
 from berylquay.call_verdicts import Verdict
-from berylquay.component_messages import AttemptCompleted, AttemptFailed
+from berylquay.component_messages import AttemptCompleted, AttemptFailed, ProbeEnded
 from berylquay.decisions.calls import Attempt
 from berylquay.decisions.deployment import WorkKind
 from berylquay.decisions.fleet import Address
@@ -200,3 +202,42 @@
         call.wait(0.2)
         call.connections.refuse()
         assert call.outcome == LOST
+
+
+class RecordingProber(BackendProber):
+    """Records the outcome of each probe."""
+
+    def __init__(self, connections: OpenedConnections) -> None:
+        super().__init__(connections)
+        self.ended: list[ProbeEnded] = []
+
+    def on_probe_ended(self, message: ProbeEnded) -> None:
+        """Records the outcome."""
+        self.ended.append(message)
+
+
+# Guards against a server that counts as alive since it was killed amid its answer to a probe.
+@pytest.mark.parametrize(
+    ("first", "second", "expected"),
+    [
+        (b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", None, (True, "")),
+        (STATE, None, (True, "one")),
+        (CUT_STATE, b"", (False, "")),
+        (CUT_STATE, STATE, (True, "one")),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"", (False, "")),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\n", (True, "")),
+        (b"HTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\n{", None, (False, "")),
+    ],
+)
+def test_a_probe_whose_answer_may_have_ended_with_the_server_is_repeated(
+    first: bytes, second: bytes | None, expected: tuple[bool, str]
+) -> None:
+    connections = OpenedConnections()
+    prober = RecordingProber(connections)
+    start = partial(_Probe, prober, "s", ADDRESS, PROBE_TIMEOUT_S)
+    start()
+    connections.answer(first)
+    if second is not None:
+        assert not prober.ended
+        connections.answer(second)
+    assert [(ended.alive, ended.incarnation) for ended in prober.ended] == [expected]
