Take no duty call for refused, or for over, that its answer leaves open

2xx other than 200 and 3xx counted as 'refused and not carried out', so that a window's usage was done with; and after 500, 502 or 504 a call with another fencing number was sent at once, although a server behind the one that answered may still carry out the first. Such a call now counts as one without an answer, except after 503.

--- a/berylquay/platform/duty_client.py
+++ b/berylquay/platform/duty_client.py
@@ -48,6 +48,8 @@
 MAX_BACKOFF_S: Final = 1.0
 STATUS_CONFLICT: Final = 409
 STATUS_TOO_MANY_REQUESTS: Final = 429
+STATUS_UNAVAILABLE: Final = 503
+FIRST_CLIENT_ERROR: Final = 400
 FIRST_SERVER_ERROR: Final = 500
 _log = logbook.Logger("duties")
 
@@ -61,7 +63,8 @@
     RATE_LIMITED = "rate_limited"
     # Refused for another reason, and not carried out at all.
     REJECTED = "rejected"
-    # Server error or no complete response: the call may have been carried out, or may still be.
+    # Server error, a status that states nothing, or no complete response: the call may have been
+    # carried out, or may still be.
     FAILED = "failed"
 
 
@@ -196,6 +199,9 @@
             self._back_off()
         else:
             self._consecutive_failures = 0
+        if outcome is DutyOutcome.FAILED and status != STATUS_UNAVAILABLE:
+            # A server behind the one that answered may still carry it out.
+            self._keep_unanswered(self._call)
         self._finish(outcome, f"status {status}")
 
     def on_response_failed(self, error: TransportError) -> None:
@@ -250,13 +256,16 @@
         if call is None:
             return
         if may_have_run:
-            self._unanswered[call.path] = (call.fencing_number, call.begun_s + UNANSWERED_CALL_S)
+            self._keep_unanswered(call)
         if self._connection is not None:
             # A connection whose response was abandoned can't carry another call.
             self._connection.close()
         self._back_off()
         self._finish(DutyOutcome.FAILED, detail)
 
+    def _keep_unanswered(self, call: _PendingCall) -> None:
+        self._unanswered[call.path] = (call.fencing_number, call.begun_s + UNANSWERED_CALL_S)
+
     def _back_off(self) -> None:
         delay_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2.0**self._consecutive_failures)
         self._consecutive_failures += 1
@@ -273,10 +282,10 @@
 
 def _outcome_of(status: int) -> DutyOutcome:
     """Returns the outcome that a status states."""
-    if status >= FIRST_SERVER_ERROR:
-        return DutyOutcome.FAILED
     if status == STATUS_OK:
         return DutyOutcome.ACCEPTED
+    if not FIRST_CLIENT_ERROR <= status < FIRST_SERVER_ERROR:
+        return DutyOutcome.FAILED
     if status == STATUS_CONFLICT:
         return DutyOutcome.NONE_AVAILABLE
     if status == STATUS_TOO_MANY_REQUESTS:
--- a/tests/relay/test_ambiguous_ends.py
+++ b/tests/relay/test_ambiguous_ends.py
@@ -195,6 +195,36 @@
     assert not client.may_send("/usage", 8)
 
 
+# Guards against a status that states nothing of the call and is taken for a refusal, or for the end
+# of a call that a server behind the one that answered may still carry out.
+@pytest.mark.parametrize(
+    ("status", "outcome", "may_run"),
+    [
+        (200, DutyOutcome.ACCEPTED, False),
+        (204, DutyOutcome.FAILED, True),
+        (302, DutyOutcome.FAILED, True),
+        (400, DutyOutcome.REJECTED, False),
+        (409, DutyOutcome.NONE_AVAILABLE, False),
+        (429, DutyOutcome.RATE_LIMITED, False),
+        (500, DutyOutcome.FAILED, True),
+        (502, DutyOutcome.FAILED, True),
+        (503, DutyOutcome.FAILED, False),
+        (504, DutyOutcome.FAILED, True),
+    ],
+)
+def test_only_some_statuses_say_what_became_of_a_duty_call(
+    status: int, outcome: DutyOutcome, *, may_run: bool
+) -> None:
+    connections = EndingConnections()
+    outcomes: list[DutyOutcome] = []
+    client = DutyClient(connections, ADDRESS, 10.0, clock=lambda: 0.0)
+    client.on_tick(1.0)
+    client.report_usage("h-1", 7, 3, {"t": 4}, outcomes.append)
+    connections.end(b"HTTP/1.1 %d X\r\n\r\n" % status)
+    assert outcomes == [outcome]
+    assert client.may_send("/usage", 8) is not may_run
+
+
 def make_follower(clock: Callable[[], float]) -> tuple[TopicFollower, FakeStoreClient]:
     """Returns a follower that has read the newest records, up to offset 4, at 0 s."""
     store_client = FakeStoreClient()
