Take no empty answer without length for an empty object

berylquayd read a response of the log, the list of members or the weight store that ended with its connection after the head as {}: a model version without adapters, for example. It counts as malformed now, unless its status never has a body.

--- a/berylquay/backends/upstream_attempt.py
+++ b/berylquay/backends/upstream_attempt.py
@@ -21,7 +21,7 @@
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.response_end import EndVerdict
 from berylquay.errors import TransportError
-from berylquay.net.body_framing import BodyFraming
+from berylquay.net.body_framing import STATUSES_WITHOUT_BODY, BodyFraming
 from berylquay.net.http_client import STATUS_OK, HttpExchange, HttpResponseHead
 from berylquay.net.json_end import CUT_OFF, JsonEndDetector, is_unframed_json
 from berylquay.net.tcp_connections import TcpConnections
@@ -32,7 +32,6 @@
 MODEL_VERSION_HEADER: Final = "x-model-version"
 STATUS_CLIENT_ERROR: Final = 400
 STATUS_SERVER_ERROR: Final = 500
-STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 # Maximum size of the body of a service's response or of a refusal.
 MAX_RESPONSE_BYTES: Final = 8 * 1024 * 1024
 # Maximum number of bytes of a backend server's error body that a failure's detail quotes.
--- a/berylquay/net/body_framing.py
+++ b/berylquay/net/body_framing.py
@@ -8,6 +8,8 @@
 CONTENT_LENGTH: Final = "content-length"
 JSON_TYPE: Final = "application/json"
 JSON_SUFFIX: Final = "+json"
+# Statuses of responses that never have a body.
+STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 
 
 class BodyFraming(Enum):
--- a/berylquay/relay/response_body.py
+++ b/berylquay/relay/response_body.py
@@ -9,14 +9,13 @@
 
 from returns.result import Failure, Result, Success
 
-from berylquay.net.body_framing import media_type
+from berylquay.net.body_framing import STATUSES_WITHOUT_BODY, media_type
 from berylquay.net.json_end import CUT_OFF, JsonEndDetector, is_unframed_json
 from berylquay.net.persistent_http import RawResponseHead
 from berylquay.relay.event_stream import EventTracker
 
 EVENT_STREAM_TYPE: Final = "text/event-stream"
 FIRST_REDIRECT: Final = 300
-STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 
 
 class ResponseBody(Protocol):
--- a/berylquay/standalone/json_exchange.py
+++ b/berylquay/standalone/json_exchange.py
@@ -10,6 +10,7 @@
 from berylquay.call_verdicts import Verdict
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
+from berylquay.net.body_framing import STATUSES_WITHOUT_BODY, BodyFraming
 from berylquay.net.http_client import HttpExchange, HttpRequest, HttpResponseHead
 from berylquay.net.tcp_connections import TcpConnections
 
@@ -81,8 +82,9 @@
 
     def on_response_complete(self) -> None:
         """Reports the response, or a failure if its body is not a JSON object."""
+        content = b"".join(self._body_chunks)
         try:
-            body = json.loads(b"".join(self._body_chunks) or b"{}")
+            body = json.loads(content or (b"" if self._may_lack_body else b"{}"))
             retry_after_s = float(self._head.headers.get(RETRY_AFTER_HEADER, "0"))
         except ValueError:
             body = None
@@ -96,3 +98,9 @@
     def on_response_failed(self, error: TransportError) -> None:
         """Reports the failure."""
         self._on_outcome(Failure(error))
+
+    @property
+    def _may_lack_body(self) -> bool:
+        """Returns whether the sender may have ended before the first byte of the body."""
+        is_unframed = self._head.framing is BodyFraming.CONNECTION_END
+        return is_unframed and self._head.status not in STATUSES_WITHOUT_BODY
