--- a/examples/processes.py
+++ b/examples/processes.py
@@ -106,13 +106,23 @@
     directory: Path
     started: list[Process] = field(factory=list)
 
-    def start(self, name: str, module: str, port: int, *arguments: str) -> Process:
+    def start(
+        self, name: str, module: str, port: int, *arguments: str, source: Path | None = None
+    ) -> Process:
         """Starts a Python module as a process and waits until it listens.
 
         Raises `RuntimeError` if it does not listen within `START_TIMEOUT_S`.
+
+        Args:
+            name: Name of the process and of its log.
+            module: Module to run.
+            port: Port that it listens on.
+            arguments: Its arguments.
+            source: Directory whose modules are run; None for the present one.
         """
         log = (self.directory / f"{name}.log").open("ab")
-        popen = subprocess.Popen([sys.executable, "-m", module, *arguments], stderr=log, stdout=log)
+        command = [sys.executable, "-m", module, *arguments]
+        popen = subprocess.Popen(command, stderr=log, stdout=log, cwd=source)
         log.close()
         process = Process(name, port, popen)
         self.started.append(process)
--- a/soak/link_proxy.py
+++ b/soak/link_proxy.py
@@ -1,7 +1,8 @@
 """A loopback TCP proxy whose links can be delayed, cut in one or both directions, reset or closed.
 
 `POST /link` on the control port sets the state of one link: `name`, and any of `delay_s`,
-`cut` (towards, back or both), `closed`; `reset` resets the open connections.
+`cut` (towards, back or both), `closed`; `reset` resets the open connections. `target_port` leads
+new connections of the link to another port from then on.
 """
 
 import argparse
@@ -37,6 +38,7 @@
         """Applies a state; fields that it does not have return to normal."""
         self.delay_s = float(str(state.get("delay_s", 0.0)))
         self.cut = str(state.get("cut", ""))
+        self.target_port = int(str(state.get("target_port", self.target_port)))
         closed = bool(state.get("closed", False))
         if state.get("reset") or closed:
             for writer in list(self.open_writers):
--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -8,11 +8,12 @@
 prompt with that segment), limit_per_s (each answer names that limit on requests), unframed (streams
 end with their connection), unframed_bytes (so do a plain service's answers, of an unknown type),
 report_delay_s (time until a report is answered), exit_delay_s (the process ends that long after its
-first complete stream). With `--witness` it also writes each event to a file immediately, with the
-monotonic time, so that nothing is lost when it is killed. With `--version` each event names that
-software version. With `--tenants` it refuses, with 400, runs and prefills with a caller's key or
-without one of these tenants. `GET /report` states the start time (`--born`), `GET /health` the
-name.
+first complete stream), idle_exit_delay_s (the same after the last of its streams). With `--witness`
+it also writes each event to a file immediately, with the monotonic time, so that nothing is lost
+when it is killed. With `--version` each event names that software version. A request may state how
+many events it gets (`Event-Count`). With `--tenants` it refuses, with 400, runs and prefills with a
+caller's key or without one of these tenants. `GET /report` states the start time (`--born`),
+`GET /health` the name.
 """
 
 import asyncio
@@ -62,6 +63,8 @@
     tenants: frozenset[str] | None = None
     # Start time in Unix milliseconds that it states in its reports; 0 if it states none.
     started_unix_ms: int = 0
+    # Streams that have not ended.
+    running_streams: int = 0
 
     async def handle(self, exchange: Exchange) -> None:
         """Answers one request."""
@@ -196,9 +199,24 @@
         exchange.close_connection()
 
     async def _stream(self, exchange: Exchange, headers: tuple[tuple[str, str], ...]) -> None:
+        self.running_streams += 1
+        try:
+            is_complete = await self._send_events(exchange, headers)
+        finally:
+            self.running_streams -= 1
+        if is_complete and "idle_exit_delay_s" in self.faults and not self.running_streams:
+            await asyncio.sleep(float(str(self.faults["idle_exit_delay_s"])))
+            os._exit(0)
+        if is_complete and "exit_delay_s" in self.faults:
+            await asyncio.sleep(float(str(self.faults["exit_delay_s"])))
+            os._exit(0)
+
+    async def _send_events(self, exchange: Exchange, headers: tuple[tuple[str, str], ...]) -> bool:
+        """Sends a stream; returns whether it is complete."""
         request = exchange.request
         first_event_id = int(request.headers.get("last-event-id", "0")) + 1
-        break_after = int(str(self.faults.get("break_after", self.event_count + 1)))
+        event_count = int(request.headers.get("event-count", self.event_count))
+        break_after = int(str(self.faults.get("break_after", event_count + 1)))
         # Without length and chunks, a stream that breaks off ends as cleanly as a complete one.
         is_unframed = bool(self.faults.get("unframed"))
         if is_unframed:
@@ -209,18 +227,18 @@
             send = exchange.send_stream_bytes
         if self._crashes_on(request):
             os._exit(CRASH_EXIT_STATUS)
-        for event_id in range(first_event_id, self.event_count + 1):
+        for event_id in range(first_event_id, event_count + 1):
             if exchange.is_closed():
                 self.cancelled_attempt_ids.append(request.headers.get("attempt-id", ""))
                 self._write_event("cancelled", id=request.headers.get("attempt-id", ""))
-                return
+                return False
             if event_id > break_after:
                 await send(f"id: {event_id}\nda".encode())
                 if is_unframed:
                     exchange.close_connection()
                 else:
                     exchange.abort_connection()
-                return
+                return False
             data = request.headers.get("attempt-id", "").ljust(EVENT_DATA_BYTES, "x")
             if self.software_version:
                 data += f" {self.software_version}"
@@ -230,9 +248,7 @@
             exchange.close_connection()
         else:
             await exchange.end_response()
-        if "exit_delay_s" in self.faults:
-            await asyncio.sleep(float(str(self.faults["exit_delay_s"])))
-            os._exit(0)
+        return True
 
     def _crashes_on(self, request: StandinRequest) -> bool:
         items = request.headers.get("prompt-prefix", "").split(",")
--- a/tests/support/relay_fleet.py
+++ b/tests/support/relay_fleet.py
@@ -74,6 +74,10 @@
     scripted_backends: list[ScriptedBackend] = field(factory=list)
     hosts: list[Process] = field(factory=list)
     ready_ports: list[int] = field(factory=list)
+    # Checkout whose hosts run; None for this one.
+    host_source: Path | None = None
+    # All data centres, for the hosts' settings; empty if the hosts' own are all.
+    data_centres: tuple[str, ...] = ()
 
     def put(self, topic: str, key: str, value: object) -> None:
         """Writes a keyed record to the store, or deletes the key if the value is None."""
@@ -147,14 +151,16 @@
         """
         ports = [free_port() for _ in range(4)]
         settings = self.processes.directory / f"{name}.ini"
-        text = make_host_file(name, ports, self.store.port, retry_extra, data_centre)
+        text = make_host_file(
+            name, ports, self.store.port, retry_extra, data_centre, others=self.data_centres
+        )
         text += more_settings
         settings.write_text(text, encoding="utf-8")
         arguments = [str(settings)]
         if partition_file is not None:
             module = "tests.support.partitioned_host"
             arguments.insert(0, str(partition_file))
-        process = self.processes.start(name, module, ports[0], *arguments)
+        process = self.processes.start(name, module, ports[0], *arguments, source=self.host_source)
         self.hosts.append(process)
         self.ready_ports.append(ports[1])
         if wait:
@@ -178,7 +184,11 @@
                 text.replace("first_start = true", "first_start = false"), encoding="utf-8"
             )
             self.hosts[host] = self.processes.start(
-                killed.name, "berylquay.relay", killed.port, str(settings)
+                killed.name,
+                "berylquay.relay",
+                killed.port,
+                str(settings),
+                source=self.host_source,
             )
         for host in hosts:
             wait_until(lambda host=host: self.is_ready(host))  # type: ignore[misc]
@@ -263,9 +273,14 @@
     store_port: int,
     retry_extra: int = RETRY_EXTRA,
     data_centre: str = "fes-a",
+    *,
+    others: tuple[str, ...] = (),
 ) -> str:
-    """Returns the text of a relay host's settings file, with loopback addresses."""
-    data_centres = dict.fromkeys(("fes-a", data_centre))
+    """Returns the text of a relay host's settings file, with loopback addresses.
+
+    The data centres of the other hosts are `fes-a`, or `others` if there are any.
+    """
+    data_centres = dict.fromkeys((*(others or ("fes-a",)), data_centre))
     regions = "\n".join(f"{name} = {name.partition('-')[0]}" for name in data_centres)
     return f"""
 [host]
