--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,10 +17,11 @@
     SoakFleet,
 )
 from soak.promises import BackendEvent, Observations, broken_promises
-from soak.releases import EVENTS, Stream
 from soak.releases import run_seed as run_release_seed
 from soak.rounds import extend_faults, inject_faults, run_seed
 from soak.schedule import Fault, FaultKind, draw_faults, draw_size
+from soak.stream_callers import Stream
+from soak.stream_sites import EVENTS
 
 SEALED_HEADERS = {"server-seal": "seal-app-0", "attempt-id": "id"}
 COMPLETE_ATTEMPT = Attempt(
