--- a/soak/engine_pool.py
+++ b/soak/engine_pool.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import time
+from http.client import HTTPException
 from random import Random
 from typing import Final
 
@@ -22,6 +23,8 @@
 # Longest time after which an engine is back at its address, and after which its entry follows.
 MAX_ABSENCE_S: Final = 3.0
 MAX_ENTRY_DELAY_S: Final = 1.2
+# Errors of a request to an engine that ends meanwhile.
+ENDED_MEANWHILE: Final = (OSError, HTTPException)
 # That an engine is back under its name, as a newer start, and not as an engine of another name.
 SAME_NAME_PROBABILITY: Final = 0.5
 
@@ -150,8 +153,7 @@
         for engine in engines:
             if engine.process.popen.poll() is None:
                 lasting = self._lasting_faults.get(engine.name, {})
-                # It may end meanwhile.
-                with contextlib.suppress(OSError):
+                with contextlib.suppress(*ENDED_MEANWHILE):
                     engine.process.post("/faults", {**lasting, **faults})
 
     def register(self, name: str, state: str) -> None:
@@ -177,7 +179,7 @@
     def follow_roles(self) -> None:
         """Writes the entries of engines that have another role by now."""
         for name, engine in list(self.engines.items()):
-            with contextlib.suppress(OSError):
+            with contextlib.suppress(*ENDED_MEANWHILE):
                 role = str(engine.process.get("/report")["phase"])
                 if role != engine.role and name in self.engines:
                     engine.role = role
