--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -7,13 +7,12 @@
 other_server (every request gets 421), crash_on_segment (the process ends when it begins to answer a
 prompt with that segment), limit_per_s (each answer names that limit on requests), unframed (streams
 end with their connection), unframed_bytes (so do a plain service's answers, of an unknown type),
-report_delay_s and health_delay_s (time until a report or a health check is answered),
-stops_at_deadline (a stream ends at the `Deadline-Ms` that came with its request), exit_delay_s (the
-process ends that long after its first complete stream). With `--witness` it also writes each event
-to a file immediately, with the monotonic time, so that nothing is lost when it is killed. With
-`--version` each event names that software version. With `--tenants` it refuses, with 400, runs and
-prefills with a caller's key or without one of these tenants. `GET /report` states the start time
-(`--born`), `GET /health` the name.
+        deadline_s = float("inf")
+        if self.faults.get("stops_at_deadline"):
+            deadline_s = time.monotonic() + int(request.headers["deadline-ms"]) / 1000.0
+        for event_id in range(first_event_id, event_count + 1):
+            if time.monotonic() >= deadline_s:
+                break
 """
 
 import asyncio
@@ -21,7 +20,6 @@
 import os
 import secrets
 import time
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Final
 
@@ -64,6 +62,8 @@
     tenants: frozenset[str] | None = None
     # Start time in Unix milliseconds that it states in its reports; 0 if it states none.
     started_unix_ms: int = 0
+    # Streams that have not ended.
+    running_streams: int = 0
 
     async def handle(self, exchange: Exchange) -> None:
         """Answers one request."""
@@ -199,9 +199,24 @@
         exchange.close_connection()
 
     async def _stream(self, exchange: Exchange, headers: tuple[tuple[str, str], ...]) -> None:
+        self.running_streams += 1
+        try:
+            is_complete = await self._send_events(exchange, headers)
+        finally:
+            self.running_streams -= 1
+        if is_complete and "idle_exit_delay_s" in self.faults and not self.running_streams:
+            await asyncio.sleep(float(str(self.faults["idle_exit_delay_s"])))
+            os._exit(0)
+        if is_complete and "exit_delay_s" in self.faults:
+            await asyncio.sleep(float(str(self.faults["exit_delay_s"])))
+            os._exit(0)
+
+    async def _send_events(self, exchange: Exchange, headers: tuple[tuple[str, str], ...]) -> bool:
+        """Sends a stream; returns whether it is complete."""
         request = exchange.request
         first_event_id = int(request.headers.get("last-event-id", "0")) + 1
-        break_after = int(str(self.faults.get("break_after", self.event_count + 1)))
+        event_count = int(request.headers.get("event-count", self.event_count))
+        break_after = int(str(self.faults.get("break_after", event_count + 1)))
         # Without length and chunks, a stream that breaks off ends as cleanly as a complete one.
         is_unframed = bool(self.faults.get("unframed"))
         if is_unframed:
@@ -212,18 +227,23 @@
             send = exchange.send_stream_bytes
         if self._crashes_on(request):
             os._exit(CRASH_EXIT_STATUS)
-        for event_id in self._event_ids(first_event_id, request):
+        deadline_s = float("inf")
+        if self.faults.get("stops_at_deadline"):
+            deadline_s = time.monotonic() + int(request.headers["deadline-ms"]) / 1000.0
+        for event_id in range(first_event_id, event_count + 1):
+            if time.monotonic() >= deadline_s:
+                break
             if exchange.is_closed():
                 self.cancelled_attempt_ids.append(request.headers.get("attempt-id", ""))
                 self._write_event("cancelled", id=request.headers.get("attempt-id", ""))
-                return
+                return False
             if event_id > break_after:
                 await send(f"id: {event_id}\nda".encode())
                 if is_unframed:
                     exchange.close_connection()
                 else:
                     exchange.abort_connection()
-                return
+                return False
             data = request.headers.get("attempt-id", "").ljust(EVENT_DATA_BYTES, "x")
             if self.software_version:
                 data += f" {self.software_version}"
@@ -233,19 +253,7 @@
             exchange.close_connection()
         else:
             await exchange.end_response()
-        if "exit_delay_s" in self.faults:
-            await asyncio.sleep(float(str(self.faults["exit_delay_s"])))
-            os._exit(0)
-
-    def _event_ids(self, first_event_id: int, request: StandinRequest) -> Iterator[int]:
-        """Returns the ids of a stream's events, up to the deadline if that is asked for."""
-        deadline_s = float("inf")
-        if self.faults.get("stops_at_deadline"):
-            deadline_s = time.monotonic() + int(request.headers["deadline-ms"]) / 1000.0
-        for event_id in range(first_event_id, self.event_count + 1):
-            if time.monotonic() >= deadline_s:
-                return
-            yield event_id
+        return True
 
     def _crashes_on(self, request: StandinRequest) -> bool:
         items = request.headers.get("prompt-prefix", "").split(",")
