--- a/standins/platform_backend.py
+++ b/standins/platform_backend.py
@@ -7,11 +7,9 @@
 other_server (every request gets 421), crash_on_segment (the process ends when it begins to answer a
 prompt with that segment), limit_per_s (each answer names that limit on requests), unframed (streams
 end with their connection), unframed_bytes (so do a plain service's answers, of an unknown type),
-        deadline_s = float("inf")
-        if self.faults.get("stops_at_deadline"):
-            deadline_s = time.monotonic() + int(request.headers["deadline-ms"]) / 1000.0
+        stops_at_s = self._stops_at_s(request)
         for event_id in range(first_event_id, event_count + 1):
-            if time.monotonic() >= deadline_s:
+            if time.monotonic() >= stops_at_s:
                 break
 """
 
@@ -227,11 +225,9 @@
             send = exchange.send_stream_bytes
         if self._crashes_on(request):
             os._exit(CRASH_EXIT_STATUS)
-        deadline_s = float("inf")
-        if self.faults.get("stops_at_deadline"):
-            deadline_s = time.monotonic() + int(request.headers["deadline-ms"]) / 1000.0
+        stops_at_s = self._stops_at_s(request)
         for event_id in range(first_event_id, event_count + 1):
-            if time.monotonic() >= deadline_s:
+            if time.monotonic() >= stops_at_s:
                 break
             if exchange.is_closed():
                 self.cancelled_attempt_ids.append(request.headers.get("attempt-id", ""))
@@ -239,10 +235,7 @@
                 return False
             if event_id > break_after:
                 await send(f"id: {event_id}\nda".encode())
-                if is_unframed:
-                    exchange.close_connection()
-                else:
-                    exchange.abort_connection()
+                (exchange.close_connection if is_unframed else exchange.abort_connection)()
                 return False
             data = request.headers.get("attempt-id", "").ljust(EVENT_DATA_BYTES, "x")
             if self.software_version:
@@ -255,6 +248,12 @@
             await exchange.end_response()
         return True
 
+    def _stops_at_s(self, request: StandinRequest) -> float:
+        """Returns the monotonic time at which the run stops whatever is missing."""
+        if not self.faults.get("stops_at_deadline"):
+            return float("inf")
+        return time.monotonic() + int(request.headers["deadline-ms"]) / 1000.0
+
     def _crashes_on(self, request: StandinRequest) -> bool:
         items = request.headers.get("prompt-prefix", "").split(",")
         return self.faults.get("crash_on_segment") in [item.partition(":")[0] for item in items]
