Count each crash of an engine that starts again under its name

Cause: SegmentCrashHistory kept one crash for each engine's name, so a later crash erased the former one, and two engines never gave the three crashes that a quarantine needs. Related: a crash within 3 s of the one before was the same crash even if the engine was back in between, and the end of a server was not reported again for 10 s although it had lost attempts since.

All crashes are kept now; a new start ends the crash before it. Crashes of one engine alone need more evidence, as the engine itself may be faulty. Datagrams and records are unchanged.

Before the fix three of the five new tests and the storms names-kept-two-engines and names-kept-one-engine failed (with on_server_restarted as on_server_ended).

--- a/berylquay/decisions/segment_crash_history.py
+++ b/berylquay/decisions/segment_crash_history.py
@@ -5,7 +5,7 @@
 once enough crashes speak against it; crashes that it explains then count against no other segment.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Sequence
 from typing import Final, TypeVar
 
@@ -14,8 +14,10 @@
 # Time between the loss of an attempt and the sign that its server has ended; a server that is gone
 # without a word keeps its entry in the store for some heartbeats.
 CONFIRMATION_WINDOW_S: Final = 10.0
-# Losses of one server within this time of each other belong to one crash.
+# Losses of one server within this time of each other belong to one crash, unless the server is
+# known to have started again; reports of other hosts' losses may still arrive shortly after that.
 SAME_CRASH_WINDOW_S: Final = 3.0
+REPORT_WINDOW_S: Final = 1.0
 # Most crashes, ended servers, quarantines and answered segments that are remembered.
 MAX_CRASHES: Final = 256
 MAX_ENDED_SERVERS: Final = 1024
@@ -28,8 +30,9 @@
 class RequiredEvidence:
     """How many crashes lead to a quarantine."""
 
-    # Number of crashes.
+    # Number of crashes, and the number if all are of one server, which may itself be faulty.
     crashes: int
+    crashes_of_one_server: int
     # Fraction of all crashes since the first of them.
     crash_fraction: float
 
@@ -39,8 +42,12 @@
     """When a segment is quarantined, and for how long."""
 
     # Evidence required against a segment that was never answered, and against one that was.
-    never_answered: RequiredEvidence = RequiredEvidence(crashes=3, crash_fraction=1.0 / 3.0)
-    once_answered: RequiredEvidence = RequiredEvidence(crashes=4, crash_fraction=0.6)
+    never_answered: RequiredEvidence = RequiredEvidence(
+        crashes=3, crashes_of_one_server=5, crash_fraction=1.0 / 3.0
+    )
+    once_answered: RequiredEvidence = RequiredEvidence(
+        crashes=4, crashes_of_one_server=8, crash_fraction=0.6
+    )
     # Contents that must have been lost with the segment: a single one is suspected by itself.
     min_contents: int = 2
     # Time after which crashes and answers are forgotten.
@@ -83,9 +90,12 @@
 class _Crash:
     """Attempts that were lost on one engine."""
 
+    backend: str
     lost_s: float
     # Whether the engine has ended, rather than only the connections to it.
     is_confirmed: bool
+    # Whether the engine has started again since, under the same name.
+    has_restarted: bool = False
     suspects: dict[str, _Suspect] = field(factory=dict)
 
 
@@ -98,14 +108,17 @@
     first_crash_s: float
     crash_count: int = 0
     contents: set[str] = field(factory=set)
+    # Names of the engines.
+    backends: set[str] = field(factory=set)
 
 
 class SegmentCrashHistory:
     """Finds the segments that crash engines, from attempts lost on all hosts."""
 
     _limits: SegmentCrashLimits
-    # Crashes by engine, the oldest first.
-    _crashes: dict[str, _Crash]
+    # All crashes, the oldest first, and the last one of each engine, which may crash repeatedly.
+    _crashes: deque[_Crash]
+    _last_crashes: dict[str, _Crash]
     # Monotonic times at which servers were found to have ended.
     _ended_s: dict[str, float]
     # Monotonic times of the last complete answer to a prompt with each segment.
@@ -118,7 +131,8 @@
 
     def __init__(self, limits: SegmentCrashLimits) -> None:
         self._limits = limits
-        self._crashes = {}
+        self._crashes = deque()
+        self._last_crashes = {}
         self._ended_s = {}
         self._answered_s = OrderedDict()
         self._quarantined_until_s = {}
@@ -146,28 +160,26 @@
     def crash_count(self, segment: str) -> int:
         """Returns the number of crashes that speak against a segment."""
         return sum(
-            crash.is_confirmed and self._is_suspect(segment, crash)
-            for crash in self._crashes.values()
+            crash.is_confirmed and self._is_suspect(segment, crash) for crash in self._crashes
         )
 
     def on_attempt_lost(self, attempt: LostAttempt, now_s: float) -> None:
         """Counts a lost attempt."""
         if not attempt.segments:
             return
-        crash = self._crashes.get(attempt.backend)
-        if crash is None or now_s - crash.lost_s > SAME_CRASH_WINDOW_S:
-            ended_s = self._ended_s.get(attempt.backend, float("-inf"))
-            crash = _Crash(now_s, now_s - ended_s <= SAME_CRASH_WINDOW_S)
-            self._crashes.pop(attempt.backend, None)
-            self._crashes[attempt.backend] = crash
-            _drop_oldest(self._crashes, MAX_CRASHES)
+        crash = self._last_crashes.get(attempt.backend)
+        if crash is None or not _is_same_crash(crash, now_s):
+            crash = self._begin_crash(attempt.backend, now_s)
         for position, segment in enumerate(attempt.segments):
             suspect = crash.suspects.setdefault(segment, _Suspect(position))
             suspect.contents.add(attempt.fingerprint)
         self._has_new_evidence |= crash.is_confirmed
 
     def has_ended(self, backend: str, now_s: float) -> bool:
-        """Tells whether a server is known to have ended within the confirmation window."""
+        """Tells whether a server is known to have ended since it last lost attempts."""
+        crash = self._last_crashes.get(backend)
+        if crash is not None and not crash.is_confirmed:
+            return False
         return now_s - self._ended_s.get(backend, float("-inf")) <= CONFIRMATION_WINDOW_S
 
     def on_server_ended(self, backend: str, now_s: float) -> None:
@@ -175,11 +187,20 @@
         self._ended_s.pop(backend, None)
         self._ended_s[backend] = now_s
         _drop_oldest(self._ended_s, MAX_ENDED_SERVERS)
-        crash = self._crashes.get(backend)
+        crash = self._last_crashes.get(backend)
         if crash is not None and now_s - crash.lost_s <= CONFIRMATION_WINDOW_S:
             self._has_new_evidence |= not crash.is_confirmed
             crash.is_confirmed = True
 
+    def on_server_restarted(self, backend: str, now_s: float) -> None:
+        """Records that a server has started again under its name: attempts may be lost anew."""
+        self.on_server_ended(backend, now_s)
+        crash = self._last_crashes.get(backend)
+        if crash is not None and now_s - crash.lost_s <= CONFIRMATION_WINDOW_S:
+            crash.has_restarted = True
+            # The end of the former process confirms no loss of the present one.
+            del self._ended_s[backend]
+
     def on_answered(self, segments: Sequence[str], now_s: float) -> tuple[str, ...]:
         """Clears the segments of a complete answer; returns those that were under suspicion."""
         cleared = tuple(segment for segment in segments if self._is_under_suspicion(segment, now_s))
@@ -217,8 +238,8 @@
     def expire(self, now_s: float) -> list[str]:
         """Forgets what is over; returns the segments whose quarantine has ended."""
         oldest_s = now_s - self._limits.retention_s
-        for backend in [name for name, crash in self._crashes.items() if crash.lost_s < oldest_s]:
-            del self._crashes[backend]
+        while self._crashes and self._crashes[0].lost_s < oldest_s:
+            self._forget_oldest_crash()
         while self._answered_s and next(iter(self._answered_s.values())) < oldest_s:
             self._answered_s.popitem(last=False)
         _drop_ended(self._renewable_until_s, now_s)
@@ -249,7 +270,7 @@
         evidence.sort(key=self._rank, reverse=True)
         worst = evidence[0]
         rivals = [each for each in evidence[1:] if self._rank(each)[:2] == self._rank(worst)[:2]]
-        if rivals and worst.crash_count <= self._required_evidence(worst.segment).crashes:
+        if rivals and worst.crash_count <= self._required_crashes(worst):
             # The next crash tells which of them it is.
             return None
         return self.start_quarantine(worst.segment, now_s)
@@ -263,9 +284,8 @@
         """Tells whether a segment may be quarantined on what speaks against it."""
         if evidence.segment in self._renewable_until_s:
             return True
-        required = self._required_evidence(evidence.segment)
         if (
-            evidence.crash_count < required.crashes
+            evidence.crash_count < self._required_crashes(evidence)
             or len(evidence.contents) < self._limits.min_contents
         ):
             return False
@@ -273,17 +293,22 @@
             crash.is_confirmed
             and crash.lost_s >= evidence.first_crash_s
             and not self._is_explained(crash)
-            for crash in self._crashes.values()
+            for crash in self._crashes
         )
+        required = self._required_evidence(evidence.segment)
         return evidence.crash_count >= crashes_since * required.crash_fraction
 
+    def _required_crashes(self, evidence: _Evidence) -> int:
+        required = self._required_evidence(evidence.segment)
+        return required.crashes if len(evidence.backends) > 1 else required.crashes_of_one_server
+
     def _required_evidence(self, segment: str) -> RequiredEvidence:
         is_answered = segment in self._answered_s
         return self._limits.once_answered if is_answered else self._limits.never_answered
 
     def _collect_evidence(self) -> dict[str, _Evidence]:
         evidence: dict[str, _Evidence] = {}
-        for crash in self._crashes.values():
+        for crash in self._crashes:
             if not crash.is_confirmed:
                 continue
             for segment, suspect in crash.suspects.items():
@@ -293,8 +318,23 @@
                     )
                     against.crash_count += 1
                     against.contents |= suspect.contents
+                    against.backends.add(crash.backend)
         return evidence
 
+    def _begin_crash(self, backend: str, now_s: float) -> _Crash:
+        ended_s = self._ended_s.get(backend, float("-inf"))
+        crash = _Crash(backend, now_s, now_s - ended_s <= SAME_CRASH_WINDOW_S)
+        self._crashes.append(crash)
+        self._last_crashes[backend] = crash
+        if len(self._crashes) > MAX_CRASHES:
+            self._forget_oldest_crash()
+        return crash
+
+    def _forget_oldest_crash(self) -> None:
+        crash = self._crashes.popleft()
+        if self._last_crashes[crash.backend] is crash:
+            del self._last_crashes[crash.backend]
+
     def _is_suspect(self, segment: str, crash: _Crash) -> bool:
         """Tells whether a crash speaks against a segment."""
         return (
@@ -308,7 +348,7 @@
 
     def _is_under_suspicion(self, segment: str, now_s: float) -> bool:
         return self.is_quarantined(segment, now_s) or any(
-            self._is_suspect(segment, crash) for crash in self._crashes.values()
+            self._is_suspect(segment, crash) for crash in self._crashes
         )
 
     def _quarantine(self, segment: str, until_s: float) -> None:
@@ -317,6 +357,12 @@
         _drop_oldest(self._quarantined_until_s, MAX_QUARANTINES)
 
 
+def _is_same_crash(crash: _Crash, now_s: float) -> bool:
+    """Tells whether an attempt that is lost on the engine now belongs to its last crash."""
+    window_s = REPORT_WINDOW_S if crash.has_restarted else SAME_CRASH_WINDOW_S
+    return now_s - crash.lost_s <= window_s
+
+
 def _drop_oldest(entries: dict[str, _Value], max_count: int) -> None:
     while len(entries) > max_count:
         del entries[next(iter(entries))]
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -553,7 +553,9 @@
             services.health.forget(change.name)
             services.estimates.forget_engine(change.name)
             services.prefix_cache_index.forget_engine(change.name)
-            services.segment_crashes.on_server_ended(change.name, time.monotonic())
+            services.segment_crashes.on_entry_ended(
+                change.name, restarted=change.restarted, now_s=time.monotonic()
+            )
         services.health.on_entry_changed(change.name)
         if change.before is not None:
             services.pool_versions.on_entry_replaced(change.before, time.monotonic())
--- a/berylquay/relay/segment_crash_handler.py
+++ b/berylquay/relay/segment_crash_handler.py
@@ -104,6 +104,13 @@
         """Records that a server has ended."""
         self._history.on_server_ended(backend, now_s)
 
+    def on_entry_ended(self, backend: str, *, restarted: bool, now_s: float) -> None:
+        """Records that the entry of a server is gone, or is of a new start under the same name."""
+        if restarted:
+            self._history.on_server_restarted(backend, now_s)
+        else:
+            self._history.on_server_ended(backend, now_s)
+
     def on_answered(self, call: RelayCall, now_s: float) -> None:
         """Records a complete answer, which clears the segments of the prompt."""
         self._remove_stored(call.shared_segment_ids, now_s)
--- a/tests/relay/test_segment_crash_history.py
+++ b/tests/relay/test_segment_crash_history.py
@@ -136,6 +136,65 @@
     assert found == Quarantine("poison", LIMITS.quarantine_s)
 
 
+def crash_again(
+    history: SegmentCrashHistory, backend: str, number: int, lost_s: float
+) -> Quarantine | None:
+    """Loses a prompt with the poison on an engine that then starts again under its name."""
+    attempt = LostAttempt(backend, f"content-{number}", ("first", "poison"))
+    history.on_attempt_lost(attempt, lost_s)
+    history.on_server_restarted(backend, lost_s + 2.6)
+    return history.judge(lost_s + 2.6)
+
+
+# Guards against crashes of an engine that are forgotten when it starts again under its name and
+# crashes once more (case 2 of the review).
+def test_each_crash_of_an_engine_that_keeps_its_name_counts() -> None:
+    history = make_history()
+    history.on_answered(("first",), 0.0)
+    found = [crash_again(history, f"engine-{n % 2}", n, 2.5 * n) for n in (1, 2, 3)]
+    assert found == [None, None, Quarantine("poison", LIMITS.quarantine_s)]
+
+
+# Guards against crashes of the only engine, each less than the window of one crash after the one
+# before, that count as one.
+def test_an_engine_that_crashes_as_soon_as_it_is_back_has_crashed_again() -> None:
+    history = make_history()
+    history.on_answered(("first",), 0.0)
+    found = [crash_again(history, "engine", n, 2.8 * n) for n in range(1, 6)]
+    assert found == [None] * 4 + [Quarantine("poison", LIMITS.quarantine_s)]
+
+
+# Guards against a loss that a host reports after its engine was seen to be back, taken for one
+# crash more.
+def test_a_late_report_of_a_crash_counts_once() -> None:
+    history = make_history()
+    history.on_attempt_lost(LostAttempt("engine", "content-1", ("first", "poison")), 1.0)
+    history.on_server_restarted("engine", 1.4)
+    history.on_attempt_lost(LostAttempt("engine", "content-2", ("first", "poison")), 1.6)
+    history.on_server_ended("engine", 2.0)
+    assert history.crash_count("poison") == 1
+
+
+# Guards against blame for the prompts of one faulty engine, which crashes whatever it runs.
+def test_few_crashes_of_one_engine_alone_quarantine_nothing() -> None:
+    history = make_history()
+    found = [crash_again(history, "faulty", n, 4.0 * n) for n in (1, 2, 3, 4)]
+    assert found == [None] * 4
+    history.on_answered(("first", "poison"), 20.0)
+    assert crash_again(history, "faulty", 6, 24.0) is None
+
+
+# Guards against the first refused connection after a second crash that is not told to other hosts,
+# since the server was found to have ended at its first crash.
+def test_the_end_of_a_server_is_new_after_another_loss() -> None:
+    history = make_history()
+    history.on_attempt_lost(LostAttempt("engine", "content-1", ("poison",)), 1.0)
+    history.on_server_ended("engine", 1.2)
+    assert history.has_ended("engine", 2.0)
+    history.on_attempt_lost(LostAttempt("engine", "content-2", ("poison",)), 6.0)
+    assert not history.has_ended("engine", 6.1)
+
+
 # Guards against engines that go on crashing by a known segment, and against refusals of others.
 @pytest.mark.parametrize(
     "options",
@@ -146,8 +205,23 @@
         StormOptions(other_crashes_per_s=0.3),
         StormOptions(hosts=3, engines=5, requests_per_s=40.0),
         StormOptions(poisons=("poison", "second-poison"), poison_requests_per_s=1.0),
+        StormOptions(keeps_names=True),
+        StormOptions(keeps_names=True, poison_requests_per_s=6.0),
+        StormOptions(keeps_names=True, engines=2, requests_per_s=20.0, restart_s=2.5),
+        StormOptions(keeps_names=True, engines=1, requests_per_s=10.0, restart_s=2.5),
+    ],
+    ids=[
+        "usual",
+        "many",
+        "few",
+        "with-other-crashes",
+        "small",
+        "two-at-once",
+        "names-kept",
+        "names-kept-many",
+        "names-kept-two-engines",
+        "names-kept-one-engine",
     ],
-    ids=["usual", "many", "few", "with-other-crashes", "small", "two-at-once"],
 )
 def test_a_storm_of_crashes_ends_in_time(options: StormOptions) -> None:
     for seed in range(30):
--- a/tests/support/crash_storm.py
+++ b/tests/support/crash_storm.py
@@ -36,6 +36,8 @@
     subjects: int = 80
     answer_s: float = 0.6
     restart_s: float = 3.0
+    # Whether engines start again under their names.
+    keeps_names: bool = False
     # Time after a crash in which a connection to the engine is refused or its entry removed.
     confirmation_s: float = 1.5
     # Crashes a second for other reasons.
@@ -163,7 +165,7 @@
 
     def _crash(self, engine: int, now_s: float) -> None:
         running, self._engines[engine] = self._engines[engine], None
-        name = f"engine-{engine}-{self._starts[engine]}"
+        name = self._name(engine)
         for request in (running or {}).values():
             attempt = LostAttempt(name, f"content-{request.number}", request.segments)
             for host in range(self.options.hosts):
@@ -171,13 +173,25 @@
                     delay_s = 0.0 if host == request.host else self.rng.uniform(0.02, 0.1)
                     self._at(now_s + delay_s, partial(self._lose, host, attempt))
         for host in range(self.options.hosts):
-            confirmed_s = now_s + self.rng.uniform(0.1, 2.0) * self.options.confirmation_s
-            self._at(confirmed_s, partial(self._confirm, host, name))
+            delay_s = self.rng.uniform(0.1, 2.0) * self.options.confirmation_s
+            if not self.options.keeps_names or delay_s < self.options.restart_s:
+                self._at(now_s + delay_s, partial(self._confirm, host, name))
         self._at(now_s + self.options.restart_s, partial(self._restart, engine))
 
-    def _restart(self, engine: int, _now_s: float) -> None:
+    def _name(self, engine: int) -> str:
+        return f"engine-{engine}" + ("" if self.options.keeps_names else f"-{self._starts[engine]}")
+
+    def _restart(self, engine: int, now_s: float) -> None:
         self._starts[engine] += 1
         self._engines[engine] = {}
+        if self.options.keeps_names:
+            for host in range(self.options.hosts):
+                seen_s = now_s + self.rng.uniform(0.02, 0.9)
+                self._at(seen_s, partial(self._see_restart, host, self._name(engine)))
+
+    def _see_restart(self, host: int, name: str, now_s: float) -> None:
+        self.histories[host].on_server_restarted(name, now_s)
+        self._apply(host, self.histories[host].judge(now_s), now_s)
 
     def _lose(self, host: int, attempt: LostAttempt, now_s: float) -> None:
         self.histories[host].on_attempt_lost(attempt, now_s)
