Keep a cleared segment cleared when its answer is forgotten

Callers with a harmless, rare segment could be refused for crashes from before a complete answer to it: the answer is remembered among the last 8,192 answered segments, and once it was pushed out, the older crashes counted again.

An answer now removes the segment from the crashes themselves.

test_a_cleared_segment_stays_cleared failed before (2 crashes counted instead of none) and passes; so do all tests of its file.

--- a/berylquay/decisions/segment_crash_history.py
+++ b/berylquay/decisions/segment_crash_history.py
@@ -209,6 +209,8 @@
             self._answered_s.move_to_end(segment)
             self._renewable_until_s.pop(segment, None)
             self._quarantined_until_s.pop(segment, None)
+            for crash in self._crashes:
+                crash.suspects.pop(segment, None)
         while len(self._answered_s) > MAX_ANSWERED_SEGMENTS:
             self._answered_s.popitem(last=False)
         return cleared
--- a/tests/relay/test_segment_crash_history.py
+++ b/tests/relay/test_segment_crash_history.py
@@ -6,6 +6,7 @@
 
 from berylquay.decisions.segment_crash_history import (
     CONFIRMATION_WINDOW_S,
+    MAX_ANSWERED_SEGMENTS,
     LostAttempt,
     Quarantine,
     SegmentCrashHistory,
@@ -195,6 +196,18 @@
     assert not history.has_ended("engine", 6.1)
 
 
+# Guards against crashes that count again once many answers to other prompts have come.
+def test_a_cleared_segment_stays_cleared() -> None:
+    history = make_history()
+    for number in (1, 2):
+        assert crash(history, number, ("first", "subject")) is None
+    history.on_answered(("first", "subject"), 2.7)
+    for number in range(MAX_ANSWERED_SEGMENTS):
+        history.on_answered((f"other-{number}",), 2.8)
+    assert history.crash_count("subject") == 0
+    assert crash(history, 3, ("first", "subject")) is None
+
+
 # Guards against engines that go on crashing by a known segment, and against refusals of others.
 @pytest.mark.parametrize(
     "options",
