Refuse contents that crash servers for long, on the evidence of ended servers

Cause: lost connections count against a content whether or not the server has ended, and are forgotten after 20 s, the quarantine with them. Remembering them for longer would refuse sound contents that a host with lost paths has lost, on all hosts.

Contents are now judged like prompt segments, by a second history in which only the entry of a server that is gone or of another start confirms a crash. Their quarantine lasts ten minutes, is told to all hosts, kept in the store, and ended everywhere by an answer. Datagrams and records are as before: a content is a segment `content:HASH`, which no prompt can have. What nothing confirms refuses for 20 s as before.

--- a/berylquay/decisions/segment_crash_history.py
+++ b/berylquay/decisions/segment_crash_history.py
@@ -18,8 +18,9 @@
 # known to have started again; reports of other hosts' losses may still arrive shortly after that.
 SAME_CRASH_WINDOW_S: Final = 3.0
 REPORT_WINDOW_S: Final = 1.0
-# Most crashes, ended servers, quarantines and answered segments that are remembered.
+# Most crashes, suspects, ended servers, quarantines and answered segments that are remembered.
 MAX_CRASHES: Final = 256
+MAX_SUSPECTS_PER_CRASH: Final = 1024
 MAX_ENDED_SERVERS: Final = 1024
 MAX_QUARANTINES: Final = 256
 MAX_ANSWERED_SEGMENTS: Final = 8192
@@ -50,6 +51,9 @@
     )
     # Contents that must have been lost with the segment: a single one is suspected by itself.
     min_contents: int = 2
+    # Least time between the first and the last crash. Engines that end together have a cause of
+    # their own, such as a power loss.
+    min_span_s: float = 0.0
     # Time after which crashes and answers are forgotten.
     retention_s: float = 600.0
     # Duration of a quarantine. For as long after it, one more crash renews it.
@@ -106,6 +110,7 @@
     segment: str
     position: int
     first_crash_s: float
+    last_crash_s: float
     crash_count: int = 0
     contents: set[str] = field(factory=set)
     # Names of the engines.
@@ -171,6 +176,8 @@
         if crash is None or not _is_same_crash(crash, now_s):
             crash = self._begin_crash(attempt.backend, now_s)
         for position, segment in enumerate(attempt.segments):
+            if segment not in crash.suspects and len(crash.suspects) >= MAX_SUSPECTS_PER_CRASH:
+                continue
             suspect = crash.suspects.setdefault(segment, _Suspect(position))
             suspect.contents.add(attempt.fingerprint)
         self._has_new_evidence |= crash.is_confirmed
@@ -201,9 +208,15 @@
             # The end of the former process confirms no loss of the present one.
             del self._ended_s[backend]
 
+    def is_under_suspicion(self, segment: str, now_s: float) -> bool:
+        """Tells whether a crash speaks against a segment, or it is quarantined."""
+        return self.is_quarantined(segment, now_s) or any(
+            self._is_suspect(segment, crash) for crash in self._crashes
+        )
+
     def on_answered(self, segments: Sequence[str], now_s: float) -> tuple[str, ...]:
         """Clears the segments of a complete answer; returns those that were under suspicion."""
-        cleared = tuple(segment for segment in segments if self._is_under_suspicion(segment, now_s))
+        cleared = tuple(segment for segment in segments if self.is_under_suspicion(segment, now_s))
         for segment in segments:
             self._answered_s[segment] = now_s
             self._answered_s.move_to_end(segment)
@@ -289,6 +302,7 @@
         if (
             evidence.crash_count < self._required_crashes(evidence)
             or len(evidence.contents) < self._limits.min_contents
+            or evidence.last_crash_s - evidence.first_crash_s < self._limits.min_span_s
         ):
             return False
         crashes_since = sum(
@@ -316,8 +330,9 @@
             for segment, suspect in crash.suspects.items():
                 if self._is_suspect(segment, crash):
                     against = evidence.setdefault(
-                        segment, _Evidence(segment, suspect.position, crash.lost_s)
+                        segment, _Evidence(segment, suspect.position, crash.lost_s, crash.lost_s)
                     )
+                    against.last_crash_s = crash.lost_s
                     against.crash_count += 1
                     against.contents |= suspect.contents
                     against.backends.add(crash.backend)
@@ -348,11 +363,6 @@
     def _is_explained(self, crash: _Crash) -> bool:
         return any(segment in self._quarantined_until_s for segment in crash.suspects)
 
-    def _is_under_suspicion(self, segment: str, now_s: float) -> bool:
-        return self.is_quarantined(segment, now_s) or any(
-            self._is_suspect(segment, crash) for crash in self._crashes
-        )
-
     def _quarantine(self, segment: str, until_s: float) -> None:
         self._renewable_until_s.pop(segment, None)
         self._quarantined_until_s[segment] = until_s
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -100,8 +100,8 @@
 BACKENDS_INTERVAL_FRACTION: Final = 0.2
 # File descriptors reserved for files and for connections to backend servers.
 RESERVED_SOCKETS: Final = 700
-# Time for which request contents in flight when a server was lost are remembered: long enough for
-# several attempts of a caller.
+# Time for which request contents in flight when an attempt was lost are remembered, whether or not
+# its server has ended: long enough for several attempts of a caller.
 CRASH_RETENTION_S: Final = 20.0
 # Age of what this host knows of work that another one has placed: the interval between reports, and
 # the time until they are read, at a tick or before a placement.
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -51,6 +51,7 @@
 from berylquay.relay.refusals import send_refusal
 from berylquay.relay.response_relay import FIRST_SERVER_ERROR, ResponseRelay
 from berylquay.relay.segment_announcements import SegmentAnnouncements
+from berylquay.relay.segment_crash_handler import is_content
 from berylquay.relay.server_end_check import ServerEndCheck
 from berylquay.relay.services import RelayServices
 from berylquay.relay.stream_lookup import LookupState, StreamLookup
@@ -352,16 +353,20 @@
     def _refuse_if_quarantined(self, now_s: float) -> bool:
         """Refuses the call if its content or a segment is quarantined; tells whether it did."""
         call, crash_history = self.call, self._services.crash_history
-        if crash_history.suspicion_of(call.fingerprint) is Suspicion.QUARANTINED:
+        quarantine = self._services.segment_crashes.find_quarantined(call, now_s)
+        if quarantine is not None and not is_content(quarantine.segment):
+            detail = f"prompts with segment {quarantine.segment} crash engines"
+            remaining_s = quarantine.remaining_s
+        elif quarantine or crash_history.suspicion_of(call.fingerprint) is Suspicion.QUARANTINED:
             detail = "requests with this content crash servers"
             log_quarantined_content(call, len(crash_history.crashes_of(call.fingerprint)))
-            remaining_s = crash_history.quarantine_remaining_s(call.fingerprint, now_s)
+            remaining_s = (
+                quarantine.remaining_s
+                if quarantine
+                else crash_history.quarantine_remaining_s(call.fingerprint, now_s)
+            )
         else:
-            quarantine = self._services.segment_crashes.find_quarantined(call, now_s)
-            if quarantine is None:
-                return False
-            detail = f"prompts with segment {quarantine.segment} crash engines"
-            remaining_s = quarantine.remaining_s
+            return False
         self._refuse(RefusalReason.QUARANTINED, detail, now_s, remaining_s)
         return True
 
@@ -716,6 +721,7 @@
         if not failed:
             self._services.health.on_answered(upstream.backend.name, now_s)
             self._services.crash_history.clear(self.call.fingerprint)
+            self._services.segment_crashes.on_content_answered(self.call, now_s)
         if head.status < FIRST_REDIRECTION:
             self._services.segment_crashes.on_answered(self.call, now_s)
         self._response.send_rest(body_end.unwrap())
--- a/tests/relay/test_crash_reports.py
+++ b/tests/relay/test_crash_reports.py
@@ -165,6 +165,119 @@
     assert other.crash_history.suspicion_of("same content") is Suspicion.QUARANTINED
 
 
+def lose_content(host: Host, number: int, backend: str, now_s: float) -> None:
+    """Loses one more attempt of the same plain request."""
+    call = RelayCall(f"id-{number}", ROUTE, POOL, 0.0, 100.0, False, "same content")
+    host.handler.on_attempt_failed(
+        call, backend, AttemptOutcome.CONNECTION_LOST, "reset", wrote_s=None, now_s=now_s
+    )
+    host.handler.on_tick(now_s)
+
+
+SAME_CALL = RelayCall("id-9", ROUTE, POOL, 0.0, 100.0, False, "same content")
+
+
+def pass_on(sender: Host, receiver: Host, now_s: float) -> None:
+    for data in sender.sent:
+        receiver.handler.on_datagram(data, ArrivalBounds(now_s, now_s))
+    sender.sent.clear()
+
+
+# Guards against a request that crashes servers and is let through again as soon as its caller has
+# waited for the time after which losses are forgotten (case 4 of the review).
+@pytest.mark.parametrize("restarted", [False, True])
+def test_a_content_that_crashes_servers_is_refused_for_long(restarted: bool) -> None:
+    host, other = Host(), Host()
+    for number in (1, 2, 3):
+        now_s = 25.0 * number
+        lose_content(host, number, f"app-{number % 2}", now_s)
+        host.handler.on_entry_ended(f"app-{number % 2}", restarted=restarted, now_s=now_s + 4.0)
+        host.handler.on_tick(now_s + 4.0)
+    assert host.saved == [("content:same content", True)]
+    pass_on(host, other, 80.0)
+    newcomer = Host()
+    newcomer.handler.on_stored_quarantines([segment for segment, _ in host.saved], 80.0)
+    for each in (host, other, newcomer):
+        found = each.handler.find_quarantined(SAME_CALL, 600.0)
+        assert found is not None
+        assert found.remaining_s > 0.0
+        assert each.handler.quarantined_segments(600.0) == ["content:same content"]
+        assert each.handler.find_quarantined(make_call(1), 600.0) is None
+
+
+# Guards against sound contents that are refused for long by a host that lost its own paths: its
+# attempts are lost and its connections refused, but no server's entry ends.
+def test_a_content_lost_to_servers_that_live_on_is_not_refused_for_long() -> None:
+    host, other = Host(), Host()
+    for number in range(1, 9):
+        lose_content(host, number, f"app-{number}", float(number))
+        host.handler.on_attempt_failed(
+            SAME_CALL,
+            f"app-{number}",
+            AttemptOutcome.NOT_SENT,
+            CONNECTION_REFUSED,
+            wrote_s=None,
+            now_s=number + 0.2,
+        )
+        host.handler.on_tick(number + 0.3)
+        pass_on(host, other, number + 0.4)
+        other.handler.on_tick(number + 0.4)
+    assert host.handler.find_quarantined(SAME_CALL, 9.0) is None
+    assert other.handler.find_quarantined(SAME_CALL, 9.0) is None
+
+
+# Guards against a sound content that is refused for long after all servers have ended at once.
+def test_a_content_in_flight_in_a_power_loss_is_not_refused_for_long() -> None:
+    host = Host()
+    for number in range(1, 9):
+        lose_content(host, number, f"app-{number}", 1.0 + 0.05 * number)
+    for number in range(1, 9):
+        host.handler.on_entry_ended(f"app-{number}", restarted=False, now_s=5.0)
+    host.handler.on_tick(5.0)
+    assert host.handler.find_quarantined(SAME_CALL, 5.0) is None
+
+
+# Guards against a sound content that hosts suspect although another host has answered it.
+def test_an_answer_clears_a_content_on_all_hosts() -> None:
+    host, other = Host(), Host()
+    for number in (1, 2, 3, 4):
+        now_s = 5.0 * number
+        lose_content(host, number, f"app-{number}", now_s)
+        pass_on(host, other, now_s)
+        for each in (host, other):
+            each.crash_history.on_crash(f"app-{number}", frozenset({"same content"}), now_s)
+            each.handler.on_entry_ended(f"app-{number}", restarted=False, now_s=now_s + 1.0)
+            each.handler.on_tick(now_s + 1.0)
+        assert host.handler.find_quarantined(SAME_CALL, now_s + 1.0) is None
+        other.handler.on_content_answered(SAME_CALL, now_s + 2.0)
+        other.handler.on_tick(now_s + 2.0)
+        pass_on(other, host, now_s + 2.0)
+        assert host.crash_history.suspicion_of("same content") is Suspicion.NONE
+
+
+# Guards against a quarantine that refuses a content which a server has answered after all.
+def test_an_answer_ends_the_quarantine_of_a_content() -> None:
+    host, other = Host(), Host()
+    for each in (host, other):
+        each.handler.on_stored_quarantines(["content:same content"], 1.0)
+    other.handler.on_content_answered(SAME_CALL, 2.0)
+    other.handler.on_tick(2.0)
+    pass_on(other, host, 2.0)
+    for each in (host, other):
+        assert each.handler.find_quarantined(SAME_CALL, 3.0) is None
+        assert ("content:same content", False) in each.saved
+
+
+# Guards against requests of one faulty server that are refused for long at all of them.
+def test_few_crashes_of_one_server_alone_refuse_no_content_for_long() -> None:
+    host = Host()
+    for number in (1, 2, 3, 4):
+        lose_content(host, number, "app", 6.0 * number)
+        host.handler.on_entry_ended("app", restarted=True, now_s=6.0 * number + 3.0)
+        host.handler.on_tick(6.0 * number + 3.0)
+    assert host.handler.find_quarantined(SAME_CALL, 28.0) is None
+
+
 # Guards against blame for an answer that had been arriving for long when its engine ended.
 def test_an_answer_that_had_been_arriving_is_no_suspect() -> None:
     host = Host()
--- a/tests/relay/test_crashing_segments.py
+++ b/tests/relay/test_crashing_segments.py
@@ -3,6 +3,8 @@
 import time
 from itertools import count
 
+from berylquay.relay.host import CRASH_RETENTION_S
+from berylquay.relay.segment_crash_handler import CONTENT_LIMITS
 from tests.support.relay_fleet import PATHS, RelayFleet, make_configuration, wait_until
 
 POISON = "dead"
@@ -11,6 +13,8 @@
 CRASHES_TO_QUARANTINE = 3
 # Requests that may still reach engines while the hosts learn of the last crash from each other.
 REQUESTS_ON_THE_WAY = 3
+# Crashes of a content that lie closer together may have a cause of their own.
+MIN_SPAN_S = CONTENT_LIMITS.min_span_s
 
 
 class Callers:
@@ -127,3 +131,34 @@
     assert statuses == [502, 502]
     # Two attempts of the first request, and one of the second.
     assert len(fleet.runs(*names)) == CRASHES_TO_QUARANTINE
+
+
+# Guards against a request that crashes servers and reaches them again once the time is over after
+# which losses are forgotten (case 4 of the review).
+def test_a_content_that_crashes_servers_is_refused_by_all_hosts_for_long(fleet: RelayFleet) -> None:
+    fleet.put_configuration(make_configuration())
+    names = [f"app-{number}" for number in range(6)]
+    for name in names:
+        fleet.add_backend(name, "app")
+        fleet.backends[name].post("/faults", {"lose_answer": True})
+    hosts = (fleet.add_host("host-0"), fleet.add_host("host-1"))
+    for number in (1, 2):
+        assert fleet.send_request(PATHS["many"], f"id-{number}", b"the same").status == 502
+        for name in names:
+            if fleet.runs(name):
+                fleet.put("keyed.servers", name, None)
+        time.sleep(MIN_SPAN_S)
+    wait_until(lambda: all(is_refused_for_long(fleet, host) for host in range(len(hosts))), 5.0)
+    assert len(fleet.runs(*names)) <= CRASHES_TO_QUARANTINE + REQUESTS_ON_THE_WAY
+    for name in names:
+        fleet.backends[name].post("/faults", {})
+    statuses = [
+        fleet.send_request(PATHS["many"], f"id-other-{host}", b"another", host=host).status
+        for host in range(len(hosts))
+    ]
+    assert statuses == [200, 200]
+
+
+def is_refused_for_long(fleet: RelayFleet, host: int) -> bool:
+    response = fleet.send_request(PATHS["many"], f"id-again-{host}", b"the same", host=host)
+    return response.status == 503 and float(response.headers["retry-after"]) > CRASH_RETENTION_S
