--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -100,8 +100,8 @@
 BACKENDS_INTERVAL_FRACTION: Final = 0.2
 # File descriptors reserved for files and for connections to backend servers.
 RESERVED_SOCKETS: Final = 700
-# Time for which request contents in flight when a server was lost are remembered: long enough for
-# several attempts of a caller.
+# Time for which request contents in flight when an attempt was lost are remembered, whether or not
+# its server has ended: long enough for several attempts of a caller.
 CRASH_RETENTION_S: Final = 20.0
 # Age of what this host knows of work that another one has placed: the interval between reports, and
 # the time until they are read, at a tick or before a placement.
@@ -553,7 +553,9 @@
             services.health.forget(change.name)
             services.estimates.forget_engine(change.name)
             services.prefix_cache_index.forget_engine(change.name)
-            services.segment_crashes.on_server_ended(change.name, time.monotonic())
+            services.segment_crashes.on_entry_ended(
+                change.name, restarted=change.restarted, now_s=time.monotonic()
+            )
         services.health.on_entry_changed(change.name)
         if change.before is not None:
             services.pool_versions.on_entry_replaced(change.before, time.monotonic())
