--- a/tests/relay/test_segment_crash_history.py
+++ b/tests/relay/test_segment_crash_history.py
@@ -196,6 +196,21 @@
     assert not history.has_ended("engine", 6.1)
 
 
+# Guards against refusals of a whole route after all its engines have ended at once, as in a power
+# loss: whatever was in flight everywhere is no cause.
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_engines_that_end_at_the_same_moment_quarantine_nothing(is_answered: bool) -> None:
+    history = make_history()
+    if is_answered:
+        history.on_answered(("first", "subject"), 0.0)
+    for engine in range(9):
+        attempt = LostAttempt(f"engine-{engine}", f"content-{engine}", ("first", "subject"))
+        history.on_attempt_lost(attempt, 1.0 + 0.02 * engine)
+        history.on_server_ended(f"engine-{engine}", 4.0 + 0.02 * engine)
+    assert history.judge(5.0) is None
+    assert history.quarantines(5.0) == []
+
+
 # Guards against crashes that count again once many answers to other prompts have come.
 def test_a_cleared_segment_stays_cleared() -> None:
     history = make_history()
