Join a run to a stream only if it goes on after the newest event

Callers got pieces twice, or of two runs, where another run continued their stream: an engine that ignores Last-Event-Id and begins at 1, or repeats the newest event, was passed on; and after an event without a number for its id (none, empty, no number, one that does not rise) the run went on after the event before it, so that this one came again. An id of 5000 digits raised ValueError and lost the answer.

The event tracker now knows whether the newest event that the caller has is that of the highest id: only then another run may go on. The first event of a run that goes on must have a higher id, else nothing of the run is passed on and its attempt fails. The same holds for a stream that a caller takes up on a route that may be resumed.

--- a/berylquay/relay/response_relay.py
+++ b/berylquay/relay/response_relay.py
@@ -56,7 +56,8 @@
         self._method = method
         self._is_streaming_route = is_streaming_route
         self._is_resumable = is_resumable
-        self._event_tracker = EventTracker(last_event_id)
+        # On other routes each run begins a stream, whatever the caller says that it has.
+        self._event_tracker = EventTracker(last_event_id if is_resumable else None)
         self._head = None
         self._started_status = 0
         self._body = OpaqueBody()
@@ -92,7 +93,8 @@
     def can_resume(self) -> bool:
         """Returns whether another attempt may continue the event stream that has begun."""
         tracker = self._event_tracker
-        return self._is_resumable and tracker.newest_id is not None and tracker.holds_whole_events
+        is_position_known = tracker.newest_id is not None and tracker.is_position_known
+        return self._is_resumable and is_position_known and tracker.holds_whole_events
 
     def begin(self, head: RawResponseHead) -> bool:
         """Decides whether the response is buffered or relayed as it arrives.
@@ -100,6 +102,7 @@
         Returns False if it does not continue the event stream that the caller has begun to receive.
         """
         self._head = head
+        self._event_tracker.begin_run()
         self._body = select_response_body(
             self._method, head, self._event_tracker, is_streaming_route=self._is_streaming_route
         )
--- a/tests/relay/conftest.py
+++ b/tests/relay/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.support.relay_fleet import RelayFleet, make_configuration, start_relay_fleet
+from tests.support.stream_engine import RunFleet, start_run_fleet
 
 
 @pytest.fixture
@@ -33,3 +34,10 @@
         fleet.add_backend(name, "lm", "decode")
     fleet.add_host()
     return fleet
+
+
+@pytest.fixture
+def run_fleet(fleet: RelayFleet) -> Iterator[RunFleet]:
+    """Returns a fleet with engines whose runs a test gives one by one, and one host."""
+    with start_run_fleet(fleet) as started:
+        yield started
