Read a caller's event id of up to 39 digits

A Last-Event-Id of 19 digits or more counted as absent: the request was forwarded with it, but the version at which its stream began was not looked up, so that it could go on at another one. Counts stay at 18 digits. The test's cases of 19 and 39 digits failed before.

--- a/berylquay/platform/request_codec.py
+++ b/berylquay/platform/request_codec.py
@@ -14,7 +14,7 @@
 from berylquay.decisions.tenants.keys import KeyFault
 from berylquay.net.persistent_http import Headers, RawRequest, RawResponseHead
 from berylquay.platform import wire_names
-from berylquay.whole_numbers import parse_whole_number
+from berylquay.whole_numbers import MAX_EVENT_ID_DIGITS, parse_whole_number
 
 MS_PER_S: Final = 1000.0
 STATUS_MISDIRECTED: Final = 421
@@ -91,7 +91,7 @@
         call_id=values.get(wire_names.ATTEMPT_ID, b"").decode("latin-1"),
         deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
         generation=_decode_generation(values),
-        last_event_id=parse_whole_number(values.get(wire_names.LAST_EVENT_ID)),
+        last_event_id=parse_whole_number(values.get(wire_names.LAST_EVENT_ID), MAX_EVENT_ID_DIGITS),
         resumed_call_id=values.get(wire_names.RESUMES, b"").decode("latin-1"),
     )
 
--- a/tests/relay/test_platform_decoding.py
+++ b/tests/relay/test_platform_decoding.py
@@ -137,6 +137,14 @@
     assert decode_request_metadata([(b"last-event-id", b"x")]).resumed_call_id == ""
 
 
+# Guards against a stream that goes on at another software version because its long event id counts
+# as absent, so that the version at which it began is not looked up.
+@pytest.mark.parametrize(("digits", "is_read"), [(19, True), (39, True), (40, False)])
+def test_an_event_id_may_be_longer_than_a_count(digits: int, is_read: bool) -> None:
+    metadata = decode_request_metadata([(b"last-event-id", b"9" * digits)])
+    assert metadata.last_event_id == (10**digits - 1 if is_read else None)
+
+
 @pytest.mark.parametrize("counts", [b"many,4", b"", b"-3,4"])
 def test_malformed_token_counts_give_no_generation_request(counts: bytes) -> None:
     assert decode_request_metadata([(b"token-counts", counts)]).generation is None
