--- a/berylquay/relay/instance_probes.py
+++ b/berylquay/relay/instance_probes.py
@@ -72,7 +72,8 @@
     # Time for which its answer has been awaited, and after which it is given up.
     waiting_time: WaitingTime = field(factory=lambda: WaitingTime(0.0))
     answer_timeout_s: float = REPORT_TIMEOUT_S
-    # Whether an answer has named neither the server nor its start.
+    # Whether a report has stated neither the server's name nor its start, so that a health check
+    # is sent instead.
     states_no_start: bool = False
     # Whether the question was asked that a server may get while it wants no requests.
     has_asked_in_pause: bool = False
@@ -148,10 +149,10 @@
         if is_paused and series.has_asked_in_pause:
             self._fail(series, "the server wants no requests", now_s, was_refused=False)
             return
-        series.has_asked_in_pause = is_paused
         if not self._registry.notices.limits.has_permit(backend.instance):
             # All answers that end until the next permit share its question.
             return
+        series.has_asked_in_pause = is_paused
         health_path = self._health_path(backend.pool)
         if health_path and (backend.role is None or series.states_no_start):
             request = encode_health_request(backend.address, health_path, backend.name)
