--- a/tests/relay/test_answer_ends_in_doubt.py
+++ b/tests/relay/test_answer_ends_in_doubt.py
@@ -19,6 +19,7 @@
     start_plain,
 )
 from tests.support.relay_fleet import PATHS, RelayFleet
+from tests.support.scripted_backend import STARTED_UNIX_MS
 
 DEADLINE_MS = 520
 
@@ -135,3 +136,26 @@
     answer = read_answer(*begin(fleet, "once", "call-1", deadline_ms=1500))
     assert len(fleet.runs("app-0")) == 1
     assert answer.status == 504
+
+
+# Guards against whole streams that are broken off because the server that sent them has started
+# again under its name before its new entry is in the list of servers.
+def test_a_whole_stream_of_a_newer_start_is_whole_before_its_entry_comes(fleet: RelayFleet) -> None:
+    add_engines(fleet, 1)
+    fleet.add_host()
+    engine = fleet.backends["decode-0"]
+    engine.kill()
+    arguments = ["--port", str(engine.port), "--name", "decode-0", "--role", "decode"]
+    arguments += ["--events", str(EVENTS), "--interval-ms", str(EVENT_INTERVAL_MS)]
+    process = fleet.processes.start(
+        "again",
+        "standins.platform_backend",
+        engine.port,
+        *arguments,
+        "--born",
+        str(STARTED_UNIX_MS + 1),
+    )
+    process.post("/faults", {"unframed": True})
+    time.sleep(0.5)
+    got = [read(*begin(fleet, "stream", f"call-{number}")) for number in range(3)]
+    assert got == [WHOLE] * 3
