--- a/tests/relay/test_joined_runs.py
+++ b/tests/relay/test_joined_runs.py
@@ -1,5 +1,6 @@
 """Streams that go on with another run: each event comes once, in order, and none is missing."""
 
+import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from typing import Final
@@ -246,3 +247,13 @@
             assert b"".join(own).startswith(answer.body), (number, answer)
     if is_late and echoes:
         assert sum(engine.kept_answers for engine in run_fleet.engines) > kept
+
+
+# Guards against a caller that waits, and an engine that works on, while a run that does not go on
+# after the newest event has yet to end.
+def test_a_run_that_does_not_go_on_is_given_up_at_once(run_fleet: RunFleet) -> None:
+    slow = EngineRun(tuple(event(number) for number in range(1, 5)), interval_s=0.4)
+    started_s = time.monotonic()
+    answer = ask(run_fleet, "resumable", "given-up", broken(BEGIN), slow)
+    assert (answer.body, answer.is_complete) == (BEGIN, False)
+    assert time.monotonic() - started_s < 1.0
