Give up a run that does not go on after the newest event at once

Callers waited for the end of a run that was not passed on (1.6 s in the test) before another engine went on.

--- a/berylquay/relay/event_stream.py
+++ b/berylquay/relay/event_stream.py
@@ -33,7 +33,7 @@
     # Whether the first event of the present run must follow on `newest_id`, as it is still to come.
     _must_follow: bool
     # Whether it did not follow; nothing of the run is passed on.
-    _is_run_unfit: bool
+    is_run_unfit: bool
     # Whether the beginning of the present event was passed on.
     _relays_partial_event: bool
     # Bytes after the last complete event that were not passed on.
@@ -45,14 +45,14 @@
         self.event_count = 0
         self.holds_whole_events = True
         self._must_follow = newest_id is not None
-        self._is_run_unfit = False
+        self.is_run_unfit = False
         self._relays_partial_event = False
         self._held_bytes = b""
 
     def begin_run(self) -> None:
         """Begins the stream of the next run, which goes on after the newest event, if any."""
         self._must_follow = self.newest_id is not None
-        self._is_run_unfit = False
+        self.is_run_unfit = False
 
     def feed(self, data: bytes) -> bytes:
         """Adds bytes of the stream and returns those up to the end of the last complete event.
@@ -62,15 +62,15 @@
         """
         received = self._held_bytes + data
         end = _end_of_last_event(received)
-        if end and not self._is_run_unfit:
+        if end and not self.is_run_unfit:
             self._relays_partial_event = False
             self._record_events(received[:end])
         self._held_bytes = received[end:]
         is_too_long = len(self._held_bytes) > MAX_EVENT_BYTES
         if is_too_long and self._must_follow:
             # The id of an event that is passed on in parts may come last.
-            self._is_run_unfit = True
-        if self._is_run_unfit:
+            self.is_run_unfit = True
+        if self.is_run_unfit:
             self._held_bytes = b""
             return b""
         if not is_too_long:
@@ -83,7 +83,7 @@
 
     def finish(self) -> Result[bytes, str]:
         """Returns what was held back, or why the stream is incomplete, at the end of its body."""
-        if self._is_run_unfit:
+        if self.is_run_unfit:
             return Failure("the run did not go on after the newest event")
         if self._relays_partial_event or _is_within_event(self._held_bytes):
             return Failure("the stream ended within an event")
@@ -111,7 +111,7 @@
                 if is_event:
                     self._record_event(parse_whole_number(event_id, MAX_EVENT_ID_DIGITS))
                 event_id, is_event = None, False
-            if self._is_run_unfit:
+            if self.is_run_unfit:
                 return
 
     def _record_event(self, event_id: int | None) -> None:
@@ -119,8 +119,8 @@
         rises = event_id is not None and (self.newest_id is None or event_id > self.newest_id)
         if self._must_follow:
             self._must_follow = False
-            self._is_run_unfit = not rises
-            if self._is_run_unfit:
+            self.is_run_unfit = not rises
+            if self.is_run_unfit:
                 return
         self.is_position_known = rises
         if rises:
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -609,6 +609,11 @@
         self._services.path_monitor.paths.has_new_data = True
         relayed_bytes = self._response.relayed_bytes
         is_caller_ready = self._response.feed(data)
+        if self._response.is_run_unfit:
+            upstream.cancel()
+            detail = "the run did not go on after the newest event"
+            self._fail_upstream(upstream, AttemptOutcome.SERVER_ERROR, detail, time.monotonic())
+            return
         if self._newest_event_s is None or self._response.relayed_bytes > relayed_bytes:
             self._newest_event_s = time.monotonic()
         if self.caller.response_started:
--- a/berylquay/relay/response_relay.py
+++ b/berylquay/relay/response_relay.py
@@ -74,6 +74,11 @@
         """Returns the id of the newest event that the caller has, or None."""
         return self._event_tracker.newest_id
 
+    @property
+    def is_run_unfit(self) -> bool:
+        """Returns whether the present run does not go on after the caller's newest event."""
+        return self._event_tracker.is_run_unfit
+
     @property
     def is_end_uncertain(self) -> bool:
         """Returns whether the end of its connection is all that ends the present response.
