--- a/berylquay/relay/call_logging.py
+++ b/berylquay/relay/call_logging.py
@@ -134,7 +134,7 @@
         call: The call.
         upstream: The attempt that brought the answer.
         newest_event_id: Id of the newest event that was received, or None.
-        verdict: `whole` or `broken-off`.
+        verdict: Value of an `EndVerdict`.
         evidence: What the verdict follows from.
         checked_s: Time for which the server was asked.
     """
