--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -40,13 +40,19 @@
 
 
 def pytest_configure(config: pytest.Config) -> None:
-    """Gives each worker its own ports, so that none takes one that another has found free."""
+    """Gives each worker its own ports, so that none takes one that another has found free.
+
+    `BERYLQUAY_TEST_PORTS`, for example `4000-6000`, keeps the ports of two checks at a time apart.
+    """
     config.addinivalue_line("markers", "alone: runs while no other test does")
+    first, _, end = os.environ.get("BERYLQUAY_TEST_PORTS", "").partition("-")
+    first_port, end_port = int(first or FIRST_PORT), int(end or END_PORT)
     worker = os.environ.get("PYTEST_XDIST_WORKER")
     if worker is not None:
-        ports = (END_PORT - FIRST_PORT) // MAX_WORKERS
-        first_port = FIRST_PORT + int(worker.removeprefix("gw")) % MAX_WORKERS * ports
-        limit_port_range(first_port, first_port + ports)
+        ports = (end_port - first_port) // MAX_WORKERS
+        first_port += int(worker.removeprefix("gw")) % MAX_WORKERS * ports
+        end_port = first_port + ports
+    limit_port_range(first_port, end_port)
 
 
 def known_red_ids() -> dict[str, str]:
