Log the start time of servers where hosts learn of them and place streams

A run at a newer start of an engine could not be told from one at the listed start: the entry's line and the one of a placement named the engine only.

--- a/berylquay/relay/call_logging.py
+++ b/berylquay/relay/call_logging.py
@@ -50,6 +50,7 @@
         ),
         returning=call.is_caller_retry,
         software_version=placement.decode_engine.software_version,
+        started_unix_ms=placement.decode_engine.started_unix_ms,
         resumes=call.resumed_call_id,
         after_event=call.resumed_after_event,
     )
--- a/berylquay/relay/store_views.py
+++ b/berylquay/relay/store_views.py
@@ -232,6 +232,7 @@
             address=None if entry is None else str(entry.address),
             data_centre=None if entry is None else entry.data_centre,
             software_version=None if entry is None else entry.software_version,
+            started_unix_ms=None if entry is None else entry.started_unix_ms,
             beat=None if entry is None else entry.heartbeat_number,
             restarted=change.restarted,
         )
