--- a/soak/engine_pool.py
+++ b/soak/engine_pool.py
@@ -111,7 +111,7 @@
     def start(self, version: int, role: str = "decode", address: Address | None = None) -> Engine:
         """Starts an engine at an address that was in use or at a free one, and registers it."""
         engine = self._launch(f"v{version}", role, address or self._take_address())
-        self._take_over(engine)
+        self.take_over(engine)
         self.register(engine.name, "ready")
         return engine
 
@@ -136,7 +136,7 @@
             self.set_faults([engine], {})
         return engine
 
-    def _take_over(self, engine: Engine) -> None:
+    def take_over(self, engine: Engine) -> None:
         """Lets hosts reach an engine at its address."""
         if engine.address.link:
             self.set_link(engine, {"target_port": engine.process.port})
@@ -221,11 +221,16 @@
                 self._plan_return(engine, None, now_s)
         self._run_due_steps(now_s)
 
+    def launch_next_version(self, engine: Engine) -> Engine:
+        """Starts a process of the next version that is to take over an engine's name."""
+        version = f"v{int(engine.version.removeprefix('v')) + 1}"
+        return self._launch(version, engine.role, engine.address, engine.name)
+
     def _launch_successor(self, engine: Engine) -> Engine:
-        # The same name stands for the same software, as hosts can't tell starts apart before the
-        # entry follows.
+        # Another version, too, may start under the same name.
         if self.rng.random() < SAME_NAME_PROBABILITY:
-            return self._launch(engine.version, engine.role, engine.address, engine.name)
+            version = self.rng.choice((engine.version, f"v{self.newest_version}"))
+            return self._launch(version, engine.role, engine.address, engine.name)
         return self._launch(f"v{self.newest_version}", engine.role, engine.address)
 
     def _plan_return(self, engine: Engine, successor: Engine | None, now_s: float) -> None:
@@ -252,6 +257,6 @@
         successor = step.successor
         if successor is None or successor is step.engine:
             successor = self._launch_successor(step.engine)
-        self._take_over(successor)
+        self.take_over(successor)
         entry_s = now_s + self.rng.choice((0.0, self.rng.uniform(0.0, MAX_ENTRY_DELAY_S)))
         self._due.append(DueStep(entry_s, successor))
