Continue a stream only at the start of an engine that has its version

Callers saw streams whose first events came from one software version and whose rest came from another, in one answer or over their tries, with nothing to show it. An engine may start again under its id and at its address as other software. Hosts went by the version in the entry that they had, and Expect-Instance names the id only, so the new start took the stream up; and a stream that began at a new start was recorded under the version of the start before it.

Cause: a fact about one start of a server, its version, was kept under its name and held against the next start.

Which start a connection leads to is known by what that start says of itself (GET /report, born). A stream goes on only on a connection that is known to lead to the start in the entry: an idle one, or a new one on which the engine is asked first, so that nothing can start in between. A stream that begins is recorded under the version of the start that its connection leads to, which is found out in the background; the first event does not wait. While an engine is in doubt, its streams are recorded as of unknown version, which no engine has, also for hosts of earlier builds.

--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -67,6 +67,11 @@
         """Returns the incarnation that the entry is of."""
         return ServerInstance(self.name, self.started_unix_ms)
 
+    @property
+    def states_start(self) -> bool:
+        """Tells whether the server is an engine that says when it started."""
+        return self.role is not None and bool(self.started_unix_ms)
+
     @property
     def identity(self) -> str:
         """Returns what a request must find at the address, in `IDENTITY_FIELDS`; last the name."""
--- a/berylquay/decisions/relay_call.py
+++ b/berylquay/decisions/relay_call.py
@@ -81,6 +81,9 @@
     # Software version of the servers at which the caller's event stream may go on; None if it
     # has not begun.
     stream_version: str | None = None
+    # Names of the engines that could not show that they are the starts in their entries, so that
+    # the stream can't go on there.
+    unproven_engines: set[str] = field(factory=set)
     # Names of the backend servers to which the request was sent so that it could run.
     sent_to: list[str] = field(factory=list)
     # Connections that failed before a byte of the request was sent.
--- a/berylquay/decisions/stream_ledger.py
+++ b/berylquay/decisions/stream_ledger.py
@@ -11,7 +11,7 @@
 
 from attrs import define, field
 
-from berylquay.decisions.stream_versions import STREAM_RETENTION_S
+from berylquay.decisions.stream_versions import PENDING_VERSION, STREAM_RETENTION_S, choose_version
 
 HASH_BYTES: Final = 8
 # Most streams that wait to be written, and whose versions are known; the oldest are dropped first.
@@ -50,10 +50,13 @@
 
     def begun_streams(self, pool: str, now_s: float) -> dict[str, list[bytes]]:
         """Returns the streams that this host has begun of late, by version."""
-        streams: dict[str, list[bytes]] = {}
+        versions: dict[bytes, str] = {}
         for begun_s, stream, version in self._begun.get(pool, ()):
             if now_s - begun_s < STREAM_RETENTION_S:
-                streams.setdefault(version, []).append(stream)
+                versions[stream] = choose_version(versions.get(stream, PENDING_VERSION), version)
+        streams: dict[str, list[bytes]] = {}
+        for stream, version in versions.items():
+            streams.setdefault(version, []).append(stream)
         return streams
 
     @property
@@ -64,9 +67,9 @@
     def collect(self, software_version: str, streams: Iterable[bytes], now_s: float) -> None:
         """Adds streams to those that are written to the store."""
         for stream in streams:
-            self._know(stream, software_version, now_s)
-            self._unsaved[stream] = software_version
-            self._collected.append((now_s, stream, software_version))
+            version = self._know(stream, software_version, now_s)
+            self._unsaved[stream] = version
+            self._collected.append((now_s, stream, version))
         while len(self._unsaved) > MAX_UNSAVED_STREAMS:
             del self._unsaved[next(iter(self._unsaved))]
         while len(self._collected) > MAX_KNOWN_STREAMS:
@@ -111,11 +114,14 @@
             while streams and streams[0][0] <= since_s:
                 streams.popleft()
 
-    def _know(self, stream: bytes, software_version: str, now_s: float) -> None:
-        self._known.pop(stream, None)
-        self._known[stream] = software_version, now_s
+    def _know(self, stream: bytes, software_version: str, now_s: float) -> str:
+        """Records the version of a stream, and returns the one that counts."""
+        known = self._known.pop(stream, (PENDING_VERSION, now_s))[0]
+        version = choose_version(known, software_version)
+        self._known[stream] = version, now_s
         while len(self._known) > MAX_KNOWN_STREAMS:
             del self._known[next(iter(self._known))]
+        return version
 
 
 @define
--- a/berylquay/decisions/stream_versions.py
+++ b/berylquay/decisions/stream_versions.py
@@ -19,6 +19,11 @@
 MAX_KEPT_STREAMS: Final = 50_000
 # Age of the list of servers from which on it may lack a version that has begun to serve.
 MAX_LIST_AGE_S: Final = 2.0
+# Stand for the version of a stream as long as it is not known which start of its engine sent it,
+# and once another start than the listed one has. No server has them, so that hosts of earlier
+# builds don't continue such a stream either.
+PENDING_VERSION: Final = "\x00pending"
+UNLISTED_VERSION: Final = "\x00unlisted"
 # Hosts that keep the version of a stream, besides the one that began it.
 KEEPERS: Final = 3
 
@@ -32,8 +37,9 @@
     _versions: dict[str, tuple[str, float]] = field(factory=dict, init=False)
 
     def record(self, call_id: str, software_version: str, now_s: float) -> None:
-        """Records the version at which a stream began."""
-        self._versions.pop(call_id, None)
+        """Records the version at which a stream began, unless more is known of it already."""
+        known = self._versions.pop(call_id, (PENDING_VERSION, now_s))[0]
+        software_version = choose_version(known, software_version)
         self._versions[call_id] = software_version, now_s
         while len(self._versions) > MAX_KEPT_STREAMS:
             del self._versions[next(iter(self._versions))]
@@ -52,6 +58,13 @@
             del self._versions[call_id]
 
 
+def choose_version(known: str, told: str) -> str:
+    """Returns which of two versions that were recorded of one stream counts."""
+    if UNLISTED_VERSION in (known, told):
+        return UNLISTED_VERSION
+    return known if told == PENDING_VERSION else told
+
+
 def choose_keepers(call_id: str, hosts: Iterable[str], count: int) -> list[str]:
     """Returns the hosts that keep the version of a stream; all hosts choose the same ones.
 
--- a/berylquay/net/persistent_http.py
+++ b/berylquay/net/persistent_http.py
@@ -5,6 +5,7 @@
 the end of a response.
 """
 
+import time
 from collections.abc import Callable
 from typing import Final, Protocol
 
@@ -109,6 +110,8 @@
     bytes_sent_before: int
     # Asked just before the request is sent; False fails it. None if it may be sent at any time.
     may_send: Callable[[], bool] | None
+    # Whether the connection may carry another request although the response echoes no id.
+    may_reuse_without_echo: bool = False
     # Whether the request was passed to the connection.
     sent: bool = False
     # Whether the response being read belongs to another request and is discarded.
@@ -151,10 +154,18 @@
     # Time for which the server keeps an idle connection open (from its `Keep-Alive` header), or
     # None if it did not state one.
     keep_alive_timeout_s: float | None = None
+    # Monotonic time at which the connection was opened, set by its owner, and established.
+    opened_s: float = float("-inf")
+    established_s: float | None = None
+    # Start of the server that the other end has stated on this connection, as a Unix time in
+    # milliseconds; 0 if it has not.
+    server_started_unix_ms: int = 0
     # Whether the connection has ever been established, and whether an attempt to establish it has
     # failed.
     was_established: bool = False
     has_failed_to_connect: bool = False
+    # Whether the other end has closed or reset the connection, or refused it.
+    was_ended_by_server: bool = False
     _protocol: h11.Connection = field(init=False)
     _connection: Connection = field(init=False)
     _pending: _PendingRequest | None = field(default=None, init=False)
@@ -197,6 +208,8 @@
         id_header: bytes = b"",
         request_id: bytes = b"",
         may_send: Callable[[], bool] | None = None,
+        *,
+        may_reuse_without_echo: bool = False,
     ) -> None:
         """Sends a request on an idle or new connection; a new one sends it once established.
 
@@ -208,10 +221,18 @@
             request_id: value that the header is expected to have.
             may_send: asked just before the request is sent, which may be long after this call if
                 the connection is new; the request fails unless it returns True.
+            may_reuse_without_echo: whether the connection may carry another request although the
+                response does not echo an id. A copy of that response fails the next request.
         """
         bytes_sent_before = self._connection.bytes_sent
         self._pending = _PendingRequest(
-            request, handler, id_header, request_id, bytes_sent_before, may_send
+            request,
+            handler,
+            id_header,
+            request_id,
+            bytes_sent_before,
+            may_send,
+            may_reuse_without_echo,
         )
         if self._connection.established:
             self._send_request()
@@ -231,6 +252,7 @@
     def on_connected(self) -> None:
         """Sends the request that was started before the connection was established, if any."""
         self.was_established = True
+        self.established_s = time.monotonic()
         if self._pending is not None and not self._pending.sent:
             self._send_request()
 
@@ -245,6 +267,7 @@
     def on_disconnected(self, detail: str) -> None:
         """Completes a response delimited by the end of the connection, or fails the request."""
         self.has_failed_to_connect = not self.was_established
+        self.was_ended_by_server = True
         if self._is_parsing_deferred:
             self._parse(most_parts=None)
         if self._pending is not None and self._connection.peer_closed_cleanly:
@@ -395,7 +418,9 @@
             and not self._protocol.trailing_data[0]
             and not self._connection.unsent
             and not self._connection.closed
-            and (pending.is_echoed or not self.reuse_requires_echo)
+            and (
+                pending.is_echoed or pending.may_reuse_without_echo or not self.reuse_requires_echo
+            )
         )
         if reusable:
             self._protocol.start_next_cycle()
--- a/berylquay/relay/connection_pool.py
+++ b/berylquay/relay/connection_pool.py
@@ -1,10 +1,12 @@
 """Connections to backend servers, kept open for further requests that may be repeated."""
 
+import time
 from typing import Final
 
 from attrs import define, field
 
 from berylquay.decisions.backend_registry import BackendEntry
+from berylquay.decisions.server_starts import ServerStarts
 from berylquay.net.persistent_http import PersistentConnection
 from berylquay.net.tcp_connections import TcpConnections
 from berylquay.relay.gateway_transport import GatewayTransport
@@ -42,6 +44,8 @@
     _connections: TcpConnections
     # Tells whether this host reaches the servers itself, and opens connections through gateways.
     _path_monitor: PathMonitor
+    # Starts of servers that are known to have run.
+    _starts: ServerStarts
     # Connections by the backend server's name.
     _by_backend: dict[str, _BackendConnections]
     # Connections of this host's own of which it is not yet known whether they are established.
@@ -49,8 +53,11 @@
     # Monotonic time of the last tick or `acquire`.
     _now_s: float
 
-    def __init__(self, connections: TcpConnections, path_monitor: PathMonitor) -> None:
+    def __init__(
+        self, connections: TcpConnections, path_monitor: PathMonitor, starts: ServerStarts
+    ) -> None:
         self._connections = connections
+        self._starts = starts
         self._path_monitor = path_monitor
         path_monitor.on_change = self.close_idle
         self._by_backend = {}
@@ -92,6 +99,37 @@
             gateway = self._path_monitor.open_gateway(backend, now_s)
         return self._open(backend, gateway, now_s)
 
+    def acquire_at_start(self, backend: BackendEntry, now_s: float) -> PersistentConnection | None:
+        """Returns an idle connection that leads to the start in the entry, or None without one."""
+        self._now_s = now_s
+        connection = self._find_idle_at_start(backend, now_s)
+        if connection is not None:
+            self._by_backend[backend.name].idle.remove(connection)
+        return connection
+
+    def has_idle_at_start(self, backend: BackendEntry, now_s: float) -> bool:
+        """Tells whether an idle connection leads to the start in the entry."""
+        return self._find_idle_at_start(backend, now_s) is not None
+
+    def _find_idle_at_start(
+        self, backend: BackendEntry, now_s: float
+    ) -> PersistentConnection | None:
+        backend_connections = self._by_backend.get(backend.name)
+        for connection in () if backend_connections is None else backend_connections.idle[::-1]:
+            is_open = not connection.closed and self._is_reusable(connection, now_s)
+            if is_open and self.find_start(backend.name, connection) == backend.started_unix_ms:
+                return connection
+        return None
+
+    def find_start(self, name: str, connection: PersistentConnection) -> int:
+        """Returns the start of a server that a connection leads to, or 0 if it is not known."""
+        established_s = connection.established_s
+        if not connection.server_started_unix_ms and established_s is not None:
+            connection.server_started_unix_ms = self._starts.find(
+                name, connection.opened_s, established_s
+            )
+        return connection.server_started_unix_ms
+
     def _open(
         self, backend: BackendEntry, gateway: GatewayTransport | None, now_s: float
     ) -> PersistentConnection:
@@ -99,9 +137,10 @@
         connection = PersistentConnection(
             backend.address,
             lambda connection: self._return_idle(name, connection),
-            lambda _connection: self._on_connection_ended(name),
+            lambda connection: self._on_connection_ended(name, connection),
             self._connections if gateway is None else gateway,
             reuse_requires_echo=True,
+            opened_s=now_s,
         )
         if gateway is None:
             self._opening.append(_Opening(backend, connection, now_s))
@@ -155,7 +194,9 @@
         connection.idle_since_s = self._now_s
         self._by_backend.setdefault(name, _BackendConnections()).idle.append(connection)
 
-    def _on_connection_ended(self, name: str) -> None:
+    def _on_connection_ended(self, name: str, connection: PersistentConnection) -> None:
+        if connection.was_ended_by_server:
+            self._starts.on_doubt(name, time.monotonic())
         backend_connections = self._by_backend.get(name)
         if backend_connections is not None:
             backend_connections.open_count -= 1
--- a/berylquay/relay/engine_selection.py
+++ b/berylquay/relay/engine_selection.py
@@ -107,7 +107,7 @@
                 now_s + services.demand.call_s(call.pool.name),
             )
             if not services.health.is_backing_off(engine.name, now_s)
-            and (engine.role is Role.PREFILL or call.may_use_version(engine.software_version))
+            and (engine.role is Role.PREFILL or self._may_go_on_at(engine))
         ]
         recorded = [
             engine
@@ -116,6 +116,21 @@
         ]
         return recorded if _decode_engines(recorded) else engines
 
+    def _may_go_on_at(self, engine: BackendEntry) -> bool:
+        """Tells whether an engine's events fit those that the caller has, if it has any."""
+        call = self._call
+        if call.stream_version is None:
+            return True
+        # The version of a start is known with its entry only.
+        has_newer_start = self._services.server_starts.has_newer(
+            engine.name, engine.started_unix_ms
+        )
+        return (
+            call.may_use_version(engine.software_version)
+            and engine.name not in call.unproven_engines
+            and not has_newer_start
+        )
+
     def _exclude_tried(self, engines: list[BackendEntry]) -> list[BackendEntry]:
         """Leaves out engines that have run the call, or all others if no attempt is left."""
         call = self._call
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -26,6 +26,7 @@
 from berylquay.decisions.route_table import RouteTable
 from berylquay.decisions.segment_crash_history import SegmentCrashHistory, SegmentCrashLimits
 from berylquay.decisions.server_notices import ServerNotice
+from berylquay.decisions.server_starts import ServerStarts
 from berylquay.decisions.shared_retry_budget import RetryBudgetOptions, SharedRetryBudget
 from berylquay.decisions.shutdown_schedule import ShutdownPhase, ShutdownSchedule
 from berylquay.decisions.store_era import StoreEra
@@ -250,6 +251,7 @@
         metrics = RelayMetrics()
         registry = BackendRegistry()
         pool_versions = PoolVersionHistory(is_first_start=options.is_first_start)
+        server_starts = ServerStarts()
         path_monitor = PathMonitor(
             connections,
             registry,
@@ -328,9 +330,11 @@
                 get_group_size=lambda: self._peer_exchange.group_size,
                 send_to_group=self._send_to_group,
             ),
-            connection_pool=BackendConnectionPool(connections, path_monitor),
+            connection_pool=BackendConnectionPool(connections, path_monitor, server_starts),
+            server_starts=server_starts,
             instance_probes=InstanceProbes(
                 registry,
+                server_starts,
                 connect=self._connect_to_server,
                 health_path=self._health_path,
                 on_notice=self._on_server_notice,
@@ -557,6 +561,12 @@
                 change.name, restarted=change.restarted, now_s=time.monotonic()
             )
         services.health.on_entry_changed(change.name)
+        if change.after is None:
+            services.server_starts.forget(change.name)
+        elif change.after.started_unix_ms:
+            services.server_starts.on_listed(
+                change.name, change.after.started_unix_ms, time.monotonic()
+            )
         if change.before is not None:
             services.pool_versions.on_entry_replaced(change.before, time.monotonic())
         services.pool_version_store.on_entries_changed()
--- a/berylquay/relay/instance_probes.py
+++ b/berylquay/relay/instance_probes.py
@@ -6,12 +6,14 @@
 from collections.abc import Callable
 from typing import Final
 
+import logbook
 from attrs import define, field
 
 from berylquay.decisions.attempt_outcomes import AttemptOutcome
 from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry
 from berylquay.decisions.response_end import InstanceEvidence, InstanceState, WaitingTime
 from berylquay.decisions.server_instance import ServerInstance
+from berylquay.decisions.server_starts import ServerStarts
 from berylquay.net.persistent_http import PersistentConnection, RawResponseHead
 from berylquay.net.tcp_connections import CONNECTION_REFUSED
 from berylquay.platform.request_codec import (
@@ -28,6 +30,7 @@
 # The same for a health check, which waits for a slot.
 HEALTH_CHECK_TIMEOUT_S: Final = 10.0
 NEWER_START: Final = "the list of servers has a newer start"
+_log = logbook.Logger("exchange")
 
 
 @define(eq=False)
@@ -83,6 +86,8 @@
     """The questions to all servers."""
 
     _registry: BackendRegistry
+    # Starts of servers that are known to have run.
+    _starts: ServerStarts
     # Returns a new connection to a server, with the present time.
     _connect: Callable[[BackendEntry, float], PersistentConnection]
     # Returns the path of a pool's health checks; empty if it has none.
@@ -95,6 +100,7 @@
     def __init__(
         self,
         registry: BackendRegistry,
+        starts: ServerStarts,
         *,
         connect: Callable[[BackendEntry, float], PersistentConnection],
         health_path: Callable[[str], str],
@@ -102,6 +108,7 @@
         clock: Callable[[], float],
     ) -> None:
         self._registry = registry
+        self._starts = starts
         self._connect = connect
         self._health_path = health_path
         self._on_notice = on_notice
@@ -129,6 +136,24 @@
             self._ask(backend, series, now_s)
         return state, evidence.reason
 
+    def on_start_stated(self, backend: BackendEntry, started_unix_ms: int, asked_s: float) -> None:
+        """Records the start that has answered a question.
+
+        Args:
+            backend: Entry of the server that was asked.
+            started_unix_ms: Start that the answer states.
+            asked_s: Monotonic time at which the question was asked.
+        """
+        is_new = self._starts.on_answered(backend.name, started_unix_ms, asked_s, self._clock())
+        if is_new:
+            _log.warning(
+                "server has started again",
+                backend=backend.name,
+                started_unix_ms=started_unix_ms,
+                listed_unix_ms=backend.started_unix_ms,
+                software_version=backend.software_version,
+            )
+
     def on_tick(self, now_s: float) -> None:
         """Gives up questions that are not answered in time, and drops old results."""
         for instance, series in list(self._series.items()):
@@ -178,6 +203,8 @@
             return
         series.upstream = None
         statement = decode_instance_statement(head, bytes(question.body))
+        if statement.started_unix_ms and statement.name in ("", instance.name):
+            self.on_start_stated(question.backend, statement.started_unix_ms, question.asked_s)
         state = statement.judge(instance)
         if state is InstanceState.UNKNOWN:
             # A server that has turned the question away is the one that was asked: others answer
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from attrs import evolve
+from attrs import evolve, frozen
 from returns.result import Success
 
 from berylquay.call_verdicts import RefusalReason
@@ -23,7 +23,9 @@
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.relay_admission import AdmissionAction, admit
 from berylquay.decisions.relay_call import GenerationRequest, RelayCall
-from berylquay.decisions.response_end import EndVerdict
+from berylquay.decisions.response_end import EndVerdict, WaitingTime
+from berylquay.decisions.stream_versions import PENDING_VERSION, UNLISTED_VERSION
+from berylquay.net.body_framing import BodyFraming
 from berylquay.net.http_client import STATUS_OK
 from berylquay.net.persistent_http import RawResponseHead
 from berylquay.platform.request_codec import (
@@ -48,11 +50,13 @@
 from berylquay.relay.plain_server_selection import PlainServerSelection
 from berylquay.relay.prefill_requests import PrefillResponseCollector, release_kv_cache
 from berylquay.relay.refusals import send_refusal
-from berylquay.relay.response_end_check import ResponseEndCheck
+from berylquay.relay.response_end_check import RESUMPTION_FRACTION, ResponseEndCheck
 from berylquay.relay.response_relay import FIRST_SERVER_ERROR, ResponseRelay
 from berylquay.relay.segment_announcements import SegmentAnnouncements
 from berylquay.relay.segment_crash_handler import is_content
 from berylquay.relay.services import RelayServices
+from berylquay.relay.start_question import StartQuestion
+from berylquay.relay.stream_beginning import StreamBeginning
 from berylquay.relay.stream_lookup import LookupState, StreamLookup
 from berylquay.relay.upstream_request import UpstreamRequest
 
@@ -72,12 +76,25 @@
 URGENCY_PER_RANK: Final = 2
 # Most disaggregated prefills of one call; each after the first is charged to the retry budget.
 MAX_PREFILL_ATTEMPTS: Final = 2
+# Most engines that one call asks for their start.
+MAX_START_QUESTIONS: Final = 4
+# Stage of an attempt that asks an engine for its start.
+START_STAGE: Final = "start"
 # Outcome of a call that a backend server has answered.
 ANSWERED: Final = "answered"
 HIGHEST_URGENCY: Final = 1
 LOWEST_URGENCY: Final = 9
 
 
+@frozen
+class RunFailure:
+    """A run that has failed, and how."""
+
+    upstream: UpstreamRequest
+    outcome: AttemptOutcome
+    detail: str
+
+
 class RelayedRequest:
     """Drives one call: places it, sends it, relays the response, and ends the call once."""
 
@@ -104,6 +121,15 @@
     _placement: Placement | None
     # Search for the software version of the stream that the call continues, while it lasts.
     _stream_lookup: StreamLookup | None
+    # Open question to the engine at which the stream is to go on, or None, and how many were asked.
+    _start_question: StartQuestion | None
+    _start_questions: int
+    # The run that begins the caller's stream, if the stream may be continued; else None.
+    _beginning: StreamBeginning | None
+    # Failure of that run, while the version at which the stream may go on is not known, and the
+    # time for which it has been awaited.
+    _unhandled_failure: RunFailure | None
+    _waiting_time: WaitingTime
     # Whether the call is queued at this host until an engine has little work.
     _queued: bool
     # KV cache that a prefill engine keeps for this call and that was not sent to a decode engine.
@@ -159,6 +185,11 @@
         self._run_request = None
         self._placement = None
         self._stream_lookup = None
+        self._start_question = None
+        self._start_questions = 0
+        self._beginning = None
+        self._unhandled_failure = None
+        self._waiting_time = WaitingTime(0.0)
         self._queued = False
         self._pending_kv_handle = None
         self._prefill_attempts = 0
@@ -239,14 +270,9 @@
                 upstream.give_up_connecting()
                 self._fail_upstream(upstream, upstream.not_sent_outcome, CONNECT_TIMED_OUT, now_s)
                 return
-        if self._end_check is not None:
-            self._check_end(self._end_check, now_s)
-            return
-        if self._stream_lookup is not None:
-            self._on_lookup(self._stream_lookup, self._stream_lookup.on_tick(now_s), now_s)
-            return
-        if self._queued:
-            self._place_generation(now_s, is_first_placement=True)
+        if self._beginning is not None:
+            self._beginning.on_tick(now_s)
+        if self._advance_waiting_step(now_s):
             return
         prefill_request, run_request = self._prefill_request, self._run_request
         if prefill_request is not None:
@@ -263,6 +289,22 @@
             detail = "no event was completed in time"
             self._fail_upstream(run_request, AttemptOutcome.CONNECTION_LOST, detail, now_s)
 
+    def _advance_waiting_step(self, now_s: float) -> bool:
+        """Advances what the call waits for besides an open request; tells whether it does wait."""
+        if self._end_check is not None:
+            self._check_end(self._end_check, now_s)
+        elif self._stream_lookup is not None:
+            self._on_lookup(self._stream_lookup, self._stream_lookup.on_tick(now_s), now_s)
+        elif self._queued:
+            self._place_generation(now_s, is_first_placement=True)
+        elif self._start_question is not None:
+            self._start_question.on_tick(now_s)
+        elif self._unhandled_failure is not None:
+            self._handle_failure(self._unhandled_failure, now_s)
+        else:
+            return False
+        return True
+
     def _completes_no_event(self, now_s: float) -> bool:
         """Tells whether a stream that has begun is past the time after which callers abandon it."""
         newest_s, route = self._newest_event_s, self.call.route
@@ -464,10 +506,14 @@
     ) -> None:
         if self._refuse_if_key_removed(now_s):
             return
+        call, services = self.call, self._services
+        needs_start = call.stream_version is not None and backend.states_start
+        if needs_start and not services.connection_pool.has_idle_at_start(backend, now_s):
+            self._ask_start(backend, kv_handle, now_s)
+            return
         if not self._arrivals.reserve_run(now_s):
             self._refuse_over_budget(now_s)
             return
-        call, services = self.call, self._services
         self._arrivals.on_sent()
         call.sent_to.append(backend.name)
         last_event_id = self._response.newest_event_id if self.caller.response_started else None
@@ -496,7 +542,9 @@
             services.on_work_placed(now_s)
         else:
             services.in_flight[backend.name] += 1
-        connection = services.acquire_connection(backend, not call.route.repeatable, now_s)
+        connection = services.acquire_connection(
+            backend, not call.route.repeatable, now_s, at_listed_start=needs_start
+        )
         self._run_request = UpstreamRequest(
             self,
             backend,
@@ -506,6 +554,79 @@
             on_notice=services.on_server_notice,
             now_s=now_s,
         )
+        may_be_continued = call.route.streaming and call.route.resumable
+        if may_be_continued and call.stream_version is None:
+            self._beginning = StreamBeginning(services, call, self._run_request)
+
+    def _ask_start(
+        self, engine: BackendEntry, kv_handle: KVCacheHandle | None, now_s: float
+    ) -> None:
+        """Asks an engine for its start before the caller's stream goes on there."""
+        self._start_questions += 1
+        self._start_question = StartQuestion(
+            self._services, engine, kv_handle, self._on_start_stated, self._on_start_not_stated
+        )
+        self._start_question.send(now_s)
+
+    def _on_start_stated(self, question: StartQuestion, started_unix_ms: int) -> None:
+        """Sends the run if the engine is the start that is listed; else chooses another one."""
+        now_s = time.monotonic()
+        self._start_question = None
+        if self.ended:
+            return
+        engine = question.backend
+        is_listed_start = started_unix_ms == engine.started_unix_ms
+        if not is_listed_start or self._start_questions >= MAX_START_QUESTIONS:
+            self._go_on_elsewhere(question, now_s)
+            return
+        self._send_run(engine, question.kv_handle, now_s)
+
+    def _on_start_not_stated(
+        self, question: StartQuestion, outcome: AttemptOutcome, detail: str
+    ) -> None:
+        """Chooses another engine, as this one has not answered."""
+        now_s = time.monotonic()
+        self._start_question = None
+        if self.ended:
+            return
+        if question.upstream is not None:
+            record_failed_attempt(
+                self._services,
+                self.call,
+                question.upstream,
+                outcome,
+                detail,
+                stage=START_STAGE,
+                wrote_s=None,
+                now_s=now_s,
+            )
+        self._go_on_elsewhere(question, now_s)
+
+    def _go_on_elsewhere(self, question: StartQuestion, now_s: float) -> None:
+        """Places the continuation of the stream at another engine, with the KV cache if any."""
+        self.call.unproven_engines.add(question.backend.name)
+        generation, kv_handle = self.call.generation, question.kv_handle
+        if generation is None or self._start_questions >= MAX_START_QUESTIONS:
+            self._refuse_without_engine(now_s)
+        elif kv_handle is None:
+            self._place_generation(now_s, is_first_placement=False)
+        else:
+            self._send_to_decode_engine(generation, kv_handle, now_s)
+
+    def _send_to_decode_engine(
+        self, generation: GenerationRequest, kv_handle: KVCacheHandle, now_s: float
+    ) -> None:
+        """Sends the run to the best engine for a KV cache, or refuses it if none is left."""
+        prefill_engine = self._services.registry.get(kv_handle.engine)
+        decode_engine = None
+        if prefill_engine is not None:
+            decode_engine = self._engines.choose_decode_engine(
+                generation, prefill_engine, None, now_s
+            )
+        if decode_engine is None:
+            self._refuse_without_engine(now_s)
+        else:
+            self._send_run(decode_engine, kv_handle, now_s)
 
     def _run_details(
         self,
@@ -595,6 +716,16 @@
             self._fail_upstream(upstream, AttemptOutcome.SERVER_ERROR, detail, time.monotonic())
         if self.call.generation is None:
             self._count_usage()
+        if head.framing is BodyFraming.CONNECTION_END and not upstream.ended:
+            self._find_start(upstream, time.monotonic())
+
+    def _find_start(self, upstream: UpstreamRequest, now_s: float) -> None:
+        """Asks which start of an engine answers, so that the end can be told to be that start's."""
+        backend, connection = upstream.backend, upstream.connection
+        find_start = self._services.connection_pool.find_start
+        established_s = connection.established_s
+        if backend.states_start and established_s and not find_start(backend.name, connection):
+            self._services.instance_probes.state_since(backend, established_s, now_s)
 
     def on_upstream_data(self, upstream: UpstreamRequest, data: bytes) -> None:
         """Relays or buffers a piece of the response body."""
@@ -617,7 +748,7 @@
         if self._newest_event_s is None or self._response.relayed_bytes > relayed_bytes:
             self._newest_event_s = time.monotonic()
         if self.caller.response_started:
-            self._record_stream_begun(upstream.backend)
+            self._record_stream_begun(upstream)
         if not is_caller_ready:
             upstream.set_reading_paused(paused=True)
             self._newest_event_s = None
@@ -631,19 +762,15 @@
         self._is_usage_counted = True
         on_request_began(tenant)
 
-    def _record_stream_begun(self, backend: BackendEntry) -> None:
+    def _record_stream_begun(self, upstream: UpstreamRequest) -> None:
         """Records the version of the server whose events the caller has received first."""
         call = self.call
         if not call.route.streaming or call.stream_version is not None:
             return
-        call.stream_version = backend.software_version
-        if call.route.resumable:
-            services, now_s = self._services, time.monotonic()
-            version = backend.software_version
-            services.stream_versions.on_stream_begun(call.call_id, version, now_s)
-            services.stream_version_store.on_stream_begun(
-                call.pool.name, call.call_id, version, now_s
-            )
+        if self._beginning is None:
+            call.stream_version = upstream.backend.software_version
+        else:
+            self._beginning.on_first_event(time.monotonic())
 
     def on_upstream_complete(self, upstream: UpstreamRequest) -> None:
         """Ends the response, or tries another backend server after a failure."""
@@ -777,6 +904,20 @@
     def _fail_run(
         self, upstream: UpstreamRequest, outcome: AttemptOutcome, detail: str, now_s: float
     ) -> None:
+        self._waiting_time = WaitingTime(now_s)
+        self._handle_failure(RunFailure(upstream, outcome, detail), now_s)
+
+    def _handle_failure(self, failure: RunFailure, now_s: float) -> None:
+        """Goes on elsewhere, or refuses the call, once it is known which version has begun."""
+        beginning = self._beginning
+        if beginning is not None:
+            beginning.on_tick(now_s)
+            limit_s = self.call.route.stall_timeout_s * RESUMPTION_FRACTION
+            if beginning.is_pending and self._waiting_time.on_tick(now_s) < limit_s:
+                self._unhandled_failure = failure
+                return
+        self._beginning = self._unhandled_failure = None
+        upstream, outcome, detail = failure.upstream, failure.outcome, failure.detail
         if not self._retry_elsewhere(upstream, outcome, detail, now_s):
             self._refuse_after_failure(outcome, detail, now_s)
 
@@ -842,7 +983,9 @@
 
     def _refuse_without_engine(self, now_s: float) -> None:
         detail = "no engine makes tokens"
-        if self.call.stream_version is not None:
+        if self.call.stream_version in (PENDING_VERSION, UNLISTED_VERSION):
+            detail = "the software version of the stream is not known"
+        elif self.call.stream_version is not None:
             detail += f" at version {self.call.stream_version}, where the stream began"
         self._refuse(RefusalReason.NO_BACKEND, detail, now_s)
 
@@ -920,6 +1063,7 @@
         self.ended = True
         self._queued = False
         self._end_check = None
+        self._beginning = self._unhandled_failure = None
         self._cancel_upstreams(now_s)
         self._arrivals.on_ended(now_s)
         self._services.demand.on_call_ended(
@@ -937,6 +1081,9 @@
 
     def _cancel_upstreams(self, now_s: float) -> None:
         prefill_request, run_request = self._prefill_request, self._run_request
+        if self._start_question is not None:
+            self._start_question.cancel()
+            self._start_question = None
         if prefill_request is not None:
             prefill_request.cancel()
             self._services.backlog.remove_prompt(prefill_request.backend.name, self.call.call_id)
--- a/berylquay/relay/response_end_check.py
+++ b/berylquay/relay/response_end_check.py
@@ -3,7 +3,7 @@
 from math import inf
 from typing import Final
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from berylquay.decisions.relay_call import RelayCall
 from berylquay.decisions.response_end import EndVerdict, WaitingTime, judge_end
@@ -59,9 +59,14 @@
             return EndVerdict.WHOLE
         if self._ended_s >= self._call.deadline_s - DEADLINE_ROUNDING_S:
             return EndVerdict.AT_DEADLINE
-        state, self.evidence = self._services.instance_probes.state_since(
-            self.upstream.backend, self._ended_s, now_s
+        backend, services = self.upstream.backend, self._services
+        started_unix_ms = services.connection_pool.find_start(
+            backend.name, self.upstream.connection
         )
+        if started_unix_ms:
+            # It may be another start than the listed one, whose entry follows.
+            backend = evolve(backend, started_unix_ms=started_unix_ms)
+        state, self.evidence = services.instance_probes.state_since(backend, self._ended_s, now_s)
         return judge_end(state, self._waiting_time.on_tick(now_s), self._limit_s())
 
     def _has_all_events(self) -> bool:
--- a/berylquay/relay/services.py
+++ b/berylquay/relay/services.py
@@ -19,6 +19,7 @@
 from berylquay.decisions.relay_admission import AdmissionOptions
 from berylquay.decisions.relay_call import RelayCall
 from berylquay.decisions.scaling.demand import DemandMeter
+from berylquay.decisions.server_starts import ServerStarts
 from berylquay.decisions.shared_retry_budget import SharedRetryBudget
 from berylquay.decisions.topology import Topology
 from berylquay.net.persistent_http import PersistentConnection
@@ -62,6 +63,8 @@
     # Work of each tenant, of this host and of those that exchange load reports with it.
     tenant_use: TenantUseExchange
     connection_pool: BackendConnectionPool
+    # Starts of servers that are known to have run.
+    server_starts: ServerStarts
     # Asks servers whether they still run.
     instance_probes: InstanceProbes
     # Whether this host reaches the servers by connections of its own.
@@ -107,6 +110,7 @@
         now_s: float,
         *,
         may_use_gateway: bool = True,
+        at_listed_start: bool = False,
     ) -> PersistentConnection:
         """Returns a connection for one request, which counts against the server's limit.
 
@@ -115,8 +119,14 @@
             require_new: Whether to open a new connection in any case.
             now_s: Present time.
             may_use_gateway: Whether the request may come from another host.
+            at_listed_start: Whether to prefer an idle connection that is known to lead to the start
+                in the entry.
         """
         self.registry.notices.limits.on_request_sent(backend.instance, now_s)
+        if at_listed_start:
+            connection = self.connection_pool.acquire_at_start(backend, now_s)
+            if connection is not None:
+                return connection
         return self.connection_pool.acquire(
             backend, require_new, now_s, may_use_gateway=may_use_gateway
         )
--- a/berylquay/relay/stream_lookup.py
+++ b/berylquay/relay/stream_lookup.py
@@ -6,6 +6,7 @@
 import logbook
 
 from berylquay.decisions.relay_call import RelayCall
+from berylquay.decisions.stream_versions import PENDING_VERSION, UNLISTED_VERSION
 from berylquay.relay.services import RelayServices
 
 # Time after which all hosts are asked, not the keepers alone. A reply takes a round trip between
@@ -95,16 +96,25 @@
 
     def _finish_if_known(self, source: str, now_s: float) -> LookupState:
         call_id, services = self._call.resumed_call_id, self._services
-        version = services.stream_versions.versions.find(call_id)
-        if version is None:
-            version = services.stream_version_store.ledger.find(call_id)
+        if services.stream_versions.versions.find(call_id) in (None, PENDING_VERSION):
             source = "store"
-        return LookupState.PENDING if version is None else self._finish(version, source, now_s)
+        version = services.stream_versions.find(call_id)
+        if version == UNLISTED_VERSION:
+            return self._finish(None, "unlisted", now_s)
+        if version is None or version == PENDING_VERSION:
+            return LookupState.PENDING
+        return self._finish(version, source, now_s)
 
     def _only_version(self, now_s: float) -> str | None:
-        """Returns the only version that the pool has had, or None."""
+        """Returns the only version that the stream can have begun at, or None."""
         services, pool = self._services, self._call.pool.name
+        if services.stream_versions.find(self._call.resumed_call_id) is not None:
+            # It is recorded that the version is not known.
+            return None
         listed = [entry for entry in services.registry.all_entries() if entry.pool == pool]
+        starts = services.server_starts
+        if any(starts.has_newer(entry.name, entry.started_unix_ms) for entry in listed):
+            return None
         return services.pool_versions.only_version(pool, listed, now_s)
 
     def _finish(self, version: str | None, source: str, now_s: float) -> LookupState:
--- a/berylquay/relay/stream_version_exchange.py
+++ b/berylquay/relay/stream_version_exchange.py
@@ -12,7 +12,13 @@
 
 from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.fleet import Address
-from berylquay.decisions.stream_versions import KEEPERS, StreamVersions, choose_keepers
+from berylquay.decisions.stream_versions import (
+    KEEPERS,
+    PENDING_VERSION,
+    StreamVersions,
+    choose_keepers,
+    choose_version,
+)
 from berylquay.relay.report_fields import (
     FIELD_ERRORS,
     compress_fields,
@@ -74,7 +80,10 @@
 
     def find(self, call_id: str) -> str | None:
         """Returns the version at which a stream began, or None if it is not known."""
-        return self.versions.find(call_id) or self._find_stored(call_id)
+        known, stored = self.versions.find(call_id), self._find_stored(call_id)
+        if known is None:
+            return stored
+        return choose_version(known, stored or PENDING_VERSION)
 
     def on_stream_begun(self, call_id: str, software_version: str, now_s: float) -> None:
         """Records the version at which this host has begun a caller's stream, and tells keepers.
--- a/berylquay/relay/upstream_request.py
+++ b/berylquay/relay/upstream_request.py
@@ -75,6 +75,7 @@
         on_notice: NoticeListener,
         now_s: float,
         may_send: Callable[[], bool] | None = None,
+        may_reuse_without_echo: bool = False,
     ) -> None:
         self.backend = backend
         self.started_s = now_s
@@ -85,9 +86,19 @@
         self._on_notice = on_notice
         self._outcome = None
         connection.start_request(
-            request, self, ATTEMPT_ID if call_id else b"", call_id.encode("latin-1"), may_send
+            request,
+            self,
+            ATTEMPT_ID if call_id else b"",
+            call_id.encode("latin-1"),
+            may_send,
+            may_reuse_without_echo=may_reuse_without_echo,
         )
 
+    @property
+    def connection(self) -> PersistentConnection:
+        """Returns the connection that the request was sent on."""
+        return self._connection
+
     @property
     def framing(self) -> str:
         """Returns how the response marks the end of its body, for logs; empty before its head."""
--- a/soak/stream_callers.py
+++ b/soak/stream_callers.py
@@ -37,12 +37,16 @@
     # Bytes of an event that an answer has cut, though it ended as complete.
     cut_event: bytes = b""
 
+    @property
+    def versions(self) -> list[str]:
+        """Returns the versions of the events, in the order in which each came first."""
+        return list(dict.fromkeys(version for _number, version in self.events))
+
     def fault(self) -> str:
         """Returns what is wrong with the events, or an empty string."""
         numbers = [number for number, _version in self.events]
-        versions = list(dict.fromkeys(version for _number, version in self.events))
-        if len(versions) > 1:
-            return f"versions {versions}"
+        if len(self.versions) > 1:
+            return f"versions {self.versions}"
         if numbers != list(range(1, len(numbers) + 1)):
             return f"events {numbers}"
         if self.is_complete and len(numbers) < self.event_count:
