--- a/tests/relay/test_answer_ends_in_doubt.py
+++ b/tests/relay/test_answer_ends_in_doubt.py
@@ -138,9 +138,8 @@
     assert answer.status == 504
 
 
-# Guards against whole streams that are broken off because the server that sent them has started
-# again under its name before its new entry is in the list of servers.
-def test_a_whole_stream_of_a_newer_start_is_whole_before_its_entry_comes(fleet: RelayFleet) -> None:
+def start_again_without_entry(fleet: RelayFleet) -> None:
+    """Starts an engine, and another start of it whose entry does not follow."""
     add_engines(fleet, 1)
     fleet.add_host()
     engine = fleet.backends["decode-0"]
@@ -157,5 +156,21 @@
     )
     process.post("/faults", {"unframed": True})
     time.sleep(0.5)
+
+
+# Guards against whole streams that are broken off because the server that sent them has started
+# again under its name before its new entry is in the list of servers.
+def test_a_whole_stream_of_a_newer_start_is_whole_before_its_entry_comes(fleet: RelayFleet) -> None:
+    start_again_without_entry(fleet)
     got = [read(*begin(fleet, "stream", f"call-{number}")) for number in range(3)]
     assert got == [WHOLE] * 3
+
+
+# The same for the streams that follow on the one by which the host has heard of the new start.
+def test_whole_streams_of_a_newer_start_that_is_known_are_whole_before_its_entry_comes(
+    fleet: RelayFleet,
+) -> None:
+    start_again_without_entry(fleet)
+    read(*begin(fleet, "stream", "call-0"))
+    got = [read(*begin(fleet, kind, f"call-{kind}")) for kind in ("stream", "resumable")]
+    assert got == [WHOLE] * 2
