Let more streams go on whose engine's start is not known yet; findings of the review

The answer is awaited while a question is open; - the fault of a gateway or path was held against the engine; - a stream begun at a newer start that was known was never continued, also once its entry had come; - a start with a lower start time was not seen as the newer one: starts are ordered by when they became known; - 24 streams that broke at once went on at one or two of four engines: the stream counts as load while its question is open; - questions for unframed answers had doubled: they are asked at the head only if the engine is in doubt.

--- a/berylquay/decisions/server_starts.py
+++ b/berylquay/decisions/server_starts.py
@@ -39,13 +39,18 @@
     def on_answered(self, name: str, started_unix_ms: int, asked_s: float, now_s: float) -> bool:
         """Records that a start has answered a question; returns whether it was not known before.
 
+        An answer from before the newest start was known shows no further one.
+
         Args:
             name: Name of the server.
             started_unix_ms: Start that the answer states.
             asked_s: Monotonic time at which the question was asked.
             now_s: Present monotonic time.
         """
-        is_new = started_unix_ms not in self._starts.get(name, {})
+        starts = self._starts.get(name, {})
+        is_new = started_unix_ms not in starts
+        if is_new and (not starts or asked_s < max(known.known_s for known in starts.values())):
+            return False
         known = self._know(name, started_unix_ms, now_s)
         known.answered_question_s = max(asked_s, known.answered_question_s)
         return is_new
@@ -79,9 +84,23 @@
         seen_s = max(known.known_s, known.answered_question_s)
         return self._doubted_s.get(name, seen_s) > seen_s
 
+    def find_newer(self, name: str, started_unix_ms: int) -> tuple[int, float] | None:
+        """Returns a later start of a server than the one given, and when it was first known.
+
+        Returns None if none is known. What counts is in which order they became known: the clocks
+        of the machines on which a server starts may differ.
+        """
+        starts = self._starts.get(name, {})
+        given = starts.get(started_unix_ms)
+        if given is None:
+            return None
+        newest = max(starts, key=lambda start: starts[start].known_s)
+        known_s: float = starts[newest].known_s
+        return (newest, known_s) if known_s > given.known_s else None
+
     def has_newer(self, name: str, started_unix_ms: int) -> bool:
         """Tells whether a later start of a server is known than the one given."""
-        return any(start > started_unix_ms for start in self._starts.get(name, {}))
+        return self.find_newer(name, started_unix_ms) is not None
 
     def forget(self, name: str) -> None:
         """Forgets a server that is gone."""
--- a/berylquay/net/persistent_http.py
+++ b/berylquay/net/persistent_http.py
@@ -110,8 +110,6 @@
     bytes_sent_before: int
     # Asked just before the request is sent; False fails it. None if it may be sent at any time.
     may_send: Callable[[], bool] | None
-    # Whether the connection may carry another request although the response echoes no id.
-    may_reuse_without_echo: bool = False
     # Whether the request was passed to the connection.
     sent: bool = False
     # Whether the response being read belongs to another request and is discarded.
@@ -157,8 +155,8 @@
     # Monotonic time at which the connection was opened, set by its owner, and established.
     opened_s: float = float("-inf")
     established_s: float | None = None
-    # Start of the server that the other end has stated on this connection, as a Unix time in
-    # milliseconds; 0 if it has not.
+    # Start of the server that the connection leads to, as a Unix time in milliseconds, set by its
+    # owner; 0 if it is not known.
     server_started_unix_ms: int = 0
     # Whether the connection has ever been established, and whether an attempt to establish it has
     # failed.
@@ -208,8 +206,6 @@
         id_header: bytes = b"",
         request_id: bytes = b"",
         may_send: Callable[[], bool] | None = None,
-        *,
-        may_reuse_without_echo: bool = False,
     ) -> None:
         """Sends a request on an idle or new connection; a new one sends it once established.
 
@@ -221,18 +217,10 @@
             request_id: value that the header is expected to have.
             may_send: asked just before the request is sent, which may be long after this call if
                 the connection is new; the request fails unless it returns True.
-            may_reuse_without_echo: whether the connection may carry another request although the
-                response does not echo an id. A copy of that response fails the next request.
         """
         bytes_sent_before = self._connection.bytes_sent
         self._pending = _PendingRequest(
-            request,
-            handler,
-            id_header,
-            request_id,
-            bytes_sent_before,
-            may_send,
-            may_reuse_without_echo,
+            request, handler, id_header, request_id, bytes_sent_before, may_send
         )
         if self._connection.established:
             self._send_request()
@@ -418,9 +406,7 @@
             and not self._protocol.trailing_data[0]
             and not self._connection.unsent
             and not self._connection.closed
-            and (
-                pending.is_echoed or pending.may_reuse_without_echo or not self.reuse_requires_echo
-            )
+            and (pending.is_echoed or not self.reuse_requires_echo)
         )
         if reusable:
             self._protocol.start_next_cycle()
--- a/berylquay/relay/connection_pool.py
+++ b/berylquay/relay/connection_pool.py
@@ -121,6 +121,11 @@
                 return connection
         return None
 
+    def return_unused(self, name: str, connection: PersistentConnection) -> None:
+        """Takes back a connection that has carried no request."""
+        if not connection.closed:
+            self._return_idle(name, connection)
+
     def find_start(self, name: str, connection: PersistentConnection) -> int:
         """Returns the start of a server that a connection leads to, or 0 if it is not known."""
         established_s = connection.established_s
--- a/berylquay/relay/engine_selection.py
+++ b/berylquay/relay/engine_selection.py
@@ -16,9 +16,10 @@
     _services: RelayServices
     _call: RelayCall
 
-    def can_decode(self, now_s: float) -> bool:
-        """Tells whether any engine that decodes is left for the call."""
-        return bool(_decode_engines(self._usable_engines(self._healthy_engines(now_s))))
+    def can_decode(self, now_s: float, besides: str = "") -> bool:
+        """Tells whether any engine that decodes is left for the call, besides one of this name."""
+        engines = _decode_engines(self._usable_engines(self._healthy_engines(now_s)))
+        return any(engine.name != besides for engine in engines)
 
     def choose_placement(
         self, generation: GenerationRequest, *, may_disaggregate: bool, now_s: float
--- a/berylquay/relay/instance_probes.py
+++ b/berylquay/relay/instance_probes.py
@@ -136,6 +136,11 @@
             self._ask(backend, series, now_s)
         return state, evidence.reason
 
+    def is_asking(self, instance: ServerInstance) -> bool:
+        """Tells whether a question to an instance is open."""
+        series = self._series.get(instance)
+        return series is not None and series.upstream is not None
+
     def on_start_stated(self, backend: BackendEntry, started_unix_ms: int, asked_s: float) -> None:
         """Records the start that has answered a question.
 
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -76,8 +76,8 @@
 URGENCY_PER_RANK: Final = 2
 # Most disaggregated prefills of one call; each after the first is charged to the retry budget.
 MAX_PREFILL_ATTEMPTS: Final = 2
-# Most engines that one call asks for their start.
-MAX_START_QUESTIONS: Final = 4
+# Most questions for the start of an engine before a run.
+MAX_START_QUESTIONS: Final = 8
 # Stage of an attempt that asks an engine for its start.
 START_STAGE: Final = "start"
 # Outcome of a call that a backend server has answered.
@@ -298,7 +298,9 @@
         elif self._queued:
             self._place_generation(now_s, is_first_placement=True)
         elif self._start_question is not None:
-            self._start_question.on_tick(now_s)
+            name = self._start_question.backend.name
+            may_ask_others = self._engines.can_decode(now_s, besides=name)
+            self._start_question.on_tick(now_s, may_ask_others=may_ask_others)
         elif self._unhandled_failure is not None:
             self._handle_failure(self._unhandled_failure, now_s)
         else:
@@ -515,6 +517,7 @@
             self._refuse_over_budget(now_s)
             return
         self._arrivals.on_sent()
+        self._start_questions = 0
         call.sent_to.append(backend.name)
         last_event_id = self._response.newest_event_id if self.caller.response_started else None
         details = self._run_details(backend, now_s, kv_handle, last_event_id)
@@ -563,6 +566,8 @@
     ) -> None:
         """Asks an engine for its start before the caller's stream goes on there."""
         self._start_questions += 1
+        # Other calls see the load that is about to come.
+        self._services.backlog.add_stream(engine.name, self.call.call_id)
         self._start_question = StartQuestion(
             self._services, engine, kv_handle, self._on_start_stated, self._on_start_not_stated
         )
@@ -570,23 +575,27 @@
 
     def _on_start_stated(self, question: StartQuestion, started_unix_ms: int) -> None:
         """Sends the run if the engine is the start that is listed; else chooses another one."""
-        now_s = time.monotonic()
-        self._start_question = None
+        now_s, engine = time.monotonic(), question.backend
+        self._end_start_question()
         if self.ended:
             return
-        engine = question.backend
-        is_listed_start = started_unix_ms == engine.started_unix_ms
-        if not is_listed_start or self._start_questions >= MAX_START_QUESTIONS:
+        if started_unix_ms == engine.started_unix_ms:
+            self._send_run(engine, question.kv_handle, now_s)
+        else:
+            self.call.unproven_engines.add(engine.name)
             self._go_on_elsewhere(question, now_s)
-            return
-        self._send_run(engine, question.kv_handle, now_s)
+
+    def _end_start_question(self) -> None:
+        question, self._start_question = self._start_question, None
+        if question is not None:
+            self._services.backlog.remove_stream(question.backend.name, self.call.call_id)
 
     def _on_start_not_stated(
         self, question: StartQuestion, outcome: AttemptOutcome, detail: str
     ) -> None:
-        """Chooses another engine, as this one has not answered."""
+        """Chooses another engine, or another way to this one, as it has not answered."""
         now_s = time.monotonic()
-        self._start_question = None
+        self._end_start_question()
         if self.ended:
             return
         if question.upstream is not None:
@@ -600,13 +609,23 @@
                 wrote_s=None,
                 now_s=now_s,
             )
+        if outcome in UNSENT_OUTCOMES:
+            # The engine backs off, or is tried by way of the next gateway.
+            record_attempt_outcome(self.call, outcome)
+        else:
+            self.call.unproven_engines.add(question.backend.name)
         self._go_on_elsewhere(question, now_s)
 
     def _go_on_elsewhere(self, question: StartQuestion, now_s: float) -> None:
-        """Places the continuation of the stream at another engine, with the KV cache if any."""
-        self.call.unproven_engines.add(question.backend.name)
-        generation, kv_handle = self.call.generation, question.kv_handle
-        if generation is None or self._start_questions >= MAX_START_QUESTIONS:
+        """Places the continuation of the stream again, with the KV cache if there is one."""
+        call, limits = self.call, self._services.attempts
+        generation, kv_handle = call.generation, question.kv_handle
+        is_given_up = (
+            self._start_questions >= MAX_START_QUESTIONS
+            or call.failed_connects >= limits.max_failed_connects
+            or call.failed_gateways >= limits.max_failed_gateways
+        )
+        if generation is None or is_given_up:
             self._refuse_without_engine(now_s)
         elif kv_handle is None:
             self._place_generation(now_s, is_first_placement=False)
@@ -720,12 +739,19 @@
             self._find_start(upstream, time.monotonic())
 
     def _find_start(self, upstream: UpstreamRequest, now_s: float) -> None:
-        """Asks which start of an engine answers, so that the end can be told to be that start's."""
-        backend, connection = upstream.backend, upstream.connection
-        find_start = self._services.connection_pool.find_start
+        """Asks which start of an engine answers if there are signs that the listed one has ended.
+
+        The end of the answer can then be told to be that start's.
+        """
+        backend, connection, services = upstream.backend, upstream.connection, self._services
         established_s = connection.established_s
-        if backend.states_start and established_s and not find_start(backend.name, connection):
-            self._services.instance_probes.state_since(backend, established_s, now_s)
+        if (
+            backend.states_start
+            and established_s is not None
+            and services.server_starts.is_doubted(backend.name, backend.started_unix_ms)
+            and not services.connection_pool.find_start(backend.name, connection)
+        ):
+            services.instance_probes.state_since(backend, established_s, now_s)
 
     def on_upstream_data(self, upstream: UpstreamRequest, data: bytes) -> None:
         """Relays or buffers a piece of the response body."""
@@ -1083,7 +1109,7 @@
         prefill_request, run_request = self._prefill_request, self._run_request
         if self._start_question is not None:
             self._start_question.cancel()
-            self._start_question = None
+            self._end_start_question()
         if prefill_request is not None:
             prefill_request.cancel()
             self._services.backlog.remove_prompt(prefill_request.backend.name, self.call.call_id)
--- a/berylquay/relay/start_question.py
+++ b/berylquay/relay/start_question.py
@@ -1,7 +1,8 @@
 """Asks an engine which of its starts a connection leads to, before a stream goes on there.
 
-The request that goes on with the stream follows on the same connection, so that no other start can
-take it up in between.
+The connection that is to carry the run is opened first, and the question is sent on another one.
+The start that answers accepted both, unless the engine has started again in between: then the run's
+connection is broken, and the run fails without an event.
 """
 
 from collections.abc import Callable
@@ -11,7 +12,8 @@
 
 from berylquay.decisions.attempt_outcomes import AttemptOutcome
 from berylquay.decisions.backend_registry import BackendEntry
-from berylquay.net.persistent_http import RawResponseHead
+from berylquay.decisions.response_end import WaitingTime
+from berylquay.net.persistent_http import PersistentConnection, RawResponseHead
 from berylquay.platform.request_codec import (
     KVCacheHandle,
     decode_instance_statement,
@@ -20,8 +22,10 @@
 from berylquay.relay.services import RelayServices
 from berylquay.relay.upstream_request import UpstreamRequest
 
-# Time after which the question is given up; a sound engine may be silent for a second or so.
-ANSWER_TIMEOUT_S: Final = 1.2
+# Time after which the question is given up; a sound engine may be silent for a second or so. The
+# first one is for engines beside which others may be asked.
+SHORT_ANSWER_TIMEOUT_S: Final = 0.5
+ANSWER_TIMEOUT_S: Final = 2.0
 MAX_ANSWER_BYTES: Final = 65536
 NO_CONNECTION: Final = "the connection was not established in time"
 NO_ANSWER: Final = "the engine did not state its start in time"
@@ -39,12 +43,19 @@
     # the question has failed: outcome and detail.
     _on_answered: "Callable[[StartQuestion, int], None]"
     _on_failed: "Callable[[StartQuestion, AttemptOutcome, str], None]"
-    # The request; set by `send`.
+    # The request, and the connection for the run; set by `send`.
     upstream: UpstreamRequest | None = field(default=None, init=False)
+    _run_connection: PersistentConnection | None = field(default=None, init=False)
+    _waiting_time: WaitingTime = field(factory=lambda: WaitingTime(0.0), init=False)
     _body: bytearray = field(factory=bytearray, init=False)
 
     def send(self, now_s: float) -> None:
-        """Sends the question on a new connection: a kept one may be dead by now."""
+        """Opens the connection for the run and sends the question on another one."""
+        self._run_connection = self._services.acquire_connection(self.backend, True, now_s)
+        self._waiting_time = WaitingTime(now_s)
+        self._ask(now_s)
+
+    def _ask(self, now_s: float) -> None:
         services, backend = self._services, self.backend
         self.upstream = UpstreamRequest(
             self,
@@ -54,25 +65,32 @@
             call_id="",
             on_notice=services.on_server_notice,
             now_s=now_s,
-            may_reuse_without_echo=True,
         )
 
-    def on_tick(self, now_s: float) -> None:
-        """Gives up the question if it is not answered in time."""
+    def on_tick(self, now_s: float, *, may_ask_others: bool) -> None:
+        """Gives up the question if it is not answered in time.
+
+        Args:
+            now_s: Present monotonic time.
+            may_ask_others: Whether the stream may go on at another engine.
+        """
         upstream = self.upstream
+        timeout_s = SHORT_ANSWER_TIMEOUT_S if may_ask_others else ANSWER_TIMEOUT_S
         if upstream is None or upstream.ended:
             return
         if upstream.is_stuck_connecting(now_s):
             upstream.give_up_connecting()
-            self._on_failed(self, upstream.not_sent_outcome, NO_CONNECTION)
-        elif now_s - upstream.started_s > ANSWER_TIMEOUT_S:
+            self._fail(upstream.not_sent_outcome, NO_CONNECTION)
+        elif self._waiting_time.on_tick(now_s) > timeout_s:
             upstream.cancel()
-            self._on_failed(self, AttemptOutcome.SERVER_ERROR, NO_ANSWER)
+            self._fail(AttemptOutcome.SERVER_ERROR, NO_ANSWER)
 
     def cancel(self) -> None:
-        """Closes the connection."""
+        """Closes the connections."""
         if self.upstream is not None:
             self.upstream.cancel()
+        if self._run_connection is not None:
+            self._run_connection.close()
 
     def on_upstream_head(self, upstream: UpstreamRequest, head: RawResponseHead) -> None:
         """Does nothing: the answer is evaluated once it is complete."""
@@ -82,16 +100,23 @@
         self._body += data[: MAX_ANSWER_BYTES - len(self._body)]
 
     def on_upstream_complete(self, upstream: UpstreamRequest) -> None:
-        """Notes the start that the connection leads to, and passes it on."""
-        if upstream.head is None:
+        """Notes the start that has answered, and passes on the one of the run's connection."""
+        connection, asked_s = self._run_connection, upstream.connection.established_s
+        if upstream.head is None or connection is None or asked_s is None:
+            return
+        if connection.established_s is None or connection.established_s > asked_s:
+            # The run's connection was established after the question was asked.
+            self._body.clear()
+            self._ask(upstream.started_s)
             return
         statement = decode_instance_statement(upstream.head, bytes(self._body))
-        started_unix_ms = statement.started_unix_ms
-        if started_unix_ms:
-            upstream.connection.server_started_unix_ms = started_unix_ms
-            self._services.instance_probes.on_start_stated(
-                self.backend, started_unix_ms, upstream.started_s
+        services, name = self._services, self.backend.name
+        if statement.started_unix_ms and statement.name in ("", name):
+            services.instance_probes.on_start_stated(
+                self.backend, statement.started_unix_ms, asked_s
             )
+        started_unix_ms = services.connection_pool.find_start(name, connection)
+        services.connection_pool.return_unused(name, connection)
         self._on_answered(self, started_unix_ms)
 
     def on_upstream_failed(
@@ -100,4 +125,8 @@
         """Passes on the failure; a lost question is no crash of what the engine runs."""
         if outcome is AttemptOutcome.CONNECTION_LOST:
             outcome = AttemptOutcome.SERVER_ERROR
+        self._fail(outcome, detail)
+
+    def _fail(self, outcome: AttemptOutcome, detail: str) -> None:
+        self.cancel()
         self._on_failed(self, outcome, detail)
--- a/berylquay/relay/stream_beginning.py
+++ b/berylquay/relay/stream_beginning.py
@@ -5,7 +5,7 @@
 therefore found out in the background; the first event does not wait for it.
 """
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from berylquay.decisions.relay_call import RelayCall
 from berylquay.decisions.stream_versions import PENDING_VERSION, UNLISTED_VERSION
@@ -33,7 +33,10 @@
     @property
     def is_pending(self) -> bool:
         """Tells whether an answer of the engine may still show the version of a stream."""
-        return self._has_begun and self._call.stream_version == PENDING_VERSION
+        if not self._has_begun or self._is_certain:
+            return False
+        is_asking = self._services.instance_probes.is_asking(self._upstream.backend.instance)
+        return is_asking or self._call.stream_version == PENDING_VERSION
 
     def on_tick(self, now_s: float) -> None:
         """Asks the engine for its start, and records the version once it is certain."""
@@ -62,12 +65,16 @@
             entry = services.registry.get(listed.name)
             self._is_certain = entry is not None and entry.started_unix_ms == started_unix_ms
             return entry.software_version if entry and self._is_certain else PENDING_VERSION
-        starts = services.server_starts
-        if starts.has_newer(listed.name, listed.started_unix_ms):
-            # Either of the two may have begun the stream.
-            return UNLISTED_VERSION
+        starts, expected = services.server_starts, listed
+        newer = starts.find_newer(listed.name, listed.started_unix_ms)
+        if newer is not None:
+            newer_unix_ms, known_s = newer
+            if known_s > connection.opened_s:
+                # Either of the two may have begun the stream.
+                return UNLISTED_VERSION
+            expected = evolve(listed, started_unix_ms=newer_unix_ms)
         if connection.established_s is not None:
-            services.instance_probes.state_since(listed, connection.established_s, now_s)
+            services.instance_probes.state_since(expected, connection.established_s, now_s)
         # Signs that come after the first event say nothing of the start that sent it.
         is_recorded = self._call.stream_version == listed.software_version
         if is_recorded or not starts.is_doubted(listed.name, listed.started_unix_ms):
--- a/berylquay/relay/upstream_request.py
+++ b/berylquay/relay/upstream_request.py
@@ -75,7 +75,6 @@
         on_notice: NoticeListener,
         now_s: float,
         may_send: Callable[[], bool] | None = None,
-        may_reuse_without_echo: bool = False,
     ) -> None:
         self.backend = backend
         self.started_s = now_s
@@ -86,12 +85,7 @@
         self._on_notice = on_notice
         self._outcome = None
         connection.start_request(
-            request,
-            self,
-            ATTEMPT_ID if call_id else b"",
-            call_id.encode("latin-1"),
-            may_send,
-            may_reuse_without_echo=may_reuse_without_echo,
+            request, self, ATTEMPT_ID if call_id else b"", call_id.encode("latin-1"), may_send
         )
 
     @property
--- a/tests/support/stream_model.py
+++ b/tests/support/stream_model.py
@@ -16,6 +16,7 @@
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.pool_version_history import PoolVersionHistory
 from berylquay.decisions.relay_call import RelayCall
+from berylquay.decisions.server_starts import ServerStarts
 from berylquay.decisions.store_era import StoreEra
 from berylquay.platform.store_client import StoreClient
 from berylquay.platform.wire_names import TOPIC_BACKENDS
@@ -137,6 +138,7 @@
         )
         self.era.add_listener(self._on_era)
         self.services: Any = SimpleNamespace(
+            server_starts=ServerStarts(),
             registry=self.registry,
             stream_versions=self.exchange,
             pool_versions=self.history,
--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -61,6 +61,20 @@
     assert starts.is_doubted("unknown", LISTED)
 
 
+# Guards against an order of starts that depends on the clocks of the machines that they run on, and
+# against the late answer of a former start that is taken for a newer one.
+def test_starts_follow_each_other_in_the_order_in_which_they_became_known() -> None:
+    starts = make_starts()
+    earlier_by_its_clock = LISTED - 500
+    assert starts.on_answered("engine", earlier_by_its_clock, 1.0, 1.1)
+    assert starts.find_newer("engine", LISTED) == (earlier_by_its_clock, 1.1)
+    starts.on_listed("engine", earlier_by_its_clock, 2.0)
+    assert not starts.has_newer("engine", earlier_by_its_clock)
+    late = make_starts(now_s=5.0)
+    assert not late.on_answered("engine", NEWER, asked_s=4.9, now_s=5.1)
+    assert not late.has_newer("engine", LISTED)
+
+
 def test_the_starts_of_one_server_are_bounded() -> None:
     starts = make_starts()
     for number in range(MAX_STARTS):
