Let engines stand still and restart as a release done in place in the soak

The soak over releases had neither engines that stand still nor a release in which all engines start again under their names as the newest version, one after the other.

--- a/soak/engine_pool.py
+++ b/soak/engine_pool.py
@@ -49,6 +49,8 @@
     started_unix_ms: int
     # State in its entry.
     state: str = "ready"
+    # Whether its process is suspended, so that it answers nothing.
+    stands_still: bool = False
 
 
 @frozen
@@ -151,7 +153,7 @@
     def set_faults(self, engines: list[Engine], faults: dict[str, object]) -> None:
         """Sets the faults of engines that run, besides those that last."""
         for engine in engines:
-            if engine.process.popen.poll() is None:
+            if engine.process.popen.poll() is None and not engine.stands_still:
                 lasting = self._lasting_faults.get(engine.name, {})
                 with contextlib.suppress(*ENDED_MEANWHILE):
                     engine.process.post("/faults", {**lasting, **faults})
@@ -179,6 +181,8 @@
     def follow_roles(self) -> None:
         """Writes the entries of engines that have another role by now."""
         for name, engine in list(self.engines.items()):
+            if engine.stands_still:
+                continue
             with contextlib.suppress(*ENDED_MEANWHILE):
                 role = str(engine.process.get("/report")["phase"])
                 if role != engine.role and name in self.engines:
@@ -196,6 +200,17 @@
             engine.process.kill()
         return engine
 
+    def pause(self, engine: Engine) -> None:
+        """Lets an engine stand still."""
+        engine.stands_still = True
+        engine.process.pause()
+
+    def resume(self, engine: Engine) -> None:
+        """Lets an engine go on that stood still, without the faults that have ended meanwhile."""
+        engine.process.resume()
+        engine.stands_still = False
+        self.set_faults([engine], {})
+
     # Engines that end and are back at their address, as `return_ended` is called.
 
     def end_and_replace(self, name: str) -> None:
@@ -210,6 +225,29 @@
         self.end(name)
         self._plan_return(engine, successor, time.monotonic())
 
+    def restart_in_series(self, gap_s: float, entry_delay_s: float) -> None:
+        """Lets all engines start again as the next version, one after the other."""
+        self.newest_version += 1
+        version = f"v{self.newest_version}"
+        engines = list(self.engines.values())
+        # Processes behind the proxy run already, so that they may take over at once.
+        successors = {
+            engine.name: self._launch(version, engine.role, engine.address, engine.name)
+            for engine in engines
+            if engine.address.link
+        }
+        for engine in engines:
+            successor = successors.get(engine.name)
+            if self.engines.get(engine.name) is engine:
+                self.end(engine.name)
+                if successor is None:
+                    successor = self._launch(version, engine.role, engine.address, engine.name)
+                self.take_over(successor)
+                self._due.append(DueStep(time.monotonic() + entry_delay_s, successor))
+                time.sleep(gap_s)
+            elif successor is not None:
+                successor.process.kill()
+
     def return_ended(self) -> None:
         """Notes engines that have ended by themselves, and takes the steps that are due."""
         now_s = time.monotonic()
--- a/soak/release_schedule.py
+++ b/soak/release_schedule.py
@@ -24,6 +24,10 @@
 KILL_AT_WAKE_PROBABILITY: Final = 0.6
 # That the hosts of a site are stopped.
 STOP_PROBABILITY: Final = 0.5
+# That all engines of a site start again one after the other, and longest time until their entries
+# follow.
+SERIES_PROBABILITY: Final = 0.5
+MAX_SERIES_ENTRY_DELAY_S: Final = 3.0
 # Longest time from SIGTERM until a host starts again; it is killed if it has not ended by then.
 MAX_STOP_S: Final = 9.0
 ENGINE_POLL_INTERVAL_S: Final = 0.02
@@ -53,10 +57,13 @@
     actions: list[Action] = field(factory=list)
     # Steps that others do not wait for, which may wait for the store.
     store_actions: list[Action] = field(factory=list)
+    # Steps that others do not wait for, as each lasts for seconds.
+    series_actions: list[Action] = field(factory=list)
 
     async def run(self, start_s: float) -> None:
         """Takes all steps."""
-        plays = [self._play(actions, start_s) for actions in (self.actions, self.store_actions)]
+        series = (self.actions, self.store_actions, self.series_actions)
+        plays = [self._play(actions, start_s) for actions in series]
         if self.is_site:
             plays.append(self._watch_engines(start_s + LENGTH_S))
         await asyncio.gather(*plays)
@@ -90,6 +97,10 @@
             self._harm_link(rng.uniform(WARM_UP_S, LENGTH_S - 2.0))
         for _ in range(rng.randint(0, 2) if self.pool.has_proxy else 0):
             self._partition_host(rng.uniform(WARM_UP_S, LENGTH_S - 2.0), host_count)
+        for _ in range(rng.randint(0, 3)):
+            self._freeze_engine(rng.uniform(WARM_UP_S, LENGTH_S - 2.0))
+        if rng.random() < SERIES_PROBABILITY:
+            self._release_in_place(rng.uniform(WARM_UP_S, LENGTH_S / 2.0))
 
     def _add(self, at_s: float, run: Callable[[], None]) -> None:
         self.actions.append(Action(at_s, run))
@@ -189,6 +200,32 @@
 
         self._add(at_s, leave)
 
+    def _freeze_engine(self, at_s: float) -> None:
+        """A server stands still, and goes on with what it had begun."""
+        chosen = self.rng.random()
+        frozen_engines: list[Engine] = []
+
+        def freeze() -> None:
+            engine = self.pool.engines.get(self._choose_engine(chosen))
+            if engine is not None:
+                frozen_engines.append(engine)
+                self.pool.pause(engine)
+
+        def wake() -> None:
+            for engine in frozen_engines:
+                self.pool.resume(engine)
+
+        self._add(at_s, freeze)
+        self._add(at_s + self.rng.uniform(0.3, 6.0), wake)
+
+    def _release_in_place(self, at_s: float) -> None:
+        """All servers start again as a new version, under their names and at their addresses."""
+        gap_s = self.rng.uniform(0.05, 1.0)
+        entry_delay_s = self.rng.choice((0.0, self.rng.uniform(0.0, MAX_SERIES_ENTRY_DELAY_S)))
+        self.series_actions.append(
+            Action(at_s, lambda: self.pool.restart_in_series(gap_s, entry_delay_s))
+        )
+
     def _harm_link(self, at_s: float) -> None:
         """The link to a server is slow, cut or reset."""
         chosen = self.rng.random()
--- a/soak/releases.py
+++ b/soak/releases.py
@@ -7,10 +7,11 @@
 
 With `--site` the kinds of stream, engines and bounds are those of a site file. Engines then answer
 in chunks or without framing, are back at their address at once or later, under another name or as a
-newer start, and end right after their last stream; on some seeds hosts reach them through a proxy
-that delays, cuts and resets links and accepts connections for engines that have ended, and single
-hosts are partitioned from all engines. Hosts are stopped too, and callers keep connections or speak
-HTTP/1.0.
+newer start, which may be of a newer version, and end right after their last stream. Single ones
+stand still, and on half of the seeds all start again as a new version, one after the other. On some
+seeds hosts reach them through a proxy that delays, cuts and resets links and accepts connections
+for engines that have ended, and single hosts are partitioned from all engines. Hosts are stopped
+too, and callers keep connections or speak HTTP/1.0.
 """
 
 import argparse
