Print what became of tries to take streams up in the soak over releases

A fix that refuses more continuations could not be told from one that does not: the soak printed streams that were taken up, not the tries and their statuses.

--- a/soak/release_callers.py
+++ b/soak/release_callers.py
@@ -1,6 +1,7 @@
 """Callers of a soak over releases, who read streams to the end or leave after the first event."""
 
 import asyncio
+from collections import Counter
 from random import Random
 from typing import Final
 
@@ -39,6 +40,8 @@
     # Hosts that run and do not stand still; the schedule changes it.
     live_hosts: set[int]
     streams: list[Stream] = field(factory=list)
+    # What became of the tries to take a stream up: that it went on, or the status and error.
+    take_ups: Counter[str] = field(factory=Counter)
 
     async def run(self, end_s: float) -> None:
         """Sends requests until a time of the event loop's clock."""
@@ -96,6 +99,9 @@
             connection = await self._read(stream, call_id, self._choose_host(rng), options)
             if connection is not None:
                 connection.close()
+            has_gone_on = stream.is_complete or len(stream.events) > before
+            answer = stream.tries[-1].rpartition(": ")[2].partition(",")[0]
+            self.take_ups["went on" if has_gone_on else answer.removeprefix("HTTP/1.0 ")] += 1
             if len(stream.events) == before:
                 await asyncio.sleep(RETRY_PAUSE_S)
 
--- a/soak/releases.py
+++ b/soak/releases.py
@@ -100,6 +100,7 @@
         if stream.fault()
     )
     print(f"seed {seed}: {host_count} hosts{described}, streams {dict(sorted(ends.items()))}")
+    print(f"  tries to take up {dict(sorted(callers.take_ups.items()))}")
     print(f"  broken off after the last event {dict(broken_whole)}, wrong {dict(kinds)}")
     return faults
 
