Pass streams on again when the first host of a group has started anew

While a pool has several versions, each host tells the first host of its group which streams it begins, once, and the first host writes them to the store. A first host counts as such for 3 s after its end, and at once again when it is back under its name: what it was told in between was lost, and nobody knew these streams any more once the host that began them ended too. Their callers were refused.

The load reports of a host's first 10 s now name its start, as one more topic, which earlier builds ignore. A host that finds another first host, or another start of it, passes on again what it has begun in the last minute.

--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -318,6 +318,7 @@
                 metrics=metrics,
                 rng=rng,
                 first_host=self._first_host_address,
+                first_host_start=self._first_host_start,
                 get_group_size=lambda: self._peer_exchange.group_size,
                 send=self._send_to_host,
                 ask=self._ask_for_stream,
@@ -359,6 +360,9 @@
     def _first_host_address(self, now_s: float) -> Address | None:
         return self._peer_exchange.first_host_address(now_s)
 
+    def _first_host_start(self, now_s: float) -> tuple[str, str]:
+        return self._peer_exchange.first_host_start(now_s)
+
     def _find_stored_stream(self, call_id: str) -> str | None:
         return self._services.stream_version_store.ledger.find(call_id)
 
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -245,6 +245,10 @@
         before = self._live_before(now_s)
         return min(before, key=lambda peer: peer.name).address if before else None
 
+    def first_name_before(self, now_s: float) -> str:
+        """Returns the name of the first live host, or an empty string if it is this one."""
+        return min((peer.name for peer in self._live_before(now_s)), default="")
+
     def _live_before(self, now_s: float) -> list[_Peer]:
         """Returns the recipients that sort before this host by name and have reported lately."""
         return [
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -4,6 +4,7 @@
 """
 
 import time
+import uuid
 from collections.abc import Mapping
 from typing import Final
 
@@ -33,7 +34,11 @@
 # Stands for a topic in reports: its state names the entries at whose addresses the reporting host
 # has found other servers, or other roles.
 MISDIRECTED_SERVERS: Final = "misdirected-servers"
-# Most entries in such a report, so that it fits into a datagram.
+# Stands for a topic in reports: its state names the start of the reporting host's process. Only in
+# the first reports of a process.
+HOST_START: Final = "host-start"
+START_REPORTS_S: Final = 10.0
+# Most entries in a report of such servers, so that it fits into a datagram.
 MAX_MISDIRECTED: Final = 16
 _log = logbook.Logger("peer-exchange")
 
@@ -48,6 +53,11 @@
     _configuration: ConfigurationView
     _gossip: LoadGossip
     _regions: RegionExchange
+    # Name of this process's start, and its monotonic time.
+    _own_start: str
+    _started_s: float
+    # Starts that other hosts have reported, by name.
+    _host_starts: dict[str, str]
 
     def __init__(
         self,
@@ -61,6 +71,9 @@
         self._configuration = configuration
         self._services = services
         self._followers = followers
+        self._own_start = uuid.uuid4().hex[:8]
+        self._started_s = time.monotonic()
+        self._host_starts = {}
         self._gossip = LoadGossip(
             host=options.host,
             data_centre=options.data_centre,
@@ -109,6 +122,11 @@
         """Returns the address of the first host of the group, or None if it is this one."""
         return self._gossip.first_live_before(now_s)
 
+    def first_host_start(self, now_s: float) -> tuple[str, str]:
+        """Returns name and start of the first host of the group, empty if it is this one."""
+        host = self._gossip.first_name_before(now_s)
+        return host, self._host_starts.get(host, "")
+
     def update_host_count(self, listed_host_count: int) -> int:
         """Sets the number of hosts in the store's list; returns that of the whole fleet."""
         self._gossip.listed_host_count = listed_host_count
@@ -234,6 +252,8 @@
                 self._services.path_monitor.on_lost_pools(host, pools, arrived_s)
             if report.topic == MISDIRECTED_SERVERS:
                 self._on_misdirected_servers(report.state_hash.split("\n"), host, arrived_s)
+            if report.topic == HOST_START:
+                self._host_starts[host] = report.state_hash
             if report.topic == CONFIGURATION_VERSION:
                 version = parse_whole_number(report.state_hash)
                 if version is not None:
@@ -262,8 +282,10 @@
     def _standing_reports(self) -> tuple[TopicReport, ...]:
         """Returns what each report of this host says besides its own reads."""
         reports = list(self._version_report())
-        services = self._services
-        names = services.health.misdirected_servers(time.monotonic())
+        services, now_s = self._services, time.monotonic()
+        if now_s - self._started_s < START_REPORTS_S:
+            reports.append(TopicReport(HOST_START, self._own_start, 0))
+        names = services.health.misdirected_servers(now_s)
         entries = [entry for entry in map(services.registry.get, names) if entry is not None]
         for topic, state in (
             (LOST_POOLS, sorted(services.path_monitor.lost_pools)),
--- a/berylquay/relay/stream_version_store.py
+++ b/berylquay/relay/stream_version_store.py
@@ -60,12 +60,16 @@
     _rng: Random
     # Returns the address of the first host of the group, or None if it is this one.
     _first_host: Callable[[float], Address | None]
+    # Returns name and start of that host; a new start lacks what the one before was told.
+    _first_host_start: Callable[[float], tuple[str, str]]
     _get_group_size: Callable[[], int]
     _send: Callable[[bytes, Address], None]
     # Asks a host for the version of a stream, and sends one that is known now.
     _ask: Callable[[str, Address], None]
     _reply: Callable[[str, Address], object]
     _now_s: float = field(default=float("-inf"), init=False)
+    # First host of the group at the last check.
+    _told_first: tuple[str, str] = field(default=("", ""), init=False)
     # Pools that have had several versions, at the last check.
     _mixed_pools: set[str] = field(factory=set, init=False)
     _next_check_s: float = field(default=float("-inf"), init=False)
@@ -163,11 +167,20 @@
         return is_small or self._first_host(self._now_s) is None
 
     def _update_mixed_pools(self, now_s: float) -> None:
-        """Passes on the streams of before a pool's second version, once it has one."""
+        """Passes on the streams of before a pool's second version, once it has one.
+
+        Also those of pools that had several before, if the first host is another one or has started
+        anew: what it was told while it was gone is lost.
+        """
         pools = {pool for pool in self._history.pools if self._history.has_several(pool, now_s)}
-        for pool in pools - self._mixed_pools:
+        first = self._first_host_start(now_s)
+        before, self._told_first = self._told_first, first
+        for pool in pools if first != before else pools - self._mixed_pools:
             for version, streams in self.ledger.begun_streams(pool, now_s).items():
                 self._pass_on(version, streams, now_s)
+        if first != before and pools:
+            _log.info("streams passed on to another first host", host=first[0], start=first[1])
+        for pool in pools - self._mixed_pools:
             _log.info("pool has several versions", pool=pool)
         for pool in self._mixed_pools - pools:
             _log.info("pool has one version again", pool=pool)
--- a/tests/support/stream_model.py
+++ b/tests/support/stream_model.py
@@ -130,6 +130,7 @@
             metrics=Mock(),
             rng=world.rng,
             first_host=lambda _now_s: model.first_host(self),
+            first_host_start=lambda _now_s: model.first_host_start(self),
             get_group_size=lambda: model.group_size,
             send=model.send,
             ask=self.exchange.ask_host,
@@ -296,6 +297,12 @@
         before = [other for other in self.peers_of(host) if other.name < host.name]
         return min(before, key=lambda other: other.name).address if before else None
 
+    def first_host_start(self, host: StreamHost) -> tuple[str, str]:
+        """Returns name and start of that host, empty if it is the host itself."""
+        before = [other for other in self.peers_of(host) if other.name < host.name]
+        first = min(before, key=lambda other: other.name, default=None)
+        return ("", "") if first is None else (first.name, str(first.started_s))
+
     def clock_error_s(self, host: StreamHost) -> float:
         """Returns by how much a host's wall clock is wrong."""
         return self._clock_errors_s.get(host.name, 0.0)
