--- a/tests/relay/test_streams_by_other_ids.py
+++ b/tests/relay/test_streams_by_other_ids.py
@@ -38,9 +38,7 @@
         return answer.status, stream.call_id, call_id
 
     with ThreadPoolExecutor(STREAMS) as pool:
-        streams = list(
-            pool.map(lambda n: OpenStream.begin(fleet, f"stream-{n}"), range(STREAMS))
-        )
+        streams = list(pool.map(lambda n: OpenStream.begin(fleet, f"stream-{n}"), range(STREAMS)))
         results = list(pool.map(take_up, streams))
     statuses = sorted(status for status, _, _ in results)
     print(names, statuses)
--- a/tests/support/distant_host.py
+++ b/tests/support/distant_host.py
@@ -1,10 +1,12 @@
 """Runs a relay host whose datagrams are late or lost on the way to the other hosts.
 
 The first argument is a JSON file that is read for each datagram: `delay_s` is the time after which
-it is sent, `is_lost` tells whether it is lost. The other arguments are the relay host's.
+it is sent, `is_lost` tells whether it is lost, `loss` is the probability of that. The other
+arguments are the relay host's.
 """
 
 import json
+import random
 import socket
 import sys
 import threading
@@ -21,7 +23,7 @@
     def sendto(self, data: bytes, address: tuple[str, int]) -> int:  # type: ignore[override]
         """Sends a datagram, at once or later, or loses it."""
         state = json.loads(self.state_file.read_text(encoding="utf-8"))
-        if state.get("is_lost"):
+        if state.get("is_lost") or random.random() < state.get("loss", 0.0):
             return len(data)
         if not state.get("delay_s"):
             return super().sendto(data, address)
