--- a/tests/support/stream_model.py
+++ b/tests/support/stream_model.py
@@ -16,6 +16,7 @@
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.pool_version_history import PoolVersionHistory
 from berylquay.decisions.relay_call import RelayCall
+from berylquay.decisions.server_starts import ServerStarts
 from berylquay.decisions.store_era import StoreEra
 from berylquay.platform.store_client import StoreClient
 from berylquay.platform.wire_names import TOPIC_BACKENDS
@@ -143,6 +144,7 @@
             pool_versions=self.history,
             pool_version_store=self.pools,
             stream_version_store=self.streams,
+            server_starts=ServerStarts(),
             metrics=Mock(),
         )
 
