--- a/tests/relay/test_streams_of_distant_hosts.py
+++ b/tests/relay/test_streams_of_distant_hosts.py
@@ -1,22 +1,25 @@
 """Streams that callers take up at hosts which other hosts' datagrams reach late or not at all."""
 
 import json
+import re
 import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from random import Random
 from typing import Final
 
 import pytest
 from attrs import frozen
 
 from berylquay.net.http_client import STATUS_OK
-from tests.relay.test_stream_versions import OpenStream, resume
-from tests.support.relay_fleet import RelayFleet, make_configuration, wait_until
+from soak.engine_pool import EnginePool
+from tests.relay.test_stream_versions import PROMPT_HEADERS, OpenStream, resume
+from tests.support.relay_fleet import PATHS, RelayFleet, make_configuration, wait_until
 
 ENGINE_ARGUMENTS: Final = ("--events", "40", "--interval-ms", "50")
 # Longer than the interval between two reports of an idle host.
 REPORT_INTERVAL_S: Final = 1.5
-STREAMS: Final = 8
+STREAMS: Final = 16
 
 
 @frozen
@@ -92,3 +95,50 @@
     crossed = [result for result in results if result.continued_at not in (None, result.begun_at)]
     assert not crossed, results
     assert any(result.status == STATUS_OK for result in results), results
+
+
+def _versions_in(body: bytes) -> set[bytes]:
+    return set(re.findall(rb"x (v[0-9])", body))
+
+
+# Guards against a host that takes the listed versions for all, though streams have begun at a newer
+# start of an engine, whose entry has not come.
+@pytest.mark.parametrize("loss", ["datagrams", "host"])
+def test_a_stream_of_a_start_without_an_entry_is_not_joined_elsewhere(
+    fleet: RelayFleet, tmp_path: Path, loss: str
+) -> None:
+    state_file = tmp_path / "datagrams.json"
+    state_file.write_text("{}", encoding="utf-8")
+    fleet.put_configuration(make_configuration())
+    engines = EnginePool(fleet, Random(1))
+    engines.start_proxy()
+    for _ in range(2):
+        engines.start(1)
+    for number in range(2):
+        fleet.add_host(f"host-{number}", datagram_file=state_file)
+    time.sleep(REPORT_INTERVAL_S)
+    if loss == "datagrams":
+        state_file.write_text(json.dumps({"is_lost": True}), encoding="utf-8")
+    engine = engines.engines["e1"]
+    successor = engines.launch_next_version(engine)
+    engines.end(engine.name)
+    engines.take_over(successor)
+
+    def take_up(stream: OpenStream) -> set[bytes]:
+        """Returns the versions of the events before and after."""
+        stream.sock.close()
+        headers = {**PROMPT_HEADERS, "Last-Event-Id": "1", "Resumes": stream.call_id}
+        path = f"{PATHS['resumable']}{stream.call_id}"
+        answer = fleet.send_request(path, f"{stream.call_id}-again", headers=headers, host=1)
+        return _versions_in(stream.received) | _versions_in(answer.body)
+
+    with ThreadPoolExecutor(STREAMS) as pool:
+        streams = list(
+            pool.map(lambda number: OpenStream.begin(fleet, f"stream-{number}"), range(STREAMS))
+        )
+        if loss == "host":
+            fleet.kill_hosts(0)
+        versions = list(pool.map(take_up, streams))
+    assert {b"v2"} in [_versions_in(stream.received) for stream in streams]
+    joined = [item for item in versions if len(item) > 1]
+    assert not joined, f"{len(joined)} of {STREAMS}"
