Hold a server to what its new start stated before its entry came

A server that starts again under its name answers requests that hosts send by the entry of the start before. A pause, a limit or that it leaves was kept under that start, and forgotten when the new entry came; an answer that came after the entry was kept under the old start, and could replace a pause of the new one. The host then sent requests to a server that wanted none (BUDGET, LIMIT, DRAIN). Statements now pass on to the new start if their request was sent after it began, by its start time, with 1 s for clocks that differ. That it leaves is taken over without that second, for 30 s, and is told to no other host: it can't be withdrawn, and a release in place must not lose servers.

--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -144,6 +144,22 @@
         """Returns the entry of a backend server, or None if there is none."""
         return self._entries.get(name)
 
+    def newer_instance(self, instance: ServerInstance) -> ServerInstance | None:
+        """Returns the listed instance of the same name if it has started later, or None."""
+        entry = self._entries.get(instance.name)
+        is_newer = entry is not None and entry.started_unix_ms > instance.started_unix_ms
+        return None if entry is None or not is_newer else entry.instance
+
+    def answering_instance(self, asked: ServerInstance, sent_unix_ms: int) -> ServerInstance:
+        """Returns the instance that has answered a request, as far as the entries tell.
+
+        Args:
+            asked: The instance of which the request was sent.
+            sent_unix_ms: Unix time at which it was sent.
+        """
+        newer = self.newer_instance(asked)
+        return asked if newer is None or not newer.may_answer(sent_unix_ms) else newer
+
     def ready_in_pool(self, pool: str) -> list[BackendEntry]:
         """Returns the backend servers of a pool that accept new requests."""
         listed, notices = self._listed_as_ready(pool), self.notices
--- a/berylquay/decisions/server_limits.py
+++ b/berylquay/decisions/server_limits.py
@@ -35,6 +35,8 @@
     named_s: float
     # Monotonic time from which the oldest permit that was not used is valid.
     permit_s: float
+    # Unix time at which the last request was sent whose answer named it; 0 if unknown.
+    sent_unix_ms: int
 
 
 @define
@@ -58,7 +60,14 @@
         return None if limit is None or limit.instance != instance else limit.per_s
 
     def on_limit(
-        self, instance: ServerInstance, per_s: float, *, sent_s: float, rng: Random, now_s: float
+        self,
+        instance: ServerInstance,
+        per_s: float,
+        *,
+        sent_s: float,
+        rng: Random,
+        now_s: float,
+        sent_unix_ms: int = 0,
     ) -> bool:
         """Applies what an answer says of its server's limit.
 
@@ -68,6 +77,7 @@
             sent_s: Monotonic time at which the request was sent that was answered.
             rng: Chooses when the first permit is valid.
             now_s: Present time.
+            sent_unix_ms: Unix time at which the request was sent; 0 if unknown.
 
         Returns:
             Whether the instance had another limit before, or none, or has none any more.
@@ -85,14 +95,28 @@
         if known is not None and known.instance == instance:
             has_changed = known.per_s != per_s
             known.per_s, known.named_s = per_s, now_s
+            known.sent_unix_ms = max(known.sent_unix_ms, sent_unix_ms)
             return has_changed
         first_permit_s = now_s + rng.random() * self._interval_s(per_s)
         self._limits.pop(instance.name, None)
-        self._limits[instance.name] = _Limit(instance, per_s, now_s, first_permit_s)
+        self._limits[instance.name] = _Limit(instance, per_s, now_s, first_permit_s, sent_unix_ms)
         while len(self._limits) > MAX_LIMITS:
             del self._limits[next(iter(self._limits))]
         return True
 
+    def on_instance(self, instance: ServerInstance) -> None:
+        """Forgets the limit of an earlier instance of the same name.
+
+        A limit that this one may have named before its entry was known is kept.
+        """
+        limit = self._limits.get(instance.name)
+        if limit is None or limit.instance.started_unix_ms >= instance.started_unix_ms:
+            return
+        if instance.may_answer(limit.sent_unix_ms):
+            limit.instance = instance
+        else:
+            del self._limits[instance.name]
+
     def has_permit(self, instance: ServerInstance) -> bool:
         """Tells whether a request may be sent to an instance, as of the last tick."""
         limit = self._limits.get(instance.name)
--- a/berylquay/relay/gateway_server.py
+++ b/berylquay/relay/gateway_server.py
@@ -12,6 +12,7 @@
 
 from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry, EntryState
 from berylquay.decisions.server_instance import ServerInstance
+from berylquay.net.clocks import unix_ms_at
 from berylquay.net.tcp_connections import Connection, TcpConnections
 from berylquay.peers.security_layer import PlaintextLayer
 from berylquay.peers.websocket import PeerWebSocket, WebSocketError
@@ -217,8 +218,10 @@
         except ValueError:
             self._abandon("unreadable pause")
             return
-        now_s = time.monotonic()
-        self._gateway.registry.notices.on_pause(entry.instance, pause_s, self._gateway.rng, now_s)
+        registry, now_s = self._gateway.registry, time.monotonic()
+        sent_unix_ms = unix_ms_at(self._started_s)
+        instance = registry.answering_instance(entry.instance, sent_unix_ms)
+        registry.notices.on_pause(instance, pause_s, self._gateway.rng, now_s, sent_unix_ms)
 
     # Called by the handler of the connection to the server.
 
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -168,7 +168,7 @@
         self._services = self._make_services(connections, rng)
         self._errors.on_error = self._services.metrics.on_unexpected_error
         self._server_notice_handler = ServerNoticeHandler(
-            self._services.registry.notices,
+            self._services.registry,
             self._services.metrics,
             rng,
             self._send_to_all_hosts,
--- a/berylquay/relay/server_notice_handler.py
+++ b/berylquay/relay/server_notice_handler.py
@@ -9,13 +9,14 @@
 import logbook
 
 from berylquay.decisions.arrival_bounds import ArrivalBounds
-from berylquay.decisions.backend_registry import BackendEntry
+from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry
 from berylquay.decisions.server_instance import ServerInstance
 from berylquay.decisions.server_notices import (
     MAX_PAUSE_S,
     ServerNotice,
     ServerNotices,
 )
+from berylquay.net.clocks import unix_ms_at
 from berylquay.relay.metrics import RelayMetrics
 from berylquay.relay.report_fields import FIELD_ERRORS, compress_fields, decompress_fields
 
@@ -62,6 +63,7 @@
 class ServerNoticeHandler:
     """Records notices, logs each change, and counts them."""
 
+    _registry: BackendRegistry
     _notices: ServerNotices
     _metrics: RelayMetrics
     _rng: Random
@@ -70,12 +72,13 @@
 
     def __init__(
         self,
-        notices: ServerNotices,
+        registry: BackendRegistry,
         metrics: RelayMetrics,
         rng: Random,
         send_to_all: Callable[[bytes], None],
     ) -> None:
-        self._notices = notices
+        self._registry = registry
+        self._notices = registry.notices
         self._metrics = metrics
         self._rng = rng
         self._send_to_all = send_to_all
@@ -88,13 +91,17 @@
             notice: What the answer states.
             sent_s: Monotonic time at which the request was sent that was answered.
         """
+        now_s, sent_unix_ms = time.monotonic(), unix_ms_at(sent_s)
+        instance = self._registry.answering_instance(backend.instance, sent_unix_ms)
+        if self._registry.newer_instance(instance) is not None:
+            # It has ended since.
+            return
         if notice.limit_per_s is not None:
-            self._limit(backend.instance, notice.limit_per_s, sent_s, time.monotonic())
-        if notice.is_leaving and self._notices.on_leaving(backend.instance):
-            self._record_leaving(backend.instance, "answer")
-            self._send_to_all(encode_leaving_server(backend.instance))
+            self._limit(instance, notice.limit_per_s, sent_s, now_s)
+        if notice.is_leaving:
+            self._leaving(backend.instance, sent_unix_ms)
         if notice.pause_s is not None:
-            self._pause(backend.instance, notice.pause_s, time.monotonic())
+            self._pause(instance, notice.pause_s, sent_unix_ms, now_s)
 
     def on_leaving_datagram(self, data: bytes, _arrival: ArrivalBounds) -> None:
         """Applies what another host has learned of a server that is leaving."""
@@ -128,6 +135,16 @@
                 started_unix_ms=instance.started_unix_ms,
             )
 
+    def _leaving(self, asked: ServerInstance, sent_unix_ms: int) -> None:
+        newer = self._registry.newer_instance(asked)
+        if newer is not None:
+            is_own = newer.may_answer(sent_unix_ms, tolerance_ms=0)
+            if is_own and self._notices.on_uncertain_leaving(newer):
+                self._record_leaving(newer, "answer")
+        elif self._notices.on_leaving(asked, sent_unix_ms):
+            self._record_leaving(asked, "answer")
+            self._send_to_all(encode_leaving_server(asked))
+
     def _record_leaving(self, instance: ServerInstance, source: str) -> None:
         self._metrics.on_server_notice("leaving", source)
         _log.info(
@@ -142,7 +159,12 @@
         if not isinf(per_s) or self._notices.limits.has_limit(instance.name):
             before = self._notices.limits.limit_of(instance)
             is_new = self._notices.on_limit(
-                instance, per_s, sent_s=sent_s, rng=self._rng, now_s=now_s
+                instance,
+                per_s,
+                sent_s=sent_s,
+                rng=self._rng,
+                now_s=now_s,
+                sent_unix_ms=unix_ms_at(sent_s),
             )
             if is_new:
                 self._record_limit(instance, before, "answer")
@@ -165,8 +187,10 @@
             hosts=self._notices.limits.host_count,
         )
 
-    def _pause(self, instance: ServerInstance, pause_s: float, now_s: float) -> None:
-        lasts_s = self._notices.on_pause(instance, pause_s, self._rng, now_s)
+    def _pause(
+        self, instance: ServerInstance, pause_s: float, sent_unix_ms: int, now_s: float
+    ) -> None:
+        lasts_s = self._notices.on_pause(instance, pause_s, self._rng, now_s, sent_unix_ms)
         if lasts_s is None:
             return
         self._metrics.on_server_notice("paused", "answer")
--- a/tests/relay/test_leaving_and_paused_servers.py
+++ b/tests/relay/test_leaving_and_paused_servers.py
@@ -94,3 +94,28 @@
     assert first.status in (200, 503)
     assert statuses[1:] == [503] * 4
     assert len(fleet.runs("prefill-0", "decode-0")) <= runs + 1
+
+
+# Guards against requests to a server that has started again under its name and wants a pause, once
+# its entry follows: the pause was taken for that of the start before.
+def test_a_pause_lasts_when_the_entry_of_the_new_start_follows(app_fleet: RelayFleet) -> None:
+    started_unix_ms = round(time.time() * 1000)
+    app_fleet.backends["app-0"].post("/faults", {"pause_s": 2.0})
+    while not _lines(app_fleet, "server paused"):
+        assert _send_many(app_fleet, PATHS["many"], 1) == [200]
+    started_s = time.monotonic()
+    app_fleet.backends["app-0"].post("/faults", {})
+    app_fleet.register("app-0", "app", born=started_unix_ms)
+    wait_until(
+        lambda: any(
+            line["backend"] == "app-0" and line["started_unix_ms"] == started_unix_ms
+            for line in _lines(app_fleet, "backend server")
+        )
+    )
+    assert time.monotonic() < started_s + 1.5
+    while time.monotonic() < started_s + 1.8:
+        _send_many(app_fleet, PATHS["many"], 1)
+        assert not app_fleet.runs("app-0")
+    wait_until(
+        lambda: bool(_send_many(app_fleet, PATHS["many"], 3)) and bool(app_fleet.runs("app-0"))
+    )
--- a/tests/relay/test_queued_datagrams.py
+++ b/tests/relay/test_queued_datagrams.py
@@ -10,12 +10,12 @@
 from attrs import define, field
 
 from berylquay.decisions.arrival_bounds import ArrivalBounds, ReceiveQueue
+from berylquay.decisions.backend_registry import BackendRegistry
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.load_sharing_scope import LoadSharingScope
 from berylquay.decisions.pool_version_history import PoolVersionHistory, PoolVersionRecord
 from berylquay.decisions.segment_crash_history import Quarantine
 from berylquay.decisions.server_instance import ServerInstance
-from berylquay.decisions.server_notices import ServerNotices
 from berylquay.decisions.shared_polling import OwnRead, TopicReport
 from berylquay.decisions.topology import Location, Topology
 from berylquay.platform.store_client import encode_keyed_record
@@ -177,8 +177,9 @@
 
 # Guards against a limit that ends by what another host heard before the server named it.
 def test_a_queued_notice_does_not_end_a_limit_that_was_named_since() -> None:
-    notices, sent = ServerNotices(), list[bytes]()
-    handler = ServerNoticeHandler(notices, RelayMetrics(), Random(1), sent.append)
+    registry, sent = BackendRegistry(), list[bytes]()
+    notices = registry.notices
+    handler = ServerNoticeHandler(registry, RelayMetrics(), Random(1), sent.append)
     instance = ServerInstance("i-1", 5)
     notices.on_limit(instance, 2.0, sent_s=6.0, rng=Random(1), now_s=6.5)
     ended = encode_server_limit(instance, None)
