Count the crashes of each start of a server by itself

Where the entry shows that the server has started again in between, only reports within 1 s belong to the same crash, as for prompt segments.

tests/relay/test_crash_reports.py::test_each_start_of_a_server_crashes_by_itself failed before: one crash counted instead of three.

--- a/berylquay/decisions/crash_history.py
+++ b/berylquay/decisions/crash_history.py
@@ -34,6 +34,8 @@
     retention_s: float = 600.0
     # Reports of crashes of one server within this time of each other count as one crash.
     same_crash_window_s: float = 3.0
+    # The same once the server is known to have started again since the first of them.
+    restarted_window_s: float = 1.0
     # Maximum number of contents in the history; the least recently changed are dropped first.
     max_contents: int = 4096
 
@@ -55,10 +57,13 @@
     _limits: CrashHistoryLimits
     # Crashes by content fingerprint, the least recently changed content first.
     _crashes: dict[str, tuple[Crash, ...]]
+    # Monotonic times at which servers were last found to have started again under their name.
+    _restarted_s: dict[str, float]
 
     def __init__(self, limits: CrashHistoryLimits) -> None:
         self._limits = limits
         self._crashes = {}
+        self._restarted_s = {}
 
     def __len__(self) -> int:
         """Returns the number of contents in the history."""
@@ -85,6 +90,10 @@
         for fingerprint in sorted(fingerprints):
             self._record(fingerprint, Crash(backend, now_s))
 
+    def on_server_restarted(self, backend: str, now_s: float) -> None:
+        """Records that a server has started again under its name, so that it can crash again."""
+        self._restarted_s[backend] = now_s
+
     def fingerprints_by_crash(self) -> dict[Crash, list[str]]:
         """Returns the fingerprints in the history by crash."""
         fingerprints_by_crash: dict[Crash, list[str]] = {}
@@ -105,6 +114,8 @@
     def expire(self, now_s: float) -> None:
         """Removes crashes older than the retention time."""
         oldest_s = now_s - self._limits.retention_s
+        for backend in [name for name, at_s in self._restarted_s.items() if at_s <= oldest_s]:
+            del self._restarted_s[backend]
         for fingerprint, crashes in list(self._crashes.items()):
             if crashes[0].crashed_at_s <= oldest_s:
                 self._replace(
@@ -134,7 +145,11 @@
             del self._crashes[fingerprint]
 
     def _is_same_crash(self, one: Crash, other: Crash) -> bool:
-        within_window = (
-            abs(one.crashed_at_s - other.crashed_at_s) <= self._limits.same_crash_window_s
+        if one.backend != other.backend:
+            return False
+        first_s, last_s = sorted((one.crashed_at_s, other.crashed_at_s))
+        has_restarted = first_s < self._restarted_s.get(one.backend, first_s) <= last_s
+        window_s = (
+            self._limits.restarted_window_s if has_restarted else self._limits.same_crash_window_s
         )
-        return within_window and one.backend == other.backend
+        return last_s - first_s <= window_s
--- a/berylquay/relay/segment_crash_handler.py
+++ b/berylquay/relay/segment_crash_handler.py
@@ -129,6 +129,8 @@
 
     def on_entry_ended(self, backend: str, *, restarted: bool, now_s: float) -> None:
         """Records that the entry of a server is gone, or is of a new start under the same name."""
+        if restarted:
+            self._crash_history.on_server_restarted(backend, now_s)
         for history in (self._history, self._content_history):
             if restarted:
                 history.on_server_restarted(backend, now_s)
--- a/tests/relay/test_crash_reports.py
+++ b/tests/relay/test_crash_reports.py
@@ -288,3 +288,26 @@
     host.handler.on_tick(5.0)
     reports = [decode_crash_report(data) for data in host.sent]
     assert not any(report is None or report.lost for report in reports)
+
+
+# Guards against crashes of several starts of one server that count as a single one, so that the
+# content goes on to crash it.
+def test_each_start_of_a_server_crashes_by_itself() -> None:
+    host = Host()
+    for at_s in (0.0, 1.5, 3.0):
+        host.crash_history.on_crash("i-1", frozenset({"f"}), at_s)
+        # What another host has lost in the same crash, and reports when the server is back.
+        host.handler.on_entry_ended("i-1", restarted=True, now_s=at_s + 0.4)
+        host.crash_history.on_crash("i-1", frozenset({"f"}), at_s + 0.9)
+    assert len(host.crash_history.crashes_of("f")) == 3
+    assert host.crash_history.suspicion_of("f") is Suspicion.QUARANTINED
+
+
+# Guards against losses that count as crashes of a server which has not started again.
+def test_losses_of_one_start_count_once_within_seconds() -> None:
+    host = Host()
+    host.handler.on_entry_ended("i-1", restarted=True, now_s=0.0)
+    host.handler.on_entry_ended("i-2", restarted=True, now_s=2.0)
+    for at_s in (1.0, 2.5, 3.9):
+        host.crash_history.on_crash("i-1", frozenset({"f"}), at_s)
+    assert len(host.crash_history.crashes_of("f")) == 1
