Keep a pending role order under the engine's start

An engine that started again before an order to it had taken effect counted with the ordered role for 14 s, though it knew nothing of the order: the pool was planned with a decode engine that it did not have. The order is now kept under the start that the report before it states, so that one which the new start has accepted before its entry came still counts.

--- a/berylquay/platform/request_codec.py
+++ b/berylquay/platform/request_codec.py
@@ -220,16 +220,18 @@
 
 def decode_instance_statement(head: RawResponseHead, body: bytes) -> InstanceStatement:
     """Returns what the answer to a health check or report request states of the server."""
-    started_unix_ms = 0
+    name = (head.get(wire_names.INSTANCE_ID) or b"").strip().decode("latin-1")
+    return InstanceStatement(name, decode_started_unix_ms(body), is_misdirected(head))
+
+
+def decode_started_unix_ms(body: bytes) -> int:
+    """Returns the start time that a report states; 0 if it states none, or is no report."""
     try:
         value = json.loads(body)["born"]
-        if isinstance(value, int) and not isinstance(value, bool) and value > 0:
-            started_unix_ms = value
     except (ValueError, KeyError, TypeError, RecursionError):
-        # No report; the server's name may be in the head.
-        started_unix_ms = 0
-    name = (head.get(wire_names.INSTANCE_ID) or b"").strip().decode("latin-1")
-    return InstanceStatement(name, started_unix_ms, is_misdirected(head))
+        return 0
+    is_time = isinstance(value, int) and not isinstance(value, bool) and value > 0
+    return value if is_time else 0
 
 
 def decode_accepted_order_count(body: bytes) -> int | None:
--- a/berylquay/relay/role_controller.py
+++ b/berylquay/relay/role_controller.py
@@ -18,11 +18,13 @@
 )
 from berylquay.decisions.roles import RoleChange
 from berylquay.decisions.route_table import RouteTable
+from berylquay.decisions.server_instance import ServerInstance
 from berylquay.net.http_client import STATUS_OK
 from berylquay.net.persistent_http import RawRequest, RawResponseHead
 from berylquay.platform.request_codec import (
     EngineOrder,
     decode_accepted_order_count,
+    decode_started_unix_ms,
     encode_order_request,
     encode_report_request,
 )
@@ -59,6 +61,8 @@
 class _PendingOrder:
     """An order that was sent and has not taken effect yet."""
 
+    # The engine, which knows nothing of the order once it has started again.
+    instance: ServerInstance
     change: RoleChange
     sent_s: float
 
@@ -189,8 +193,17 @@
         for name, pending in list(self._pending_orders.items()):
             entry = self._services.registry.get(name)
             took_effect = entry is None or entry.role is pending.change.role
-            if took_effect or now_s - pending.sent_s > ORDER_EFFECT_TIMEOUT_S:
-                _log.info("order settled", backend=name, taken_effect=took_effect)
+            has_restarted = (
+                entry is not None and entry.started_unix_ms > pending.instance.started_unix_ms
+            )
+            is_over = now_s - pending.sent_s > ORDER_EFFECT_TIMEOUT_S
+            if took_effect or has_restarted or is_over:
+                _log.info(
+                    "order settled",
+                    backend=name,
+                    taken_effect=took_effect,
+                    restarted=has_restarted,
+                )
                 del self._pending_orders[name]
 
     def _advance_order(self, changes: Sequence[RoleChange], now_s: float) -> bool:
@@ -213,12 +226,21 @@
             if accepted is None:
                 _log.warning("no order: the engine's state is unknown", backend=entry.name)
                 return
-            self._send_order(entry, change, accepted)
+            # The entry may still be of the start before.
+            started_unix_ms = decode_started_unix_ms(body) or entry.started_unix_ms
+            instance = ServerInstance(entry.name, started_unix_ms)
+            self._send_order(entry, change, accepted, instance)
 
         request = encode_report_request(entry.address, entry.name)
         self._engine_request = self._send_engine_request(entry, request, on_report, now_s)
 
-    def _send_order(self, entry: BackendEntry, change: RoleChange, accepted_orders: int) -> None:
+    def _send_order(
+        self,
+        entry: BackendEntry,
+        change: RoleChange,
+        accepted_orders: int,
+        instance: ServerInstance | None = None,
+    ) -> None:
         term = self._claimant.fencing_number()
         if term is None:
             _log.info("no order: the claim has ended", backend=entry.name)
@@ -242,7 +264,7 @@
                 self._pending_orders.pop(entry.name, None)
             return is_valid
 
-        self._pending_orders[entry.name] = _PendingOrder(change, now_s)
+        self._pending_orders[entry.name] = _PendingOrder(instance or entry.instance, change, now_s)
         _log.info(
             "order",
             backend=entry.name,
