Count no failure of an ended start against the start that is listed now

A request that was on its way to the start before, and failed once the next start was listed under the same name, gave the next one its backoff: 5 s and more after a 421 from another server at the former address, which hosts also report to each other, and 0.5 s and more after a failed connection.

--- a/berylquay/relay/attempt_failures.py
+++ b/berylquay/relay/attempt_failures.py
@@ -37,13 +37,9 @@
         now_s: Present monotonic time.
     """
     name = upstream.backend.name
-    backoff_s = 0.0
-    if outcome is AttemptOutcome.NOT_SENT and not _has_lost_path(services, upstream, now_s):
-        backoff_s = services.health.on_unreachable(name, now_s)
-    elif outcome is AttemptOutcome.WRONG_SERVER:
-        backoff_s = services.health.on_misdirected(name, now_s)
-    elif outcome in (AttemptOutcome.CONNECTION_LOST, AttemptOutcome.SERVER_ERROR):
-        services.health.on_failed(name)
+    # What an ended start has failed says nothing of the one that is listed now.
+    is_listed_start = services.registry.newer_instance(upstream.backend.instance) is None
+    backoff_s = _record_health(services, upstream, outcome, now_s) if is_listed_start else 0.0
     if outcome is AttemptOutcome.CONNECTION_LOST:
         services.crash_history.on_crash(name, frozenset({call.fingerprint}), now_s)
         services.pending_updates.crashes.append((call.fingerprint, name))
@@ -74,6 +70,20 @@
     )
 
 
+def _record_health(
+    services: RelayServices, upstream: UpstreamRequest, outcome: AttemptOutcome, now_s: float
+) -> float:
+    """Records a failure of the listed start of a server; returns the backoff."""
+    health, name = services.health, upstream.backend.name
+    if outcome is AttemptOutcome.NOT_SENT and not _has_lost_path(services, upstream, now_s):
+        return health.on_unreachable(name, now_s)
+    if outcome is AttemptOutcome.WRONG_SERVER:
+        return health.on_misdirected(name, now_s)
+    if outcome in (AttemptOutcome.CONNECTION_LOST, AttemptOutcome.SERVER_ERROR):
+        health.on_failed(name)
+    return 0.0
+
+
 def _has_lost_path(services: RelayServices, upstream: UpstreamRequest, now_s: float) -> bool:
     """Tells whether the attempt shows that this host's path is lost, so that a gateway is used."""
     name, monitor = upstream.backend.name, services.path_monitor
