Tell a later start of a removed server from the start before

A server whose entry was removed before it started again under its name was no restart to the host: within 3 s of the removal, connections that broke at the new start counted as its crash, crashes of the two starts as one, and its backoff was that of attempts that failed after the removal.

tests/relay/test_servers_back_after_a_gap.py: without the calls that are new, all four cases failed on the code before (a crash counted against a start that ran on; one crash instead of two and three).

--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -97,6 +97,8 @@
     before: BackendEntry | None
     # Entry after the change, or None if the backend server is gone.
     after: BackendEntry | None
+    # Whether an earlier incarnation of the name was listed, and its entry has been removed since.
+    is_back: bool = False
 
     @property
     def restarted(self) -> bool:
@@ -236,6 +238,7 @@
         if is_gone and entry.recency_key == latest and entry.heartbeat_number:
             # An older copy of the store shows a server that has left.
             return None
+        has_later_start = latest is not None and entry.started_unix_ms > latest[0]
         self._track_recency(entry)
         if entry.name in self.notices.names:
             self.notices.on_instance(entry.instance)
@@ -249,7 +252,7 @@
                 self._leaves_at_s.pop(before.instance, None)
             self._add_to_hash(-_hash_entry(before))
         self._add_to_hash(_hash_entry(entry))
-        return RegistryChange(entry.name, before, entry)
+        return RegistryChange(entry.name, before, entry, is_back=is_gone and has_later_start)
 
     def on_removed(self, name: str, now_s: float) -> RegistryChange | None:
         """Applies the removal of an entry and returns the change.
--- a/berylquay/decisions/segment_crash_history.py
+++ b/berylquay/decisions/segment_crash_history.py
@@ -208,6 +208,13 @@
             # The end of the former process confirms no loss of the present one.
             del self._ended_s[backend]
 
+    def on_server_started(self, backend: str) -> None:
+        """Records that a server has started again after its entry was removed."""
+        self._ended_s.pop(backend, None)
+        crash = self._last_crashes.get(backend)
+        if crash is not None:
+            crash.has_restarted = True
+
     def is_under_suspicion(self, segment: str, now_s: float) -> bool:
         """Tells whether a crash speaks against a segment, or it is quarantined."""
         return self.is_quarantined(segment, now_s) or any(
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -548,11 +548,14 @@
 
     def _on_backend(self, change: RegistryChange) -> None:
         services = self._services
-        if change.after is None or change.restarted:
+        if change.after is None or change.restarted or change.is_back:
             services.connection_pool.close_idle(change.name)
             services.health.forget(change.name)
             services.estimates.forget_engine(change.name)
             services.prefix_cache_index.forget_engine(change.name)
+        if change.is_back:
+            services.segment_crashes.on_server_back(change.name, time.monotonic())
+        elif change.after is None or change.restarted:
             services.segment_crashes.on_entry_ended(
                 change.name, restarted=change.restarted, now_s=time.monotonic()
             )
--- a/berylquay/relay/segment_crash_handler.py
+++ b/berylquay/relay/segment_crash_handler.py
@@ -137,6 +137,12 @@
             else:
                 history.on_server_ended(backend, now_s)
 
+    def on_server_back(self, backend: str, now_s: float) -> None:
+        """Records that a server has started again after its entry was removed."""
+        self._crash_history.on_server_restarted(backend, now_s)
+        for history in (self._history, self._content_history):
+            history.on_server_started(backend)
+
     def on_answered(self, call: RelayCall, now_s: float) -> None:
         """Records a complete answer, which clears the segments of the prompt."""
         self._remove_stored(call.shared_segment_ids, now_s)
--- a/berylquay/relay/store_views.py
+++ b/berylquay/relay/store_views.py
@@ -234,6 +234,6 @@
             software_version=None if entry is None else entry.software_version,
             started_unix_ms=None if entry is None else entry.started_unix_ms,
             beat=None if entry is None else entry.heartbeat_number,
-            restarted=change.restarted,
+            restarted=change.restarted or change.is_back,
         )
         self._on_change(change)
