Take activity of a later start for none of the start before

A request at a start whose end was not noticed, as behind a forwarder that keeps the connection, was not given up for as long as the next start under the same name served others: it had been active.

tests/relay/test_failures_of_ended_starts.py: the activity case failed before.

--- a/berylquay/decisions/backend_health.py
+++ b/berylquay/decisions/backend_health.py
@@ -38,6 +38,8 @@
     backoff_until_s: float = 0.0
     # Smoothed fraction of recent requests and connections that failed.
     failure_rate: float = 0.0
+    # Monotonic time from which its present start is known; earlier requests may be at another one.
+    known_since_s: float = float("-inf")
     # Monotonic time at which it was last seen active.
     last_activity_s: float = float("-inf")
     # Monotonic time until which another host's report that it is unresponsive is valid.
@@ -149,9 +151,9 @@
         self._health_by_name.setdefault(name, _ServerHealth()).last_activity_s = now_s
 
     def was_active_since(self, name: str, since_s: float) -> bool:
-        """Tells whether the backend server has been active since a monotonic time."""
+        """Tells whether the start that was listed at a monotonic time has been active since."""
         health = self._health_by_name.get(name)
-        return health is not None and health.last_activity_s >= since_s
+        return health is not None and health.last_activity_s >= since_s >= health.known_since_s
 
     def on_answered(self, name: str, now_s: float) -> None:
         """Records a successful answer, which ends the backoff."""
@@ -163,8 +165,12 @@
         self._update_failure_rate(health, 0.0)
 
     def forget(self, name: str) -> None:
-        """Drops the health of a backend server that is gone or has restarted."""
+        """Drops the health of a backend server that is gone."""
         self._health_by_name.pop(name, None)
 
+    def on_restarted(self, name: str, now_s: float) -> None:
+        """Drops the health of the former start of a backend server."""
+        self._health_by_name[name] = _ServerHealth(known_since_s=now_s)
+
     def _update_failure_rate(self, health: _ServerHealth, failed: float) -> None:
         health.failure_rate += SMOOTHING_FACTOR * (failed - health.failure_rate)
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -547,21 +547,24 @@
         self._services.metrics.tenants.on_configuration(table.tenant_keys)
 
     def _on_backend(self, change: RegistryChange) -> None:
-        services = self._services
+        services, now_s = self._services, time.monotonic()
         if change.after is None or change.restarted or change.is_back:
             services.connection_pool.close_idle(change.name)
-            services.health.forget(change.name)
+            if change.after is None:
+                services.health.forget(change.name)
+            else:
+                services.health.on_restarted(change.name, now_s)
             services.estimates.forget_engine(change.name)
             services.prefix_cache_index.forget_engine(change.name)
         if change.is_back:
-            services.segment_crashes.on_server_back(change.name, time.monotonic())
+            services.segment_crashes.on_server_back(change.name, now_s)
         elif change.after is None or change.restarted:
             services.segment_crashes.on_entry_ended(
-                change.name, restarted=change.restarted, now_s=time.monotonic()
+                change.name, restarted=change.restarted, now_s=now_s
             )
         services.health.on_entry_changed(change.name)
         if change.before is not None:
-            services.pool_versions.on_entry_replaced(change.before, time.monotonic())
+            services.pool_versions.on_entry_replaced(change.before, now_s)
         services.pool_version_store.on_entries_changed()
         self._prefill_engines_changed = True
 
--- a/tests/relay/test_failures_of_ended_starts.py
+++ b/tests/relay/test_failures_of_ended_starts.py
@@ -41,3 +41,15 @@
     assert services.path_monitor.on_connect_failed.called is (
         outcome is AttemptOutcome.NOT_SENT and not is_replaced
     )
+
+
+# Guards against a request that waits at a start whose end was not noticed, such as behind a
+# forwarder, for as long as the next start under the same name serves others.
+def test_activity_of_the_next_start_is_none_of_the_start_before() -> None:
+    health = BackendHealth(HealthOptions())
+    health.on_activity("s", 2.0)
+    assert health.was_active_since("s", 1.0)
+    health.on_restarted("s", 3.0)
+    health.on_answered("s", 5.0)
+    assert not health.was_active_since("s", 1.0)
+    assert health.was_active_since("s", 4.0)
