--- a/tests/relay/test_backend_registry.py
+++ b/tests/relay/test_backend_registry.py
@@ -115,3 +115,26 @@
     assert registry.is_reclaimed(entry)
     registry.on_removed(entry.name, 13.0)
     assert registry.without_leaving_before([entry], 99.0) == [entry]
+
+
+def test_another_version_under_the_same_start_is_no_restart() -> None:
+    registry = BackendRegistry()
+    registry.on_entry(ENTRY)
+    change = registry.on_entry(evolve(ENTRY, software_version="v2"))
+    assert change is not None
+    assert not change.restarted
+    assert not change.is_back
+
+
+# Guards against a registry that goes back and forth between two writers of one name.
+def test_of_two_writers_of_a_name_the_later_start_counts() -> None:
+    registry = BackendRegistry()
+    earlier = evolve(ENTRY, started_unix_ms=1000, software_version="v1")
+    later = evolve(ENTRY, started_unix_ms=2000, software_version="v2")
+    changes = [
+        registry.on_entry(evolve(entry, heartbeat_number=number))
+        for number in range(1, 4)
+        for entry in (earlier, later)
+    ]
+    assert [change is not None for change in changes] == [True, True] + [False] * 4
+    assert registry.get(ENTRY.name) == later
--- a/tests/relay/test_gateways.py
+++ b/tests/relay/test_gateways.py
@@ -8,6 +8,7 @@
 from unittest.mock import Mock
 
 import pytest
+from attrs import evolve
 
 from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry, EntryState
 from berylquay.decisions.fleet import Address
@@ -18,13 +19,15 @@
 from berylquay.net.tcp_connections import Connection, ConnectionHandler, TcpConnections
 from berylquay.peers.security_layer import PlaintextLayer
 from berylquay.peers.websocket import PeerWebSocket
-from berylquay.relay.gateway_server import GatewayServer
+from berylquay.relay.gateway_server import GatewayServer, ServedTunnel
 from berylquay.relay.path_monitor import PathMonitor
 from berylquay.relay.tunnel_messages import (
     END,
     GATEWAY_REFUSED,
     MAX_DATA_BYTES,
     OPENED,
+    PAUSE,
+    SERVER_REFUSED,
     decode_message,
     decode_open,
     encode_data,
@@ -198,6 +201,65 @@
     assert gateway.open_tunnels == 0
 
 
+def open_named_tunnel(
+    registry: BackendRegistry, instance: ServerInstance
+) -> tuple[ServedTunnel, PeerWebSocket]:
+    """Asks a gateway without sockets for a tunnel to an instance."""
+    connections, monitor = RecordingConnections(), Mock(PathMonitor)
+    monitor.paths = ServerPaths()
+    tunnel = GatewayServer(connections, registry, monitor, Random(1)).make_tunnel()
+    assert tunnel is not None
+    tunnel.connection = connections.open(Address("127.0.0.1", 80), tunnel)
+    client = PeerWebSocket(PlaintextLayer(), server_side=False)
+    tunnel.on_data_received(client.take_outgoing())
+    client.receive(b"".join(tunnel.connection.unsent))
+    tunnel.connection.unsent.clear()
+    client.send(encode_open(instance))
+    tunnel.on_data_received(client.take_outgoing())
+    return tunnel, client
+
+
+# Guards against a request that reaches another start than the host has asked for.
+@pytest.mark.parametrize("started_unix_ms", [1000, 2000, 3000])
+def test_a_tunnel_leads_to_the_start_that_is_named(started_unix_ms: int) -> None:
+    registry = BackendRegistry()
+    address = Address("127.0.0.1", 80)
+    registry.on_entry(
+        BackendEntry("app-0", "app", address, "a", 4, EntryState.READY, started_unix_ms=2000)
+    )
+    tunnel, client = open_named_tunnel(registry, ServerInstance("app-0", started_unix_ms))
+    assert (tunnel._server is not None) is (started_unix_ms == 2000)
+    messages = client.receive(b"".join(tunnel.connection.unsent))
+    refusal = [] if started_unix_ms == 2000 else [(SERVER_REFUSED, "unknown server")]
+    assert [decode_message(message) for message in messages] == refusal
+
+
+# Guards against requests of the gateway to a start that has asked for a pause in a tunnel before
+# its entry came.
+@pytest.mark.parametrize("is_listed_first", [False, True])
+def test_a_pause_in_a_tunnel_holds_when_the_entry_follows(*, is_listed_first: bool) -> None:
+    registry, now_ms = BackendRegistry(), time.time_ns() // 10**6
+    before = BackendEntry(
+        "app-0",
+        "app",
+        Address("127.0.0.1", 80),
+        "a",
+        4,
+        EntryState.READY,
+        started_unix_ms=now_ms - 600_000,
+    )
+    registry.on_entry(before)
+    tunnel, client = open_named_tunnel(registry, before.instance)
+    restarted = evolve(before, started_unix_ms=now_ms - 3000)
+    if is_listed_first:
+        registry.on_entry(restarted)
+    client.send(encode_event(PAUSE, "60"))
+    tunnel.on_data_received(client.take_outgoing())
+    if not is_listed_first:
+        registry.on_entry(restarted)
+    assert registry.ready_in_pool("app") == []
+
+
 # Guards against work that goes on at an engine after the caller of a tunnelled request has left.
 def test_the_engine_stops_when_the_caller_leaves(fleet: RelayFleet, tmp_path: Path) -> None:
     start_cut_host(fleet, tmp_path)
