Keep a limit of which another host tells over a late entry

A host that has not seen the new start names the start before in its datagram; the others forgot the limit with the new entry, or did not apply it, and sent without one until their own first answer.

tests/test_notices_of_late_entries.py: both new cases failed before.

--- a/berylquay/relay/server_notice_handler.py
+++ b/berylquay/relay/server_notice_handler.py
@@ -118,10 +118,18 @@
             _log.warning("unreadable notice", size_bytes=len(data))
             return
         instance, limit_per_s = decoded
+        sent_unix_ms = unix_ms_at(arrival.earliest_s)
+        if limit_per_s is not None:
+            instance = self._registry.answering_instance(instance, sent_unix_ms)
         before = self._notices.limits.limit_of(instance)
         per_s = inf if limit_per_s is None else limit_per_s
         is_new = self._notices.on_limit(
-            instance, per_s, sent_s=arrival.earliest_s, rng=self._rng, now_s=arrival.latest_s
+            instance,
+            per_s,
+            sent_s=arrival.earliest_s,
+            rng=self._rng,
+            now_s=arrival.latest_s,
+            sent_unix_ms=sent_unix_ms,
         )
         if is_new:
             self._record_limit(instance, before, "host")
--- a/tests/test_notices_of_late_entries.py
+++ b/tests/test_notices_of_late_entries.py
@@ -8,11 +8,12 @@
 import pytest
 from attrs import evolve
 
+from berylquay.decisions.arrival_bounds import ArrivalBounds
 from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry, EntryState
 from berylquay.decisions.fleet import Address
 from berylquay.decisions.server_notices import ServerNotice
 from berylquay.relay.metrics import RelayMetrics
-from berylquay.relay.server_notice_handler import ServerNoticeHandler
+from berylquay.relay.server_notice_handler import ServerNoticeHandler, encode_server_limit
 
 NO_LIMIT: Final = float("inf")
 NOTICES: Final = {
@@ -79,6 +80,21 @@
     assert not host.may_send()
 
 
+# Guards against a host that goes beyond the limit of a new start until its own first answer, since
+# the host that has told it of the limit did not have the entry.
+@pytest.mark.parametrize("is_listed_first", [False, True])
+def test_a_limit_of_which_another_host_tells_holds(*, is_listed_first: bool) -> None:
+    host = Host()
+    if is_listed_first:
+        host.list_start(started_ago_s=3.0)
+    now_s = time.monotonic()
+    data = encode_server_limit(host.before.instance, 0.0)
+    host.handler.on_limit_datagram(data, ArrivalBounds(now_s - 0.1, now_s))
+    if not is_listed_first:
+        host.list_start(started_ago_s=3.0)
+    assert not host.may_send()
+
+
 # Guards against a new start that is held to what the start before has stated.
 @pytest.mark.parametrize("notice", NOTICES)
 @pytest.mark.parametrize("is_listed_first", [False, True])
