--- a/berylquay/decisions/backend_registry.py
+++ b/berylquay/decisions/backend_registry.py
@@ -102,6 +102,8 @@
     before: BackendEntry | None
     # Entry after the change, or None if the backend server is gone.
     after: BackendEntry | None
+    # Whether an earlier incarnation of the name was listed, and its entry has been removed since.
+    is_back: bool = False
 
     @property
     def restarted(self) -> bool:
@@ -149,6 +151,22 @@
         """Returns the entry of a backend server, or None if there is none."""
         return self._entries.get(name)
 
+    def newer_instance(self, instance: ServerInstance) -> ServerInstance | None:
+        """Returns the listed instance of the same name if it has started later, or None."""
+        entry = self._entries.get(instance.name)
+        is_newer = entry is not None and entry.started_unix_ms > instance.started_unix_ms
+        return None if entry is None or not is_newer else entry.instance
+
+    def answering_instance(self, asked: ServerInstance, sent_unix_ms: int) -> ServerInstance:
+        """Returns the instance that has answered a request, as far as the entries tell.
+
+        Args:
+            asked: The instance of which the request was sent.
+            sent_unix_ms: Unix time at which it was sent.
+        """
+        newer = self.newer_instance(asked)
+        return asked if newer is None or not newer.may_answer(sent_unix_ms) else newer
+
     def ready_in_pool(self, pool: str) -> list[BackendEntry]:
         """Returns the backend servers of a pool that accept new requests."""
         listed, notices = self._listed_as_ready(pool), self.notices
@@ -225,6 +243,7 @@
         if is_gone and entry.recency_key == latest and entry.heartbeat_number:
             # An older copy of the store shows a server that has left.
             return None
+        has_later_start = latest is not None and entry.started_unix_ms > latest[0]
         self._track_recency(entry)
         if entry.name in self.notices.names:
             self.notices.on_instance(entry.instance)
@@ -238,7 +257,7 @@
                 self._leaves_at_s.pop(before.instance, None)
             self._add_to_hash(-_hash_entry(before))
         self._add_to_hash(_hash_entry(entry))
-        return RegistryChange(entry.name, before, entry)
+        return RegistryChange(entry.name, before, entry, is_back=is_gone and has_later_start)
 
     def on_removed(self, name: str, now_s: float) -> RegistryChange | None:
         """Applies the removal of an entry and returns the change.
--- a/berylquay/relay/segment_crash_handler.py
+++ b/berylquay/relay/segment_crash_handler.py
@@ -129,12 +129,20 @@
 
     def on_entry_ended(self, backend: str, *, restarted: bool, now_s: float) -> None:
         """Records that the entry of a server is gone, or is of a new start under the same name."""
+        if restarted:
+            self._crash_history.on_server_restarted(backend, now_s)
         for history in (self._history, self._content_history):
             if restarted:
                 history.on_server_restarted(backend, now_s)
             else:
                 history.on_server_ended(backend, now_s)
 
+    def on_server_back(self, backend: str, now_s: float) -> None:
+        """Records that a server has started again after its entry was removed."""
+        self._crash_history.on_server_restarted(backend, now_s)
+        for history in (self._history, self._content_history):
+            history.on_server_started(backend)
+
     def on_answered(self, call: RelayCall, now_s: float) -> None:
         """Records a complete answer, which clears the segments of the prompt."""
         self._remove_stored(call.shared_segment_ids, now_s)
