--- a/tests/support/stream_model.py
+++ b/tests/support/stream_model.py
@@ -139,7 +139,6 @@
         )
         self.era.add_listener(self._on_era)
         self.services: Any = SimpleNamespace(
-            server_starts=ServerStarts(),
             registry=self.registry,
             stream_versions=self.exchange,
             pool_versions=self.history,
