--- a/berylquay/relay/connection_pool.py
+++ b/berylquay/relay/connection_pool.py
@@ -104,6 +104,7 @@
             reuse_requires_echo=True,
         )
         if gateway is None:
+            connection.on_answering = lambda: self._path_monitor.on_answered(backend, self._now_s)
             self._opening.append(_Opening(backend, connection, now_s))
         return connection
 
--- a/tests/relay/test_crash_reports.py
+++ b/tests/relay/test_crash_reports.py
@@ -288,3 +288,15 @@
     host.handler.on_tick(5.0)
     reports = [decode_crash_report(data) for data in host.sent]
     assert not any(report is None or report.lost for report in reports)
+
+
+# Guards against sound content that is refused since connections to several servers broke.
+def test_a_withdrawn_crash_does_not_count() -> None:
+    history = CrashHistory(CrashHistoryLimits())
+    for number in range(3):
+        history.on_crash(f"i-{number}", frozenset({"f", "g"}), float(number))
+    history.withdraw("i-1", "f", 1.0)
+    history.withdraw("i-9", "f", 1.0)
+    history.withdraw("i-1", "unknown", 1.0)
+    assert [crash.backend for crash in history.crashes_of("f")] == ["i-0", "i-2"]
+    assert history.suspicion_of("g") is Suspicion.QUARANTINED
