Ask no engine for its start again that closes the run's connection meanwhile

Found in the read-through: after a right answer the run was sent on the idle connection; an engine that had closed it by then was asked again, without a limit and at the pace of its answers, until the deadline.

--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -573,13 +573,14 @@
         )
         self._start_question.send(now_s)
 
-    def _on_start_stated(self, question: StartQuestion, started_unix_ms: int) -> None:
+    def _on_start_stated(self, question: StartQuestion) -> None:
         """Sends the run if the engine is the start that is listed; else chooses another one."""
         now_s, engine = time.monotonic(), question.backend
         self._end_start_question()
         if self.ended:
             return
-        if started_unix_ms == engine.started_unix_ms:
+        # The engine may have closed the connection that is to carry the run.
+        if self._services.connection_pool.has_idle_at_start(engine, now_s):
             self._send_run(engine, question.kv_handle, now_s)
         else:
             self.call.unproven_engines.add(engine.name)
--- a/berylquay/relay/start_question.py
+++ b/berylquay/relay/start_question.py
@@ -39,9 +39,8 @@
     backend: BackendEntry
     # KV cache that the run takes, or None.
     kv_handle: KVCacheHandle | None
-    # Called with the question when an engine has stated its start, or 0 if it states none, and when
-    # the question has failed: outcome and detail.
-    _on_answered: "Callable[[StartQuestion, int], None]"
+    # Called with the question when it has an answer, and when it has failed: outcome and detail.
+    _on_answered: "Callable[[StartQuestion], None]"
     _on_failed: "Callable[[StartQuestion, AttemptOutcome, str], None]"
     # The request, and the connection for the run; set by `send`.
     upstream: UpstreamRequest | None = field(default=None, init=False)
@@ -100,7 +99,7 @@
         self._body += data[: MAX_ANSWER_BYTES - len(self._body)]
 
     def on_upstream_complete(self, upstream: UpstreamRequest) -> None:
-        """Notes the start that has answered, and passes on the one of the run's connection."""
+        """Notes the start that has answered, and returns the run's connection to the pool."""
         connection, asked_s = self._run_connection, upstream.connection.established_s
         if upstream.head is None or connection is None or asked_s is None:
             return
@@ -115,9 +114,8 @@
             services.instance_probes.on_start_stated(
                 self.backend, statement.started_unix_ms, asked_s
             )
-        started_unix_ms = services.connection_pool.find_start(name, connection)
         services.connection_pool.return_unused(name, connection)
-        self._on_answered(self, started_unix_ms)
+        self._on_answered(self)
 
     def on_upstream_failed(
         self, upstream: UpstreamRequest, outcome: AttemptOutcome, detail: str
