--- a/berylquay/decisions/relay_call.py
+++ b/berylquay/decisions/relay_call.py
@@ -78,6 +78,10 @@
     resumed_after_event: int | None = None
     # Id of the attempt that brought the first event of that stream; empty if it is not known.
     resumed_call_id: str = ""
+    # Version of the configuration by which the call is handled, and the time for which it had not
+    # been confirmed, in milliseconds.
+    configuration_version: int = 0
+    configuration_age_ms: int = 0
     # Software version of the servers at which the caller's event stream may go on; None if it
     # has not begun.
     stream_version: str | None = None
--- a/berylquay/decisions/shared_polling.py
+++ b/berylquay/decisions/shared_polling.py
@@ -65,7 +65,10 @@
     _reported_read_s: float = float("-inf")
     _reported_s: float = float("-inf")
     # Whether another host has reported a different, newer state.
-    _is_behind: bool = False
+    is_behind: bool = False
+    # Reports of another state that were ignored since the last own read, as the reads that they
+    # state are older than what this host takes for confirmed.
+    ignored_reports: int = 0
     # Monotonic times of the first and the latest report of another state since one of this host's
     # state or a snapshot; None without one.
     _differs_since_s: float | None = None
@@ -82,7 +85,7 @@
         Args:
             sent_s: Time at which its last read was sent.
         """
-        if self._is_behind:
+        if self.is_behind:
             return sent_s + BEHIND_READ_INTERVAL_S
         if self.is_poller:
             return sent_s + self.poll_interval_s
@@ -97,19 +100,21 @@
         """Records an own read that succeeded."""
         self.confirmed_s = max(self.confirmed_s, sent_s)
         self._read_s = sent_s
-        self._is_behind = False
+        self.is_behind = False
+        self.ignored_reports = 0
 
     def on_peer_report(self, report: TopicReport, own_state_hash: str, now_s: float) -> None:
         """Applies a report from another host; one on an older read is ignored."""
         known_s = now_s - report.age_ms / 1000.0
         if known_s <= self.confirmed_s:
+            self.ignored_reports += report.state_hash != own_state_hash
             return
         if report.state_hash == own_state_hash:
             self.confirmed_s = known_s
-            self._is_behind = False
+            self.is_behind = False
             self._differs_since_s = None
         else:
-            self._is_behind = True
+            self.is_behind = True
             if self._differs_since_s is None:
                 self._differs_since_s = now_s
             self._differed_s = now_s
@@ -126,7 +131,7 @@
 
     def on_newer_era(self) -> None:
         """Records that another host has seen a newer era of the store than this one."""
-        self._is_behind = True
+        self.is_behind = True
 
     def next_report(self, topic: str, own_state_hash: str, now_s: float) -> OwnRead | None:
         """Returns the own read to report to the others, or None if no report is due."""
--- a/berylquay/relay/call_logging.py
+++ b/berylquay/relay/call_logging.py
@@ -190,6 +190,8 @@
         newest_event=response.newest_event_id,
         left_ms=to_ms(call.remaining_s(now_s)),
         returning=call.is_caller_retry,
+        version=call.configuration_version,
+        confirmed_ms=call.configuration_age_ms,
         **({"tenant": call.tenant} if call.hides_key else {}),
     )
 
--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Sequence
+from math import isfinite
 from random import Random
 from typing import Final
 
@@ -96,6 +97,8 @@
     # Monotonic time before which no call is made, and that at which the last call was sent.
     _next_call_s: float = field(default=float("-inf"), init=False)
     _last_call_s: float = field(default=float("-inf"), init=False)
+    # Whether it was logged that the knowledge is older than a change may stay unknown.
+    _is_outdated: bool = field(default=False, init=False)
     # Newest era that another host has reported and this one has not seen in an answer.
     _reported_era: int = field(default=-1, init=False)
     # Changes that this host has read for the others and not passed on yet, with the monotonic time
@@ -136,6 +139,7 @@
     def on_tick(self, now_s: float) -> None:
         """Sends the next call when it is due."""
         self._store_client.on_tick(now_s)
+        self._log_outdated(now_s)
         if self._store_client.busy or now_s < self._next_call_s:
             return
         if self._offset is None:
@@ -198,10 +202,39 @@
         return True
 
     def _apply_report(self, report: TopicReport, now_s: float, source: str) -> None:
-        before_s = self.confirmed_s
+        before_s, was_behind = self.confirmed_s, self.polling.is_behind
         self.polling.on_peer_report(report, self.state_hash, now_s)
         if self.confirmed_s > before_s:
             self.confirmed_by = source
+        if self.polling.is_behind and not was_behind:
+            _log.info(
+                "another host has another state",
+                topic=self.topic,
+                host=source,
+                age_ms=report.age_ms,
+                **self._describe_knowledge(now_s),
+            )
+
+    def _describe_knowledge(self, now_s: float) -> dict[str, int | str | None]:
+        """Returns, for logs, how old the knowledge is, by whom it is known, and the last call."""
+        return {
+            "known_ms": _age_ms(self.confirmed_s, now_s),
+            "known_from": self.confirmed_by or "store",
+            "called_ms": _age_ms(self._last_call_s, now_s),
+            "failures": self.consecutive_failures,
+            "ignored_reports": self.polling.ignored_reports,
+        }
+
+    def _log_outdated(self, now_s: float) -> None:
+        """Logs once when a change may have stayed unknown for too long, and when no longer."""
+        if not self.has_snapshot:
+            return
+        is_outdated = now_s - self.confirmed_s > self._timings.max_staleness_s
+        if is_outdated and not self._is_outdated:
+            _log.warning("topic outdated", topic=self.topic, **self._describe_knowledge(now_s))
+        elif self._is_outdated and not is_outdated:
+            _log.info("topic up to date", topic=self.topic, **self._describe_knowledge(now_s))
+        self._is_outdated = is_outdated
 
     def _on_newest(self, result: NewestRecordsPage | StoreFailure) -> None:
         now_s = self._clock()
@@ -252,11 +285,13 @@
             failure = StoreFailure("a page without records", 0, may_have_happened=False)
             self._on_failure(failure, now_s)
             return
-        before_hash = self.state_hash
+        before_hash, known = self.state_hash, self._describe_knowledge(now_s)
         self._offset = result.next_offset
         if result.is_at_end:
             self._on_success(now_s)
         changes = self._apply_records(result.contents, now_s)
+        if self.state_hash != before_hash:
+            _log.info("changes read", topic=self.topic, records=len(changes), **known)
         if result.is_at_end and self.polling.is_poller and self.state_hash != before_hash:
             delta = TopicDelta(self.topic, before_hash, self.state_hash, 0, changes)
             self._unsent_deltas.append((delta, self._last_call_s))
@@ -299,11 +334,12 @@
                 topic=self.topic,
                 status=failure.status,
                 detail=failure.detail,
-                known_ms=(
-                    round((now_s - self.polling.confirmed_s) * MS_PER_S)
-                    if self.has_snapshot
-                    else None
-                ),
+                **self._describe_knowledge(now_s),
             )
         self.consecutive_failures += 1
         self._next_call_s = now_s + FAILURE_BACKOFF.delay_s(self.consecutive_failures, self._rng)
+
+
+def _age_ms(at_s: float, now_s: float) -> int | None:
+    """Returns the time since then in milliseconds, or None if it has never been."""
+    return round((now_s - at_s) * MS_PER_S) if isfinite(at_s) else None
--- a/berylquay/relay/region_exchange.py
+++ b/berylquay/relay/region_exchange.py
@@ -71,6 +71,8 @@
 MAX_PENDING_SEGMENTS: Final = 512
 # Time after which a segment that was not sent is dropped, as it would count as just used elsewhere.
 MAX_PENDING_AGE_S: Final = 1.0
+# Longest wait in this host's queue after which a datagram that it passes on is not logged.
+UNLOGGED_WAIT_MS: Final = 250
 MS_PER_S: Final = 1000.0
 # Called with a datagram and when it has arrived.
 NoticeHandler = Callable[[bytes, ArrivalBounds], None]
@@ -239,7 +241,7 @@
             arrival: When the datagram has arrived.
         """
         if data.startswith((RELAY_TAG, RELAY_AT_ONCE_TAG)):
-            self._relay(data, first_host)
+            self._relay(data, first_host, arrival)
             data = data[len(RELAY_TAG) :]
         if data.startswith(SUMMARY_TAG):
             summary = decode_summary(data)
@@ -257,8 +259,10 @@
         elif data[:1] in self._notice_handlers:
             self._notice_handlers[data[:1]](data, arrival)
 
-    def _relay(self, data: bytes, first_host: Address | None) -> None:
+    def _relay(self, data: bytes, first_host: Address | None, arrival: ArrivalBounds) -> None:
         content = data[len(RELAY_TAG) :]
+        if arrival.longest_wait_ms > UNLOGGED_WAIT_MS:
+            _log.info("datagram passed on late", kind=content[0], wait_ms=arrival.longest_wait_ms)
         if first_host is None or data.startswith(RELAY_AT_ONCE_TAG):
             self._send_to_group(content)
         else:
--- a/berylquay/relay/request_handler.py
+++ b/berylquay/relay/request_handler.py
@@ -42,6 +42,7 @@
 RESPONSE_BUFFER_BYTES: Final = 32_000_000
 MIN_UNSENT_BYTES: Final = 16_384
 FINGERPRINT_BYTES: Final = 12
+MS_PER_S: Final = 1000.0
 _log = logbook.Logger("desk")
 
 
@@ -255,7 +256,9 @@
         if not metadata.call_id:
             send_error(caller, BAD_REQUEST, "the request has no id")
             return
-        self._start_request(caller, request, metadata, route, pool, identity=identity)
+        self._start_request(
+            caller, request, metadata, route, pool, identity=identity, version=table.version
+        )
 
     def _abandon(self, caller: CallerConnection) -> None:
         """Ends a connection after an unexpected error; its caller may have got nothing."""
@@ -276,6 +279,7 @@
         pool: Pool,
         *,
         identity: CallerIdentity,
+        version: int,
     ) -> None:
         now_s = time.monotonic()
         deadline_s = route.timeout_s if metadata.deadline_s is None else metadata.deadline_s
@@ -295,6 +299,8 @@
             hides_key=identity.hides_key,
             resumed_after_event=metadata.last_event_id if route.streaming else None,
             resumed_call_id=metadata.resumed_call_id,
+            configuration_version=version,
+            configuration_age_ms=self._configuration_age_ms(now_s),
         )
         relayed = RelayedRequest(
             self._services,
@@ -309,6 +315,10 @@
         self.has_served = True
         relayed.start(now_s)
 
+    def _configuration_age_ms(self, now_s: float) -> int:
+        """Returns the time since the configuration was last confirmed, in milliseconds."""
+        return round((now_s - self._configuration_confirmed_s()) * MS_PER_S)
+
     def _is_caller_retry(self, route_name: str, deadline_s: float) -> bool:
         longest_s = max(deadline_s, self._longest_deadlines_s.get(route_name, 0.0))
         self._longest_deadlines_s[route_name] = longest_s
@@ -331,7 +341,7 @@
             "no route",
             id=metadata.call_id,
             version=table.version,
-            confirmed_ms=round(age_s * 1000.0),
+            confirmed_ms=round(age_s * MS_PER_S),
         )
         send_error(caller, NOT_FOUND, "no route")
 
@@ -347,13 +357,12 @@
         if refusal.fault is None:
             self._refuse(caller, metadata, refusal.detail, UNKNOWN_CONFIGURATION_RETRY_S)
             return
-        age_s = time.monotonic() - self._configuration_confirmed_s()
         _log.info(
             "key refused",
             id=metadata.call_id,
             cause=cause,
             version=table.version,
-            confirmed_ms=round(age_s * 1000.0),
+            confirmed_ms=self._configuration_age_ms(time.monotonic()),
         )
         send_unauthorized(caller, refusal.detail)
 
