--- a/tests/relay/test_platform_decoding.py
+++ b/tests/relay/test_platform_decoding.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 from returns.result import Failure
@@ -115,6 +116,32 @@
     assert isinstance(decode_configuration(json.dumps(configuration).encode()), Failure)
 
 
+# Guards against a newer version that is taken for the one in force, as they differ by little.
+def test_versions_that_no_float_can_tell_apart_are_different() -> None:
+    versions = [2**53, 2**53 + 1, 10**18, 10**18 + 1]
+    decoded = [
+        decode_configuration(json.dumps(make_configuration(version)).encode()).unwrap().version
+        for version in versions
+    ]
+    assert decoded == versions
+
+
+# Guards against a configuration that stays out of force for good because of an optional field.
+@pytest.mark.parametrize("place", ["routes", "services", "limits"])
+def test_an_optional_field_that_is_null_counts_as_missing(place: str) -> None:
+    configuration: dict[str, Any] = make_configuration()
+    if place == "routes":
+        names = ["goalMs", "priority", "maxAttempts", "gapTargetMs"]
+        configuration["routes"][0].update(dict.fromkeys(names))
+    elif place == "services":
+        configuration["services"][0]["maxConns"] = None
+        configuration["services"][0]["engine"].update(linkMbps=None, handleTtlS=None)
+    else:
+        configuration["limits"] = None
+    table = decode_configuration(json.dumps(configuration).encode()).unwrap()
+    assert table.match(HOST_NAME, PATHS["stream"]) is not None
+
+
 @pytest.mark.parametrize(
     ("header", "expected"),
     [
