Read versions of the configuration exactly, and null as a missing field

Callers would be served by an older configuration for good: a version beyond 2^53 went through a float, so that a newer one could equal the one in force and was ignored; null in an optional field (limits, goalMs, maxConns, ...) refused the whole configuration. A version that is no whole number is now refused, it was cut off. Null in `tenants` stays an error: absent tenants mean that no key is needed.

--- a/berylquay/platform/route_configuration.py
+++ b/berylquay/platform/route_configuration.py
@@ -40,7 +40,7 @@
         fields = _require_object(json.loads(data), "the configuration")
         return Success(
             make_route_table(
-                _integer_field(fields, "version"),
+                _version_field(fields),
                 [
                     _decode_route(_require_object(item, "a route"))
                     for item in _list_field(fields, "routes")
@@ -49,7 +49,7 @@
                     _decode_pool(_require_object(item, "a service"))
                     for item in _list_field(fields, "services")
                 ],
-                _decode_caller_limits(_require_object(fields.get("limits", {}), "limits")),
+                _decode_caller_limits(_require_object(fields.get("limits") or {}, "limits")),
                 _decode_tenants(fields),
             )
         )
@@ -79,7 +79,7 @@
     # Servers receive the name as the value of a header.
     if not name or name != name.strip() or not name.isascii() or not name.isprintable():
         raise FieldError(f"the tenant's name {name!r} is not a valid header value")
-    if "priority" not in fields:
+    if fields.get("priority") is None:
         return Tenant(name)
     priority = _number_field(fields, "priority")
     if not priority.is_integer():
@@ -162,7 +162,7 @@
 
 
 def _decode_scaling(fields: JsonObject) -> ScalingProperties:
-    prices = _require_object(fields.get("zonePrices", {}), "zonePrices")
+    prices = _require_object(fields.get("zonePrices") or {}, "zonePrices")
     scaling = ScalingProperties(
         min_servers=_integer_field(fields, "min", 0),
         max_servers=_integer_field(fields, "max"),
@@ -219,8 +219,21 @@
     return value
 
 
+def _version_field(fields: JsonObject) -> int:
+    """Returns the version, exactly: a float can't tell large versions apart."""
+    value = fields.get("version")
+    if isinstance(value, float) and value.is_integer():
+        return int(value)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise FieldError("version is not a whole number")
+    return value
+
+
 def _number_field(fields: JsonObject, name: str, default: float | None = None) -> float:
-    value = fields.get(name, default)
+    """Returns a number; a field that is null counts as missing."""
+    value = fields.get(name)
+    if value is None:
+        value = default
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise FieldError(f"{name} is not a number")
     return float(value)
--- a/berylquay/relay/peer_exchange.py
+++ b/berylquay/relay/peer_exchange.py
@@ -38,6 +38,8 @@
 # the first reports of a process.
 HOST_START: Final = "host-start"
 START_REPORTS_S: Final = 10.0
+# Digits of the largest version of a configuration that hosts tell each other.
+MAX_VERSION_DIGITS: Final = 39
 # Most entries in a report of such servers, so that it fits into a datagram.
 MAX_MISDIRECTED: Final = 16
 _log = logbook.Logger("peer-exchange")
@@ -255,7 +257,7 @@
             if report.topic == HOST_START:
                 self._host_starts[host] = report.state_hash
             if report.topic == CONFIGURATION_VERSION:
-                version = parse_whole_number(report.state_hash)
+                version = parse_whole_number(report.state_hash, MAX_VERSION_DIGITS)
                 if version is not None:
                     self._configuration.on_peer_version(version, arrived_s)
             for follower in self._followers:
