State how long a datagram has waited at the hosts that passed it on

Callers could be served by an older configuration: hosts of a large fleet take it for confirmed up to the age that others state, and what a first host passed on in its region (summaries, changes, notices) went out unchanged, however long it had lain in that host's queue.

A host that passes a datagram on appends the wait, its own and that of the hosts before; receivers count the arrival from before it, so that every handler that counts from the earliest arrival is covered: states of topics, changes, limits, quarantines, segments, loads. A summary that has waited longer than a region counts as heard of shows no region any more.

--- a/berylquay/decisions/arrival_bounds.py
+++ b/berylquay/decisions/arrival_bounds.py
@@ -30,6 +30,10 @@
         """Returns the longest time for which the datagram can have waited, in milliseconds."""
         return round((self.latest_s - self.earliest_s) * MS_PER_S)
 
+    def with_earlier_wait(self, wait_ms: int) -> "ArrivalBounds":
+        """Returns the bounds of a datagram that had waited at another host before."""
+        return ArrivalBounds(self.earliest_s - wait_ms / MS_PER_S, self.latest_s)
+
 
 @define
 class ReceiveQueue:
--- a/berylquay/relay/region_exchange.py
+++ b/berylquay/relay/region_exchange.py
@@ -19,6 +19,7 @@
 from berylquay.decisions.shared_polling import TopicReport
 from berylquay.decisions.topology import Topology
 from berylquay.relay.crash_reports import CRASH_REPORT_TAG
+from berylquay.relay.datagram_wait import add_wait, split_wait
 from berylquay.relay.demand_reports import DEMAND_TAG
 from berylquay.relay.report_fields import (
     FIELD_ERRORS,
@@ -240,6 +241,8 @@
             first_host: Address of this region's first host, or None if this host is the first one.
             arrival: When the datagram has arrived.
         """
+        data, earlier_wait_ms = split_wait(data)
+        arrival = arrival.with_earlier_wait(earlier_wait_ms)
         if data.startswith((RELAY_TAG, RELAY_AT_ONCE_TAG)):
             self._relay(data, first_host, arrival)
             data = data[len(RELAY_TAG) :]
@@ -248,7 +251,7 @@
             if summary is None:
                 _log.warning("unreadable summary", size_bytes=len(data))
             elif summary.region != self._topology.location.region and self._is_active():
-                self._note_contact(summary, arrival.earliest_s)
+                self._note_contact(summary, arrival)
                 self._on_summary(summary, arrival)
         elif data.startswith(DELTA_TAG):
             delta = decode_delta(data)
@@ -260,19 +263,22 @@
             self._notice_handlers[data[:1]](data, arrival)
 
     def _relay(self, data: bytes, first_host: Address | None, arrival: ArrivalBounds) -> None:
-        content = data[len(RELAY_TAG) :]
-        if arrival.longest_wait_ms > UNLOGGED_WAIT_MS:
-            _log.info("datagram passed on late", kind=content[0], wait_ms=arrival.longest_wait_ms)
+        content, wait_ms = data[len(RELAY_TAG) :], arrival.longest_wait_ms
+        if wait_ms > UNLOGGED_WAIT_MS:
+            _log.info("datagram passed on late", kind=content[:1].hex(), wait_ms=wait_ms)
+        content = add_wait(content, wait_ms)
         if first_host is None or data.startswith(RELAY_AT_ONCE_TAG):
             self._send_to_group(content)
         else:
             self._send(RELAY_AT_ONCE_TAG + content, first_host)
 
-    def _note_contact(self, summary: RegionSummary, heard_s: float) -> None:
-        """Notes the first host of another region."""
+    def _note_contact(self, summary: RegionSummary, arrival: ArrivalBounds) -> None:
+        """Notes the first host of another region, unless the summary is too old."""
+        if arrival.latest_s - arrival.earliest_s > CONTACT_TTL_S:
+            return
         if summary.region not in self._contacts:
             _log.info("region discovered", region=summary.region, host=summary.host)
-        self._contacts[summary.region] = _Contact(summary.host, summary.address, heard_s)
+        self._contacts[summary.region] = _Contact(summary.host, summary.address, arrival.earliest_s)
 
     def _drop_silent_regions(self, now_s: float) -> None:
         for region in [region for region in self._contacts if not self._is_heard(region, now_s)]:
--- a/tests/relay/test_configuration_spread.py
+++ b/tests/relay/test_configuration_spread.py
@@ -42,13 +42,16 @@
 # its first host passes on do not state how long they have waited in that host's queue.
 @with_seeds
 def test_a_first_host_that_stood_still_passes_no_old_state_on_as_new(model: SpreadModel) -> None:
-    model.first_of("gwent-a").stop(1.4)
+    first = model.first_of("gwent-a")
+    first.stop(1.4)
     model.run(4.6)
-    model.first_of("dyfed-a").turn_away()
+    # From now on nobody reads, so that nothing newer is known.
+    model.turn_all_away()
     model.run(5.5)
-    assert not model.first_of("gwent-a").stands_still
+    assert not first.stands_still
+    read_s = model.first_of("dyfed-a").confirmed_at_s
     latest_s = max(host.confirmed_at_s for host in model.hosts.values())
-    assert latest_s <= 4.6 + MAX_TRANSIT_S
+    assert latest_s <= read_s + MAX_TRANSIT_S
 
 
 # Guards against a fleet that takes an old read for a new one, because the host that has read states
@@ -61,7 +64,7 @@
     model.run(4.45)
     assert poller.client.has_answer
     poller.stop(0.8, suspended=True)
-    poller.turn_away()
+    model.turn_all_away()
     model.run(5.45)
     assert not poller.stands_still
     latest_s = max(host.confirmed_at_s for host in model.hosts.values())
--- a/tests/support/configuration_spread.py
+++ b/tests/support/configuration_spread.py
@@ -312,6 +312,11 @@
         """Returns the first host of a region."""
         return self.hosts[f"{data_centre}-00"]
 
+    def turn_all_away(self) -> None:
+        """Makes the store answer nobody any more."""
+        for host in self.hosts.values():
+            host.turn_away()
+
     def change(self) -> None:
         """Writes the next version of the configuration."""
         version = len(self._contents) + 1
