Count suspensions of the machine in the age of what a host knows

Callers could be served by an older configuration: a host that is suspended between a read of the store and its report stated the age by the monotonic clock, which leaves the suspension out, and the others took the read for that much newer; its own view, too. The follower now moves its times back by each suspension, and reports state ages by the clock that also runs meanwhile.

--- a/berylquay/decisions/pool_version_history.py
+++ b/berylquay/decisions/pool_version_history.py
@@ -12,6 +12,7 @@
 
 from berylquay.decisions.backend_registry import BackendEntry
 from berylquay.decisions.stream_versions import MAX_LIST_AGE_S, STREAM_RETENTION_S
+from berylquay.decisions.suspension_meter import SuspensionMeter
 
 # Time for which a version counts after its absence was noticed: that of a stream's retention, and
 # the difference between the clocks of the host that noticed it and of the one that reads it.
@@ -49,10 +50,9 @@
     # Monotonic time as of which the list was last known to be current, and by whose report.
     _confirmed_s: float
     _confirmed_by: str
-    # Monotonic time before which no confirmation of the list counts, and the difference between the
-    # clock that runs while the host is suspended and the monotonic one, or None if not known.
+    # Monotonic time before which no confirmation of the list counts.
     _confirmed_from_s: float
-    _clock_difference_s: float | None
+    _suspensions: SuspensionMeter
     # Monotonic time at which the last complete read of the records was sent, or None.
     _read_sent_s: float | None
     # Pools whose record was current at a time at which the list was known, without a gap since.
@@ -85,7 +85,7 @@
         self._confirmed_s = float("-inf")
         self._confirmed_by = ""
         self._confirmed_from_s = float("-inf")
-        self._clock_difference_s = None
+        self._suspensions = SuspensionMeter()
         self._read_sent_s = None
         self._complete_pools = set()
         self._listed = {}
@@ -119,8 +119,7 @@
             now_s: Present time of the monotonic clock, which stands still in a suspension.
             boot_s: Present time of the clock that does not.
         """
-        before_s, self._clock_difference_s = self._clock_difference_s, boot_s - now_s
-        if before_s is not None and boot_s - now_s - before_s > MAX_SUSPENSION_S:
+        if self._suspensions.observe(boot_s, now_s) > MAX_SUSPENSION_S:
             self._confirmed_from_s = now_s
 
     def describe_list(self, now_s: float) -> dict[str, int | str | None]:
--- a/berylquay/decisions/shared_polling.py
+++ b/berylquay/decisions/shared_polling.py
@@ -38,11 +38,11 @@
 
     topic: str
     state_hash: str
-    # Monotonic time at which the read was sent.
+    # Time at which the read was sent, on the clock by which its age is stated.
     sent_s: float
 
     def to_report(self, now_s: float) -> TopicReport:
-        """Returns the report as of the present time."""
+        """Returns the report as of the present time on that clock."""
         return TopicReport(self.topic, self.state_hash, round((now_s - self.sent_s) * 1000.0))
 
 
@@ -129,6 +129,12 @@
         """Records that the state was read anew, so that earlier reports say nothing about it."""
         self._differs_since_s = None
 
+    def on_suspended(self, duration_s: float) -> None:
+        """Lets a time pass that the monotonic clock has left out."""
+        self.confirmed_s -= duration_s
+        self._read_s -= duration_s
+        self._reported_read_s -= duration_s
+
     def on_newer_era(self) -> None:
         """Records that another host has seen a newer era of the store than this one."""
         self.is_behind = True
--- a/berylquay/relay/datagram_wait.py
+++ b/berylquay/relay/datagram_wait.py
@@ -1,4 +1,4 @@
-"""The time for which a datagram has waited at the hosts that passed it on, stated after its content.
+"""The time for which a datagram has waited at the hosts that passed it on, stated at its end.
 
 What a datagram states of the present is as old as it is; a host that passes it on adds the time
 for which it lay there. Decoders ignore what follows the compressed fields, so that builds without
--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -15,6 +15,7 @@
 from berylquay.decisions.backoff import Backoff
 from berylquay.decisions.shared_polling import OwnRead, SharedPolling, TopicReport
 from berylquay.decisions.store_era import StoreEra, add_era, split_era
+from berylquay.decisions.suspension_meter import SuspensionMeter
 from berylquay.platform.store_client import (
     KeyedRecord,
     NewestRecordsPage,
@@ -73,12 +74,14 @@
     _store_client: StoreClient
     _handler: TopicHandler
     _rng: Random
-    # Reads the monotonic clock.
+    # Read the monotonic clock, and the one that also runs while the machine is suspended.
     _clock: Callable[[], float]
+    _boot_clock: Callable[[], float]
     # Era of the store, which marks this host's state of the topic.
     _store_era: StoreEra
     # Whether this process has read the newest records of all keys at least once.
     has_snapshot: bool = field(default=False, init=False)
+    _suspensions: SuspensionMeter = field(factory=SuspensionMeter, init=False)
     # Decides when to read, and tracks up to when the knowledge is complete.
     polling: SharedPolling = field(init=False)
     # Name of the host whose report confirmed the knowledge last; empty after an own read.
@@ -112,6 +115,7 @@
     @property
     def confirmed_s(self) -> float:
         """Returns the monotonic time up to which all changes are known."""
+        self._count_suspension()
         return self.polling.confirmed_s
 
     @property
@@ -138,6 +142,7 @@
 
     def on_tick(self, now_s: float) -> None:
         """Sends the next call when it is due."""
+        self._count_suspension()
         self._store_client.on_tick(now_s)
         self._log_outdated(now_s)
         if self._store_client.busy or now_s < self._next_call_s:
@@ -155,6 +160,7 @@
 
     def on_peer_report(self, report: TopicReport, now_s: float, host: str = "") -> None:
         """Takes another host's report of a read; ignored while this host has no snapshot."""
+        self._count_suspension()
         if not self.has_snapshot or self._offset is None:
             return
         own_era = self._store_era.current
@@ -168,13 +174,18 @@
             self._next_call_s = max(self._next_call_s, now_s + self._new_era_delay_s())
 
     def next_report(self, now_s: float) -> OwnRead | None:
-        """Returns the read to report to the other hosts, or None."""
+        """Returns the read to report to the other hosts, by the boot clock, or None."""
         if not self.has_snapshot or self._offset is None:
             return None
-        return self.polling.next_report(self.topic, self.state_hash, now_s)
+        self._count_suspension()
+        own_read = self.polling.next_report(self.topic, self.state_hash, now_s)
+        if own_read is None:
+            return None
+        return evolve(own_read, sent_s=own_read.sent_s + self._boot_clock() - self._clock())
 
     def take_deltas(self, now_s: float) -> list[TopicDelta]:
         """Returns the changes that this host has read for the others since the last call."""
+        self._count_suspension()
         unsent, self._unsent_deltas = self._unsent_deltas, []
         return [
             evolve(delta, age_ms=round((now_s - read_s) * MS_PER_S)) for delta, read_s in unsent
@@ -182,6 +193,7 @@
 
     def on_delta(self, delta: TopicDelta, now_s: float) -> bool:
         """Applies changes that another host has read; returns whether they follow on this state."""
+        self._count_suspension()
         if not self.has_snapshot or self._offset is None or delta.before_hash != self.state_hash:
             return False
         if not self._handler.state_hash():
@@ -201,6 +213,17 @@
         self._apply_report(delta.to_report(), now_s, CHANGES)
         return True
 
+    def _count_suspension(self) -> None:
+        """Moves the times back by which ages are worked out, if the machine was suspended."""
+        suspended_s = self._suspensions.observe(self._boot_clock(), self._clock())
+        if suspended_s:
+            self.polling.on_suspended(suspended_s)
+            self._last_call_s -= suspended_s
+            self._snapshot_sent_s -= suspended_s
+            self._unsent_deltas = [
+                (delta, read_s - suspended_s) for delta, read_s in self._unsent_deltas
+            ]
+
     def _apply_report(self, report: TopicReport, now_s: float, source: str) -> None:
         before_s, was_behind = self.confirmed_s, self.polling.is_behind
         self.polling.on_peer_report(report, self.state_hash, now_s)
@@ -237,6 +260,7 @@
         self._is_outdated = is_outdated
 
     def _on_newest(self, result: NewestRecordsPage | StoreFailure) -> None:
+        self._count_suspension()
         now_s = self._clock()
         if isinstance(result, StoreFailure):
             if result.is_outdated:
@@ -268,6 +292,7 @@
         self._handler.on_snapshot(records, now_s)
 
     def _on_page(self, result: RecordPage | StoreFailure) -> None:
+        self._count_suspension()
         now_s = self._clock()
         if isinstance(result, StoreFailure):
             if result.records_gone or result.is_outdated:
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -436,6 +436,7 @@
             self._configuration_view,
             rng,
             time.monotonic,
+            boot_clock_s,
             self._store_era,
         )
         self._backends_follower = TopicFollower(
@@ -445,6 +446,7 @@
             self._backends_view,
             rng,
             time.monotonic,
+            boot_clock_s,
             self._store_era,
         )
         self._host_list = HostList(
--- a/berylquay/relay/load_reports.py
+++ b/berylquay/relay/load_reports.py
@@ -326,7 +326,7 @@
         self._last_loads = loads
         pending_updates = self._pending_updates
         # The host may have stood still since `now_s`, and the ages are stated to others.
-        stated_s = self._clock()
+        stated_s = self._boot_clock()
         report = LoadReport(
             self._host,
             self._data_centre,
--- a/tests/relay/test_ambiguous_ends.py
+++ b/tests/relay/test_ambiguous_ends.py
@@ -235,6 +235,7 @@
         IgnoringHandler(),
         Random(1),
         clock,
+        clock,
         StoreEra(),
     )
     follower.on_tick(0.0)
@@ -274,6 +275,7 @@
         IgnoringHandler(),
         Random(1),
         lambda: now_s,
+        lambda: now_s,
         StoreEra(),
     )
     follower.on_tick(now_s)
--- a/tests/relay/test_configuration_spread.py
+++ b/tests/relay/test_configuration_spread.py
@@ -63,12 +63,13 @@
     poller.stop(0.5)
     model.run(4.45)
     assert poller.client.has_answer
+    read_s = poller.client.sent_at_s
     poller.stop(0.8, suspended=True)
     model.turn_all_away()
     model.run(5.45)
     assert not poller.stands_still
     latest_s = max(host.confirmed_at_s for host in model.hosts.values())
-    assert latest_s <= 4.0 + MAX_TRANSIT_S
+    assert latest_s <= read_s + MAX_TRANSIT_S
 
 
 # Guards against changes that come too late where the poller is lost and connections to the store
--- a/tests/relay/test_follower.py
+++ b/tests/relay/test_follower.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from random import Random
 
+import pytest
+
 from berylquay.decisions.store_era import StoreEra
 from berylquay.platform.store_client import KeyedRecord, NewestRecordsPage, RecordPage, StoreFailure
 from berylquay.relay.follower import FollowTimings, TopicFollower, TopicHandler
@@ -62,6 +64,7 @@
         IgnoringHandler(),
         Random(1),
         lambda: now_s,
+        lambda: now_s,
         StoreEra(),
     )
     follower.on_tick(now_s)
@@ -78,3 +81,32 @@
     assert follower.confirmed_s == 0.1
     store_client.complete(StoreFailure("no answer in time", 0, may_have_happened=True))
     assert follower.confirmed_s == 0.1
+
+
+# Guards against knowledge that looks newer than it is after the machine was suspended.
+def test_a_suspension_counts_in_the_age_of_what_a_host_knows() -> None:
+    now_s, suspended_s = 0.0, 0.0
+    store_client = FakeStoreClient()
+    follower = TopicFollower(
+        "t",
+        FollowTimings(1.0, 0.05, 2.5),
+        store_client,  # type: ignore[arg-type]
+        IgnoringHandler(),
+        Random(1),
+        lambda: now_s,
+        lambda: now_s + suspended_s,
+        StoreEra(),
+    )
+    follower.on_tick(now_s)
+    store_client.complete(NewestRecordsPage((), False, 4))
+    now_s = 0.1
+    follower.on_tick(now_s)
+    # The answer comes before the suspension and is read after it.
+    suspended_s = 30.0
+    now_s = 0.2
+    store_client.complete(RecordPage((), 4, 4))
+    assert now_s - follower.confirmed_s == pytest.approx(30.1)
+    own_read = follower.next_report(now_s)
+    assert own_read is not None
+    suspended_s = 50.0
+    assert own_read.to_report(now_s + suspended_s).age_ms == 50100
--- a/tests/relay/test_topic_deltas.py
+++ b/tests/relay/test_topic_deltas.py
@@ -105,6 +105,7 @@
             handler,
             Random(1),
             lambda: self.now_s,
+            lambda: self.now_s,
             StoreEra(),
         )
 
--- a/tests/support/configuration_spread.py
+++ b/tests/support/configuration_spread.py
@@ -84,6 +84,8 @@
 
     model: "SpreadModel"
     host: "SpreadHost"
+    # True time at which the last call was sent.
+    sent_at_s: float = 0.0
     _call: int = 0
     _on_result: Callable[..., None] | None = None
     # An answer that has arrived and was not read yet, and the call's deadline.
@@ -135,6 +137,7 @@
     ) -> None:
         model = self.model
         self._call += 1
+        self.sent_at_s = model.now_s
         self._on_result, self._answer = on_result, None
         self._deadline_s = self.host.monotonic_s() + wait_s + timeout_s
         if self.host.calls_to_lose > 0:
@@ -305,6 +308,7 @@
             host.view,
             self.rng,
             host.monotonic_s,
+            lambda: self.now_s,
             era,
         )
 
--- a/tests/support/era_model.py
+++ b/tests/support/era_model.py
@@ -174,10 +174,12 @@
         self.registry = BackendRegistry()
         self.backends = BackendsView(self.registry, lambda _change: None)
         timings = FollowTimings(0.0, 0.5, APPLY_S)
+
+        def clock() -> float:
+            return world.now_s
+
         self.followers = [
-            TopicFollower(
-                topic, timings, make_client(), view, world.rng, lambda: world.now_s, self.era
-            )
+            TopicFollower(topic, timings, make_client(), view, world.rng, clock, clock, self.era)
             for topic, view in (
                 (TOPIC_CONFIGURATION, self.configuration),
                 (TOPIC_BACKENDS, self.backends),
--- a/tests/support/stream_model.py
+++ b/tests/support/stream_model.py
@@ -102,6 +102,7 @@
             self._view,
             world.rng,
             lambda: world.now_s,
+            lambda: world.now_s,
             self.era,
         )
         self.exchange = StreamVersionExchange(
