Let one call that is never answered not delay a change beyond its bound

Callers could be served by an older configuration: a host that relies on others reads 3.2 s after its last confirmation at the latest, and a connection to the store that had gone silent since its last read cost it 1 s and a pause of up to 0.8 s more; the bound is 4 s.

The first call after one that succeeded is given up after 0.15 of the bound, 0.5 s at least, and repeated at once on a new connection; further ones get a second and a pause as before, and rejected calls their pause. The last host reads 0.75 of the bound after its last confirmation instead of 0.8.

--- a/berylquay/decisions/shared_polling.py
+++ b/berylquay/decisions/shared_polling.py
@@ -14,7 +14,7 @@
 # Without reports, the first of the hosts that rely on others reads after this fraction of the
 # maximum staleness, and the last one within the second fraction.
 FIRST_FALLBACK_READ_FRACTION: Final = 0.6
-LAST_FALLBACK_READ_FRACTION: Final = 0.8
+LAST_FALLBACK_READ_FRACTION: Final = 0.75
 # Shortest time between reads while another host reports a different, newer state.
 BEHIND_READ_INTERVAL_S: Final = 0.3
 # Shortest time between two reports on a topic.
--- a/berylquay/platform/store_client.py
+++ b/berylquay/platform/store_client.py
@@ -118,6 +118,11 @@
     # Whether the answer is of an older era of the store and was dropped.
     is_outdated: bool = False
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Returns whether no answer came, as on a connection that has gone silent."""
+        return self.status == 0 and not self.is_outdated
+
     @property
     def records_gone(self) -> bool:
         """Returns whether the requested records have been deleted."""
@@ -194,9 +199,14 @@
         offset: int,
         long_poll_wait_s: float,
         on_result: Callable[[RecordPage | StoreFailure], None],
+        *,
         max_kb: int = MAX_READ_KB,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> None:
-        """Requests records from an offset; waits up to `long_poll_wait_s` if there are none."""
+        """Requests records from an offset; waits up to `long_poll_wait_s` if there are none.
+
+        The call fails if no answer has come `timeout_s` after that wait.
+        """
         target = f"/log-read?topic={topic}&part=0&source={offset}&maxKb={max_kb}"
         if long_poll_wait_s > 0.0:
             target += f"&waitMs={int(long_poll_wait_s * 1000.0)}"
@@ -210,7 +220,7 @@
             b"",
             decode=decode,
             on_result=on_result,
-            long_poll_wait_s=long_poll_wait_s,
+            timeout_s=long_poll_wait_s + timeout_s,
         )
 
     def append(
@@ -294,12 +304,12 @@
         *,
         decode: _ResponseDecoder,
         on_result: Callable[..., None],
-        long_poll_wait_s: float = 0.0,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> None:
         headers: Headers = [(b"host", str(self._address).encode())]
         if method == b"POST":
             headers.append((b"content-length", str(len(body)).encode()))
-        deadline_s = self._last_tick_s + long_poll_wait_s + CALL_TIMEOUT_S
+        deadline_s = self._last_tick_s + timeout_s
         self._call = _PendingCall(decode, on_result, deadline_s)
         if self._connection is None or self._connection.closed:
             self._connection = PersistentConnection(
--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -17,6 +17,7 @@
 from berylquay.decisions.store_era import StoreEra, add_era, split_era
 from berylquay.decisions.suspension_meter import SuspensionMeter
 from berylquay.platform.store_client import (
+    CALL_TIMEOUT_S,
     KeyedRecord,
     NewestRecordsPage,
     RecordPage,
@@ -29,6 +30,10 @@
 
 # Wait after a failed call; the store rejects calls beyond a rate limit that all hosts share.
 FAILURE_BACKOFF: Final = Backoff(min_delay_s=0.2, max_delay_s=0.8)
+# Timeout of the first call after one that succeeded, as a fraction of the time within which a
+# change must be known, and its minimum: a connection that has gone silent must not use it up.
+FIRST_CALL_TIMEOUT_FRACTION: Final = 0.15
+MIN_FIRST_CALL_TIMEOUT_S: Final = 0.5
 # Time over which the hosts spread their reads after the store has come back from an older copy.
 NEW_ERA_READ_SPREAD_S: Final = 0.4
 MS_PER_S: Final = 1000.0
@@ -156,7 +161,20 @@
         elif now_s >= self.polling.next_read_s(self._last_call_s):
             self._last_call_s = now_s
             wait_s = self._timings.long_poll_wait_s if self.polling.is_poller else 0.0
-            self._store_client.read(self.topic, self._offset, wait_s, self._on_page)
+            self._store_client.read(
+                self.topic, self._offset, wait_s, self._on_page, timeout_s=self._call_timeout_s()
+            )
+
+    def _call_timeout_s(self) -> float:
+        if self.consecutive_failures:
+            return CALL_TIMEOUT_S
+        return min(
+            CALL_TIMEOUT_S,
+            max(
+                MIN_FIRST_CALL_TIMEOUT_S,
+                self._timings.max_staleness_s * FIRST_CALL_TIMEOUT_FRACTION,
+            ),
+        )
 
     def on_peer_report(self, report: TopicReport, now_s: float, host: str = "") -> None:
         """Takes another host's report of a read; ignored while this host has no snapshot."""
@@ -362,6 +380,10 @@
                 **self._describe_knowledge(now_s),
             )
         self.consecutive_failures += 1
+        if self.consecutive_failures == 1 and failure.is_unanswered:
+            # A new connection may work.
+            self._next_call_s = now_s
+            return
         self._next_call_s = now_s + FAILURE_BACKOFF.delay_s(self.consecutive_failures, self._rng)
 
 
--- a/tests/relay/test_claimant.py
+++ b/tests/relay/test_claimant.py
@@ -7,6 +7,7 @@
 
 from berylquay.decisions.order_claims import ClaimStep, ClaimTimes
 from berylquay.platform.store_client import (
+    CALL_TIMEOUT_S,
     MAX_READ_KB,
     AppendResult,
     RecordPage,
@@ -50,7 +51,9 @@
         offset: int,
         long_poll_wait_s: float,
         on_result: Callable[[RecordPage | StoreFailure], None],
+        *,
         max_kb: int = MAX_READ_KB,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> None:
         records = self.log.records
         on_result(RecordPage(tuple(records[offset:]), offset, len(records)))
--- a/tests/relay/test_follower.py
+++ b/tests/relay/test_follower.py
@@ -6,7 +6,13 @@
 import pytest
 
 from berylquay.decisions.store_era import StoreEra
-from berylquay.platform.store_client import KeyedRecord, NewestRecordsPage, RecordPage, StoreFailure
+from berylquay.platform.store_client import (
+    CALL_TIMEOUT_S,
+    KeyedRecord,
+    NewestRecordsPage,
+    RecordPage,
+    StoreFailure,
+)
 from berylquay.relay.follower import FollowTimings, TopicFollower, TopicHandler
 
 
@@ -15,11 +21,17 @@
 
     def __init__(self) -> None:
         self.result_handler: Callable[..., None] | None = None
+        # Timeout of the last call.
+        self.timeout_s = 0.0
 
     @property
     def busy(self) -> bool:
         return self.result_handler is not None
 
+    @property
+    def is_idle(self) -> bool:
+        return not self.busy
+
     def on_tick(self, now_s: float) -> None:
         """Does nothing: the test decides when a request fails."""
 
@@ -27,9 +39,14 @@
         self.result_handler = on_result
 
     def read(
-        self, _topic: str, _offset: int, _wait_s: float, on_result: Callable[..., None]
+        self,
+        _topic: str,
+        _offset: int,
+        _wait_s: float,
+        on_result: Callable[..., None],
+        timeout_s: float,
     ) -> None:
-        self.result_handler = on_result
+        self.result_handler, self.timeout_s = on_result, timeout_s
 
     def abandon_call(self) -> None:
         self.result_handler = None
@@ -110,3 +127,47 @@
     assert own_read is not None
     suspended_s = 50.0
     assert own_read.to_report(now_s + suspended_s).age_ms == 50100
+
+
+def make_follower(max_staleness_s: float) -> tuple[TopicFollower, FakeStoreClient]:
+    """Returns a follower that has read the newest records, up to offset 4."""
+    store_client = FakeStoreClient()
+    follower = TopicFollower(
+        "t",
+        FollowTimings(1.0, 0.05, max_staleness_s),
+        store_client,  # type: ignore[arg-type]
+        IgnoringHandler(),
+        Random(1),
+        lambda: 0.0,
+        lambda: 0.0,
+        StoreEra(),
+    )
+    follower.on_tick(0.0)
+    store_client.complete(NewestRecordsPage((), False, 4))
+    return follower, store_client
+
+
+# Guards against a connection that has gone silent and uses up the time until a change is known.
+@pytest.mark.parametrize(
+    ("max_staleness_s", "first_s"), [(2.5, 0.5), (4.0, 0.6), (5.0, 0.75), (9.0, CALL_TIMEOUT_S)]
+)
+def test_a_call_without_an_answer_is_soon_repeated(max_staleness_s: float, first_s: float) -> None:
+    follower, client = make_follower(max_staleness_s)
+    follower.on_tick(0.1)
+    assert client.timeout_s == pytest.approx(first_s)
+    client.complete(StoreFailure("no answer in time", 0, may_have_happened=True))
+    follower.on_tick(0.2)
+    # A store that is slow gets all its time then.
+    assert (client.busy, client.timeout_s) == (True, CALL_TIMEOUT_S)
+    client.complete(StoreFailure("no answer in time", 0, may_have_happened=True))
+    follower.on_tick(0.19)
+    assert client.is_idle
+
+
+# Guards against hosts that call again at once a store that has rejected them.
+def test_a_rejected_call_is_repeated_after_a_pause() -> None:
+    follower, client = make_follower(4.0)
+    follower.on_tick(0.1)
+    client.complete(StoreFailure("too many calls", 429, may_have_happened=False))
+    follower.on_tick(0.19)
+    assert client.is_idle
--- a/tests/relay/test_topic_deltas.py
+++ b/tests/relay/test_topic_deltas.py
@@ -62,7 +62,12 @@
         self._answer = lambda: on_result(page)
 
     def read(
-        self, _topic: str, offset: int, _wait_s: float, on_result: Callable[..., None]
+        self,
+        _topic: str,
+        offset: int,
+        _wait_s: float,
+        on_result: Callable[..., None],
+        timeout_s: float,
     ) -> None:
         self.store.read_count += 1
         end = len(self.store.contents)
