Keep a change that was passed on while an older answer was on its way

A host whose read was answered before a change, and that got the change from another host before that answer, went back to the offset before it, though it took its knowledge for as new as the change. It could tell its region that the old state was confirmed as of the change.

--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -329,7 +329,8 @@
             self._on_failure(failure, now_s)
             return
         before_hash, known = self.state_hash, self._describe_knowledge(now_s)
-        self._offset = result.next_offset
+        # Changes that others have passed on since the read was answered remain applied.
+        self._offset = max(self._offset or 0, result.next_offset)
         if result.is_at_end:
             self._on_success(now_s)
         changes = self._apply_records(result.contents, now_s)
--- a/tests/relay/test_follower.py
+++ b/tests/relay/test_follower.py
@@ -12,8 +12,10 @@
     NewestRecordsPage,
     RecordPage,
     StoreFailure,
+    encode_keyed_record,
 )
 from berylquay.relay.follower import FollowTimings, TopicFollower, TopicHandler
+from berylquay.relay.topic_deltas import TopicDelta
 
 
 class FakeStoreClient:
@@ -171,3 +173,13 @@
     client.complete(StoreFailure("too many calls", 429, may_have_happened=False))
     follower.on_tick(0.19)
     assert client.is_idle
+
+
+# Guards against a host that tells others of an old state as of the time of a change: an answer that
+# was on its way when the change was passed on to it sets its state back.
+def test_an_answer_from_before_a_change_does_not_set_the_state_back() -> None:
+    follower, client = make_follower(4.0)
+    follower.on_tick(0.1)
+    assert follower.on_delta(TopicDelta("t", "4", "5", 0, (encode_keyed_record("k", b"v"),)), 0.2)
+    client.complete(RecordPage((), 4, 4))
+    assert follower.state_hash == "5"
