Pass on changes that a host reads in place of the poller

While the host that polls for the others is lost or can't read the store, the first host that reads in its place found a change and only reported another state: all others then read the store themselves, and hosts that can't read it, or whose calls are lost, learned nothing.

--- a/berylquay/relay/follower.py
+++ b/berylquay/relay/follower.py
@@ -329,6 +329,8 @@
             self._on_failure(failure, now_s)
             return
         before_hash, known = self.state_hash, self._describe_knowledge(now_s)
+        # A host that is behind reads what others have read before.
+        is_first_to_read = self.polling.is_poller or not self.polling.is_behind
         # Changes that others have passed on since the read was answered remain applied.
         self._offset = max(self._offset or 0, result.next_offset)
         if result.is_at_end:
@@ -336,7 +338,7 @@
         changes = self._apply_records(result.contents, now_s)
         if self.state_hash != before_hash:
             _log.info("changes read", topic=self.topic, records=len(changes), **known)
-        if result.is_at_end and self.polling.is_poller and self.state_hash != before_hash:
+        if result.is_at_end and is_first_to_read and self.state_hash != before_hash:
             delta = TopicDelta(self.topic, before_hash, self.state_hash, 0, changes)
             self._unsent_deltas.append((delta, self._last_call_s))
 
--- a/tests/relay/test_topic_deltas.py
+++ b/tests/relay/test_topic_deltas.py
@@ -97,6 +97,8 @@
         self.store = SharedStore([encode_keyed_record("k", b"first")])
         self.now_s = 0.0
         self.lose_deltas = lose_deltas
+        # Hosts that are gone, by rank.
+        self.lost: set[int] = set()
         self.handlers = [LastValueHandler() for _ in range(hosts)]
         self.followers = [self._make_follower(handler) for handler in self.handlers]
         for rank, follower in enumerate(self.followers):
@@ -118,7 +120,9 @@
         end_s = self.now_s + duration_s
         while self.now_s < end_s:
             self.now_s += TICK_S
-            for sender in self.followers:
+            for rank, sender in enumerate(self.followers):
+                if rank in self.lost:
+                    continue
                 sender.on_tick(self.now_s)
                 deltas = sender.take_deltas(self.now_s)
                 own_read = sender.next_report(self.now_s)
@@ -179,3 +183,17 @@
 def test_a_delta_that_fits_into_no_datagram_is_not_passed_on() -> None:
     content = Random(1).randbytes(MAX_DELTA_DATAGRAM_BYTES)
     assert encode_delta(TopicDelta("t", "4", "5", 0, (content,))) is None
+
+
+# Guards against a store that all hosts read at once, and hosts that can't read it and learn of no
+# change, while the host that polls for the others is lost.
+def test_a_change_is_passed_on_by_the_host_that_reads_in_place_of_a_lost_poller() -> None:
+    fleet = Fleet(HOSTS, lose_deltas=False)
+    fleet.run(2.0)
+    fleet.lost.add(0)
+    fleet.run(0.5)
+    reads_before = fleet.store.read_count
+    fleet.store.contents.append(encode_keyed_record("k", b"second"))
+    fleet.run(MAX_STALENESS_S)
+    assert {handler.value for handler in fleet.handlers[1:]} == {b"second"}
+    assert fleet.store.read_count - reads_before < HOSTS / 10
