State how old a pool's record is when a host tells its group of it

The notice now states the time since the call was sent, and the host's own record counts from then. The test failed before (no wait stated).

--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -309,6 +309,7 @@
                 metrics=metrics,
                 rng=rng,
                 unix_ms=lambda: round(time.time() * MS_PER_S),
+                boot_clock=boot_clock_s,
                 is_first_of_group=self._is_first_of_group,
                 send_to_group=self._send_to_group,
                 on_read=self._on_pool_versions_read,
--- a/berylquay/relay/pool_version_store.py
+++ b/berylquay/relay/pool_version_store.py
@@ -28,6 +28,7 @@
     encode_keyed_record,
 )
 from berylquay.platform.wire_names import TOPIC_POOL_VERSIONS
+from berylquay.relay.datagram_wait import add_wait
 from berylquay.relay.follower import FAILURE_BACKOFF
 from berylquay.relay.metrics import RelayMetrics
 from berylquay.relay.version_datagrams import MAX_NUMBER, PoolRecordNotice, encode_pool_record
@@ -99,6 +100,8 @@
     _rng: Random
     # Reads the wall clock, as Unix time in milliseconds.
     _unix_ms: Callable[[], int]
+    # Reads the clock that also runs while the machine is suspended.
+    _boot_clock: Callable[[], float]
     # Tells whether this host is the first of those that exchange load reports.
     _is_first_of_group: Callable[[float], bool]
     _send_to_group: Callable[[bytes], None]
@@ -124,6 +127,10 @@
     _read_records: dict[str, PoolVersionRecord] = field(factory=dict, init=False)
     _end_offset: int | None = field(default=None, init=False)
     _writes_after_read: bool = field(default=False, init=False)
+    # Times at which the last call was sent, on the monotonic and on the boot clock: what its answer
+    # states is as old.
+    _call_sent_s: float = field(default=float("-inf"), init=False)
+    _call_sent_boot_s: float = field(default=float("-inf"), init=False)
     # Records of the append in flight, by pool.
     _writing: dict[str, PoolVersionRecord] = field(factory=dict, init=False)
     _consecutive_failures: int = field(default=0, init=False)
@@ -189,6 +196,7 @@
         if self._history.is_list_known and (self._history.needs_read or is_due):
             self._writes_after_read, self._due_s = is_due, None
             self._read_sent_s, self._read_records, self._end_offset = now_s, {}, None
+            self._note_call()
             self._store_client.read_newest(TOPIC_POOL_VERSIONS, "", self._on_newest)
 
     def _check_records(self, now_s: float) -> None:
@@ -273,6 +281,7 @@
                 encode_keyed_record(pool, encode_record(record))
                 for pool, record in self._writing.items()
             ]
+            self._note_call()
             self._store_client.append(
                 TOPIC_POOL_VERSIONS, contents, self._on_appended, expected_end_offset=offset
             )
@@ -292,7 +301,7 @@
         for pool, record in writing.items():
             self._known_order[pool] = _order_of(record, offset)
             self._history.on_record(
-                pool, record, self._now_s, self._unix_ms(), current_s=self._now_s
+                pool, record, self._now_s, self._unix_ms(), current_s=self._call_sent_s
             )
             self._metrics.on_pool_versions_written(pool)
             _log.info(
@@ -305,7 +314,12 @@
             self._tell_group(pool, record, offset)
 
     def _tell_group(self, pool: str, record: PoolVersionRecord, offset: int) -> None:
-        self._send_to_group(encode_pool_record(PoolRecordNotice(pool, record, offset)))
+        waited_ms = round((self._boot_clock() - self._call_sent_boot_s) * MS_PER_S)
+        notice = encode_pool_record(PoolRecordNotice(pool, record, offset))
+        self._send_to_group(add_wait(notice, waited_ms))
+
+    def _note_call(self) -> None:
+        self._call_sent_s, self._call_sent_boot_s = self._now_s, self._boot_clock()
 
     def _on_failure(self, failure: StoreFailure) -> None:
         self._consecutive_failures += 1
--- a/tests/relay/test_pool_version_records.py
+++ b/tests/relay/test_pool_version_records.py
@@ -1,12 +1,15 @@
 """Versions of pools and of streams in the store: single decisions, formats and datagrams."""
 
 import json
-from typing import Final
+from collections.abc import Callable
+from random import Random
+from typing import Any, Final
+from unittest.mock import Mock
 
 import pytest
 from attrs import evolve
 
-from berylquay.decisions.backend_registry import BackendEntry, EntryState
+from berylquay.decisions.backend_registry import BackendEntry, BackendRegistry, EntryState
 from berylquay.decisions.fleet import Address, Role
 from berylquay.decisions.pool_version_history import (
     ABSENCE_DELAY_S,
@@ -22,7 +25,9 @@
     hash_stream,
 )
 from berylquay.decisions.stream_versions import MAX_LIST_AGE_S, STREAM_RETENTION_S
-from berylquay.relay.pool_version_store import decode_record, encode_record
+from berylquay.platform.store_client import AppendResult, NewestRecordsPage
+from berylquay.relay.datagram_wait import split_wait
+from berylquay.relay.pool_version_store import PoolVersionStore, decode_record, encode_record
 from berylquay.relay.report_fields import compress_fields
 from berylquay.relay.version_datagrams import (
     POOL_KIND,
@@ -228,3 +233,69 @@
     history.on_records_read({"lm": PoolVersionRecord(frozenset({"v1"}))}, 0.1, 0.1, UNIX_MS)
     assert history.only_version("lm", entries("v1"), MAX_LIST_AGE_S) == "v1"
     assert history.only_version("lm", entries("v1"), MAX_LIST_AGE_S + 0.1) is None
+
+
+class WaitingClient:
+    """Keeps the answers to a host's calls until the test delivers them."""
+
+    busy = False
+
+    def __init__(self) -> None:
+        self.on_result: Any = None
+
+    def on_tick(self, _now_s: float) -> None:
+        """Does nothing: no call fails."""
+
+    def read_newest(self, _topic: str, _after: str, on_result: Callable[..., None]) -> None:
+        self.busy, self.on_result = True, on_result
+
+    def append(
+        self, _topic: str, _contents: object, on_result: Callable[..., None], **_options: object
+    ) -> None:
+        self.busy, self.on_result = True, on_result
+
+    def answer(self, result: object) -> None:
+        self.busy = False
+        self.on_result(result)
+
+
+# Guards against a record that counts as current when its writer reads the answer, long after the
+# store gave it: another group may have recorded a further version since.
+def test_a_written_record_is_as_old_as_the_call() -> None:
+    client, registry, sent = WaitingClient(), BackendRegistry(), list[bytes]()
+    registry.on_entry(ENTRY)
+    history = PoolVersionHistory()
+    history.on_list_confirmed(0.0, 0.0)
+    current_s: list[float] = []
+    boot_s = 0.0
+    store = PoolVersionStore(
+        history=history,
+        registry=registry,
+        store_client=client,  # type: ignore[arg-type]
+        metrics=Mock(),
+        rng=Random(1),
+        unix_ms=lambda: UNIX_MS,
+        boot_clock=lambda: boot_s,
+        is_first_of_group=lambda _now_s: True,
+        send_to_group=sent.append,
+        on_read=lambda _now_s: None,
+    )
+    store.pools = frozenset({"lm"})
+    history.on_record = (  # type: ignore[method-assign]
+        lambda *_arguments, **times: current_s.append(times["current_s"])
+    )
+    now_s = 0.0
+    while not sent:
+        now_s += 0.5
+        boot_s = now_s
+        store.on_tick(now_s)
+        if client.busy and client.on_result == store._on_newest:
+            client.answer(NewestRecordsPage((), False, 0))
+        if client.busy and client.on_result == store._on_appended:
+            # The machine is suspended before the answer is read.
+            boot_s += 7.0
+            client.answer(AppendResult(0))
+    content, wait_ms = split_wait(sent[0])
+    assert isinstance(decode_version_datagram(content), PoolRecordNotice)
+    assert wait_ms == 7000
+    assert current_s == [now_s]
--- a/tests/support/stream_model.py
+++ b/tests/support/stream_model.py
@@ -20,6 +20,7 @@
 from berylquay.decisions.store_era import StoreEra
 from berylquay.platform.store_client import StoreClient
 from berylquay.platform.wire_names import TOPIC_BACKENDS
+from berylquay.relay.datagram_wait import split_wait
 from berylquay.relay.follower import FollowTimings, TopicFollower
 from berylquay.relay.pool_version_store import PoolVersionStore
 from berylquay.relay.services import RelayServices
@@ -120,6 +121,7 @@
             metrics=Mock(),
             rng=world.rng,
             unix_ms=lambda: round((START_UNIX_S + world.now_s + model.clock_error_s(self)) * 1000),
+            boot_clock=lambda: world.now_s,
             is_first_of_group=lambda _now_s: model.first_host(self) is None,
             send_to_group=self._send_to_group,
             on_read=self._on_pools_read,
@@ -199,10 +201,12 @@
         elif data.startswith(STREAM_VERSION_TAG):
             self.exchange.on_version_datagram(data, ArrivalBounds(now_s, now_s))
         else:
-            notice = decode_version_datagram(data)
+            content, wait_ms = split_wait(data)
+            notice = decode_version_datagram(content)
             assert notice is not None
             if isinstance(notice, PoolRecordNotice):
-                self.pools.on_notice(notice, ArrivalBounds(now_s, now_s))
+                arrival = ArrivalBounds(now_s, now_s).with_earlier_wait(wait_ms)
+                self.pools.on_notice(notice, arrival)
             else:
                 self.streams.on_notice(notice, now_s)
 
