Take only answers of servers for a working path again, with ids in health checks

These checks now carry an id of their own, which also tells their answers from late copies of others.

--- a/berylquay/decisions/crash_history.py
+++ b/berylquay/decisions/crash_history.py
@@ -94,6 +94,14 @@
         """Records that a server has started again under its name, so that it can crash again."""
         self._restarted_s[backend] = now_s
 
+    def withdraw(self, backend: str, fingerprint: str, crashed_at_s: float) -> None:
+        """Removes a crash that was none from the history of a content."""
+        mistaken = Crash(backend, crashed_at_s)
+        crashes = self.crashes_of(fingerprint)
+        kept = [crash for crash in crashes if not self._is_same_crash(crash, mistaken)]
+        if len(kept) < len(crashes):
+            self._replace(fingerprint, kept)
+
     def fingerprints_by_crash(self) -> dict[Crash, list[str]]:
         """Returns the fingerprints in the history by crash."""
         fingerprints_by_crash: dict[Crash, list[str]] = {}
--- a/berylquay/decisions/server_paths.py
+++ b/berylquay/decisions/server_paths.py
@@ -5,6 +5,9 @@
 pool, with none that succeeds in between, are taken for a fault of this host's path, not of the
 servers; one server that fails is asked for through another host before it is blamed. Requests to a
 lost server go through another host, the gateway, until a connection of this host's own succeeds.
+
+An established connection is no proof of a path: what lies between may accept it, and reset it or
+swallow what it carries. A path that was lost in this way is regained by an answer only.
 """
 
 from collections.abc import Collection, Mapping, Sequence
@@ -45,6 +48,14 @@
     # Monotonic time of the last failed connection, by pool and server, since one to the pool
     # succeeded.
     _failed_s: dict[str, dict[str, float]] = field(factory=dict, init=False)
+    # Lost servers to which connections are established, so that only an answer ends the loss.
+    _answer_required: set[str] = field(factory=set, init=False)
+    # Monotonic time of the last question that was not answered on an established connection, by
+    # pool and server, since a server of the pool has answered.
+    _unanswered_s: dict[str, dict[str, float]] = field(factory=dict, init=False)
+    # Monotonic time at which a server was silent for too long after a question, by server, since it
+    # has answered.
+    _silent_s: dict[str, float] = field(factory=dict, init=False)
     # Pools whose servers were all taken for lost as some of them failed, until one is reached.
     _assumed_lost_pools: set[str] = field(factory=set, init=False)
     # Gateways that have not reached a server, by server: monotonic time by gateway, since one has.
@@ -73,16 +84,29 @@
         """Returns the monotonic time since which the path to a server is lost, or None."""
         return self._lost_s.get(server)
 
+    def requires_answer(self, server: str) -> bool:
+        """Tells whether only an answer shows that the path to a lost server works again."""
+        return server in self._answer_required
+
     def failed_servers(self, pool: str) -> list[str]:
-        """Returns the servers of a pool to which connections have failed since one succeeded."""
-        return sorted(self._failed_s.get(pool, ()))
+        """Returns the servers of a pool that have failed since a connection or answer succeeded."""
+        return sorted({*self._failed_s.get(pool, ()), *self._unanswered_s.get(pool, ())})
+
+    def on_answered(self, server: str, pool: str, now_s: float) -> bool:
+        """Records data from a server on a connection of this host's own, as `on_connected`."""
+        self._unanswered_s.pop(pool, None)
+        self._silent_s.pop(server, None)
+        self._answer_required.discard(server)
+        self._last_data_s = max(self._last_data_s, now_s)
+        return self.on_connected(server, pool, now_s)
 
     def on_connected(self, server: str, pool: str, now_s: float) -> bool:
         """Records a successful connection; returns whether the path was lost before."""
         self._failed_s.pop(pool, None)
-        self._assumed_lost_pools.discard(pool)
         self.last_connected_s = now_s
-        self._last_data_s = max(self._last_data_s, now_s)
+        if server in self._answer_required:
+            return False
+        self._assumed_lost_pools.discard(pool)
         if self._lost_s.pop(server, None) is None:
             return False
         self._probe_count = min(2 * self._probe_count, MAX_PROBES)
@@ -99,19 +123,55 @@
             pool_servers: Servers of the pool that are listed as ready.
             now_s: Present time.
         """
+        return self._on_failed(self._failed_s, server, pool, pool_servers, now_s)
+
+    def on_unanswered(
+        self, server: str, pool: str, pool_servers: Sequence[str], now_s: float
+    ) -> list[str]:
+        """Records an established connection that ended without an answer to a question.
+
+        Arguments and result are those of `on_connect_failed`.
+        """
+        if server in self._lost_s:
+            self._answer_required.add(server)
+        lost = self._on_failed(self._unanswered_s, server, pool, pool_servers, now_s)
+        self._answer_required.update(lost)
+        return lost
+
+    def on_silent(self, server: str, now_s: float) -> None:
+        """Records a question that was not answered in time on an established connection.
+
+        The server may have paused, so that this counts only if another host gets an answer.
+        """
+        if server in self._lost_s:
+            self._answer_required.add(server)
+            self._probe_count = 1
+        else:
+            self._silent_s[server] = now_s
+            self._last_data_s = max(self._last_data_s, now_s)
+
+    def _on_failed(
+        self,
+        failed_s_by_pool: dict[str, dict[str, float]],
+        server: str,
+        pool: str,
+        pool_servers: Sequence[str],
+        now_s: float,
+    ) -> list[str]:
         if server in self._lost_s:
             self._probe_count = 1
             return []
-        failed_s = self._failed_s.setdefault(pool, {})
-        failed_s[server] = now_s
-        for name in [name for name, at_s in failed_s.items() if now_s - at_s > FAILURE_TTL_S]:
-            del failed_s[name]
+        failed_s_by_pool.setdefault(pool, {})[server] = now_s
+        for failed_s in (self._failed_s.get(pool, {}), self._unanswered_s.get(pool, {})):
+            for name in [name for name, at_s in failed_s.items() if now_s - at_s > FAILURE_TTL_S]:
+                del failed_s[name]
+        failed = self.failed_servers(pool)
         # A host that has lost a pool needs less evidence for the next one.
         required = 1 if self._assumed_lost_pools else min(MIN_FAILED_SERVERS, len(pool_servers))
-        if len(failed_s) < max(1, required):
+        if len(failed) < max(1, required):
             return []
         self._assumed_lost_pools.add(pool)
-        lost = [name for name in {*pool_servers, *failed_s} if name not in self._lost_s]
+        lost = [name for name in {*pool_servers, *failed} if name not in self._lost_s]
         for name in lost:
             self._lost_s[name] = now_s
         return sorted(lost)
@@ -119,11 +179,15 @@
     def on_reached_by_gateway(self, server: str, pool: str, now_s: float) -> bool:
         """Records that another host reaches a server; returns whether this host's path is at fault.
 
-        False if a connection of this host's own has succeeded since the one that failed.
+        False if a connection of this host's own, or a question, has succeeded since the one that
+        failed.
         """
-        if server in self._lost_s or server not in self._failed_s.get(pool, ()):
+        has_failed = server in self._silent_s or server in self.failed_servers(pool)
+        if server in self._lost_s or not has_failed:
             return False
         self._lost_s[server] = now_s
+        if server in self._silent_s or server in self._unanswered_s.get(pool, ()):
+            self._answer_required.add(server)
         return True
 
     def on_reached(self, server: str) -> None:
@@ -158,9 +222,11 @@
 
     def retain(self, servers: Collection[str]) -> None:
         """Forgets all servers but these, which are listed as ready."""
-        for states in (self._lost_s, self._tested_s, *self._failed_s.values()):
+        failed_s = (*self._failed_s.values(), *self._unanswered_s.values())
+        for states in (self._lost_s, self._silent_s, self._tested_s, *failed_s):
             for name in [name for name in states if name not in servers]:
                 del states[name]
+        self._answer_required.intersection_update(self._lost_s)
         if not self._lost_s:
             self._assumed_lost_pools.clear()
         for name in [name for name in self._unreached_s if name not in servers]:
--- a/berylquay/net/persistent_http.py
+++ b/berylquay/net/persistent_http.py
@@ -114,6 +114,8 @@
     sent: bool = False
     # Whether the response being read belongs to another request and is discarded.
     has_foreign_response: bool = False
+    # Whether any byte has come since the request was started.
+    has_data: bool = False
     # Whether the response echoes the request id.
     is_echoed: bool = False
     # Informational heads, chunks and bytes of the body that were received.
@@ -145,6 +147,8 @@
     # Whether the connection is reused only after a response that echoes the request's id. A second
     # copy of any other response can't be told from the response to the next request.
     reuse_requires_echo: bool = False
+    # Called with the first bytes that come for each request.
+    on_answering: Callable[[], None] | None = None
     # Requests whose responses are complete, excluding one after which the connection was closed.
     completed_requests: int = 0
     # Monotonic time at which the connection last became idle; set and used by its owner.
@@ -250,6 +254,10 @@
             # The data belongs to no request.
             self.close()
             return
+        if not self._pending.has_data:
+            self._pending.has_data = True
+            if self.on_answering is not None:
+                self.on_answering()
         self._feed_parser(data)
 
     def on_disconnected(self, detail: str) -> None:
--- a/berylquay/platform/request_codec.py
+++ b/berylquay/platform/request_codec.py
@@ -212,9 +212,20 @@
     return RawRequest(b"GET", wire_names.REPORT_PATH.encode(), headers)
 
 
-def encode_health_request(address: Address, path: str, backend: str) -> RawRequest:
-    """Returns the request for a backend server's health check."""
+def encode_health_request(
+    address: Address, path: str, backend: str, check_id: str = ""
+) -> RawRequest:
+    """Returns the request for a backend server's health check.
+
+    Args:
+        address: Address of the server.
+        path: Path of its health checks.
+        backend: Its id.
+        check_id: Id that tells the answer from a late copy of another one; empty for none.
+    """
     headers = [(b"host", str(address).encode()), _expect_instance_header(backend)]
+    if check_id:
+        headers.append((wire_names.ATTEMPT_ID, check_id.encode()))
     return RawRequest(b"GET", path.encode("latin-1"), headers)
 
 
--- a/berylquay/relay/connection_pool.py
+++ b/berylquay/relay/connection_pool.py
@@ -148,6 +148,7 @@
             opened_s=now_s,
         )
         if gateway is None:
+            connection.on_answering = lambda: self._path_monitor.on_answered(backend, self._now_s)
             self._opening.append(_Opening(backend, connection, now_s))
         return connection
 
--- a/berylquay/relay/gateway_server.py
+++ b/berylquay/relay/gateway_server.py
@@ -102,6 +102,8 @@
     # Whether the server's connection has ended and the other host has yet to read the rest.
     _is_draining: bool
     _has_ended: bool
+    # Whether data of the server has come.
+    _has_data: bool
 
     def __init__(self, gateway: GatewayServer) -> None:
         self._gateway = gateway
@@ -111,6 +113,7 @@
         self._entry = None
         self._is_draining = False
         self._has_ended = False
+        self._has_data = False
 
     # Handler of the connection to the other host.
 
@@ -233,6 +236,9 @@
 
     def on_server_data(self, data: bytes) -> None:
         """Forwards data of the server."""
+        if not self._has_data and self._entry is not None:
+            self._has_data = True
+            self._gateway.path_monitor.on_answered(self._entry, time.monotonic())
         for message in encode_data(data):
             self._send(message)
 
@@ -241,6 +247,8 @@
         server = self._server
         if self._has_ended or server is None:
             return
+        if server.established and not self._has_data and self._entry is not None:
+            self._gateway.path_monitor.on_unanswered(self._entry, time.monotonic())
         if not server.established:
             self._on_connect_failed(detail)
         elif server.peer_closed_cleanly:
--- a/berylquay/relay/gateway_transport.py
+++ b/berylquay/relay/gateway_transport.py
@@ -49,8 +49,9 @@
     _instance: ServerInstance
     _listener: GatewayListener
     _websocket: PeerWebSocket
-    # Whether the message that opens the tunnel was sent.
+    # Whether the message that opens the tunnel was sent, and data of the server has come.
     _has_asked: bool
+    _has_data: bool
     # The connection to the gateway, and what its user sees of the one to the server.
     _link: Connection | None
     _connection: Connection | None
@@ -71,6 +72,7 @@
         self._listener = listener
         self._websocket = PeerWebSocket(PlaintextLayer(), server_side=False)
         self._has_asked = False
+        self._has_data = False
         self._link = None
         self._connection = None
 
@@ -150,6 +152,7 @@
 
     def _handle_message(self, connection: Connection, message: TunnelMessage | None) -> None:
         if isinstance(message, bytes):
+            self._has_data = True
             connection.handler.on_data_received(message)
         elif message is None:
             self._fail(UNREADABLE_MESSAGE)
@@ -158,6 +161,8 @@
             self._listener.on_server_reached()
             connection.handler.on_connected()
         elif message[0] == END:
+            if not self._has_data:
+                self._listener.on_gateway_failed(self.gateway)
             connection.peer_closed_cleanly = True
             self._end(connection, "closed by the other end")
         elif message[0] == UNREACHED:
@@ -175,6 +180,9 @@
             return
         if not connection.established:
             self.give_up_connecting()
+        elif not self._has_data:
+            # The gateway's own connections to the server may break as well.
+            self._listener.on_gateway_failed(self.gateway)
         self._end(connection, detail)
 
     def _end(self, connection: Connection, detail: str) -> None:
--- a/berylquay/relay/host.py
+++ b/berylquay/relay/host.py
@@ -260,6 +260,7 @@
             metrics=metrics,
             rng=rng,
             get_hosts=self._fleet_places,
+            health_path=self._health_path,
         )
         crash_history = CrashHistory(CrashHistoryLimits(retention_s=CRASH_RETENTION_S))
         return RelayServices(
--- a/tests/relay/test_crash_reports.py
+++ b/tests/relay/test_crash_reports.py
@@ -311,3 +311,15 @@
     for at_s in (1.0, 2.5, 3.9):
         host.crash_history.on_crash("i-1", frozenset({"f"}), at_s)
     assert len(host.crash_history.crashes_of("f")) == 1
+
+
+# Guards against sound content that is refused since connections to several servers broke.
+def test_a_withdrawn_crash_does_not_count() -> None:
+    history = CrashHistory(CrashHistoryLimits())
+    for number in range(3):
+        history.on_crash(f"i-{number}", frozenset({"f", "g"}), float(number))
+    history.withdraw("i-1", "f", 1.0)
+    history.withdraw("i-9", "f", 1.0)
+    history.withdraw("i-1", "unknown", 1.0)
+    assert [crash.backend for crash in history.crashes_of("f")] == ["i-0", "i-2"]
+    assert history.suspicion_of("g") is Suspicion.QUARANTINED
--- a/tests/relay/test_partitioned_hosts.py
+++ b/tests/relay/test_partitioned_hosts.py
@@ -74,25 +74,27 @@
     fleet: RelayFleet
     host: int
     name: str
+    # Paths of the routes that are used in turn.
+    paths: tuple[str, ...] = tuple(PATHS.values())
+    # Whether all requests have the same body.
+    has_equal_bodies: bool = False
     # Time of sending, and whether the request was served, by request.
     results: list[tuple[float, bool, str]] = field(factory=list)
     stopped: bool = False
 
     def run(self) -> None:
         """Sends requests."""
-        kinds = list(PATHS.values())
         while not self.stopped:
             number = len(self.results)
-            path = kinds[number % len(kinds)]
+            path = self.paths[number % len(self.paths)]
             headers = {"Deadline-Ms": "2000"}
             if path in ("/stream/", "/resume/"):
                 headers["Token-Counts"] = "40,4"
             call_id = f"{self.name}-{number}"
+            body = b"equal" if self.has_equal_bodies else call_id.encode()
             sent_s = time.monotonic()
             try:
-                answer = self.fleet.send_request(
-                    path + call_id, call_id, call_id.encode(), headers, self.host
-                )
+                answer = self.fleet.send_request(path + call_id, call_id, body, headers, self.host)
                 outcome = f"{answer.status} {answer.body[:60]!r}"
             except (OSError, HTTPException) as error:
                 outcome = f"broken off: {error!r}"
@@ -101,9 +103,14 @@
 
 
 @contextmanager
-def running_callers(fleet: RelayFleet) -> Iterator[list[Caller]]:
+def running_callers(
+    fleet: RelayFleet,
+    paths: tuple[str, ...] = tuple(PATHS.values()),
+    *,
+    has_equal_bodies: bool = False,
+) -> Iterator[list[Caller]]:
     callers = [
-        Caller(fleet, host, f"caller-{host}-{number}")
+        Caller(fleet, host, f"caller-{host}-{number}", paths, has_equal_bodies)
         for host in range(CUT_HOSTS + SOUND_HOSTS)
         for number in range(CALLERS_PER_HOST)
     ]
@@ -167,9 +174,17 @@
     assert len(failed) <= ALLOWED_FAILURE_SHARE * sent, (sent, failed[:20])
 
 
-def play(fleet: RelayFleet, partition: Partition, mode: str, cut_hosts: int = CUT_HOSTS) -> None:
+def play(
+    fleet: RelayFleet,
+    partition: Partition,
+    mode: str,
+    cut_hosts: int = CUT_HOSTS,
+    *,
+    paths: tuple[str, ...] = tuple(PATHS.values()),
+    has_equal_bodies: bool = False,
+) -> None:
     """Cuts the hosts off for a while amid requests, and checks who is served."""
-    with running_callers(fleet) as callers:
+    with running_callers(fleet, paths, has_equal_bodies=has_equal_bodies) as callers:
         wait_until(lambda: all(len(each.results) > 8 for each in callers))
         partition.set_mode(mode)
         time.sleep(CONTACT_S)
@@ -189,6 +204,31 @@
     play(fleet, start_fleet(fleet, tmp_path), mode)
 
 
+# Guards against a host that takes an established connection for a working path.
+@pytest.mark.parametrize("mode", ["reset-on-data", "silent"])
+@pytest.mark.parametrize(
+    "paths",
+    [
+        pytest.param((PATHS["many"],), id="repeatable"),
+        pytest.param((PATHS["once"],), id="not-repeatable"),
+        pytest.param((PATHS["stream"], PATHS["resumable"]), id="streams"),
+    ],
+)
+def test_callers_are_served_where_connections_are_established_and_break(
+    fleet: RelayFleet, tmp_path: Path, paths: tuple[str, ...], mode: str
+) -> None:
+    play(fleet, start_fleet(fleet, tmp_path), mode, paths=paths)
+
+
+# Guards against sound content that all hosts refuse, as those that were cut off have lost requests
+# with it at several servers.
+def test_equal_contents_are_served_during_and_after_the_cut(
+    fleet: RelayFleet, tmp_path: Path
+) -> None:
+    partition = start_fleet(fleet, tmp_path)
+    play(fleet, partition, "reset-on-data", paths=(PATHS["once"],), has_equal_bodies=True)
+
+
 # Guards against a host that has lost the servers of one service, or some of them, and refuses their
 # callers because its connections to other servers succeed.
 @pytest.mark.parametrize("mode", ["refuse", "hang"])
--- a/tests/relay/test_server_paths.py
+++ b/tests/relay/test_server_paths.py
@@ -144,7 +144,10 @@
     assert not take_probes(paths, POOL, True, rng, 2.0 + SILENCE_BEFORE_PROBE_S)
     assert take_probes(paths, POOL, True, rng, silent_s)
     assert not take_probes(paths, POOL, True, rng, silent_s + PROBE_INTERVAL_S / 2.0)
-    paths.on_connected("a", "app", 4.0)
+    # An established connection shows nothing of the data that it will carry.
+    paths.on_connected("a", "app", 3.9)
+    assert take_probes(paths, POOL, True, rng, 3.95)
+    paths.on_answered("a", "app", 4.0)
     assert not take_probes(paths, POOL, True, rng, 4.5)
     fail(paths, "a", "b", at_s=5.0)
     assert take_probes(paths, POOL, False, rng, 5.0)
@@ -207,3 +210,47 @@
     assert {choice.choose("app", round_trips_ms, rng, 0.1) for _ in range(50)} == {"far"}
     choice.expire(LOST_POOL_TTL_S)
     assert choice.choose("app", round_trips_ms, rng, LOST_POOL_TTL_S) != "far"
+
+
+# Guards against a host that takes a connection which is established, and then reset, for a path.
+def test_only_an_answer_counts_against_questions_without_one() -> None:
+    paths = ServerPaths()
+    assert paths.on_unanswered("a", "app", POOL, 0.0) == []
+    paths.on_connected("c", "app", 0.1)
+    assert paths.on_unanswered("b", "app", POOL, 0.2) == POOL
+    for name in POOL:
+        assert not paths.on_connected(name, "app", 0.3)
+    assert paths.lost_pools({"app": POOL}) == {"app"}
+    assert paths.on_answered("a", "app", 0.4)
+    assert [paths.is_lost(name) for name in POOL] == [False, True, True]
+
+
+# Guards against a host that blames its path for servers which failed while others answered, or long
+# ago.
+@pytest.mark.parametrize(
+    ("answered_s", "second_s"), [(0.1, 0.2), (float("nan"), FAILURE_TTL_S + 0.1)]
+)
+def test_a_pool_is_not_lost_if_a_server_answers_in_between(
+    answered_s: float, second_s: float
+) -> None:
+    paths = ServerPaths()
+    paths.on_unanswered("a", "app", POOL, 0.0)
+    if answered_s < second_s:
+        paths.on_answered("c", "app", answered_s)
+    assert paths.on_unanswered("b", "app", POOL, second_s) == []
+    assert not paths.lost_servers
+
+
+# Guards against a host that takes a pause of all servers for the loss of its path.
+def test_silent_servers_are_lost_only_if_they_answer_another_host() -> None:
+    paths = ServerPaths()
+    for name in POOL:
+        paths.on_silent(name, 0.0)
+    assert not paths.lost_servers
+    paths.on_answered("b", "app", 0.1)
+    assert not paths.on_reached_by_gateway("b", "app", 0.2)
+    assert paths.on_reached_by_gateway("a", "app", 0.2)
+    assert paths.requires_answer("a")
+    assert not paths.on_connected("a", "app", 0.3)
+    paths.retain({"b", "c"})
+    assert not paths.requires_answer("a")
--- a/tests/support/partitioned_host.py
+++ b/tests/support/partitioned_host.py
@@ -3,8 +3,10 @@
 The first argument is a JSON file that is read at each use of a connection to one of its `ports`;
 the other arguments are the relay host's. Its `mode` says what becomes of new connections and of
 open ones: nothing (``), `refuse` (open ones live on), `reset`, or `hang` (nothing arrives any more;
-new ones go to the listener at `tarpit`, whose backlog is full). With `full_mesh_hosts`, a fleet of
-more hosts than that exchanges summaries between its regions.
+new ones go to the listener at `tarpit`, whose backlog is full). In two modes new connections are
+established: `reset-on-data` resets a connection once it carries data, and with `silent` nothing
+arrives any more at either end. With `full_mesh_hosts`, a fleet of more hosts than that exchanges
+summaries between its regions.
 """
 
 import errno
@@ -26,6 +28,8 @@
 
     state_file: Path
     to_servers: WeakSet[socket.socket] = WeakSet()
+    # Connections that were reset as they carried data.
+    broken: WeakSet[socket.socket] = WeakSet()
 
     def connect_ex(self, address: tuple[str, int]) -> int:  # type: ignore[override]
         """Connects, unless the address is to be unreachable."""
@@ -42,9 +46,9 @@
     def recv(self, size: int, flags: int = 0) -> bytes:
         """Receives, unless the connection is broken."""
         mode = self._mode()
-        if mode == "reset":
+        if mode == "reset" or self in self.broken:
             raise ConnectionResetError(errno.ECONNRESET, "Connection reset by peer")
-        if mode == "hang":
+        if mode in ("hang", "silent"):
             raise BlockingIOError
         return super().recv(size, flags)
 
@@ -53,7 +57,12 @@
         mode = self._mode()
         if mode == "reset":
             raise ConnectionResetError(errno.ECONNRESET, "Connection reset by peer")
-        return len(data) if mode == "hang" else super().send(data, flags)
+        if mode == "reset-on-data":
+            # The data is accepted, and lost with the connection.
+            self.broken.add(self)
+            self.shutdown(socket.SHUT_RDWR)
+            return len(data)
+        return len(data) if mode in ("hang", "silent") else super().send(data, flags)
 
     def _mode(self) -> str:
         if self not in self.to_servers:
