--- a/berylquay/relay/region_exchange.py
+++ b/berylquay/relay/region_exchange.py
@@ -72,7 +72,7 @@
 MAX_PENDING_SEGMENTS: Final = 512
 # Time after which a segment that was not sent is dropped, as it would count as just used elsewhere.
 MAX_PENDING_AGE_S: Final = 1.0
-# Longest wait in this host's queue after which a datagram that it passes on is not logged.
+# Longest wait of a datagram that is passed on without a log line.
 UNLOGGED_WAIT_MS: Final = 250
 MS_PER_S: Final = 1000.0
 # Called with a datagram and when it has arrived.
