--- a/tests/relay/test_ambiguous_ends.py
+++ b/tests/relay/test_ambiguous_ends.py
@@ -25,7 +25,7 @@
 )
 from berylquay.relay.claimant import Claimant
 from berylquay.relay.follower import FollowTimings, TopicFollower
-from tests.relay.test_follower import FakeStoreClient, IgnoringHandler
+from tests.relay.test_follower import FakeStoreClient, IgnoringHandler, make_follower
 from tests.support.fake_connections import FakeConnections
 
 ADDRESS: Final = Address("10.0.0.1", 80)
@@ -225,24 +225,6 @@
     assert client.may_send("/usage", 8) is not may_run
 
 
-def make_follower(clock: Callable[[], float]) -> tuple[TopicFollower, FakeStoreClient]:
-    """Returns a follower that has read the newest records, up to offset 4, at 0 s."""
-    store_client = FakeStoreClient()
-    follower = TopicFollower(
-        "t",
-        FollowTimings(1.0, 0.05, 2.5),
-        store_client,  # type: ignore[arg-type]
-        IgnoringHandler(),
-        Random(1),
-        clock,
-        clock,
-        StoreEra(),
-    )
-    follower.on_tick(0.0)
-    store_client.complete(NewestRecordsPage((), has_more=False, end_offset=4))
-    return follower, store_client
-
-
 # Guards against a page that ends before the topic's end and confirms that nothing else is new,
 # here and at the hosts that take this one's reports.
 @pytest.mark.parametrize("contents", [(), (b"\x01ka",)], ids=["no-record", "one-record"])
--- a/tests/relay/test_follower.py
+++ b/tests/relay/test_follower.py
@@ -69,25 +69,35 @@
         """Ignores the record."""
 
 
-def test_a_read_in_flight_confirms_nothing() -> None:
-    """Guards against a read that returns no records although a new record exists.
-
-    Found by the hunt (mix, 45556787387).
-    """
-    now_s = 0.0
+def make_follower(
+    clock: Callable[[], float] = lambda: 0.0,
+    boot_clock: Callable[[], float] | None = None,
+    max_staleness_s: float = 2.5,
+) -> tuple[TopicFollower, FakeStoreClient]:
+    """Returns a follower that has read the newest records, up to offset 4, at 0 s."""
     store_client = FakeStoreClient()
     follower = TopicFollower(
         "t",
-        FollowTimings(1.0, 0.05, 2.5),
+        FollowTimings(1.0, 0.05, max_staleness_s),
         store_client,  # type: ignore[arg-type]
         IgnoringHandler(),
         Random(1),
-        lambda: now_s,
-        lambda: now_s,
+        clock,
+        boot_clock or clock,
         StoreEra(),
     )
-    follower.on_tick(now_s)
-    store_client.complete(NewestRecordsPage((), False, 4))
+    follower.on_tick(0.0)
+    store_client.complete(NewestRecordsPage((), has_more=False, end_offset=4))
+    return follower, store_client
+
+
+def test_a_read_in_flight_confirms_nothing() -> None:
+    """Guards against a read that returns no records although a new record exists.
+
+    Found by the hunt (mix, 45556787387).
+    """
+    now_s = 0.0
+    follower, store_client = make_follower(lambda: now_s)
     now_s = 0.1
     follower.on_tick(now_s)
     now_s = 1.1
@@ -105,19 +115,7 @@
 # Guards against knowledge that looks newer than it is after the machine was suspended.
 def test_a_suspension_counts_in_the_age_of_what_a_host_knows() -> None:
     now_s, suspended_s = 0.0, 0.0
-    store_client = FakeStoreClient()
-    follower = TopicFollower(
-        "t",
-        FollowTimings(1.0, 0.05, 2.5),
-        store_client,  # type: ignore[arg-type]
-        IgnoringHandler(),
-        Random(1),
-        lambda: now_s,
-        lambda: now_s + suspended_s,
-        StoreEra(),
-    )
-    follower.on_tick(now_s)
-    store_client.complete(NewestRecordsPage((), False, 4))
+    follower, store_client = make_follower(lambda: now_s, lambda: now_s + suspended_s)
     now_s = 0.1
     follower.on_tick(now_s)
     # The answer comes before the suspension and is read after it.
@@ -131,30 +129,12 @@
     assert own_read.to_report(now_s + suspended_s).age_ms == 50100
 
 
-def make_follower(max_staleness_s: float) -> tuple[TopicFollower, FakeStoreClient]:
-    """Returns a follower that has read the newest records, up to offset 4."""
-    store_client = FakeStoreClient()
-    follower = TopicFollower(
-        "t",
-        FollowTimings(1.0, 0.05, max_staleness_s),
-        store_client,  # type: ignore[arg-type]
-        IgnoringHandler(),
-        Random(1),
-        lambda: 0.0,
-        lambda: 0.0,
-        StoreEra(),
-    )
-    follower.on_tick(0.0)
-    store_client.complete(NewestRecordsPage((), False, 4))
-    return follower, store_client
-
-
 # Guards against a connection that has gone silent and uses up the time until a change is known.
 @pytest.mark.parametrize(
     ("max_staleness_s", "first_s"), [(2.5, 0.5), (4.0, 0.6), (5.0, 0.75), (9.0, CALL_TIMEOUT_S)]
 )
 def test_a_call_without_an_answer_is_soon_repeated(max_staleness_s: float, first_s: float) -> None:
-    follower, client = make_follower(max_staleness_s)
+    follower, client = make_follower(max_staleness_s=max_staleness_s)
     follower.on_tick(0.1)
     assert client.timeout_s == pytest.approx(first_s)
     client.complete(StoreFailure("no answer in time", 0, may_have_happened=True))
@@ -168,7 +148,7 @@
 
 # Guards against hosts that call again at once a store that has rejected them.
 def test_a_rejected_call_is_repeated_after_a_pause() -> None:
-    follower, client = make_follower(4.0)
+    follower, client = make_follower(max_staleness_s=4.0)
     follower.on_tick(0.1)
     client.complete(StoreFailure("too many calls", 429, may_have_happened=False))
     follower.on_tick(0.19)
@@ -178,7 +158,7 @@
 # Guards against a host that tells others of an old state as of the time of a change: an answer that
 # was on its way when the change was passed on to it sets its state back.
 def test_an_answer_from_before_a_change_does_not_set_the_state_back() -> None:
-    follower, client = make_follower(4.0)
+    follower, client = make_follower(max_staleness_s=4.0)
     follower.on_tick(0.1)
     assert follower.on_delta(TopicDelta("t", "4", "5", 0, (encode_keyed_record("k", b"v"),)), 0.2)
     client.complete(RecordPage((), 4, 4))
