--- a/berylquay/platform/route_configuration.py
+++ b/berylquay/platform/route_configuration.py
@@ -49,7 +49,7 @@
                     _decode_pool(_require_object(item, "a service"))
                     for item in _list_field(fields, "services")
                 ],
-                _decode_caller_limits(_require_object(fields.get("limits") or {}, "limits")),
+                _decode_caller_limits(_optional_object(fields, "limits")),
                 _decode_tenants(fields),
             )
         )
@@ -162,7 +162,7 @@
 
 
 def _decode_scaling(fields: JsonObject) -> ScalingProperties:
-    prices = _require_object(fields.get("zonePrices") or {}, "zonePrices")
+    prices = _optional_object(fields, "zonePrices")
     scaling = ScalingProperties(
         min_servers=_integer_field(fields, "min", 0),
         max_servers=_integer_field(fields, "max"),
@@ -205,6 +205,12 @@
     return value
 
 
+def _optional_object(fields: JsonObject, name: str) -> JsonObject:
+    """Returns an object, empty if the field is missing or null."""
+    value = fields.get(name)
+    return {} if value is None else _require_object(value, name)
+
+
 def _list_field(fields: JsonObject, name: str) -> list[object]:
     value = fields.get(name)
     if not isinstance(value, list):
--- a/tests/relay/test_platform_decoding.py
+++ b/tests/relay/test_platform_decoding.py
@@ -116,6 +116,13 @@
     assert isinstance(decode_configuration(json.dumps(configuration).encode()), Failure)
 
 
+# Guards against an invalid configuration that is taken because a field of another type looks empty.
+@pytest.mark.parametrize("value", [0, "", [], False])
+def test_limits_of_another_type_are_refused(value: object) -> None:
+    data = json.dumps(make_configuration(limits=value)).encode()
+    assert isinstance(decode_configuration(data), Failure)
+
+
 # Guards against a newer version that is taken for the one in force, as they differ by little.
 def test_versions_that_no_float_can_tell_apart_are_different() -> None:
     versions = [2**53, 2**53 + 1, 10**18, 10**18 + 1]
