--- a/review/lab_2/fleet.py
+++ b/review/lab_2/fleet.py
@@ -333,6 +333,12 @@
         if self._beats is None:
             self._beats = asyncio.create_task(self._beat())
 
+    def stop_beats(self) -> None:
+        """Writes no entries until `register` is called again."""
+        if self._beats is not None:
+            self._beats.cancel()
+            self._beats = None
+
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_S)
