Review case 9: read TROUBLE in the case itself

Cause: only the shared harness read TROUBLE, so the folder of the case did not show that it can leave out its disruption.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -17,12 +17,13 @@
     Store,
     ask,
     configuration,
-    has_trouble,
     route,
     run_case,
     settings,
 )
 
+# TROUBLE=0 leaves out the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 TRAFFIC_S = 15.0
 INTERVAL_S = 0.02
 # One in so many answers of the faulty runner is spoilt.
@@ -40,7 +41,7 @@
     async def run(self, peer: Peer, request: Request) -> None:
         """Runs a request, and sends its answer or other bytes."""
         self.answers += 1
-        if self.answers % SPOILT_EVERY or not has_trouble():
+        if self.answers % SPOILT_EVERY or not TROUBLE:
             await super().run(peer, request)
             return
         attempt = request.headers.get("attempt-id", "")
