Log each send of a call after a failed attempt

A call that is sent to a server for the second time left no line that names the cause, or tells whether an attempt was still open. The line 'sent again' states the failed attempt (stage, server, end, detail), the servers with open attempts, and whether the call may have run.

--- a/berylquay/relay/attempt_failures.py
+++ b/berylquay/relay/attempt_failures.py
@@ -14,6 +14,8 @@
 
 # Stage of an attempt that generates the answer.
 RUN_STAGE: Final = "run"
+# Stage of an attempt that prefills the prompt for another engine.
+PREFILL_STAGE: Final = "prefill"
 
 
 def record_failed_attempt(
@@ -35,7 +37,7 @@
         upstream: The attempt.
         outcome: How it ended.
         detail: Reason, for the log.
-        stage: `RUN_STAGE`, or that of an attempt to prefill the prompt.
+        stage: `RUN_STAGE`, `PREFILL_STAGE`, or that of a question for the start of an engine.
         wrote_s: For how long the answer had been arriving, or None before its first byte.
         now_s: Present monotonic time.
     """
--- a/berylquay/relay/call_logging.py
+++ b/berylquay/relay/call_logging.py
@@ -28,6 +28,17 @@
     framing: str = ""
 
 
+@frozen
+class FailedAttempt:
+    """What a failed attempt tells about the next one for the same call."""
+
+    backend: str
+    # Whether the attempt was to prefill the prompt or to generate the answer.
+    stage: str
+    outcome: AttemptOutcome
+    detail: str
+
+
 def log_placement(
     services: RelayServices, call: RelayCall, placement: Placement, outcome: str, now_s: float
 ) -> None:
@@ -120,6 +131,34 @@
     )
 
 
+def log_sent_again(
+    call: RelayCall, backend: str, stage: str, cause: FailedAttempt, open_at: list[str]
+) -> None:
+    """Logs that a call is sent to a server after another attempt has failed.
+
+    Args:
+        call: The call.
+        backend: Name of the server.
+        stage: Whether the server is to prefill the prompt or to generate the answer.
+        cause: The attempt that has failed.
+        open_at: Servers at which attempts of the call are still open.
+    """
+    _log.info(
+        "sent again",
+        id=call.call_id,
+        stage=stage,
+        backend=backend,
+        failed_stage=cause.stage,
+        failed_backend=cause.backend,
+        end=cause.outcome.value,
+        detail=cause.detail,
+        may_have_run=call.may_have_run,
+        repeatable=call.route.repeatable,
+        open_at=open_at,
+        sent_to=call.sent_to,
+    )
+
+
 def log_unframed_end(
     call: RelayCall,
     upstream: UpstreamRequest,
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -35,13 +35,15 @@
     encode_prefill_request,
     encode_run_request,
 )
-from berylquay.relay.attempt_failures import RUN_STAGE, record_failed_attempt
+from berylquay.relay.attempt_failures import PREFILL_STAGE, RUN_STAGE, record_failed_attempt
 from berylquay.relay.call_logging import (
     CallEnd,
+    FailedAttempt,
     log_call_ended,
     log_placement,
     log_quarantined_content,
     log_retry_not_allowed,
+    log_sent_again,
     log_transfer,
 )
 from berylquay.relay.caller_authentication import CallerAuthenticator, KeyRefusal
@@ -119,6 +121,8 @@
     # Open request to the backend server that runs the call, or None.
     _run_request: UpstreamRequest | None
     _placement: Placement | None
+    # The newest attempt that has failed, or None.
+    _failed_attempt: FailedAttempt | None
     # Search for the software version of the stream that the call continues, while it lasts.
     _stream_lookup: StreamLookup | None
     # Open question to the engine at which the stream is to go on, or None, and how many were asked.
@@ -184,6 +188,7 @@
         self._prefill_request = None
         self._run_request = None
         self._placement = None
+        self._failed_attempt = None
         self._stream_lookup = None
         self._start_question = None
         self._start_questions = 0
@@ -492,6 +497,7 @@
         services.placement.on_placed(placement, now_s)
         self._announcements.on_prefill_placed(engine.name, placement, now_s)
         services.on_work_placed(now_s)
+        self._log_repeat(engine, PREFILL_STAGE)
         connection = services.acquire_connection(engine, False, now_s)
         self._prefill_request = UpstreamRequest(
             PrefillResponseCollector(self),
@@ -545,6 +551,7 @@
             services.on_work_placed(now_s)
         else:
             services.in_flight[backend.name] += 1
+        self._log_repeat(backend, RUN_STAGE)
         connection = services.acquire_connection(
             backend, not call.route.repeatable, now_s, at_listed_start=needs_start
         )
@@ -561,6 +568,13 @@
         if may_be_continued and call.stream_version is None:
             self._beginning = StreamBeginning(services, call, self._run_request)
 
+    def _log_repeat(self, backend: BackendEntry, stage: str) -> None:
+        """Logs that the call is about to be sent again, if an attempt has failed before."""
+        if self._failed_attempt is not None:
+            open_requests = (self._prefill_request, self._run_request)
+            open_at = [upstream.backend.name for upstream in open_requests if upstream is not None]
+            log_sent_again(self.call, backend.name, stage, self._failed_attempt, open_at)
+
     def _ask_start(
         self, engine: BackendEntry, kv_handle: KVCacheHandle | None, now_s: float
     ) -> None:
@@ -903,7 +917,7 @@
         self._prefill_request = None
         services, call = self._services, self.call
         services.backlog.remove_prompt(upstream.backend.name, call.call_id)
-        self._record_failure(upstream, outcome, detail, "prefill", now_s)
+        self._record_failure(upstream, outcome, detail, PREFILL_STAGE, now_s)
         self._record_arrival(outcome, now_s)
         if outcome is AttemptOutcome.GATEWAY_FAILED:
             # Nothing was sent, so the prefill may be tried by way of the next gateway.
@@ -994,6 +1008,7 @@
         now_s: float,
     ) -> None:
         call = self.call
+        self._failed_attempt = FailedAttempt(upstream.backend.name, stage, outcome, detail)
         if outcome is AttemptOutcome.CONNECTION_LOST and call.generation is None:
             # The request may have run although its answer was lost.
             self._count_usage()
