Never send a call while a run of it is open

Cause: a prefill that has failed leads to a new placement, which did not ask whether the call runs or may have run; only the failure of a run did.

Evidence: 'sent again' in a run of the case: stage run at d-1 with open_at [d-1], the failed attempt being the prefill at p-1.

Fix: placements, sends to plain servers and runs ask before they go on. An open run goes on; a call that may have run and is not repeatable is refused as failed (502), never as not run. Such an event is logged as 'second run prevented'.

--- a/berylquay/relay/call_logging.py
+++ b/berylquay/relay/call_logging.py
@@ -159,6 +159,28 @@
     )
 
 
+def log_second_run_prevented(
+    call: RelayCall, open_at: str, failed_attempt: FailedAttempt | None
+) -> None:
+    """Logs that a call is not sent, as it runs or may have run.
+
+    Args:
+        call: The call.
+        open_at: Server at which a run of the call is open, or empty.
+        failed_attempt: The newest attempt that has failed, or None.
+    """
+    _log.warning(
+        "second run prevented",
+        id=call.call_id,
+        open_at=open_at,
+        may_have_run=call.may_have_run,
+        repeatable=call.route.repeatable,
+        failed_stage="" if failed_attempt is None else failed_attempt.stage,
+        failed_backend="" if failed_attempt is None else failed_attempt.backend,
+        detail="" if failed_attempt is None else failed_attempt.detail,
+    )
+
+
 def log_unframed_end(
     call: RelayCall,
     upstream: UpstreamRequest,
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -43,6 +43,7 @@
     log_placement,
     log_quarantined_content,
     log_retry_not_allowed,
+    log_second_run_prevented,
     log_sent_again,
     log_transfer,
 )
@@ -365,7 +366,9 @@
 
     def _place_generation(self, now_s: float, is_first_placement: bool) -> None:
         generation = self.call.generation
-        if generation is None or self._refuse_if_quarantined(now_s):
+        if generation is None or self._prevent_second_run(now_s):
+            return
+        if self._refuse_if_quarantined(now_s):
             return
         placement = self._engines.choose_placement(
             generation, may_disaggregate=self._may_disaggregate_prefill(now_s), now_s=now_s
@@ -396,6 +399,21 @@
         else:
             self._send_prefill(placement.prefill_engine, placement, now_s)
 
+    def _prevent_second_run(self, now_s: float) -> bool:
+        """Tells whether the call must not be sent, as it runs or may have run.
+
+        An open run goes on. A call that may have run and can't be repeated is refused.
+        """
+        call, run_request = self.call, self._run_request
+        if run_request is not None:
+            log_second_run_prevented(call, run_request.backend.name, self._failed_attempt)
+            return True
+        if call.may_have_run and not call.route.repeatable:
+            log_second_run_prevented(call, "", self._failed_attempt)
+            self._refuse(RefusalReason.BACKEND_FAILED, "the call may have run", now_s)
+            return True
+        return False
+
     def _refuse_if_quarantined(self, now_s: float) -> bool:
         """Refuses the call if its content or a segment is quarantined; tells whether it did."""
         call, crash_history = self.call, self._services.crash_history
@@ -450,7 +468,7 @@
         return False
 
     def _send_to_server(self, now_s: float) -> None:
-        if self._refuse_if_quarantined(now_s):
+        if self._prevent_second_run(now_s) or self._refuse_if_quarantined(now_s):
             return
         server = self._plain_servers.choose(now_s)
         if server is None:
@@ -512,7 +530,7 @@
     def _send_run(
         self, backend: BackendEntry, kv_handle: KVCacheHandle | None, now_s: float
     ) -> None:
-        if self._refuse_if_key_removed(now_s):
+        if self._prevent_second_run(now_s) or self._refuse_if_key_removed(now_s):
             return
         call, services = self.call, self._services
         needs_start = call.stream_version is not None and backend.states_start
