Tell of a failure only after the call in which it happened

Besides, servers worked on for callers who had left, and a server's load was counted down twice.

Cause: TcpConnections.send told the handler of a failure from within the call, and PersistentConnection.start_request did so for requests that may no longer be sent or can't be encoded. The handler of an upstream request then placed the call again before the sender had stored the request that failed; storing it made it, or the one it replaced, an open one. After a freeze in which idle connections were reset, the first thing that happens on them is such a send.

Fix: no handler is called from within a method of TcpConnections or from within start_request; it is told in the next turn of the event loop, unless the connection was closed before. A failing connection is not read, as sending has taken its error and a read would show a clean end. A request on a closed connection fails; it was never told before. A caller who is gone gets no further request of its own served.

--- a/berylquay/net/persistent_http.py
+++ b/berylquay/net/persistent_http.py
@@ -29,6 +29,7 @@
 # The same for chunks that hold less than this on average.
 MAX_SMALL_CHUNKS: Final = 8192
 MIN_MEAN_CHUNK_BYTES: Final = 4
+CONNECTION_CLOSED: Final = "the connection is closed"
 
 
 @frozen
@@ -82,7 +83,10 @@
 
 
 class ResponseHandler(Protocol):
-    """Callbacks for the response to a request; none is called after `close`."""
+    """Callbacks for the response to a request.
+
+    None is called after `close`, or from within `start_request`.
+    """
 
     def on_response_head(self, head: RawResponseHead) -> None:
         """Called once with the status line and headers."""
@@ -213,6 +217,9 @@
     ) -> None:
         """Sends a request on an idle or new connection; a new one sends it once established.
 
+        The handler is not called before this method has returned, also if the request can't be
+        sent.
+
         Args:
             request: the request.
             handler: receives the response.
@@ -223,11 +230,13 @@
                 the connection is new; the request fails unless it returns True.
         """
         bytes_sent_before = self._connection.bytes_sent
-        self._pending = _PendingRequest(
+        self._pending = pending = _PendingRequest(
             request, handler, id_header, request_id, bytes_sent_before, may_send
         )
-        if self._connection.established:
-            self._send_request()
+        if self._connection.closed:
+            self._fail_later(pending, CONNECTION_CLOSED)
+        elif self._connection.established and (detail := self._send_request()):
+            self._fail_later(pending, detail)
 
     def set_reading_paused(self, paused: bool) -> None:
         """Pauses or resumes reading from the connection."""
@@ -245,8 +254,12 @@
         """Sends the request that was started before the connection was established, if any."""
         self.was_established = True
         self.established_s = time.monotonic()
-        if self._pending is not None and not self._pending.sent:
-            self._send_request()
+        if (
+            self._pending is not None
+            and not self._pending.sent
+            and (detail := self._send_request())
+        ):
+            self._fail_request(detail)
 
     def on_data_received(self, data: bytes) -> None:
         """Parses response data; closes the connection if no request is pending."""
@@ -277,20 +290,20 @@
     def _has_sent_bytes(self, pending: _PendingRequest) -> bool:
         return self._connection.bytes_sent > pending.bytes_sent_before
 
-    def _send_request(self) -> None:
+    def _send_request(self) -> str:
+        """Sends the pending request; returns why it can't be sent, or an empty string."""
         pending = self._pending
         if pending is None:
-            return
+            return ""
         if pending.may_send is not None and not pending.may_send():
-            self._fail_request("it was too late to send the request")
-            return
+            return "it was too late to send the request"
         try:
             data = _encode_request(self._protocol, pending.request)
         except (h11.LocalProtocolError, ValueError) as error:
-            self._fail_request(f"the request can't be sent: {error}")
-            return
+            return f"the request can't be sent: {error}"
         pending.sent = True
         self._connections.send(self._connection, data)
+        return ""
 
     def _feed_parser(self, data: bytes) -> None:
         try:
@@ -426,6 +439,20 @@
             self.close()
         pending.handler.on_response_complete()
 
+    def _fail_later(self, pending: _PendingRequest, detail: str) -> None:
+        """Closes the connection, and tells the handler once `start_request` has returned."""
+        error = TransportError(detail, self.verdict, disconnected=self._connection.closed)
+        self.close()
+        # Until the handler is told, `close` can still prevent that.
+        self._pending = pending
+
+        def tell_handler() -> None:
+            if self._pending is pending:
+                self._pending = None
+                pending.handler.on_response_failed(error)
+
+        self._connections.call_soon(tell_handler)
+
     def _fail_request(self, detail: str) -> None:
         pending = self._pending
         error = TransportError(detail, self.verdict, disconnected=self._connection.closed)
--- a/berylquay/net/tcp_connections.py
+++ b/berylquay/net/tcp_connections.py
@@ -31,8 +31,8 @@
 _CONNECT_IN_PROGRESS: Final = (errno.EINPROGRESS, errno.EWOULDBLOCK)
 
 
-class connect_failed(Event):  # noqa: N801 (circuits names events in lower case)
-    """A call to `connect` failed immediately: `connect_failed(connection, detail)`."""
+class connection_failed(Event):  # noqa: N801 (circuits names events in lower case)
+    """A connection failed in a call of its user: `connection_failed(connection, detail)`."""
 
 
 class deferred_call(Event):  # noqa: N801 (circuits names events in lower case)
@@ -40,7 +40,11 @@
 
 
 class ConnectionHandler(Protocol):
-    """Callbacks for the events of a connection, always invoked on the event loop's thread."""
+    """Callbacks for the events of a connection, always invoked on the event loop's thread.
+
+    None is invoked from within a method of `TcpConnections`, so that its caller has stored what it
+    needs before.
+    """
 
     def on_connected(self) -> None:
         """Called once when the connection is established."""
@@ -64,6 +68,8 @@
     sock: socket.socket
     established: bool = False
     closed: bool = False
+    # Whether sending has failed, so that the connection is about to be closed and its handler told.
+    failing: bool = False
     # Bytes accepted by the operating system so far.
     bytes_sent: int = 0
     # Data that the operating system has not accepted yet.
@@ -108,9 +114,7 @@
         self._connections_by_sock[sock] = connection
         error_code = sock.connect_ex((address.ip, address.port))
         if error_code not in (0, *_CONNECT_IN_PROGRESS):
-            # Reported through an event, so that the caller has the connection before its handler
-            # is called.
-            self.fire(connect_failed(connection, errno.errorcode.get(error_code, str(error_code))))
+            self._end_later(connection, errno.errorcode.get(error_code, str(error_code)))
             return connection
         self._poller.addWriter(self, sock)
         return connection
@@ -136,13 +140,14 @@
 
     def pause_reading(self, connection: Connection) -> None:
         """Stops reading until `resume_reading`, so that TCP flow control slows down the peer."""
-        if not connection.reading_paused and not connection.closed and connection.established:
+        is_open = connection.established and not (connection.closed or connection.failing)
+        if is_open and not connection.reading_paused:
             connection.reading_paused = True
             self._poller.removeReader(connection.sock)
 
     def resume_reading(self, connection: Connection) -> None:
         """Resumes reading after `pause_reading`."""
-        if connection.reading_paused and not connection.closed:
+        if connection.reading_paused and not (connection.closed or connection.failing):
             connection.reading_paused = False
             self._poller.addReader(self, connection.sock)
 
@@ -159,22 +164,23 @@
         notified. Closing the socket with unread data would reset the connection, and the peer could
         lose the last response.
         """
-        if connection.closed or connection.half_closing:
+        if connection.closed or connection.half_closing or connection.failing:
             return
         connection.half_closing = True
         if not connection.unsent:
-            self._shut_down_sending(connection)
+            self._shut_down_sending(connection, self._end_later)
 
     def send(self, connection: Connection, data: bytes) -> None:
         """Sends the data immediately if possible, otherwise when the socket becomes writable.
 
-        Ignored if the connection is closed or half-closing.
+        Ignored if the connection is closed, half-closing or failing. The handler is told of a
+        failure after this method has returned.
         """
-        if connection.closed or connection.half_closing:
+        if connection.closed or connection.half_closing or connection.failing:
             return
         if connection.established and not connection.unsent:
-            data = self._send_now(connection, data)
-            if not data or connection.closed:
+            data = self._send_now(connection, data, self._end_later)
+            if not data:
                 return
         connection.unsent.append(data)
         if connection.established and not self._poller.isWriting(connection.sock):
@@ -189,11 +195,20 @@
         self._poller.discard(connection.sock)
         connection.sock.close()
 
-    def _shut_down_sending(self, connection: Connection) -> None:
+    def _shut_down_sending(
+        self, connection: Connection, on_failed: Callable[[Connection, str], None]
+    ) -> None:
         try:
             connection.sock.shutdown(socket.SHUT_WR)
         except OSError as error:
-            self._end_connection(connection, error.strerror or str(error))
+            on_failed(connection, error.strerror or str(error))
+
+    def _end_later(self, connection: Connection, detail: str) -> None:
+        """Ends a connection once the call of its user, in which it failed, has returned."""
+        connection.failing = True
+        # The failure has taken the socket's error: reading would show a clean end instead.
+        self._poller.discard(connection.sock)
+        self.fire(connection_failed(connection, detail))
 
     def _end_connection(self, connection: Connection, detail: str) -> None:
         if connection.closed:
@@ -202,19 +217,22 @@
         component = type(connection.handler).__name__
         self.errors.run(component, connection.handler.on_disconnected, detail)
 
-    def _send_now(self, connection: Connection, data: bytes) -> bytes:
+    def _send_now(
+        self, connection: Connection, data: bytes, on_failed: Callable[[Connection, str], None]
+    ) -> bytes:
+        """Sends what the operating system accepts, and returns the rest; none after a failure."""
         try:
             sent_bytes = connection.sock.send(data)
         except (BlockingIOError, InterruptedError):
             return data
         except OSError as error:
-            self._end_connection(connection, error.strerror or str(error))
+            on_failed(connection, error.strerror or str(error))
             return b""
         connection.bytes_sent += sent_bytes
         return data[sent_bytes:]
 
-    @handler("connect_failed")
-    def _on_connect_failed(self, connection: Connection, detail: str) -> None:
+    @handler("connection_failed")
+    def _on_connection_failed(self, connection: Connection, detail: str) -> None:
         self._end_connection(connection, detail)
 
     @handler("deferred_call")
@@ -223,20 +241,26 @@
 
     @handler("_write")
     def _on_writable(self, sock: socket.socket) -> None:
-        connection = self._connections_by_sock.get(sock)
+        connection = self._find_open(sock)
         if connection is None:
             return
         if not connection.established and not self._finish_connecting(connection):
             return
         while connection.unsent and not connection.closed:
-            unsent_data = self._send_now(connection, connection.unsent.popleft())
+            unsent_data = connection.unsent.popleft()
+            unsent_data = self._send_now(connection, unsent_data, self._end_connection)
             if unsent_data:
                 connection.unsent.appendleft(unsent_data)
                 return
-        if not connection.closed:
+        if not connection.closed and not connection.failing:
             self._poller.removeWriter(sock)
             if connection.half_closing:
-                self._shut_down_sending(connection)
+                self._shut_down_sending(connection, self._end_connection)
+
+    def _find_open(self, sock: socket.socket) -> Connection | None:
+        """Returns the connection of a socket, or None if it is closed or failing."""
+        connection = self._connections_by_sock.get(sock)
+        return None if connection is None or connection.failing else connection
 
     def _finish_connecting(self, connection: Connection) -> bool:
         error_code = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -252,7 +276,7 @@
 
     @handler("_read")
     def _on_readable(self, sock: socket.socket) -> None:
-        connection = self._connections_by_sock.get(sock)
+        connection = self._find_open(sock)
         if connection is None:
             return
         try:
@@ -273,7 +297,7 @@
 
     @handler("_disconnect")
     def _on_disconnect(self, sock: socket.socket) -> None:
-        connection = self._connections_by_sock.get(sock)
+        connection = self._find_open(sock)
         if connection is None:
             return
         error_code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/berylquay/relay/caller_connection.py
+++ b/berylquay/relay/caller_connection.py
@@ -200,6 +200,9 @@
             # The backend server's body was shorter than its content length.
             self.abort()
             return
+        if self.connection.failing:
+            # The caller is gone: its next request, which may have come already, must not be served.
+            return
         if not self.connection.unsent:
             self._set_reset_on_close(enabled=False)
         self._reset_request()
--- a/tests/relay/test_connections_reset_in_a_freeze.py
+++ b/tests/relay/test_connections_reset_in_a_freeze.py
@@ -123,3 +123,14 @@
     assert frozen_fleet.count("ran") == 1
     if kind in ("stream", "once"):
         assert frozen_fleet.count("arrived") == 1
+
+
+# Guards against servers that work on for callers who have left, because the run that took the place
+# of one that failed while it was being sent is no longer known.
+@pytest.mark.parametrize("kind", REUSING_KINDS)
+def test_a_caller_that_leaves_cancels_the_run(frozen_fleet: FrozenFleet, kind: str) -> None:
+    frozen_fleet.request_in_freeze(kind)
+    wait_until(lambda: frozen_fleet.count("arrived") > 0)
+    frozen_fleet.caller.close()
+    wait_until(lambda: frozen_fleet.count("cancelled") + frozen_fleet.count("ran") > 0)
+    assert frozen_fleet.count("ran") == 0
