Refuse answers with a Content-Encoding

Cause: nothing read the header. PROTOCOL: 'Clients request bodies without any encoding. A response that has a Content-Encoding is not the runner's body.'

Fix: such an answer, whatever its status, fails its attempt as one without a signature does. A statement that the request was not run is in the head and counts as before. The answer to a prefill is held to the same.

--- a/berylquay/platform/request_codec.py
+++ b/berylquay/platform/request_codec.py
@@ -328,12 +328,19 @@
 
     A failure needs no signature.
     """
+    if has_encoded_body(head):
+        return "the answer has a Content-Encoding"
     is_success = FIRST_SUCCESS <= head.status < FIRST_REDIRECTION
     if is_success and not (head.get(wire_names.SERVER_SEAL) or b"").strip():
         return "the answer reports success without a Server-Seal"
     return ""
 
 
+def has_encoded_body(head: RawResponseHead) -> bool:
+    """Returns whether the body of a response is encoded, so that it is not the server's."""
+    return head.get(wire_names.CONTENT_ENCODING) is not None
+
+
 def decode_server_notice(head: RawResponseHead) -> ServerNotice:
     """Returns what a response states of its server; a number that can't be parsed is ignored."""
     is_leaving = (head.get(wire_names.SERVER_LEAVING) or b"").strip() == b"1"
--- a/berylquay/platform/wire_names.py
+++ b/berylquay/platform/wire_names.py
@@ -45,6 +45,8 @@
 # Headers of a response.
 # Signature of the backend server that ran the request; a success counts only with it.
 SERVER_SEAL: Final = b"server-seal"
+# Callers ask for bodies without any encoding; an encoded one is not the backend server's.
+CONTENT_ENCODING: Final = b"content-encoding"
 WWW_AUTHENTICATE: Final = b"www-authenticate"
 NOT_EXECUTED: Final = b"not-executed"
 # Name of the backend server that responds.
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -36,6 +36,7 @@
     encode_prefill_request,
     encode_run_request,
     find_answer_fault,
+    has_encoded_body,
 )
 from berylquay.relay.attempt_failures import PREFILL_STAGE, RUN_STAGE, record_failed_attempt
 from berylquay.relay.call_logging import (
@@ -711,7 +712,8 @@
         head = upstream.head
         decoded = decode_kv_cache_handle(upstream.backend.name, upstream.backend.address, body)
         kv_handle = decoded.value_or(None)
-        if head is None or head.status != STATUS_OK or kv_handle is None:
+        is_handle = head is not None and head.status == STATUS_OK and not has_encoded_body(head)
+        if not is_handle or kv_handle is None:
             self._fail_upstream(
                 upstream, AttemptOutcome.SERVER_ERROR, "no handle for the prompt", now_s
             )
