Refuse status lines that are none of HTTP/1

Cause: the parser refuses 000, 001, 099, 20, 1000 and 2x0, so those were 502 already; it takes any other three digits and any version.

Fix: response heads are checked where they are parsed, in both HTTP clients, so that the store, the platform's API, engines' reports and berylquayd's services are held to it too. The request may have run.

--- a/berylquay/net/http_client.py
+++ b/berylquay/net/http_client.py
@@ -11,6 +11,7 @@
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
 from berylquay.net.body_framing import BodyFraming, framing_of
+from berylquay.net.response_heads import find_head_fault
 from berylquay.net.tcp_connections import Connection, TcpConnections
 
 STATUS_OK: Final = 200
@@ -153,6 +154,8 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.Response):
+                if fault := find_head_fault(event):
+                    raise h11.RemoteProtocolError(fault)
                 self._handler.on_response_head(_decode_head(event))
             elif isinstance(event, h11.Data):
                 self._handler.on_response_data(bytes(event.data))
--- a/berylquay/net/persistent_http.py
+++ b/berylquay/net/persistent_http.py
@@ -16,6 +16,7 @@
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
 from berylquay.net.body_framing import BodyFraming, framing_of
+from berylquay.net.response_heads import find_head_fault
 from berylquay.net.tcp_connections import Connection, ConnectionHandler
 
 Headers = list[tuple[bytes, bytes]]
@@ -381,25 +382,31 @@
         if pending is None or event is h11.NEED_DATA or event is h11.PAUSED:
             return False
         if isinstance(event, h11.Response):
-            head = RawResponseHead(event.status_code, event.reason, list(event.headers))
-            echoed = head.get(pending.id_header) if pending.id_header else None
-            pending.has_foreign_response = echoed is not None and echoed != pending.request_id
-            pending.is_echoed = echoed is not None and echoed == pending.request_id
-            if echoed is None and self.reuse_requires_echo and self.completed_requests:
-                # The server echoed ids before; this may be a copy of an earlier response, and the
-                # request may be running.
-                self._fail_request("the answer on a reused connection states no id")
-                return False
-            if not pending.has_foreign_response:
-                self._update_keep_alive_timeout(head)
-                pending.handler.on_response_head(head)
-        elif isinstance(event, h11.EndOfMessage):
+            return self._handle_head(pending, event)
+        if isinstance(event, h11.EndOfMessage):
             if pending.has_foreign_response:
                 return self._skip_foreign_response(pending)
             self._complete_request(pending)
             return False
-        elif isinstance(event, h11.ConnectionClosed):
+        return not isinstance(event, h11.ConnectionClosed)
+
+    def _handle_head(self, pending: _PendingRequest, event: h11.Response) -> bool:
+        """Passes a response head on; returns False if the response is no answer."""
+        if fault := find_head_fault(event):
+            self._fail_request(f"bad HTTP answer: {fault}")
+            return False
+        head = RawResponseHead(event.status_code, event.reason, list(event.headers))
+        echoed = head.get(pending.id_header) if pending.id_header else None
+        pending.has_foreign_response = echoed is not None and echoed != pending.request_id
+        pending.is_echoed = echoed is not None and echoed == pending.request_id
+        if echoed is None and self.reuse_requires_echo and self.completed_requests:
+            # The server echoed ids before; this may be a copy of an earlier response, and the
+            # request may be running.
+            self._fail_request("the answer on a reused connection states no id")
             return False
+        if not pending.has_foreign_response:
+            self._update_keep_alive_timeout(head)
+            pending.handler.on_response_head(head)
         return True
 
     def _skip_foreign_response(self, pending: _PendingRequest) -> bool:
--- a/tests/relay/test_answers_without_seal.py
+++ b/tests/relay/test_answers_without_seal.py
@@ -1,4 +1,4 @@
-"""Bytes of servers that are no answer of a runner: without signature, or encoded."""
+"""Bytes of servers that are no answer of a runner: without signature, encoded, or no HTTP/1."""
 
 from typing import Final
 
@@ -33,6 +33,12 @@
     "no-seal-299": Answer(b"HTTP/1.1 299 X", ID),
     "gzip": Answer(b"HTTP/1.1 200 OK", ID + SEAL + b"Content-Encoding: gzip\r\n"),
     "gzip-500": Answer(b"HTTP/1.1 500 X", ID + SEAL + b"Content-Encoding: gzip\r\n"),
+    "status-000": Answer(b"HTTP/1.1 000 X", ID + SEAL),
+    "status-099": Answer(b"HTTP/1.1 099 X", ID + SEAL),
+    "status-600": Answer(b"HTTP/1.1 600 X", ID + SEAL),
+    "status-999": Answer(b"HTTP/1.1 999 X", ID + SEAL),
+    "version-0.9": Answer(b"HTTP/0.9 200 OK", ID + SEAL),
+    "version-2.0": Answer(b"HTTP/2.0 200 OK", ID + SEAL),
 }
 # What is passed on unchanged.
 OWN: Final = {
@@ -129,7 +135,7 @@
 
 # Guards against a request that is answered 502 although it may be repeated and a sound server is
 # left.
-@pytest.mark.parametrize("name", ["no-seal", "gzip"])
+@pytest.mark.parametrize("name", ["no-seal", "gzip", "status-600"])
 @pytest.mark.parametrize("kind", [kind for kind, repeatable in KINDS.items() if repeatable])
 def test_another_server_answers_a_request_that_may_be_repeated(
     fleet: RelayFleet, kind: str, name: str
@@ -161,7 +167,7 @@
 
 
 # Guards against foreign bytes that are taken for an answer on a connection that was kept.
-@pytest.mark.parametrize("name", ["no-seal", "gzip"])
+@pytest.mark.parametrize("name", ["no-seal", "gzip", "version-2.0"])
 def test_foreign_bytes_on_a_kept_connection_are_no_answer(fleet: RelayFleet, name: str) -> None:
     start(fleet)
     add_server(fleet, "faulty", "many", encode(FOREIGN[name], "length"))
@@ -173,7 +179,7 @@
 
 
 # Guards against a stream that goes on with bytes that no engine has signed.
-@pytest.mark.parametrize("name", ["no-seal", "gzip"])
+@pytest.mark.parametrize("name", ["no-seal", "gzip", "version-0.9"])
 def test_a_stream_does_not_go_on_with_foreign_bytes(fleet: RelayFleet, name: str) -> None:
     start(fleet)
     begun = OWN["200"].first_line + b"\r\n" + OWN["200"].headers
