Break off a success whose server has not received the request

A plain reset was 502 already.

Cause: FIN ended the body, whatever of the request had been received. And a reset that follows FIN before the host reads either shows as a clean end, as reads report the FIN.

Fix: at FIN the kernel is asked whether the peer has acknowledged all that was sent, and for the socket's error. A success that ends with its connection is broken off if the request was not received, or a reset has come: 502, or another server. Failures, such as an early 413, are passed on. A gateway states it as the detail of the tunnel's end, which hosts of earlier builds ignore; their own links are asked as well. berylquayd's client does the same.

--- a/berylquay/net/http_client.py
+++ b/berylquay/net/http_client.py
@@ -11,7 +11,8 @@
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
 from berylquay.net.body_framing import BodyFraming, framing_of
-from berylquay.net.response_heads import find_head_fault
+from berylquay.net.persistent_http import REQUEST_NOT_TAKEN
+from berylquay.net.response_heads import find_head_fault, is_success
 from berylquay.net.tcp_connections import Connection, TcpConnections
 
 STATUS_OK: Final = 200
@@ -69,6 +70,8 @@
     _connection: Connection
     # Called just before the request is passed to the connection, if given.
     _on_sending: Callable[[], None] | None
+    # Whether the response reports success.
+    _is_success: bool
     # Whether the exchange has completed, failed or been cancelled.
     _ended: bool
 
@@ -85,6 +88,7 @@
         self._request = request
         self._handler = handler
         self._protocol = h11.Connection(our_role=h11.CLIENT)
+        self._is_success = False
         self._ended = False
         self._connection = connections.open(address, self)
 
@@ -143,7 +147,9 @@
         """Ends the exchange; reports a failure unless the response is complete."""
         if self._ended:
             return
-        if self._connection.peer_closed_cleanly:
+        if self._is_success and self._connection.has_undelivered:
+            detail = REQUEST_NOT_TAKEN
+        elif self._connection.peer_closed_cleanly:
             # A body without length and chunks ends with FIN; a reset has broken it off.
             self.on_data_received(b"", disconnected=True)
         self._fail(detail, disconnected=True)
@@ -156,6 +162,7 @@
             if isinstance(event, h11.Response):
                 if fault := find_head_fault(event):
                     raise h11.RemoteProtocolError(fault)
+                self._is_success = is_success(event.status_code)
                 self._handler.on_response_head(_decode_head(event))
             elif isinstance(event, h11.Data):
                 self._handler.on_response_data(bytes(event.data))
--- a/berylquay/net/persistent_http.py
+++ b/berylquay/net/persistent_http.py
@@ -16,7 +16,7 @@
 from berylquay.decisions.fleet import Address
 from berylquay.errors import TransportError
 from berylquay.net.body_framing import BodyFraming, framing_of
-from berylquay.net.response_heads import find_head_fault
+from berylquay.net.response_heads import find_head_fault, is_success
 from berylquay.net.tcp_connections import Connection, ConnectionHandler
 
 Headers = list[tuple[bytes, bytes]]
@@ -30,6 +30,7 @@
 # The same for chunks that hold less than this on average.
 MAX_SMALL_CHUNKS: Final = 8192
 MIN_MEAN_CHUNK_BYTES: Final = 4
+REQUEST_NOT_TAKEN: Final = "closed by the other end before it had received the request"
 CONNECTION_CLOSED: Final = "the connection is closed"
 
 
@@ -121,6 +122,8 @@
     has_foreign_response: bool = False
     # Whether any byte has come since the request was started.
     has_data: bool = False
+    # Whether the response reports success.
+    is_success: bool = False
     # Whether the response echoes the request id.
     is_echoed: bool = False
     # Informational heads, chunks and bytes of the body that were received.
@@ -281,7 +284,11 @@
         if self._is_parsing_deferred:
             self._parse(most_parts=None)
         if self._pending is not None and self._connection.peer_closed_cleanly:
-            self._feed_parser(b"")
+            if self._pending.is_success and self._connection.has_undelivered:
+                # What ends with its connection is not whole if the server gave up the request.
+                detail = REQUEST_NOT_TAKEN
+            else:
+                self._feed_parser(b"")
         pending, self._pending = self._pending, None
         if pending is not None:
             verdict = Verdict.MAY_HAVE_RUN if self._has_sent_bytes(pending) else Verdict.NOT_RUN
@@ -404,6 +411,7 @@
             # request may be running.
             self._fail_request("the answer on a reused connection states no id")
             return False
+        pending.is_success = is_success(head.status)
         if not pending.has_foreign_response:
             self._update_keep_alive_timeout(head)
             pending.handler.on_response_head(head)
--- a/berylquay/net/response_heads.py
+++ b/berylquay/net/response_heads.py
@@ -4,12 +4,20 @@
 
 import h11
 
+# Status codes of success, and the first one after them.
+FIRST_SUCCESS: Final = 200
+FIRST_REDIRECTION: Final = 300
 # Status codes of final responses are below this.
 END_OF_STATUS_CODES: Final = 600
 # All minor versions of HTTP/1 are read alike.
 SUPPORTED_MAJOR_VERSION: Final = b"1"
 
 
+def is_success(status: int) -> bool:
+    """Returns whether a status code reports success."""
+    return FIRST_SUCCESS <= status < FIRST_REDIRECTION
+
+
 def find_head_fault(head: h11.Response) -> str:
     """Returns why a final response's status line is none of HTTP/1, or an empty string.
 
--- a/berylquay/net/tcp_connections.py
+++ b/berylquay/net/tcp_connections.py
@@ -5,8 +5,10 @@
 """
 
 import errno
+import fcntl
 import socket
 import struct
+import termios
 from collections import deque
 from collections.abc import Callable
 from typing import Final, Protocol
@@ -28,6 +30,8 @@
 # Detail of a connection that the other end has refused.
 CONNECTION_REFUSED: Final = errno.errorcode[errno.ECONNREFUSED]
 UNEXPECTED_ERROR: Final = "unexpected error"
+CLOSED_BY_PEER: Final = "closed by the other end"
+_COUNT: Final = struct.Struct("i")
 _CONNECT_IN_PROGRESS: Final = (errno.EINPROGRESS, errno.EWOULDBLOCK)
 
 
@@ -76,6 +80,8 @@
     unsent: deque[bytes] = field(factory=deque)
     # Whether the peer closed its side of the connection with FIN rather than reset it.
     peer_closed_cleanly: bool = False
+    # Whether the peer closed its side before it had received all that was sent to it.
+    has_undelivered: bool = False
     # Whether reading is paused, so that TCP flow control slows down the peer.
     reading_paused: bool = False
     # Whether this side accepts no more data to send; received data is discarded.
@@ -186,6 +192,15 @@
         if connection.established and not self._poller.isWriting(connection.sock):
             self._poller.addWriter(self, connection.sock)
 
+    def is_undelivered(self, connection: Connection) -> bool:
+        """Tells whether the peer has not yet received all that was sent to it."""
+        if connection.unsent:
+            return True
+        if connection.closed:
+            return False
+        unacknowledged = fcntl.ioctl(connection.sock, termios.TIOCOUTQ, _COUNT.pack(0))
+        return unacknowledged != _COUNT.pack(0)
+
     def close(self, connection: Connection) -> None:
         """Closes the connection without calling its handler."""
         if connection.closed:
@@ -292,8 +307,12 @@
                 if not self.errors.run(component, connection.handler.on_data_received, data):
                     self._end_connection(connection, UNEXPECTED_ERROR)
         else:
-            connection.peer_closed_cleanly = True
-            self._end_connection(connection, "closed by the other end")
+            connection.has_undelivered = self.is_undelivered(connection)
+            # After FIN, a read shows a clean end also if a reset has followed.
+            error_code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            connection.peer_closed_cleanly = not error_code
+            detail = errno.errorcode.get(error_code, CLOSED_BY_PEER)
+            self._end_connection(connection, detail)
 
     @handler("_disconnect")
     def _on_disconnect(self, sock: socket.socket) -> None:
--- a/berylquay/platform/request_codec.py
+++ b/berylquay/platform/request_codec.py
@@ -13,13 +13,11 @@
 from berylquay.decisions.server_notices import ServerNotice
 from berylquay.decisions.tenants.keys import KeyFault
 from berylquay.net.persistent_http import Headers, RawRequest, RawResponseHead
+from berylquay.net.response_heads import is_success
 from berylquay.platform import wire_names
 from berylquay.whole_numbers import MAX_EVENT_ID_DIGITS, parse_whole_number
 
 MS_PER_S: Final = 1000.0
-FIRST_SUCCESS: Final = 200
-# Lowest status that does not report success.
-FIRST_REDIRECTION: Final = 300
 STATUS_MISDIRECTED: Final = 421
 STATUS_UNAVAILABLE: Final = 503
 # Headers that apply to one connection only, and the content length, which is set again.
@@ -330,8 +328,7 @@
     """
     if has_encoded_body(head):
         return "the answer has a Content-Encoding"
-    is_success = FIRST_SUCCESS <= head.status < FIRST_REDIRECTION
-    if is_success and not (head.get(wire_names.SERVER_SEAL) or b"").strip():
+    if is_success(head.status) and not (head.get(wire_names.SERVER_SEAL) or b"").strip():
         return "the answer reports success without a Server-Seal"
     return ""
 
--- a/berylquay/relay/gateway_server.py
+++ b/berylquay/relay/gateway_server.py
@@ -23,6 +23,7 @@
     OPENED,
     PAUSE,
     SERVER_REFUSED,
+    UNDELIVERED,
     UNREACHED,
     decode_message,
     decode_open,
@@ -252,7 +253,7 @@
         if not server.established:
             self._on_connect_failed(detail)
         elif server.peer_closed_cleanly:
-            self._send(encode_event(END))
+            self._send(encode_event(END, UNDELIVERED if server.has_undelivered else ""))
         else:
             # Without `END` the other host knows that the connection was broken off.
             self.end()
--- a/berylquay/relay/gateway_transport.py
+++ b/berylquay/relay/gateway_transport.py
@@ -13,6 +13,7 @@
     OPENED,
     PAUSE,
     SERVER_REFUSED,
+    UNDELIVERED,
     UNREACHED,
     TunnelMessage,
     decode_message,
@@ -164,6 +165,8 @@
             if not self._has_data:
                 self._listener.on_gateway_failed(self.gateway)
             connection.peer_closed_cleanly = True
+            is_link_behind = self._link is not None and self._tcp.is_undelivered(self._link)
+            connection.has_undelivered = is_link_behind or message[1] == UNDELIVERED
             self._end(connection, "closed by the other end")
         elif message[0] == UNREACHED:
             self.has_gateway_failed = not self._listener.on_server_unreached(self.gateway)
--- a/berylquay/relay/relayed_request.py
+++ b/berylquay/relay/relayed_request.py
@@ -28,8 +28,8 @@
 from berylquay.net.body_framing import BodyFraming
 from berylquay.net.http_client import STATUS_OK
 from berylquay.net.persistent_http import RawResponseHead
+from berylquay.net.response_heads import FIRST_REDIRECTION
 from berylquay.platform.request_codec import (
-    FIRST_REDIRECTION,
     KVCacheHandle,
     RunDetails,
     decode_kv_cache_handle,
--- a/berylquay/relay/tunnel_messages.py
+++ b/berylquay/relay/tunnel_messages.py
@@ -24,8 +24,10 @@
 # The server is not known to the gateway, is leaving, or wants no requests; from hosts of earlier
 # builds also that the gateway has not reached it.
 SERVER_REFUSED: Final = "server-refused"
-# The server has closed its side after all that was sent before.
+# The server has closed its side after all that was sent before. The detail is `UNDELIVERED` if it
+# had not received all data by then; earlier builds state none.
 END: Final = "end"
+UNDELIVERED: Final = "undelivered"
 # The server has asked for a pause.
 PAUSE: Final = "pause"
 _OPEN: Final = "open"
--- a/tests/support/fake_connections.py
+++ b/tests/support/fake_connections.py
@@ -13,6 +13,8 @@
         self.sent: dict[int, bytes] = {}
         self.closed_with_reset: dict[int, bool] = {}
         self._resets: set[int] = set()
+        # Whether the other ends have not received all that was sent.
+        self.is_behind = False
 
     def open(self, address: Address, connection_handler: ConnectionHandler) -> Connection:
         """Returns a connection that counts as established."""
@@ -44,6 +46,10 @@
         connection.closed = True
         self.closed_with_reset.setdefault(id(connection), id(connection) in self._resets)
 
+    def is_undelivered(self, connection: Connection) -> bool:
+        """Tells what the test has chosen."""
+        return self.is_behind
+
     def pause_reading(self, connection: Connection) -> None:
         """Does nothing."""
 
--- a/tests/test_failures_while_sending.py
+++ b/tests/test_failures_while_sending.py
@@ -94,6 +94,11 @@
         """Returns the address of the other ends."""
         return Address(*self.listener.getsockname())
 
+    def close(self) -> None:
+        """Closes the other ends."""
+        for sock in (self.listener, *self.peers):
+            sock.close()
+
     def turn(self, turns: int = TURNS) -> None:
         """Turns the event loop."""
         for _ in range(turns):
@@ -126,8 +131,7 @@
 def loop() -> Iterator[Loop]:
     made = Loop()
     yield made
-    for sock in (made.listener, *made.peers):
-        sock.close()
+    made.close()
 
 
 def open_tcp(loop: Loop, told: Told) -> tuple[Connection, socket.socket]:
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -10,7 +10,7 @@
 from berylquay.errors import TransportError
 from berylquay.net.http_client import HttpExchange, HttpResponseHead, make_json_request
 from berylquay.net.persistent_http import PersistentConnection, RawRequest, RawResponseHead
-from tests.support.fake_connections import FakeConnections
+from tests.relay.test_ends_of_backend_answers import EndingConnections
 
 ADDRESS: Final = Address("127.0.0.1", 1)
 REST: Final = b" X\r\nContent-Length: 2\r\n\r\n{}"
@@ -35,6 +35,7 @@
 
     statuses: list[int] = field(factory=list)
     failures: list[tuple[str, Verdict]] = field(factory=list)
+    completed: bool = False
 
     def on_response_head(self, head: RawResponseHead | HttpResponseHead) -> None:
         self.statuses.append(head.status)
@@ -43,24 +44,44 @@
         """Does nothing."""
 
     def on_response_complete(self) -> None:
-        """Does nothing."""
+        self.completed = True
 
     def on_response_failed(self, error: TransportError) -> None:
         self.failures.append((error.detail, error.verdict))
 
 
-def receive(client: str, first_line: bytes) -> Outcome:
-    """Returns what becomes of a request that is answered with a status line."""
-    outcome, connections = Outcome(), FakeConnections()
+def connect(client: str, connections: EndingConnections, outcome: Outcome) -> None:
+    """Sends a request by way of one of the two HTTP clients."""
     if client == "persistent":
         connection = PersistentConnection(ADDRESS, lambda _: None, lambda _: None, connections)
         connection.start_request(RawRequest(b"GET", b"/", [(b"host", b"h")]), outcome)
-        connection.on_data_received(first_line + REST)
     else:
         request = make_json_request("POST", "/", {})
-        exchange = HttpExchange(connections, ADDRESS, request, outcome)
-        exchange.on_connected()
-        exchange.on_data_received(first_line + REST)
+        HttpExchange(connections, ADDRESS, request, outcome).on_connected()
+
+
+# Guards against the part of an answer that a server sent before it gave up the request, and that
+# counts as the whole one.
+@pytest.mark.parametrize("client", ["persistent", "single"])
+@pytest.mark.parametrize(("status", "is_complete"), [(200, False), (413, True), (500, True)])
+def test_an_end_before_the_request_was_received(
+    client: str, status: int, *, is_complete: bool
+) -> None:
+    outcome, connections = Outcome(), EndingConnections()
+    connect(client, connections, outcome)
+    assert connections.newest is not None
+    connections.receive(b"HTTP/1.1 %d X\r\n\r\npart" % status)
+    connections.newest.has_undelivered = True
+    connections.end(has_fin=True)
+    assert outcome.completed == is_complete
+    assert len(outcome.failures) == (not is_complete)
+
+
+def receive(client: str, first_line: bytes) -> Outcome:
+    """Returns what becomes of a request that is answered with a status line."""
+    outcome, connections = Outcome(), EndingConnections()
+    connect(client, connections, outcome)
+    connections.receive(first_line + REST)
     return outcome
 
 
