Require all fields of a backend server's entry

Cause: seq counted as 0 where it was missing, and coldLeftMs was not read. PROTOCOL: such an entry 'names no runner to use'.

Fix: coldLeftMs and seq are required, with their types. born stays optional, as examples of entries on the platform lack it.

Tests: test_platform_decoding.py, five malformed entries were accepted before and are refused; entries without born, or with a part of a millisecond, are accepted before and after.

--- a/berylquay/platform/backend_entries.py
+++ b/berylquay/platform/backend_entries.py
@@ -30,7 +30,8 @@
 def _decode_entry(name: str, fields: dict[str, object]) -> BackendEntry:
     # The field "phase" is the role of an engine; plain services have none.
     role = fields.get("phase")
-    started_unix_ms = fields.get("born", 0)
+    # Not of use here, but each server's entry has it.
+    _check_duration(fields["coldLeftMs"])
     return BackendEntry(
         name=name,
         pool=_require_text(fields["service"]),
@@ -39,10 +40,11 @@
         slots=_require_count(fields["slots"]),
         state=_STATES[_require_text(fields["state"])],
         role=None if role is None else _ROLES[_require_text(role)],
-        started_unix_ms=_require_count(started_unix_ms),
+        # Not all deployments' servers state it.
+        started_unix_ms=_require_count(fields.get("born", 0)),
         software_version=_require_text(fields["version"]),
         # Here "seq" numbers the heartbeats; in a load report it counts accepted orders.
-        heartbeat_number=_require_count(fields.get("seq", 0)),
+        heartbeat_number=_require_count(fields["seq"]),
         spot=fields.get("spot") is True,
         leaves_ms=_decode_leaves_ms(fields),
     )
@@ -68,6 +70,13 @@
     return value
 
 
+def _check_duration(value: object) -> None:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{value!r} is not a number")
+    if not 0.0 <= value <= MAX_COUNT:
+        raise ValueError(f"{value!r} is not a duration")
+
+
 def _parse_address(text: str) -> Address:
     ip, _, port = text.rpartition(":")
     if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -51,6 +51,15 @@
         with_fields(SERVER, service="lm", phase="decode", slots=HUGE),
         with_fields(SERVER, zone=["fes-a"]),
         with_fields(SERVER, state="lost"),
+        *(
+            json.dumps({name: value for name, value in SERVER.items() if name not in missing})
+            for missing in ({"coldLeftMs"}, {"seq"}, {"coldLeftMs", "seq", "born"})
+        ),
+        with_fields(SERVER, coldLeftMs="0"),
+        with_fields(SERVER, coldLeftMs=True),
+        with_fields(SERVER, coldLeftMs=-1),
+        with_fields(SERVER, seq=None),
+        with_fields(SERVER, seq=1.5),
     ),
     "keyed.hosts": (
         DEEP,
--- a/tests/relay/test_platform_decoding.py
+++ b/tests/relay/test_platform_decoding.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import pytest
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from berylquay.decisions.backend_registry import EntryState
 from berylquay.decisions.fleet import Address, Role
@@ -35,6 +35,7 @@
     "version": "v1.2",
     "slots": 4,
     "state": "draining",
+    "coldLeftMs": 0,
     "phase": "decode",
     "seq": 7,
     "born": 12,
@@ -63,14 +64,29 @@
         json.dumps({**ENTRY, "address": "10.0.0.1"}).encode(),
         json.dumps({**ENTRY, "address": "10.0.0.1:99999"}).encode(),
         json.dumps({**ENTRY, "version": 2}).encode(),
-        json.dumps({key: value for key, value in ENTRY.items() if key != "zone"}).encode(),
-        json.dumps({key: value for key, value in ENTRY.items() if key != "version"}).encode(),
+        json.dumps({**ENTRY, "seq": None}).encode(),
+        json.dumps({**ENTRY, "coldLeftMs": "0"}).encode(),
+        json.dumps({**ENTRY, "coldLeftMs": True}).encode(),
+        json.dumps({**ENTRY, "coldLeftMs": -1}).encode(),
+        json.dumps({**ENTRY, "born": "12"}).encode(),
+        *(
+            json.dumps({key: value for key, value in ENTRY.items() if key != missing}).encode()
+            for missing in ("zone", "version", "coldLeftMs", "seq")
+        ),
     ],
 )
 def test_a_malformed_entry_is_rejected(data: bytes) -> None:
     assert isinstance(decode_backend_entry("i-1", data), Failure)
 
 
+# Guards against a server of an entry that states no start, as not all deployments' servers do, or
+# a part of a millisecond, and that gets no requests.
+@pytest.mark.parametrize("changes", [{"born": None}, {"coldLeftMs": 0.5}])
+def test_an_entry_is_accepted(changes: dict[str, object]) -> None:
+    fields = {key: value for key, value in {**ENTRY, **changes}.items() if value is not None}
+    assert isinstance(decode_backend_entry("i-1", json.dumps(fields).encode()), Success)
+
+
 def test_a_configuration_is_matched_by_host_and_path_prefix() -> None:
     table = decode_configuration(json.dumps(make_configuration(7)).encode()).unwrap()
     assert table.version == 7
