Give up windows of usage whose record and counts may be lost

Cause: a window without a record was given up only once it was overdue; until then a process that had started after it reported it with what it had. An era stated before the first tick was not noted.

Evidence: by reading and by the tests.

Fix: such a window is given up at once by a process that has started since. It has no counts of it, so that its report would be wrong, and may be a second one. A recorded window is taken up as before.

Tests: one in test_usage_decisions.py and one in test_usage_model.py failed before and pass; the other tests of usage reports pass.

--- a/berylquay/decisions/duties/usage_schedule.py
+++ b/berylquay/decisions/duties/usage_schedule.py
@@ -135,12 +135,15 @@
         ]
 
     def _is_given_up(self, window_id: int, true_s: float) -> bool:
-        """Tells whether a window is overdue, and may have a lost record with other counts."""
-        return (
-            window_id < self._first_safe_id
-            and window_id not in self.records
-            and true_s > self.end_s(window_id) + self.due_s
-        )
+        """Tells whether a window may have a lost record with other counts, and is not reported.
+
+        A process that has counted the window goes on until it is overdue; its counts are those of
+        the lost record. One that has started since has none of them.
+        """
+        if window_id >= self._first_safe_id or window_id in self.records:
+            return False
+        is_overdue = true_s > self.end_s(window_id) + self.due_s
+        return is_overdue or window_id < self._first_whole_id
 
     def drop_before(self, window_id: int) -> None:
         """Forgets the windows before this one."""
--- a/berylquay/relay/usage_reporter.py
+++ b/berylquay/relay/usage_reporter.py
@@ -498,9 +498,12 @@
         present_id = int(true_s // window_s)
         # Windows whose reports may still be due: no host may have been there to report them.
         due_windows = int(self._options.due_s // window_s)
-        return UsageSchedule(
+        schedule = UsageSchedule(
             window_s, self._options.due_s, present_id + 1, present_id - due_windows
         )
+        if self._has_store_eras:
+            schedule.on_store_restored(true_s)
+        return schedule
 
     def _is_kept(self, window_id: int) -> bool:
         """Tells whether a window is a recent one; a host's clock may be wrong by far."""
--- a/tests/test_usage_decisions.py
+++ b/tests/test_usage_decisions.py
@@ -170,3 +170,12 @@
     assert 10 not in schedule.open_ids(overdue_s)
     schedule.on_record(10, {}, is_own=False)
     assert 10 in schedule.open_ids(overdue_s)
+
+
+def test_a_window_before_the_start_without_a_record_is_given_up_after_a_restore() -> None:
+    """Guards against a report without counts of a window whose record was lost with its hosts."""
+    schedule = UsageSchedule(5.0, 10.0, 12, 10)
+    schedule.on_store_restored(END_S + 0.3)
+    assert schedule.open_ids(END_S + 9.0) == [11]
+    schedule.on_record(10, {"a": 1}, is_own=False)
+    assert schedule.open_ids(END_S + 9.0) == [10, 11]
--- a/tests/test_usage_model.py
+++ b/tests/test_usage_model.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.support.usage_model import UsageModel
+from tests.support.usage_model import EPOCH_S, UsageModel
 
 RUNS: Final = int(os.environ.get("BERYLQUAY_CASES", "20"))
 
@@ -68,3 +68,14 @@
         host = model.hosts[name]
         model.world.later(at_s, lambda host=host: setattr(host, "wall_jump_s", jump_s))  # type: ignore[misc]
     assert not run_calm(model)
+
+
+def test_a_process_that_starts_after_a_restore_reports_no_window_before() -> None:
+    """Guards against reports without counts, if the store states its era before the first tick."""
+    model = UsageModel(5, is_calm=True)
+    host = model.hosts["h-0"]
+    host.reporter.on_store_era(2)
+    host.tick()
+    schedule = host.reporter._schedule
+    assert schedule is not None
+    assert not schedule.open_ids(EPOCH_S + model.world.now_s)
