--- a/tests/relay/test_answers_without_seal.py
+++ b/tests/relay/test_answers_without_seal.py
@@ -5,6 +5,7 @@
 import pytest
 from attrs import frozen
 
+from tests.support.raw_sockets import find_header
 from tests.support.relay_fleet import HOST_NAME, PATHS, RelayFleet, make_configuration
 from tests.support.scripted_backend import Ending, Script
 
@@ -70,14 +71,16 @@
     fleet.add_scripted_backend(name, pool, answer, Ending.FIN, role)
 
 
-def send(fleet: RelayFleet, kind: str, call_id: str, version: str = "1.1") -> tuple[bytes, bytes]:
+def send(
+    fleet: RelayFleet, kind: str, call_id: str, version: str = "1.1", *, prompt_tokens: int = 20
+) -> tuple[bytes, bytes]:
     """Sends a request and returns what comes until the connection ends: head and body."""
     head = (
         f"POST {PATHS[kind]} HTTP/{version}\r\nHost: {HOST_NAME}\r\nAttempt-Id: {call_id}\r\n"
         "Deadline-Ms: 3000\r\nContent-Length: 0\r\nConnection: close\r\n"
     )
     if kind in ("stream", "resumable"):
-        head += "Model: m\r\nToken-Counts: 20,1\r\n"
+        head += f"Model: m\r\nToken-Counts: {prompt_tokens},1\r\n"
     received = b""
     with fleet.connect() as sock:
         sock.sendall(f"{head}\r\n".encode())
@@ -195,3 +198,18 @@
     assert b"id: 1" in body
     assert b"id: 2" not in body
     assert not body.endswith(b"0\r\n\r\n")
+
+
+# Guards against a KV cache that is fetched by a handle from an encoded body.
+def test_an_encoded_answer_to_a_prefill_has_no_handle(fleet: RelayFleet) -> None:
+    start(fleet)
+    handle = b'{"kvHandle": "3fa09c", "tokens": 1460, "version": 1}'
+    head = b"HTTP/1.1 200 OK\r\nContent-Encoding: x\r\nContent-Length: %d\r\n" % len(handle)
+    answer = head + ID + b"\r\n" + handle
+    prefill = fleet.add_scripted_backend("prefill", "lm", answer, Ending.FIN, "prefill")
+    add_server(fleet, "decode", "stream", encode(OWN["200"], "length"))
+    fleet.add_host()
+    assert status_of(send(fleet, "stream", "call-1", prompt_tokens=1460)[0]) == 200
+    assert prefill.requests
+    (run,) = fleet.scripted_backends[1].requests
+    assert not find_header(run, b"kv-source")
