--- a/examples/processes.py
+++ b/examples/processes.py
@@ -47,11 +47,13 @@
 
 
 def _is_free(port: int) -> bool:
-    with socket.socket() as sock:
-        try:
-            sock.bind(("127.0.0.1", port))
-        except OSError:
-            return False
+    # Hosts listen for datagrams too.
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                return False
     return True
 
 
--- a/tests/support/era_model.py
+++ b/tests/support/era_model.py
@@ -282,6 +282,7 @@
             "version": "v1",
             "slots": 1,
             "state": self.state,
+            "coldLeftMs": 0,
             "phase": "decode",
             "seq": self.heartbeat,
             "born": 1,
