--- a/review/lab_3/cut_link.py
+++ b/review/lab_3/cut_link.py
@@ -57,6 +57,8 @@
 
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
+        # Connections that are still open at the end are cancelled.
+        self._loop.set_exception_handler(lambda _loop, _context: None)
         self._loop.run_until_complete(asyncio.start_server(self._serve, IP, self.port))
         self._started.set()
         self._loop.run_forever()
--- a/review/lab_3/lab.py
+++ b/review/lab_3/lab.py
@@ -19,6 +19,7 @@
 IP = "127.0.0.1"
 HOST_NAME = "calls.example"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+_GIVEN_PORTS: set[int] = set()
 
 
 class CaseError(Exception):
@@ -31,7 +32,7 @@
 
 
 def free_port() -> int:
-    """Returns a port that is free for TCP and for UDP."""
+    """Returns a port that is free for TCP and for UDP, another one each time."""
     while True:
         with (
             socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
@@ -43,7 +44,9 @@
                 udp.bind((IP, port))
             except OSError:
                 continue
-            return int(port)
+            if port not in _GIVEN_PORTS:
+                _GIVEN_PORTS.add(port)
+                return int(port)
 
 
 def call_json(port: int, method: str, path: str, value: object = None) -> object:
@@ -164,9 +167,9 @@
         wait_for_listener(port, name)
         return port
 
-    def start_store(self, *arguments: str) -> None:
-        """Starts the stand-in of the platform's store."""
-        self.store_port = self.start_standin("store", "review.lab_3.store", *arguments)
+    def start_store(self) -> None:
+        """Starts the stand-in of the platform's store, which states its era in all answers."""
+        self.store_port = self.start_standin("store", "review.lab_3.store", "--era", "1")
 
     def put_bytes(self, topic: str, key: bytes, value: object) -> None:
         """Writes a record whose key may be any bytes, as another writer does."""
